--- a/cmd/wirehost/host.go
+++ b/cmd/wirehost/host.go
@@ -5,8 +5,8 @@
 	"math"
 	"time"
 
-	"linnethub/internal/wire"
-	"linnethub/rules"
+	"threadsail/internal/wire"
+	"threadsail/rules"
 )
 
 // host keeps the fronts of one process and the numbered lists they refer to.
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -9,7 +9,7 @@
 	"io"
 	"os"
 
-	"linnethub/internal/wire"
+	"threadsail/internal/wire"
 )
 
 func main() {
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"linnethub/internal/wire"
+	"threadsail/internal/wire"
 )
 
 const facts = `{"balancers":2,"caps":{"probing":true,"maxAttempts":4},"contract":{},"aNewKey":[1],
--- a/cmd/wirehost/settings.go
+++ b/cmd/wirehost/settings.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"linnethub/internal/wire"
-	"linnethub/rules"
+	"threadsail/internal/wire"
+	"threadsail/rules"
 )
 
 // settings puts the wire's facts into the module's words.
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"linnethub/rules"
+	"threadsail/rules"
 )
 
 // printer is a host that prints what it is asked for.
