--- a/cmd/wirehost/host.go
+++ b/cmd/wirehost/host.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
+	"threadsail/internal/config"
 	"threadsail/internal/wire"
 	"threadsail/rules"
 )
@@ -30,7 +30,7 @@
 
 func (h *host) batch(b *wire.Batch) ([]byte, error) {
 	h.reply.Reset(b.Number)
-	now := fromMs(b.ClockMs)
+	now := config.Milliseconds(b.ClockMs)
 	for i := range b.Events {
 		if err := h.event(now, &b.Events[i]); err != nil {
 			return nil, fmt.Errorf("record %d: %w", i, err)
@@ -73,7 +73,7 @@
 		f.router.List(now, kind, members(h.lists[e.Slot]))
 	case wire.EvCall:
 		f.router.Request(now, rules.Request{ID: e.Handle, Class: int(e.Lane), Group: int(e.Cluster),
-			Session: e.Session, Patience: fromMs(e.Ms), WroteAgo: fromMs(float64(e.WroteMs))})
+			Session: e.Session, Patience: config.Milliseconds(e.Ms), WroteAgo: config.Milliseconds(float64(e.WroteMs))})
 	case wire.EvOutcome:
 		f.router.Outcome(now, f.outcome(e))
 	case wire.EvEcho:
@@ -88,11 +88,11 @@
 }
 
 func (h *host) spawn(e *wire.Event) error {
-	facts, err := wire.ParseFacts(e.Bytes)
+	facts, err := config.ParseFacts(e.Bytes)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", e.Who, err)
 	}
-	set, err := settings(facts)
+	set, err := config.Settings(facts)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", e.Who, err)
 	}
@@ -111,7 +111,7 @@
 	for i, e := range entries {
 		state := [...]rules.State{rules.Gone, rules.Ready, rules.Draining}[e.Availability]
 		out[i] = rules.Member{Store: e.Store, Zone: int(e.Zone), Group: int(e.Cell), State: state,
-			Primary: e.Head == 1, Started: fromMs(e.BootMs)}
+			Primary: e.Head == 1, Started: config.Milliseconds(e.BootMs)}
 	}
 	return out
 }
@@ -161,7 +161,7 @@
 		}
 		switch f.fields[i] {
 		case "x0":
-			r.HasPosition, r.Position = true, f.base+fromMs(float64(v)*1000)
+			r.HasPosition, r.Position = true, f.base+config.Milliseconds(float64(v)*1000)
 		case "x1":
 			r.HasRole, r.Primary = true, v == 1
 		case "cpu":
@@ -171,12 +171,6 @@
 	return r
 }
 
-// fromMs turns wire milliseconds, which count microseconds, into a duration.
-func fromMs(v float64) time.Duration {
-	const most = float64(1 << 52)
-	return time.Duration(math.Round(max(min(v*1000, most), -most))) * time.Microsecond
-}
-
 func toMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func (f *front) Attempt(id, store uint32, timeout time.Duration) {
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,160 @@
+// Package config reads, checks and defaults all configuration: the environment, the file that PROXY_CONFIG names,
+// and the file of the MySQL front. Its errors name the key at fault.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"threadsail/internal/protocol/discovery"
+	"threadsail/rules"
+)
+
+// Defaults for what the file leaves out.
+const (
+	defaultMemoryMB       = 192
+	defaultSockets        = 1024
+	defaultMaxOpen        = 20000
+	defaultConnIdle       = 15 * time.Second
+	defaultConnectTimeout = 250 * time.Millisecond
+	leastSockets          = 32
+)
+
+// Config is all that the pooler is told at its start.
+type Config struct {
+	Name           string
+	Listen         string
+	Discovery      string
+	Seed           uint64
+	MemoryBytes    int64
+	Sockets        int
+	Known          discovery.List
+	Settings       rules.Settings
+	Zones          []string // names, in the order of their numbers
+	ReportFields   []string // of load reports; none where there are no reports
+	ReportOnAnswer bool
+	MaxOpen        int
+	ConnIdle       time.Duration
+	ConnectTimeout time.Duration
+}
+
+// Load reads the file that PROXY_CONFIG names. The other variables fill in what it leaves out.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, errors.New("PROXY_CONFIG: not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	c, err := parse(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parse(text []byte, getenv func(string) string) (*Config, error) {
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, jsonError(err)
+	}
+	c := &Config{Name: or(file.Name, getenv("PROXY_NAME")), Listen: or(file.Listen, getenv("PROXY_LISTEN")),
+		Discovery: or(file.Discovery, getenv("PROXY_DISCOVERY")), Sockets: or(file.Limits.Sockets, defaultSockets),
+		MemoryBytes: int64(or(file.Limits.MemoryMB, defaultMemoryMB) * (1 << 20))}
+	if err := address("listen", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := address("discovery", c.Discovery); err != nil {
+		return nil, err
+	}
+	if c.Sockets < leastSockets {
+		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Sockets, leastSockets)
+	}
+	if c.MemoryBytes < 16<<20 {
+		return nil, fmt.Errorf("limits.memory_mb: %v is under 16", file.Limits.MemoryMB)
+	}
+	if file.Seed != "" {
+		seed, err := strconv.ParseUint(file.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", file.Seed)
+		}
+		c.Seed = seed
+	}
+	if len(file.Known) > 0 {
+		known, err := discovery.ParseList(file.Known)
+		if err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		c.Known = known
+	}
+	if len(file.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	return c, c.settle(file.Settings)
+}
+
+// settle takes over the settings object.
+func (c *Config) settle(text []byte) error {
+	facts, err := ParseFacts(text)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if c.Settings, err = Settings(facts); err != nil {
+		return err
+	}
+	if len(c.Settings.Classes) == 0 {
+		return errors.New("settings: lanes: no class is named")
+	}
+	if err := c.Settings.Validate(); err != nil {
+		return err
+	}
+	if facts.Caps.MaxOpen < 0 || facts.Caps.ConnIdleMs < 0 || facts.Caps.ConnectTimeoutMs < 0 {
+		return errors.New("settings: caps: maxOpen, connIdleMs or connectTimeoutMs is below 0")
+	}
+	c.Zones = facts.Zones
+	c.MaxOpen = or(facts.Caps.MaxOpen, defaultMaxOpen)
+	c.ConnIdle = or(Milliseconds(facts.Caps.ConnIdleMs), defaultConnIdle)
+	c.ConnectTimeout = or(Milliseconds(facts.Caps.ConnectTimeoutMs), defaultConnectTimeout)
+	if facts.Report.How != "none" {
+		c.ReportFields = facts.Report.Fields
+		c.ReportOnAnswer = facts.Report.How == "answers"
+	}
+	return nil
+}
+
+func address(key, v string) error {
+	if v == "" {
+		return fmt.Errorf("%s: missing", key)
+	}
+	_, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return fmt.Errorf("%s: %q is no host:port", key, v)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+		return fmt.Errorf("%s: %q names no port", key, v)
+	}
+	return nil
+}
+
+func or[T comparable](v, otherwise T) T {
+	var zero T
+	if v == zero {
+		return otherwise
+	}
+	return v
+}
--- a/internal/wire/settings.go
+++ b/internal/config/facts.go
@@ -1,7 +1,8 @@
-package wire
+package config
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 )
 
@@ -16,7 +17,11 @@
 	Contract   Contract
 	FamilyInfo FamilyInfo
 	Lanes      []Lane
-	Report     struct {
+	Zones      []string
+	Clients    struct {
+		MarksRetry bool
+	}
+	Report struct {
 		Fields []string
 		How    string
 	}
@@ -24,13 +29,16 @@
 
 // Caps is what the site allows.
 type Caps struct {
-	MaxAttempts     int
-	MaxRetryAfterMs float64
-	MayCancel       bool
-	MayTell         bool
-	Probing         bool
-	RetryAfter      bool
-	SecondCopies    bool
+	ConnIdleMs       float64
+	ConnectTimeoutMs float64
+	MaxOpen          int
+	MaxAttempts      int
+	MaxRetryAfterMs  float64
+	MayCancel        bool
+	MayTell          bool
+	Probing          bool
+	RetryAfter       bool
+	SecondCopies     bool
 }
 
 // Contract has the figures of the rules.
@@ -72,7 +80,16 @@
 func ParseFacts(text []byte) (*Facts, error) {
 	f := &Facts{}
 	if err := json.Unmarshal(text, f); err != nil {
-		return nil, fmt.Errorf("unreadable settings: %w", err)
+		return nil, fmt.Errorf("unreadable settings: %w", jsonError(err))
 	}
 	return f, nil
 }
+
+// jsonError names the key at fault where the decoder knows it.
+func jsonError(err error) error {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) && t.Field != "" {
+		return fmt.Errorf("%s: a %s does not fit", t.Field, t.Value)
+	}
+	return err
+}
--- a/cmd/wirehost/settings.go
+++ b/internal/config/settings.go
@@ -1,25 +1,26 @@
-package main
+package config
 
 import (
 	"fmt"
+	"math"
+	"time"
 
-	"threadsail/internal/wire"
 	"threadsail/rules"
 )
 
-// settings puts the wire's facts into the module's words.
-func settings(f *wire.Facts) (rules.Settings, error) {
+// Settings puts the facts into the module's words, for the pooler and for the simulator's adapter.
+func Settings(f *Facts) (rules.Settings, error) {
 	s := rules.Settings{
-		Balancers: f.Balancers, Zone: f.Zone, Asks: f.Discovery == "ask", Tick: fromMs(f.TickMs),
-		BehindWait: fromMs(f.FamilyInfo.WaitMs), BaseTime: fromMs(f.FamilyInfo.BaseTimeMs),
+		Balancers: f.Balancers, Zone: f.Zone, Asks: f.Discovery == "ask", Tick: Milliseconds(f.TickMs),
+		BehindWait: Milliseconds(f.FamilyInfo.WaitMs), BaseTime: Milliseconds(f.FamilyInfo.BaseTimeMs),
 		Remembered: f.FamilyInfo.Tokens == "kept",
 		MayProbe:   f.Caps.Probing, MayCancel: f.Caps.MayCancel, SecondCopies: f.Caps.SecondCopies,
 		RetryAfter: f.Caps.RetryAfter, MaxAttempts: f.Caps.MaxAttempts,
-		MaxRetryAfter: fromMs(f.Caps.MaxRetryAfterMs),
-		MustAsk:       fromMs(f.Contract.MustAskInMs), DrainOnly: f.Contract.OnlyDrainingBinds,
-		DrainGrace: fromMs(f.Contract.DrainGraceMs), ColdFrom: f.Contract.ColdFrom,
-		ColdFor:      fromMs(f.Contract.ColdMs),
-		ColdMultiple: f.Contract.OverloadFactor, ColdSpan: fromMs(f.Contract.OverloadForMs),
+		MaxRetryAfter: Milliseconds(f.Caps.MaxRetryAfterMs),
+		MustAsk:       Milliseconds(f.Contract.MustAskInMs), DrainOnly: f.Contract.OnlyDrainingBinds,
+		DrainGrace: Milliseconds(f.Contract.DrainGraceMs), ColdFrom: f.Contract.ColdFrom,
+		ColdFor:      Milliseconds(f.Contract.ColdMs),
+		ColdMultiple: f.Contract.OverloadFactor, ColdSpan: Milliseconds(f.Contract.OverloadForMs),
 	}
 	switch f.FamilyInfo.Behind {
 	case "", "none":
@@ -45,9 +46,9 @@
 	return s, nil
 }
 
-func class(f *wire.Facts, i int, l wire.Lane) (rules.Class, error) {
-	c := rules.Class{Name: l.Name, Aim: fromMs(l.AimMs), Deadline: fromMs(l.HardLimitMs), Worth: l.Worth,
-		LateWorth: l.LateWorth, Window: fromMs(l.WindowMs)}
+func class(f *Facts, i int, l Lane) (rules.Class, error) {
+	c := rules.Class{Name: l.Name, Aim: Milliseconds(l.AimMs), Deadline: Milliseconds(l.HardLimitMs), Worth: l.Worth,
+		LateWorth: l.LateWorth, Window: Milliseconds(l.WindowMs)}
 	switch l.Semantics {
 	case "free":
 		c.Effect = rules.Safe
@@ -69,7 +70,7 @@
 		return c, fmt.Errorf("group: unknown word %q", l.Group)
 	}
 	if i < len(f.FamilyInfo.LagAllowedMs) {
-		c.Bound = fromMs(f.FamilyInfo.LagAllowedMs[i])
+		c.Bound = Milliseconds(f.FamilyInfo.LagAllowedMs[i])
 	}
 	if i < len(f.FamilyInfo.ClassRead) {
 		switch w := f.FamilyInfo.ClassRead[i]; w {
@@ -89,3 +90,9 @@
 	}
 	return c, nil
 }
+
+// Milliseconds turns milliseconds, which count microseconds, into a duration.
+func Milliseconds(v float64) time.Duration {
+	const most = float64(1 << 52)
+	return time.Duration(math.Round(max(min(v*1000, most), -most))) * time.Microsecond
+}
--- /dev/null
+++ b/internal/program/pgside/front.go
@@ -0,0 +1,271 @@
+// Package pgside joins PostgreSQL's protocol to the core: a front that takes clients' requests in, and a backend
+// that takes attempts to servers.
+package pgside
+
+import (
+	"strings"
+	"time"
+
+	"threadsail/internal/protocol/comment"
+	"threadsail/internal/protocol/pgwire"
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+	"threadsail/rules"
+)
+
+const maxPipelined = 64 // commands of one client under way; it is cut off beyond
+
+// Statement is the payload of a request: what the client sent, and its comment.
+type Statement struct {
+	Text    string
+	Comment comment.Comment
+}
+
+// Front takes clients in. All of it runs on the core's loop.
+type Front struct {
+	core     *routing.Core
+	ln       *transport.Listener
+	most     int
+	sessions map[*session]bool
+	draining bool
+}
+
+// Listen starts a front for at most most clients at once.
+func Listen(loop *routing.Loop, budget *transport.Budget, addr string, core *routing.Core, most int) (*Front, error) {
+	f := &Front{core: core, most: most, sessions: map[*session]bool{}}
+	ln, err := transport.Listen(loop, budget, addr, f.accept)
+	f.ln = ln
+	return f, err
+}
+
+// Addr is where it listens.
+func (f *Front) Addr() string { return f.ln.Addr() }
+
+// Drain takes no new clients, closes idle ones, and the others once they are answered.
+func (f *Front) Drain() {
+	f.draining = true
+	f.ln.Close()
+	for s := range f.sessions {
+		s.send()
+	}
+}
+
+// Clients tells how many are connected.
+func (f *Front) Clients() int { return len(f.sessions) }
+
+func (f *Front) accept(c *transport.Conn) {
+	if f.draining {
+		c.Close()
+		return
+	}
+	s := &session{f: f, c: c}
+	c.SetHandler(s)
+	f.sessions[s] = true
+	if len(f.sessions) > f.most {
+		c.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooMany, "too many clients", ""))
+		s.finish()
+	}
+}
+
+// session is one client's connection. Answers go out in the order of its commands.
+type session struct {
+	f       *Front
+	c       *transport.Conn
+	buf     []byte
+	started bool
+	skip    bool // after an error in an extended query: until its Sync
+	slots   []*slot
+}
+
+// slot is a command whose answer is due.
+type slot struct {
+	s    *session
+	open *routing.Open
+	done bool
+	out  []byte
+}
+
+func (s *session) Closed(error) {
+	delete(s.f.sessions, s)
+	for _, w := range s.slots {
+		if w.open != nil {
+			w.open.Gone()
+		}
+	}
+}
+
+func (s *session) finish() {
+	s.c.Finish()
+	s.Closed(nil)
+}
+
+// fatal answers what can't be understood and closes: the framing may be lost.
+func (s *session) fatal(code, text string) {
+	s.c.Write(pgwire.AppendError(nil, "FATAL", code, text, ""))
+	s.finish()
+}
+
+func (s *session) Data(at time.Duration, b []byte) {
+	s.buf = append(s.buf, b...)
+	rest := s.buf
+	for s.f.sessions[s] {
+		n, ok := s.next(at, rest)
+		if !ok || n == 0 {
+			break
+		}
+		rest = rest[n:]
+	}
+	if len(rest) == 0 {
+		s.buf = nil // idle clients hold no memory
+	} else {
+		s.buf = append([]byte(nil), rest...)
+	}
+}
+
+// next takes one message off b.
+func (s *session) next(at time.Duration, b []byte) (int, bool) {
+	if !s.started {
+		code, n, err := pgwire.NextStartup(b)
+		switch {
+		case err != nil:
+			s.fatal(pgwire.CodeProtocol, "impossible startup message")
+			return 0, false
+		case n == 0:
+		case code == pgwire.SSLCode || code == pgwire.GSSCode:
+			s.c.Write([]byte{'N'})
+		case code>>16 == 3:
+			s.started = true
+			s.c.Write(pgwire.AppendWelcome(nil))
+		case code == pgwire.CancelCode: // a client cancels by closing
+			s.finish()
+			return 0, false
+		default:
+			s.fatal(pgwire.CodeProtocol, "this protocol version is not supported")
+			return 0, false
+		}
+		return n, true
+	}
+	m, n, err := pgwire.Next(b)
+	if err != nil {
+		s.fatal(pgwire.CodeProtocol, "impossible message length")
+		return 0, false
+	}
+	if n > 0 {
+		s.message(at, m)
+	}
+	return n, true
+}
+
+func (s *session) message(at time.Duration, m pgwire.Message) {
+	if len(s.slots) >= maxPipelined {
+		s.fatal(pgwire.CodeTooMany, "too many commands in one pipeline")
+		return
+	}
+	switch m.Type {
+	case 'Q':
+		text, ok := pgwire.Text(m.Body)
+		if !ok {
+			s.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocol, "the query is not one string", ""), true)
+			return
+		}
+		s.query(at, text)
+	case 'X':
+		s.finish()
+	case 'S', 'H':
+		if m.Type == 'S' {
+			s.skip = false
+			s.answer(nil, true)
+		}
+	case 'P', 'B', 'D', 'E', 'C', 'F':
+		if !s.skip {
+			s.skip = m.Type != 'F'
+			s.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeUnsupported, "only simple queries are supported", ""),
+				m.Type == 'F')
+		}
+	default:
+		s.fatal(pgwire.CodeProtocol, "unknown message type")
+	}
+}
+
+// answer closes a command that needs no server.
+func (s *session) answer(out []byte, ready bool) {
+	if ready {
+		out = pgwire.AppendReady(out)
+	}
+	s.slots = append(s.slots, &slot{s: s, done: true, out: out})
+	s.send()
+}
+
+func (s *session) query(at time.Duration, text string) {
+	trimmed := strings.Trim(text, " \t\r\n;")
+	if trimmed == "" {
+		s.answer(pgwire.Append(nil, 'I'), true)
+		return
+	}
+	c, err := comment.Parse(text)
+	if err != nil {
+		word, _, _ := strings.Cut(strings.ToUpper(trimmed), " ")
+		if err == comment.ErrNone && (word == "SET" || word == "RESET" || word == "DISCARD") {
+			s.answer(pgwire.Append(nil, 'C', word, "\x00"), true) // a session here has no state to set
+			return
+		}
+		s.protocolError(err.Error())
+		return
+	}
+	class, ok := s.f.core.Class(c.Class)
+	if !ok {
+		s.protocolError("comment: c names an unknown class")
+		return
+	}
+	if c.Group < 0 || !s.f.core.HasGroup(c.Group) {
+		s.protocolError("comment: cluster names no known group")
+		return
+	}
+	info := s.f.core.ClassInfo(class)
+	if c.Patience == 0 {
+		c.Patience = info.Deadline
+	}
+	r := &routing.Request{Class: class, Group: c.Group, After: c.After, Arrived: at, Patience: c.Patience,
+		Payload: &Statement{Text: text, Comment: c}}
+	if info.Need == rules.NeedSession || info.Need == rules.NeedWrite {
+		r.Session = comment.Session(text)
+	}
+	w := &slot{s: s}
+	r.Reply = w
+	s.slots = append(s.slots, w)
+	w.open = s.f.core.Submit(r)
+}
+
+func (s *session) protocolError(text string) {
+	s.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocol, text, ""), true)
+}
+
+// send writes the answers that are due in order. While draining, a client without open commands is closed.
+func (s *session) send() {
+	for len(s.slots) > 0 && s.slots[0].done {
+		s.c.Write(s.slots[0].out)
+		s.slots[0] = nil
+		s.slots = s.slots[1:]
+	}
+	if s.f.draining && len(s.slots) == 0 {
+		s.finish()
+	}
+}
+
+func (w *slot) close(out []byte) {
+	w.done, w.open, w.out = true, nil, pgwire.AppendReady(out)
+	if w.s.f.sessions[w.s] {
+		w.s.send()
+	}
+}
+
+// Serve passes on the row as the server gave it.
+func (w *slot) Serve(answer any) { w.close(answer.([]byte)) }
+
+// Refuse tells the client that nothing has run, and when to come again.
+func (w *slot) Refuse(after time.Duration) { w.close(pgwire.AppendRefusal(nil, after)) }
+
+// Fail promises nothing.
+func (w *slot) Fail() {
+	w.close(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed, "no answer in time; the statement may have run", ""))
+}
--- /dev/null
+++ b/internal/program/watch.go
@@ -0,0 +1,105 @@
+package program
+
+import (
+	"errors"
+	"time"
+
+	"threadsail/internal/protocol/discovery"
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+	"threadsail/rules"
+)
+
+// The list service gives up a call after 2 s, and while a watch lives a line comes at least every 2 s. What it has
+// to tell counts as told 6 s later, so silence must be noticed well before.
+const (
+	watchDial    = time.Second
+	watchSilence = 3 * time.Second
+)
+
+var errSilent = errors.New("discovery: silent for too long")
+
+// watcher keeps the one watch on the list service. A watch that ends is reported to the module, which asks again
+// with backoff.
+type watcher struct {
+	loop   *routing.Loop
+	budget *transport.Budget
+	addr   string
+	zones  map[string]int
+	log    func(string)
+	list   func(rules.ListKind, []routing.Member)
+	since  uint64
+	stop   func() // ends the watch under way; nil: there is none
+	c      *transport.Conn
+	stream *discovery.Stream
+	silent *routing.Timer
+}
+
+func (w *watcher) watch() {
+	if w.stop != nil {
+		return
+	}
+	cancel := transport.Dial(w.loop, w.budget, w.addr, watchDial, func(c *transport.Conn, err error) {
+		if err != nil {
+			w.failed(err)
+			return
+		}
+		w.c, w.stream = c, &discovery.Stream{}
+		w.stop = c.Close
+		c.SetHandler(w)
+		c.Write(discovery.WatchRequest(w.addr, w.since))
+	})
+	w.stop = cancel
+	w.hear(watchDial + watchSilence)
+}
+
+// hear waits for the next word.
+func (w *watcher) hear(d time.Duration) {
+	w.silent.Stop()
+	w.silent = w.loop.After(d, func() { w.failed(errSilent) })
+}
+
+func (w *watcher) Closed(err error) { w.failed(err) }
+
+func (w *watcher) failed(err error) {
+	w.silent.Stop()
+	if w.stop != nil {
+		w.stop()
+	}
+	w.stop = nil
+	w.log("discovery: " + err.Error())
+	w.list(rules.ListFailed, nil)
+}
+
+func (w *watcher) Data(_ time.Duration, b []byte) {
+	w.hear(watchSilence)
+	lists, err := w.stream.Feed(b)
+	for _, l := range lists {
+		kind := rules.ListDelta
+		if l.Complete {
+			kind = rules.ListFull
+		}
+		w.since = l.Revision
+		w.list(kind, members(l, w.zones))
+	}
+	if err != nil {
+		if len(lists) == 0 {
+			w.since = 0 // it may be the list after this one that can't be read: ask for all of it
+		}
+		w.failed(err)
+	}
+}
+
+// members puts listed entries into the core's words.
+func members(l discovery.List, zones map[string]int) []routing.Member {
+	out := make([]routing.Member, len(l.Members))
+	for i, m := range l.Members {
+		zone, ok := zones[m.Zone]
+		if !ok {
+			zone = -1 // none of ours
+		}
+		out[i] = routing.Member{Name: m.Name, Addr: m.Addr, Zone: zone, Group: m.Group, State: m.State,
+			Primary: m.Primary, Started: m.Started}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/protocol/comment/comment.go
@@ -0,0 +1,130 @@
+// Package comment reads the comment that carries a request's values behind its statement, on either wire:
+//
+//	SELECT … /* id=9b1f03aa5c7e2d41,c=basket,d=480,cluster=2,after=1767225600123 */
+package comment
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ErrNone tells that a statement ends in no comment.
+var ErrNone = errors.New("the statement ends in no /* id=… */ comment")
+
+// MaxPatience bounds d: a longer wait is a mistake.
+const MaxPatience = 10 * time.Minute
+
+// Comment holds a request's values. Group is -1, Class and Key empty and the times 0 where it names none.
+type Comment struct {
+	ID       string
+	Class    string
+	Key      string
+	Patience time.Duration
+	Group    int
+	After    time.Duration // Unix time of the session's last commit
+	before   string        // the statement up to d's value
+	behind   string        // and from there on
+}
+
+// Parse reads the last comment of a statement.
+func Parse(statement string) (Comment, error) {
+	c := Comment{Group: -1}
+	text := strings.TrimRight(statement, " \t\r\n;")
+	start := strings.LastIndex(text, "/*")
+	if start < 0 || !strings.HasSuffix(text, "*/") || start+4 > len(text) {
+		return c, ErrNone
+	}
+	at := start + 2
+	inner := text[at : len(text)-2]
+	if !strings.HasPrefix(strings.TrimSpace(inner), "id=") {
+		return c, ErrNone
+	}
+	seen := map[string]bool{}
+	for _, field := range strings.Split(inner, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
+		if !ok || name == "" || seen[name] {
+			return c, fmt.Errorf("comment: %.32q is no name=value, or stands twice", field)
+		}
+		seen[name] = true
+		if err := c.set(name, value); err != nil {
+			return c, err
+		}
+		if name == "d" {
+			from := at + strings.Index(field, "=") + 1
+			c.before, c.behind = statement[:from], statement[from+len(value):]
+		}
+		at += len(field) + 1
+	}
+	if c.ID == "" {
+		return c, errors.New("comment: id is empty")
+	}
+	return c, nil
+}
+
+func (c *Comment) set(name, value string) error {
+	var err error
+	switch name {
+	case "id":
+		c.ID = value
+	case "c":
+		c.Class = value
+	case "k":
+		c.Key = value
+	case "d":
+		c.Patience, err = milliseconds(value)
+		if err == nil && (c.Patience <= 0 || c.Patience > MaxPatience) {
+			err = errors.New("out of range")
+		}
+	case "cluster":
+		c.Group, err = strconv.Atoi(value)
+		if err == nil && (c.Group < 0 || c.Group > math.MaxUint16) {
+			err = errors.New("out of range")
+		}
+	case "after":
+		c.After, err = milliseconds(value)
+	}
+	if err != nil {
+		return fmt.Errorf("comment: %s=%.32q: not a number in range", name, value)
+	}
+	return nil
+}
+
+func milliseconds(text string) (time.Duration, error) {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, err
+	}
+	if !(v >= 0 && v < float64(math.MaxInt64/time.Millisecond)) {
+		return 0, errors.New("out of range")
+	}
+	return time.Duration(v * float64(time.Millisecond)), nil
+}
+
+// WithPatience is the statement with d rewritten; all else stays as the client sent it.
+func (c *Comment) WithPatience(statement string, left time.Duration) string {
+	if c.behind == "" {
+		return statement
+	}
+	ms := max(int64(left/time.Millisecond), 1)
+	return c.before + strconv.FormatInt(ms, 10) + c.behind
+}
+
+// Session is the number of the session that the statement's quoted key names; 0: none.
+func Session(statement string) uint64 {
+	start := strings.IndexByte(statement, '\'')
+	if start < 0 {
+		return 0
+	}
+	end := strings.IndexByte(statement[start+1:], '\'')
+	if end <= 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write([]byte(statement[start+1 : start+1+end]))
+	return max(h.Sum64(), 1)
+}
--- /dev/null
+++ b/internal/protocol/pgwire/pgwire.go
@@ -0,0 +1,205 @@
+// Package pgwire reads and writes PostgreSQL's protocol, version 3: bytes to values, no sockets.
+package pgwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// Limits of what is taken in.
+const (
+	MaxStartup = 10 << 10
+	MaxMessage = 256 << 10 // values hold at most 64 KiB, twice that written in hexadecimal
+)
+
+// Codes that a startup message can begin with.
+const (
+	Version3   = 196608
+	CancelCode = 80877102
+	SSLCode    = 80877103
+	GSSCode    = 80877104
+)
+
+// SQLSTATE codes in use.
+const (
+	CodeTooMany     = "53300"
+	CodeCannotNow   = "57P03"
+	CodeReadOnly    = "25006"
+	CodeBehind      = "72000"
+	CodeFailed      = "58000"
+	CodeProtocol    = "08P01"
+	CodeSyntax      = "42601"
+	CodeUnsupported = "0A000"
+)
+
+// ErrFraming tells that the peer's messages can no longer be told apart.
+var ErrFraming = errors.New("pgwire: impossible message length")
+
+// Message is one typed message; Body points into the bytes it was read from.
+type Message struct {
+	Type byte
+	Body []byte
+	Raw  []byte // with its type and length
+}
+
+// Next takes one message off b. n is 0 while more bytes are needed.
+func Next(b []byte) (m Message, n int, err error) {
+	if len(b) < 5 {
+		return m, 0, nil
+	}
+	size := binary.BigEndian.Uint32(b[1:])
+	if size < 4 || size > MaxMessage {
+		return m, 0, fmt.Errorf("%w %d", ErrFraming, size)
+	}
+	n = 1 + int(size)
+	if len(b) < n {
+		return m, 0, nil
+	}
+	return Message{Type: b[0], Body: b[5:n], Raw: b[:n]}, n, nil
+}
+
+// NextStartup takes the untyped first message off b and returns its code.
+func NextStartup(b []byte) (code uint32, n int, err error) {
+	if len(b) < 4 {
+		return 0, 0, nil
+	}
+	size := binary.BigEndian.Uint32(b)
+	if size < 8 || size > MaxStartup {
+		return 0, 0, fmt.Errorf("%w %d", ErrFraming, size)
+	}
+	if len(b) < int(size) {
+		return 0, 0, nil
+	}
+	return binary.BigEndian.Uint32(b[4:]), int(size), nil
+}
+
+// Text reads a body that is one string.
+func Text(body []byte) (string, bool) {
+	if len(body) == 0 || body[len(body)-1] != 0 {
+		return "", false
+	}
+	for _, c := range body[:len(body)-1] {
+		if c == 0 {
+			return "", false
+		}
+	}
+	return string(body[:len(body)-1]), true
+}
+
+// Parameter reads a ParameterStatus.
+func Parameter(body []byte) (name, value string, ok bool) {
+	for i, c := range body {
+		if c == 0 {
+			value, ok = Text(body[i+1:])
+			return string(body[:i]), value, ok
+		}
+	}
+	return "", "", false
+}
+
+// ErrorCode reads the SQLSTATE of an ErrorResponse; empty where it has none.
+func ErrorCode(body []byte) string { return ErrorField(body, 'C') }
+
+// ErrorField reads one field of an ErrorResponse.
+func ErrorField(body []byte, field byte) string {
+	for len(body) > 1 && body[0] != 0 {
+		end := 1
+		for end < len(body) && body[end] != 0 {
+			end++
+		}
+		if end == len(body) {
+			return ""
+		}
+		if body[0] == field {
+			return string(body[1:end])
+		}
+		body = body[end+1:]
+	}
+	return ""
+}
+
+// Column reads the first column of a DataRow.
+func Column(body []byte) ([]byte, bool) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) == 0 {
+		return nil, false
+	}
+	n := int32(binary.BigEndian.Uint32(body[2:]))
+	if n < 0 || int(n) > len(body)-6 {
+		return nil, false
+	}
+	return body[6 : 6+n], true
+}
+
+// Append adds a message with the given parts of its body.
+func Append(b []byte, kind byte, parts ...string) []byte {
+	size := 4
+	for _, p := range parts {
+		size += len(p)
+	}
+	b = append(b, kind)
+	b = binary.BigEndian.AppendUint32(b, uint32(size))
+	for _, p := range parts {
+		b = append(b, p...)
+	}
+	return b
+}
+
+// AppendStartup adds a client's startup message.
+func AppendStartup(b []byte, user, database string) []byte {
+	body := "user\x00" + user + "\x00database\x00" + database + "\x00\x00"
+	b = binary.BigEndian.AppendUint32(b, uint32(8+len(body)))
+	b = binary.BigEndian.AppendUint32(b, Version3)
+	return append(b, body...)
+}
+
+// AppendQuery adds a simple query.
+func AppendQuery(b []byte, text string) []byte { return Append(b, 'Q', text, "\x00") }
+
+// AppendReady adds ReadyForQuery, outside any transaction.
+func AppendReady(b []byte) []byte { return Append(b, 'Z', "I") }
+
+// AppendWelcome adds a server's answer to a startup message.
+func AppendWelcome(b []byte) []byte {
+	b = Append(b, 'R', "\x00\x00\x00\x00")
+	for _, p := range [][2]string{{"server_version", "14.0"}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"}} {
+		b = AppendParameter(b, p[0], p[1])
+	}
+	b = Append(b, 'K', "\x00\x00\x00\x00\x00\x00\x00\x00")
+	return AppendReady(b)
+}
+
+// AppendParameter adds a ParameterStatus.
+func AppendParameter(b []byte, name, value string) []byte {
+	return Append(b, 'S', name, "\x00", value, "\x00")
+}
+
+// AppendError adds an ErrorResponse.
+func AppendError(b []byte, severity, code, text, detail string) []byte {
+	parts := []string{"S", severity, "\x00V", severity, "\x00C", code, "\x00M", text, "\x00"}
+	if detail != "" {
+		parts = append(parts, "D", detail, "\x00")
+	}
+	return Append(b, 'E', append(parts, "\x00")...)
+}
+
+// AppendRefusal adds the error that invites the client to come again, after the given time if any.
+func AppendRefusal(b []byte, after time.Duration) []byte {
+	detail := ""
+	if after > 0 {
+		detail = strconv.FormatInt(int64((after+time.Millisecond-1)/time.Millisecond), 10)
+	}
+	return AppendError(b, "ERROR", CodeTooMany, "no server can take this request now", detail)
+}
+
+// AppendRow adds RowDescription, one DataRow and CommandComplete for a single text column.
+func AppendRow(b []byte, column, value, tag string) []byte {
+	b = Append(b, 'T', "\x00\x01", column, "\x00", "\x00\x00\x00\x00\x00\x00\x00\x00\x00\x19\xff\xff\xff\xff\xff\xff\x00\x00")
+	size := binary.BigEndian.AppendUint32(nil, uint32(len(value)))
+	b = Append(b, 'D', "\x00\x01", string(size), value)
+	return Append(b, 'C', tag, "\x00")
+}
--- /dev/null
+++ b/internal/routing/core.go
@@ -0,0 +1,343 @@
+// Package routing holds the pooler's core: it owns the decision module, the requests, their attempts, the timers
+// and the clock, and knows no wire. Fronts submit requests and answer them; a backend sends attempts and probes.
+package routing
+
+import (
+	"hash/fnv"
+	"time"
+
+	"threadsail/rules"
+)
+
+const (
+	// replyMargin of a client's patience is left for the way back of a final answer.
+	replyMargin = 5 * time.Millisecond
+	probeSlack  = 50 * time.Millisecond // a probe may need a connection first
+	maxKnown    = 1 << 16               // names kept; more than any list that is not garbage
+)
+
+// Replier gives a client its one final answer.
+type Replier interface {
+	Serve(answer any)
+	Refuse(after time.Duration) // nothing may have run; come again after the time, if any
+	Fail()
+}
+
+// Request is a client's request, in no wire's terms. Payload goes to the backend as it is.
+type Request struct {
+	Class, Group int
+	Session      uint64
+	After        time.Duration // Unix time of the session's last commit; 0: none
+	Arrived      time.Duration // of its last byte
+	Patience     time.Duration // from then on
+	Payload      any
+	Reply        Replier
+}
+
+// Result is the end of an attempt or a probe, as the backend saw it.
+type Result struct {
+	Result      rules.Result
+	Answer      any
+	Role        rules.Role
+	HasPosition bool
+	Position    time.Duration
+	Report      rules.Report
+}
+
+// Backend reaches the servers. Send and Probe call done once, on the loop and after they have returned; once the
+// function they return has been called, the connection is closed and done is called no more.
+type Backend interface {
+	Send(addr string, payload any, left time.Duration, done func(Result)) (abort func())
+	Probe(addr string, timeout time.Duration, done func(Result)) (abort func())
+	CloseIdle(addr string)
+}
+
+// Member is one listed server.
+type Member struct {
+	Name, Addr  string
+	Zone, Group int
+	State       rules.State
+	Primary     bool
+	Started     time.Duration
+}
+
+// Options is what a Core needs.
+type Options struct {
+	Settings     rules.Settings
+	Seed         uint64
+	MaxOpen      int
+	ProbeTimeout time.Duration
+	Watch        func() // opens the watch on the list; its end is reported as rules.ListFailed
+	Log          func(string)
+}
+
+// Open is a request under way.
+type Open struct {
+	c        *Core
+	id       uint32
+	req      *Request
+	deadline time.Duration
+	ended    bool
+	sent     int
+	live     map[int]*call
+}
+
+type call struct {
+	store uint32
+	abort func()
+	timer *Timer
+}
+
+type server struct {
+	addr string
+}
+
+// Core carries the module's decisions out.
+type Core struct {
+	loop    *Loop
+	opt     Options
+	router  *rules.Router
+	backend Backend
+	open    map[uint32]*Open
+	lastID  uint32
+	servers map[uint32]*server
+	names   map[string]uint32
+	groups  map[int]bool
+	actions []func()
+}
+
+// New returns a core that runs on a loop.
+func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
+	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, servers: map[uint32]*server{},
+		names: map[string]uint32{}, groups: map[int]bool{}}
+	router, err := rules.New(opt.Settings, opt.Seed, (*actions)(c))
+	if err != nil {
+		return nil, err
+	}
+	c.router = router
+	loop.round = c.carryOut
+	return c, nil
+}
+
+// Open tells how many requests are open.
+func (c *Core) Open() int { return len(c.open) }
+
+// Class finds a class by its name.
+func (c *Core) Class(name string) (int, bool) {
+	for i := range c.opt.Settings.Classes {
+		if c.opt.Settings.Classes[i].Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// ClassInfo is what the settings say of a class.
+func (c *Core) ClassInfo(class int) rules.Class { return c.opt.Settings.Classes[class] }
+
+// HasGroup tells whether some list has named a group. Before the first list any may come to be.
+func (c *Core) HasGroup(group int) bool { return len(c.groups) == 0 || c.groups[group] }
+
+// Submit takes a request in. It is answered through its Reply, once, unless Gone comes first.
+func (c *Core) Submit(r *Request) *Open {
+	now := c.loop.Now()
+	o := &Open{c: c, req: r, deadline: r.Arrived + r.Patience - replyMargin, live: map[int]*call{}}
+	if len(c.open) >= c.opt.MaxOpen {
+		o.ended = true
+		c.do(func() { r.Reply.Refuse(c.opt.Settings.MaxRetryAfter) })
+		return o
+	}
+	for c.lastID++; c.open[c.lastID] != nil; c.lastID++ {
+	}
+	o.id = c.lastID
+	c.open[o.id] = o
+	in := rules.Request{ID: o.id, Class: r.Class, Group: r.Group, Session: r.Session, Patience: o.deadline - now}
+	if r.After > 0 {
+		in.WroteAgo = max(now-r.After, time.Microsecond)
+	}
+	c.router.Request(now, in)
+	return o
+}
+
+// Gone tells that the client has left.
+func (o *Open) Gone() {
+	if !o.ended {
+		o.ended = true
+		o.c.router.Gone(o.c.loop.Now(), o.id)
+		o.forget()
+	}
+}
+
+func (o *Open) forget() {
+	if o.ended && len(o.live) == 0 {
+		delete(o.c.open, o.id)
+	}
+}
+
+// List hands a list to the module.
+func (c *Core) List(kind rules.ListKind, members []Member) {
+	entries := make([]rules.Member, 0, len(members))
+	for _, m := range members {
+		id, ok := c.id(m.Name, m.State)
+		if !ok {
+			continue
+		}
+		if m.State != rules.Gone {
+			c.groups[m.Group] = true
+			c.servers[id] = &server{addr: m.Addr}
+		}
+		entries = append(entries, rules.Member{Store: id, Zone: m.Zone, Group: m.Group, State: m.State,
+			Primary: m.Primary, Started: m.Started})
+	}
+	c.router.List(c.loop.Now(), kind, entries)
+}
+
+// id is a server's number. It is made from the name alone, so that all poolers come to the same order.
+func (c *Core) id(name string, state rules.State) (uint32, bool) {
+	if id, ok := c.names[name]; ok {
+		return id, true
+	}
+	if state == rules.Gone || len(c.names) >= maxKnown {
+		return 0, false
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	id := h.Sum32()
+	for c.servers[id] != nil {
+		id++
+	}
+	c.names[name] = id
+	return id, true
+}
+
+// ---- Actions ----
+
+// actions notes down what the module asks for. It is carried out after the round of events: the module is never
+// called from within.
+type actions Core
+
+func (c *Core) do(f func()) { c.actions = append(c.actions, f) }
+
+func (c *Core) carryOut() {
+	for i := 0; i < len(c.actions); i++ {
+		c.actions[i]()
+		c.actions[i] = nil
+	}
+	c.actions = c.actions[:0]
+}
+
+func (a *actions) core() *Core { return (*Core)(a) }
+
+func (a *actions) Attempt(id, store uint32, timeout time.Duration) {
+	a.core().do(func() { a.core().attempt(id, store, timeout) })
+}
+
+func (a *actions) Refuse(id uint32, after time.Duration) {
+	a.core().do(func() { a.core().end(id, func(r Replier) { r.Refuse(after) }) })
+}
+
+func (a *actions) Fail(id uint32) { a.core().do(func() { a.core().end(id, Replier.Fail) }) }
+
+func (a *actions) Cancel(id uint32, attempt int) {
+	c := a.core()
+	c.do(func() {
+		if o := c.open[id]; o != nil && o.live[attempt] != nil {
+			o.live[attempt].abort()
+			c.loop.Post(func() { o.outcome(attempt, Result{Result: rules.Cancelled}) })
+		}
+	})
+}
+
+func (a *actions) Probe(store uint32) { a.core().do(func() { a.core().probe(store) }) }
+
+func (a *actions) SetTimer(after time.Duration) {
+	c := a.core()
+	c.loop.After(after, func() { c.router.Timer(c.loop.Now()) })
+}
+
+func (a *actions) CloseIdle(store uint32) {
+	c := a.core()
+	c.do(func() {
+		if s := c.servers[store]; s != nil {
+			c.backend.CloseIdle(s.addr)
+		}
+	})
+}
+
+func (a *actions) Watch()          { a.core().do(a.core().opt.Watch) }
+func (a *actions) Log(text string) { a.core().opt.Log(text) }
+
+// attempt sends a request to a server. The time-out closes the connection before the module hears of it, so that
+// no second attempt can meet the first.
+func (c *Core) attempt(id, store uint32, timeout time.Duration) {
+	o := c.open[id]
+	if o == nil {
+		return
+	}
+	n, now := o.sent, c.loop.Now()
+	o.sent++
+	at := o.deadline
+	if timeout > 0 {
+		at = min(at, now+timeout)
+	}
+	k := &call{store: store, abort: func() {}}
+	o.live[n] = k
+	s := c.servers[store]
+	if o.ended || at <= now || s == nil {
+		c.loop.Post(func() { o.outcome(n, Result{Result: rules.Moot}) })
+		return
+	}
+	k.abort = c.backend.Send(s.addr, o.req.Payload, at-now, func(r Result) { o.outcome(n, r) })
+	k.timer = c.loop.At(at, func() {
+		k.abort()
+		o.outcome(n, Result{Result: rules.TimedOut})
+	})
+}
+
+// outcome reports the end of an attempt, once.
+func (o *Open) outcome(n int, r Result) {
+	k := o.live[n]
+	if k == nil {
+		return
+	}
+	delete(o.live, n)
+	k.timer.Stop()
+	if r.Result == rules.OK && !o.ended {
+		o.ended = true
+		o.c.do(func() { o.req.Reply.Serve(r.Answer) })
+	}
+	o.c.router.Outcome(o.c.loop.Now(), rules.Outcome{ID: o.id, Attempt: n, Store: k.store, Result: r.Result,
+		Closed: o.ended, Role: r.Role, HasPosition: r.HasPosition, Position: r.Position, Report: r.Report})
+	o.forget()
+}
+
+// end gives the module's own final answer, at once.
+func (c *Core) end(id uint32, answer func(Replier)) {
+	if o := c.open[id]; o != nil && !o.ended {
+		o.ended = true
+		answer(o.req.Reply)
+		o.forget()
+	}
+}
+
+func (c *Core) probe(store uint32) {
+	s := c.servers[store]
+	ended := false
+	var timer *Timer
+	done := func(r Result) {
+		if !ended {
+			ended = true
+			timer.Stop()
+			c.router.ProbeResult(c.loop.Now(), rules.ProbeResult{Store: store, Result: r.Result, Report: r.Report})
+		}
+	}
+	if s == nil {
+		c.loop.Post(func() { done(Result{Result: rules.NoConnect}) })
+		return
+	}
+	abort := c.backend.Probe(s.addr, c.opt.ProbeTimeout+probeSlack, done)
+	timer = c.loop.After(c.opt.ProbeTimeout+probeSlack, func() {
+		abort()
+		done(Result{Result: rules.TimedOut})
+	})
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,268 @@
+// Package transport owns the sockets: listeners, dials and connections on netpoll, idle connections kept for reuse,
+// and the descriptor budget. It moves bytes and never resends any.
+//
+// All callbacks of a connection run on its Loop; so must all calls to it.
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// ErrBudget tells that no descriptor is free for a dial.
+var ErrBudget = errors.New("transport: no descriptor is free")
+
+// ErrOverrun tells that a peer does not read what it is sent.
+var ErrOverrun = errors.New("transport: the peer leaves too much unread")
+
+const (
+	maxUnsent    = 1 << 20         // bytes queued for one peer before it counts as stuck
+	writeTimeout = 4 * time.Second // a peer that takes no byte for this long is stuck
+)
+
+func init() {
+	// netpoll logs every odd disconnect of a peer; those are counted here as outcomes, and the log is bounded.
+	// It must be set up before its pollers start. One poller does for the one core.
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: io.Discard}); err != nil {
+		panic(err)
+	}
+}
+
+// Loop is the goroutine that all callbacks run on. Now may be called from anywhere.
+type Loop interface {
+	Post(func())
+	Now() time.Duration
+}
+
+// Handler is what a connection tells its owner, on the loop. Closed comes once, after the last Data, and not
+// after a Close of the owner's own.
+type Handler interface {
+	Data(at time.Duration, b []byte)
+	Closed(err error)
+}
+
+// Budget counts descriptors.
+type Budget struct {
+	most int64
+	used atomic.Int64
+}
+
+// NewBudget allows most descriptors at once.
+func NewBudget(most int) *Budget { return &Budget{most: int64(most)} }
+
+// Used is how many are taken.
+func (b *Budget) Used() int { return int(b.used.Load()) }
+
+// Full tells that a dial would find no descriptor.
+func (b *Budget) Full() bool { return b.used.Load() >= b.most }
+
+func (b *Budget) take() bool {
+	if b.used.Add(1) > b.most {
+		b.used.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (b *Budget) free() { b.used.Add(-1) }
+
+// Conn is one connection.
+type Conn struct {
+	loop    Loop
+	budget  *Budget
+	raw     netpoll.Connection
+	handler Handler
+	closed  bool // by its owner or reported to it
+	unsent  []byte
+	writing bool
+	closing bool // close once all is written
+	over    atomic.Bool
+}
+
+// SetHandler hands the connection to a new owner.
+func (c *Conn) SetHandler(h Handler) { c.handler = h }
+
+// Written tells whether all bytes given to Write have been passed to the network.
+func (c *Conn) Written() bool { return !c.writing && len(c.unsent) == 0 }
+
+// Write queues bytes and never blocks.
+func (c *Conn) Write(b []byte) {
+	if c.closed || c.closing {
+		return
+	}
+	c.unsent = append(c.unsent, b...)
+	if len(c.unsent) > maxUnsent {
+		c.end(ErrOverrun)
+	} else if !c.writing {
+		c.flush()
+	}
+}
+
+// flush writes on a goroutine of its own, as netpoll waits there for a peer that reads slowly.
+func (c *Conn) flush() {
+	b := c.unsent
+	c.unsent, c.writing = nil, true
+	go func() {
+		_, err := c.raw.Writer().WriteBinary(b)
+		if err == nil {
+			err = c.raw.Writer().Flush()
+		}
+		c.loop.Post(func() { c.flushed(err) })
+	}()
+}
+
+func (c *Conn) flushed(err error) {
+	switch {
+	case c.closed:
+	case err != nil:
+		c.end(err) // writing stays set: the last byte did not go out
+	case len(c.unsent) > 0:
+		c.flush()
+	default:
+		c.writing = false
+		if c.closing {
+			c.Close()
+		}
+	}
+}
+
+// Close ends the connection at once; its handler hears no more.
+func (c *Conn) Close() {
+	if !c.closed {
+		c.closed = true
+		c.handler = nil
+		c.release()
+	}
+}
+
+// Finish closes the connection after what is queued has been written.
+func (c *Conn) Finish() {
+	if c.closing = true; c.Written() {
+		c.Close()
+	}
+}
+
+// end closes the connection and tells its owner.
+func (c *Conn) end(err error) {
+	if h := c.handler; !c.closed {
+		c.Close()
+		h.Closed(err)
+	}
+}
+
+func (c *Conn) release() {
+	if c.over.CompareAndSwap(false, true) {
+		c.budget.free()
+		c.raw.Close()
+	}
+}
+
+// read runs on netpoll's goroutines. The arrival is stamped here, so that time in the loop's queue counts.
+func (c *Conn) read() error {
+	r := c.raw.Reader()
+	b, err := r.ReadBinary(r.Len())
+	if err != nil {
+		return err
+	}
+	_ = r.Release()
+	at := c.loop.Now()
+	c.loop.Post(func() {
+		if !c.closed && len(b) > 0 {
+			c.handler.Data(at, b)
+		}
+	})
+	return nil
+}
+
+// start begins to read. A peer may have closed before the callbacks were set: that is looked at last.
+func (c *Conn) start() {
+	gone := func() { c.loop.Post(func() { c.end(io.EOF) }) }
+	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil })
+	_ = c.raw.SetWriteTimeout(writeTimeout)
+	_ = c.raw.SetOnRequest(func(context.Context, netpoll.Connection) error { return c.read() })
+	if !c.raw.IsActive() {
+		gone()
+	}
+}
+
+// Dial connects on a goroutine of its own and reports on the loop. Cancelling the returned function's call stops
+// the report; a connection that still comes up is closed.
+func Dial(loop Loop, budget *Budget, addr string, timeout time.Duration, done func(*Conn, error)) (cancel func()) {
+	cancelled := false
+	if !budget.take() {
+		loop.Post(func() {
+			if !cancelled {
+				done(nil, ErrBudget)
+			}
+		})
+		return func() { cancelled = true }
+	}
+	go func() {
+		raw, err := netpoll.DialConnection("tcp", addr, timeout)
+		loop.Post(func() {
+			if err != nil {
+				if budget.free(); !cancelled {
+					done(nil, err)
+				}
+				return
+			}
+			c := &Conn{loop: loop, budget: budget, raw: raw}
+			if cancelled {
+				c.Close()
+				return
+			}
+			done(c, nil)
+			if !c.closed {
+				c.start()
+			}
+		})
+	}()
+	return func() { cancelled = true }
+}
+
+// Listener accepts connections.
+type Listener struct {
+	ln     net.Listener
+	events netpoll.EventLoop
+}
+
+// Listen accepts connections at one address. For each, accept runs on the loop and sets its handler, or closes it.
+func Listen(loop Loop, budget *Budget, addr string, accept func(*Conn)) (*Listener, error) {
+	ln, err := netpoll.CreateListener("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	// Reading starts once the loop has given the connection its handler; until then netpoll keeps the bytes.
+	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(func(raw netpoll.Connection) context.Context {
+		if !budget.take() {
+			raw.Close()
+			return nil
+		}
+		c := &Conn{loop: loop, budget: budget, raw: raw}
+		loop.Post(func() {
+			if accept(c); !c.closed {
+				c.start()
+			}
+		})
+		return nil
+	}))
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	l := &Listener{ln: ln, events: events}
+	go func() { _ = events.Serve(ln) }()
+	return l, nil
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() string { return l.ln.Addr().String() }
+
+// Close stops listening; open connections stay.
+func (l *Listener) Close() { _ = l.ln.Close() }
