Add the MySQL front: protocol, prepared statements, inventory; the drain guard in the core

Core: an attempt still waiting for its connection at the end of a drain's grace is taken back; a keyed request that carries no key counts as unsafe, for nobody would drop its repeat.

--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -47,7 +47,7 @@
 	}
 	switch args[0] {
 	case "serve":
-		cfg, err := config.Load(os.Getenv)
+		cfg, my, err := load()
 		if err != nil {
 			return err
 		}
@@ -58,14 +58,21 @@
 			<-signals
 			close(terminate)
 		}()
-		return program.Serve(cfg, stderr, terminate, func(string) {})
+		return program.Serve(cfg, my, stderr, terminate, func(program.Addrs) {})
 	case "check":
-		cfg, err := config.Load(os.Getenv)
+		cfg, my, err := load()
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(stdout, "configuration is fine: %d classes, %d members known\n", len(cfg.Settings.Classes),
-			len(cfg.Known.Members))
+		front := "off"
+		if my != nil {
+			if err := program.CheckInventory(my.Inventory); err != nil {
+				return err
+			}
+			front = "at " + my.Listen
+		}
+		fmt.Fprintf(stdout, "configuration is fine: %d classes, %d members known, MySQL front %s\n",
+			len(cfg.Settings.Classes), len(cfg.Known.Members), front)
 		return nil
 	case "version":
 		fmt.Fprintln(stdout, "threadsail", version())
@@ -74,6 +81,15 @@
 	return errUsage
 }
 
+func load() (*config.Config, *config.MySQL, error) {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	my, err := config.LoadMySQL(os.Getenv, cfg.ClassNames())
+	return cfg, my, err
+}
+
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok || info.Main.Version == "" {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,8 +36,7 @@
 	Known          discovery.List
 	Settings       rules.Settings
 	Zones          []string // names, in the order of their numbers
-	ReportFields   []string // of load reports; none where there are no reports
-	ReportOnAnswer bool
+	Reports        bool     // servers report their health
 	MaxOpen        int
 	ConnIdle       time.Duration
 	ConnectTimeout time.Duration
@@ -130,13 +129,19 @@
 	c.MaxOpen = or(facts.Caps.MaxOpen, defaultMaxOpen)
 	c.ConnIdle = or(Milliseconds(facts.Caps.ConnIdleMs), defaultConnIdle)
 	c.ConnectTimeout = or(Milliseconds(facts.Caps.ConnectTimeoutMs), defaultConnectTimeout)
-	if facts.Report.How != "none" {
-		c.ReportFields = facts.Report.Fields
-		c.ReportOnAnswer = facts.Report.How == "answers"
-	}
+	c.Reports = facts.Report.How != "none" && len(facts.Report.Fields) > 0
 	return nil
 }
 
+// ClassNames names the classes of the settings.
+func (c *Config) ClassNames() []string {
+	var names []string
+	for _, k := range c.Settings.Classes {
+		names = append(names, k.Name)
+	}
+	return names
+}
+
 func address(key, v string) error {
 	if v == "" {
 		return fmt.Errorf("%s: missing", key)
--- /dev/null
+++ b/internal/config/mysql.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"strings"
+	"time"
+)
+
+// MySQLFile is where the file of the MySQL front lies unless PROXY_MYSQL names another.
+const MySQLFile = "deploy/mysql.json"
+
+const (
+	defaultReload       = time.Second
+	defaultProbeTimeout = 250 * time.Millisecond
+)
+
+// Default is what a statement without a comment counts as.
+type Default struct {
+	Class   string
+	Cluster int
+}
+
+// MySQL configures the MySQL front.
+type MySQL struct {
+	Listen         string
+	Inventory      string
+	User, Password string // at the servers
+	Database       string // at the servers, where the client names none
+	ClientUser     string // what clients must log in with; empty: anybody may
+	ClientPassword string
+	Heartbeat      string // a query for a replica's position, Unix time in milliseconds; empty: positions are unknown
+	Read, Write    Default
+	Reload         time.Duration // how often the inventory is looked at
+	ProbeTimeout   time.Duration
+}
+
+// LoadMySQL reads the file of the MySQL front. Without the file, or with "enabled" false, the front is off: nil.
+func LoadMySQL(getenv func(string) string, classes []string) (*MySQL, error) {
+	path := or(getenv("PROXY_MYSQL"), MySQLFile)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) && getenv("PROXY_MYSQL") == "" {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_MYSQL: %w", err)
+	}
+	m, err := parseMySQL(text, classes)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return m, nil
+}
+
+func parseMySQL(text []byte, classes []string) (*MySQL, error) {
+	var file struct {
+		Enabled                      bool
+		Listen, Inventory, Heartbeat string
+		User, Password, Database     string
+		Client                       struct{ User, Password string }
+		Defaults                     struct{ Read, Write Default }
+		ReloadMs                     float64 `json:"reload_ms"`
+		ProbeTimeoutMs               float64 `json:"probe_timeout_ms"`
+	}
+	dec := json.NewDecoder(strings.NewReader(string(text)))
+	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
+	if err := dec.Decode(&file); err != nil {
+		return nil, jsonError(err)
+	}
+	if !file.Enabled {
+		return nil, nil
+	}
+	m := &MySQL{Listen: file.Listen, Inventory: file.Inventory, User: file.User, Password: file.Password,
+		Database: file.Database, ClientUser: file.Client.User, ClientPassword: file.Client.Password,
+		Heartbeat: file.Heartbeat, Read: file.Defaults.Read, Write: file.Defaults.Write,
+		Reload:       or(Milliseconds(file.ReloadMs), defaultReload),
+		ProbeTimeout: or(Milliseconds(file.ProbeTimeoutMs), defaultProbeTimeout)}
+	if err := address("listen", m.Listen); err != nil {
+		return nil, err
+	}
+	for _, k := range []struct{ key, value string }{{"inventory", m.Inventory}, {"user", m.User}} {
+		if k.value == "" {
+			return nil, fmt.Errorf("%s: missing", k.key)
+		}
+	}
+	if m.Reload < 0 || m.ProbeTimeout < 0 {
+		return nil, errors.New("reload_ms or probe_timeout_ms: below 0")
+	}
+	for _, d := range []struct {
+		key string
+		Default
+	}{{"defaults.read", m.Read}, {"defaults.write", m.Write}} {
+		if !contains(classes, d.Class) {
+			return nil, fmt.Errorf("%s.class: %q is no class of the settings", d.key, d.Class)
+		}
+		if d.Cluster < 0 {
+			return nil, fmt.Errorf("%s.cluster: %d is below 0", d.key, d.Cluster)
+		}
+	}
+	return m, nil
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name && n != "" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/program/mysqlside/backend.go
@@ -0,0 +1,410 @@
+package mysqlside
+
+import (
+	"errors"
+	"time"
+
+	"threadsail/internal/protocol"
+	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+	"threadsail/rules"
+)
+
+const (
+	maxPrepared = 64 // statements kept prepared on one connection to a server
+	roleQuery   = "SELECT @@global.read_only"
+)
+
+// Backend takes attempts and probes to MySQL servers.
+type Backend struct {
+	Loop           *routing.Loop
+	Budget         *transport.Budget
+	Pool           *transport.Pool
+	ConnectTimeout time.Duration
+	User, Password string
+	Database       string
+	Heartbeat      string // the probe's second query; empty: none
+	Log            func(string)
+}
+
+// state is what is known of a connection to a server.
+type state struct {
+	db       string
+	prepared map[string]mysql.PrepareOK // by database and text
+	order    []string
+}
+
+// Send starts an attempt.
+func (b *Backend) Send(addr string, payload any, left time.Duration, done func(routing.Result)) routing.Call {
+	cmd := payload.(*Command)
+	x := &exchange{b: b, addr: addr, cmd: cmd, db: cmd.DB, done: done, until: b.Loop.Now() + left}
+	return x.start()
+}
+
+// Probe asks a server for its role, and a replica for its position.
+func (b *Backend) Probe(addr string, done func(routing.Result)) routing.Call {
+	x := &exchange{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout}
+	x.done = func(r routing.Result) {
+		r.Answer = nil
+		done(r)
+	}
+	x.probe = true
+	return x.start()
+}
+
+// CloseIdle closes the idle connections to a server.
+func (b *Backend) CloseIdle(addr string) { b.Pool.CloseIdle(addr) }
+
+// stage is what an exchange waits for.
+type stage uint8
+
+const (
+	greeting stage = iota
+	login
+	initDB
+	prepare     // the first packet of the answer to PREPARE
+	definitions // and those that describe the statement
+	answering
+)
+
+// exchange is one command on one connection, with what must go before it: the login, the database, the PREPARE.
+// Until the command itself is sent nothing can have run.
+type exchange struct {
+	b       *Backend
+	addr    string
+	cmd     *Command
+	db      string
+	until   time.Duration
+	done    func(routing.Result)
+	probe   bool
+	cancel  func() // of the dial
+	connect *routing.Timer
+	c       *transport.Conn
+	st      *state
+	buf     []byte
+	stage   stage
+	sent    bool
+	skip    int // packets of definitions still to come
+	stmt    mysql.PrepareOK
+	ans     *mysql.Answer
+	res     routing.Result
+}
+
+func (x *exchange) start() routing.Call {
+	b := x.b
+	if x.db == "" {
+		x.db = b.Database
+	}
+	// One time-out is for all that goes before the command: a server that has vanished stays silent.
+	x.connect = b.Loop.After(b.ConnectTimeout, func() {
+		x.Abort()
+		x.end(rules.NoConnect)
+	})
+	if c, st := b.Pool.Get(x.addr, b.Loop.Now()); c != nil {
+		x.c, x.st = c, st.(*state)
+		c.SetHandler(x)
+		x.ready()
+		return x
+	}
+	if b.Budget.Full() {
+		b.Pool.Shed()
+	}
+	x.cancel = transport.Dial(b.Loop, b.Budget, x.addr, b.ConnectTimeout, func(c *transport.Conn, err error) {
+		x.cancel = nil
+		if err != nil {
+			x.end(rules.NoConnect)
+			return
+		}
+		x.c, x.st = c, &state{prepared: map[string]mysql.PrepareOK{}}
+		c.SetHandler(x)
+	})
+	return x
+}
+
+// Sent tells whether the server may have some of the command.
+func (x *exchange) Sent() bool { return x.sent }
+
+// Abort closes the connection, which is how an attempt is given up here.
+func (x *exchange) Abort() {
+	x.connect.Stop()
+	if x.cancel != nil {
+		x.cancel()
+	}
+	if x.c != nil {
+		x.c.Close()
+	}
+}
+
+func (x *exchange) end(r rules.Result) {
+	x.connect.Stop()
+	x.res.Result = r
+	x.done(x.res)
+}
+
+// Closed ends the exchange. Before the command's last byte has gone out nothing can have run.
+func (x *exchange) Closed(error) {
+	if x.sent && x.c.Written() {
+		x.end(rules.Reset)
+	} else {
+		x.end(rules.NoConnect)
+	}
+}
+
+// drop ends an exchange on a connection that is of no more use.
+func (x *exchange) drop(r rules.Result) {
+	x.c.Close()
+	x.end(r)
+}
+
+func (x *exchange) broken(err error) {
+	x.b.Log("server " + x.addr + ": " + err.Error())
+	if x.c.Close(); x.sent {
+		x.end(rules.Errored)
+	} else {
+		x.end(rules.NoConnect)
+	}
+}
+
+func (x *exchange) Data(_ time.Duration, b []byte) {
+	x.buf = append(x.buf, b...)
+	rest := x.buf
+	for {
+		seq, p, n, err := mysql.Next(rest, mysql.MaxAnswer)
+		if err == nil && n > 0 && len(p) == 0 {
+			err = mysql.ErrFraming
+		}
+		if err != nil {
+			x.broken(err)
+			return
+		}
+		if n == 0 {
+			break
+		}
+		rest = rest[n:]
+		over, err := x.packet(seq, append([]byte(nil), p...), len(rest) == 0)
+		if err != nil {
+			x.broken(err)
+			return
+		}
+		if over {
+			return
+		}
+	}
+	x.buf = append([]byte(nil), rest...)
+}
+
+// packet takes in one packet; over: the exchange has ended. last: no more bytes have come yet.
+func (x *exchange) packet(seq byte, p []byte, last bool) (over bool, err error) {
+	if x.stage < answering && p[0] == 0xff {
+		return x.turnedAway(p)
+	}
+	switch x.stage {
+	case greeting:
+		g, err := mysql.ParseGreeting(p)
+		if err != nil {
+			return false, err
+		}
+		x.c.Write(mysql.AppendLogin(nil, seq+1, g, x.b.User, x.b.Password, ""))
+		x.stage = login // the database follows: a client that names an unknown one must not look like a lost server
+	case login:
+		if p[0] == 0xfe {
+			challenge, err := mysql.ParseSwitch(p)
+			if err != nil {
+				return false, err
+			}
+			x.c.Write(mysql.Append(nil, seq+1, mysql.Scramble(challenge, x.b.Password)))
+			return false, nil
+		}
+		if p[0] != 0 {
+			return false, errors.New("the login is not answered by OK")
+		}
+		x.ready()
+	case initDB:
+		x.st.db = x.db
+		x.ready()
+	case prepare:
+		if x.stmt, err = mysql.ParsePrepareOK(p); err != nil {
+			return false, err
+		}
+		if x.stmt.Params != x.cmd.Params { // our count of the marks differs: the values can't be laid out
+			x.res.Answer = mysql.Append(nil, 1, mysql.Error(mysql.ErrWrongArgs, "HY000",
+				"the server counts other parameters in this statement"))
+			x.drop(rules.OK)
+			return true, nil
+		}
+		for _, n := range []int{x.stmt.Params, x.stmt.Columns} {
+			if n > 0 {
+				x.skip += n + 1 // and an EOF
+			}
+		}
+		if x.stage = definitions; x.skip == 0 {
+			x.prepared()
+		}
+	case definitions:
+		if x.skip--; x.skip == 0 {
+			x.prepared()
+		}
+	case answering:
+		whole, err := x.ans.Feed(p)
+		if err != nil || !whole {
+			return false, err
+		}
+		return x.answered(last), nil
+	}
+	return false, nil
+}
+
+// turnedAway ends an exchange whose command has never been sent. A statement that is wrong in itself gets the
+// server's own words; all else is no connection made.
+func (x *exchange) turnedAway(p []byte) (bool, error) {
+	code, sqlState, text, ok := mysql.ParseError(p)
+	r := outcome(code, sqlState)
+	if x.stage < initDB && r != rules.Full || !ok {
+		x.b.Log("server " + x.addr + ": " + text)
+		r = rules.NoConnect
+	}
+	switch r {
+	case rules.OK:
+		x.res.Answer = mysql.Append(nil, 1, p)
+		x.put(true)
+	case rules.Missed:
+		x.res.Role = rules.RoleReplica
+		x.put(true)
+	default:
+		if r == rules.Errored {
+			r = rules.NoConnect
+		}
+		x.c.Close()
+	}
+	x.end(r)
+	return true, nil
+}
+
+// ready sends what is still to go before the command, or the command.
+func (x *exchange) ready() {
+	if x.st.db != x.db && !x.probe {
+		x.stage = initDB
+		x.write(mysql.Command(mysql.ComInitDB, x.db))
+		return
+	}
+	if !x.cmd.Prepared {
+		x.command(mysql.Command(mysql.ComQuery, x.cmd.query(x.until-x.b.Loop.Now())))
+		return
+	}
+	if ok, found := x.st.prepared[x.key()]; found {
+		x.stmt = ok
+		x.execute()
+		return
+	}
+	x.stage, x.skip = prepare, 0
+	x.write(mysql.Command(mysql.ComStmtPrepare, x.cmd.Text))
+}
+
+func (x *exchange) key() string { return x.db + "\x00" + x.cmd.Text }
+
+// prepared notes a statement down, and gives the oldest one of the connection up when there are too many.
+func (x *exchange) prepared() {
+	if len(x.st.order) >= maxPrepared {
+		old := x.st.order[0]
+		x.write(mysql.StmtClose(x.st.prepared[old].ID))
+		delete(x.st.prepared, old)
+		x.st.order = x.st.order[1:]
+	}
+	x.st.prepared[x.key()] = x.stmt
+	x.st.order = append(x.st.order, x.key())
+	x.execute()
+}
+
+func (x *exchange) execute() {
+	for _, d := range x.cmd.Long {
+		x.write(d.Payload(x.stmt.ID))
+	}
+	x.command(x.cmd.Exec.Payload(x.stmt.ID))
+}
+
+func (x *exchange) write(p []byte) { x.c.Write(mysql.Append(nil, 0, p)) }
+
+func (x *exchange) command(p []byte) {
+	if x.stage, x.sent = answering, true; !x.probe {
+		x.connect.Stop()
+	}
+	x.ans = &mysql.Answer{}
+	x.write(p)
+}
+
+// answered takes in a whole answer. A probe of a replica goes on with the heartbeat.
+func (x *exchange) answered(last bool) bool {
+	if x.probe {
+		if x.probed() {
+			return false
+		}
+	}
+	x.put(last)
+	if x.ans.Err == nil {
+		x.res.Answer = x.ans.Raw
+		x.end(rules.OK)
+		return true
+	}
+	code, sqlState, _, ok := mysql.ParseError(x.ans.Err)
+	r := outcome(code, sqlState)
+	if !ok || x.probe && r == rules.OK {
+		r = rules.Errored
+	}
+	switch r {
+	case rules.OK:
+		x.res.Answer = x.ans.Raw
+	case rules.Missed:
+		x.res.Role = rules.RoleReplica
+	}
+	x.end(r)
+	return true
+}
+
+// probed takes in the answer to one query of a probe; true: another one follows.
+func (x *exchange) probed() bool {
+	rep := &x.res.Report
+	value, ok := mysql.TextColumn(x.ans.Row)
+	if !rep.HasRole {
+		if x.ans.Err != nil || !ok {
+			return false
+		}
+		rep.HasRole, rep.RoleNow, rep.Primary = true, true, value == "0" || value == "OFF"
+		if rep.Primary || x.b.Heartbeat == "" {
+			return false
+		}
+		x.command(mysql.Command(mysql.ComQuery, x.b.Heartbeat))
+		return true
+	}
+	if x.ans.Err != nil { // the role is known all the same; the position stays unknown
+		x.b.Log("server " + x.addr + ": the heartbeat query fails")
+		x.ans.Err = nil
+	} else if ok {
+		rep.Position, rep.HasPosition = protocol.Position(value)
+	}
+	return false
+}
+
+func (x *exchange) put(clean bool) {
+	if clean {
+		x.b.Pool.Put(x.addr, x.c, x.st)
+	} else {
+		x.c.Close()
+	}
+}
+
+// outcome puts a server's error into the core's words. OK: the statement itself is wrong, or breaks a constraint,
+// wherever it runs; the client must hear that from the server.
+func outcome(code uint16, sqlState string) rules.Result {
+	switch code {
+	case mysql.ErrOptionPrevents, mysql.ErrReadOnlyMode:
+		return rules.Missed
+	case mysql.ErrConCount, mysql.ErrUserConns, mysql.ErrMaxPrepared:
+		return rules.Full
+	}
+	switch (sqlState + "  ")[:2] {
+	case "0A", "21", "22", "23", "3D", "42":
+		return rules.OK
+	}
+	return rules.Errored
+}
--- /dev/null
+++ b/internal/program/mysqlside/front.go
@@ -0,0 +1,428 @@
+// Package mysqlside joins the MySQL protocol to the core: a front that takes clients' statements in, prepared ones
+// too, and a backend that takes attempts to servers.
+package mysqlside
+
+import (
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"threadsail/internal/config"
+	"threadsail/internal/protocol/comment"
+	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+	"threadsail/rules"
+)
+
+const (
+	maxStatements = 1024 // prepared by one client
+	maxBuffered   = 2 * mysql.MaxCommand
+	loginTimeout  = 10 * time.Second
+)
+
+// Command is the payload of a request.
+type Command struct {
+	Text     string
+	Comment  *comment.Comment // nil: it has none
+	DB       string
+	Prepared bool
+	Params   int
+	Exec     mysql.Execute
+	Long     []mysql.LongData
+}
+
+func (c *Command) query(left time.Duration) string {
+	if c.Comment == nil {
+		return c.Text
+	}
+	return c.Comment.WithPatience(c.Text, left)
+}
+
+// Front takes clients in. All of it runs on the core's loop.
+type Front struct {
+	loop     *routing.Loop
+	core     *routing.Core
+	cfg      *config.MySQL
+	ln       *transport.Listener
+	most     int
+	lastID   uint32
+	sessions map[*session]bool
+	draining bool
+}
+
+// Listen starts a front for at most most clients at once.
+func Listen(loop *routing.Loop, budget *transport.Budget, core *routing.Core, cfg *config.MySQL, most int) (*Front, error) {
+	f := &Front{loop: loop, core: core, cfg: cfg, most: most, sessions: map[*session]bool{}}
+	ln, err := transport.Listen(loop, budget, cfg.Listen, f.accept)
+	f.ln = ln
+	return f, err
+}
+
+// Addr is where it listens.
+func (f *Front) Addr() string { return f.ln.Addr() }
+
+// Clients tells how many are connected.
+func (f *Front) Clients() int { return len(f.sessions) }
+
+// Drain takes no new clients, closes idle ones, and the others once they are answered.
+func (f *Front) Drain() {
+	f.draining = true
+	f.ln.Close()
+	for s := range f.sessions {
+		if !s.busy {
+			s.finish()
+		}
+	}
+}
+
+func (f *Front) accept(c *transport.Conn) {
+	if f.draining {
+		c.Close()
+		return
+	}
+	s := &session{f: f, c: c, challenge: newChallenge(), stmts: map[uint32]*statement{}}
+	c.SetHandler(s)
+	f.sessions[s] = true
+	if len(f.sessions) > f.most {
+		s.send(0, mysql.Error(mysql.ErrConCount, "08004", "Too many connections"))
+		s.finish()
+		return
+	}
+	f.lastID++
+	c.Write(mysql.AppendGreeting(nil, f.lastID, s.challenge))
+	s.login = f.loop.After(loginTimeout, s.finish)
+}
+
+// newChallenge draws 20 bytes for the login, none of them 0 or '$', which end or split strings in some clients.
+func newChallenge() []byte {
+	b := make([]byte, 20)
+	_, _ = rand.Read(b) // never fails
+	for i := range b {
+		b[i] = 'A' + b[i]%26
+	}
+	return b
+}
+
+// statement is one that a client has prepared. It belongs to the session, not to a server: it outlives any node.
+type statement struct {
+	text    string
+	params  int
+	scan    mysql.Scan
+	comment *comment.Comment
+	types   []byte
+	long    []mysql.LongData
+	size    int // of long
+}
+
+// session is one client's connection. It carries one command at a time; what comes meanwhile waits.
+type session struct {
+	f         *Front
+	c         *transport.Conn
+	challenge []byte
+	login     *routing.Timer // running until the login is through
+	switched  bool
+	in        bool
+	user      string
+	db        string
+	buf       []byte
+	busy      bool
+	open      *routing.Open
+	stmts     map[uint32]*statement
+	lastStmt  uint32
+}
+
+func (s *session) Closed(error) {
+	s.login.Stop()
+	delete(s.f.sessions, s)
+	if s.open != nil {
+		s.open.Gone()
+	}
+}
+
+func (s *session) finish() {
+	if s.f.sessions[s] {
+		s.c.Finish()
+		s.Closed(nil)
+	}
+}
+
+func (s *session) send(seq byte, payload []byte) { s.c.Write(mysql.Append(nil, seq, payload)) }
+
+func (s *session) Data(at time.Duration, b []byte) {
+	s.buf = append(s.buf, b...)
+	if len(s.buf) > maxBuffered {
+		s.finish()
+		return
+	}
+	s.work(at)
+}
+
+// work takes packets until a command must wait for its answer.
+func (s *session) work(at time.Duration) {
+	for !s.busy && s.f.sessions[s] {
+		seq, p, n, err := mysql.Next(s.buf, mysql.MaxCommand)
+		switch {
+		case err != nil:
+			s.send(1, mysql.Error(mysql.ErrTooBig, "08S01", "Got a packet bigger than 'max_allowed_packet' bytes"))
+			s.finish()
+			return
+		case n == 0:
+			return
+		}
+		p = append([]byte(nil), p...)
+		if s.buf = s.buf[n:]; len(s.buf) == 0 {
+			s.buf = nil
+		}
+		switch {
+		case !s.in:
+			s.enter(seq, p)
+		case seq != 0 || len(p) == 0:
+			s.send(1, mysql.Error(mysql.ErrHandshake, "08S01", "Got packets out of order"))
+			s.finish()
+		default:
+			s.command(at, p)
+		}
+	}
+}
+
+// enter goes through the login.
+func (s *session) enter(seq byte, p []byte) {
+	response := p
+	if !s.switched {
+		l, err := mysql.ParseLogin(p)
+		if err != nil {
+			s.send(seq+1, mysql.Error(mysql.ErrHandshake, "08S01", err.Error()))
+			s.finish()
+			return
+		}
+		s.user, s.db, response = l.User, l.Database, l.Response
+		if !l.IsNative() {
+			s.switched = true
+			s.send(seq+1, mysql.SwitchToNative(s.challenge))
+			return
+		}
+	}
+	cfg := s.f.cfg
+	if cfg.ClientUser != "" &&
+		(s.user != cfg.ClientUser || !mysql.PasswordFits(s.challenge, response, cfg.ClientPassword)) {
+		s.send(seq+1, mysql.Error(mysql.ErrAccessDenied, "28000", "Access denied"))
+		s.finish()
+		return
+	}
+	s.login.Stop()
+	s.in = true
+	s.send(seq+1, mysql.OK())
+}
+
+func (s *session) fail(code uint16, state, text string) { s.send(1, mysql.Error(code, state, text)) }
+
+func (s *session) unsupported(what string) {
+	s.fail(mysql.ErrNotSupported, "42000", "This pooler does not support "+what)
+}
+
+func (s *session) command(at time.Duration, p []byte) {
+	switch p[0] {
+	case mysql.ComQuit:
+		s.finish()
+	case mysql.ComPing:
+		s.send(1, mysql.OK())
+	case mysql.ComInitDB:
+		s.db = string(p[1:])
+		s.send(1, mysql.OK())
+	case mysql.ComResetConnection:
+		s.stmts = map[uint32]*statement{}
+		s.send(1, mysql.OK())
+	case mysql.ComSetOption:
+		s.unsupported("several statements in one command")
+	case mysql.ComQuery:
+		text := string(p[1:])
+		scan := mysql.ScanStatement(text)
+		if !s.acceptable(scan) {
+			return
+		}
+		if scan.Kind == mysql.Local {
+			s.send(1, mysql.OK())
+			return
+		}
+		if c, ok := s.comment(text); ok {
+			s.submit(at, scan.Kind, &Command{Text: text, Comment: c, DB: s.db})
+		}
+	case mysql.ComStmtPrepare:
+		s.prepare(string(p[1:]))
+	case mysql.ComStmtExecute, mysql.ComStmtSendLong, mysql.ComStmtClose, mysql.ComStmtReset, mysql.ComStmtFetch:
+		s.statementCommand(at, p)
+	default:
+		s.fail(mysql.ErrUnknownCommand, "08S01", "Unknown command")
+	}
+}
+
+// acceptable answers what can't be served.
+func (s *session) acceptable(scan mysql.Scan) bool {
+	switch {
+	case scan.Multi:
+		s.unsupported("several statements in one command")
+	case scan.Kind == mysql.Unsupported:
+		s.unsupported("transactions, LOAD DATA or statements that need a session's state")
+	default:
+		return true
+	}
+	return false
+}
+
+// comment reads the comment of a statement, if it has one.
+func (s *session) comment(text string) (*comment.Comment, bool) {
+	c, err := comment.Parse(text)
+	if err == comment.ErrNone {
+		return nil, true
+	}
+	if err != nil {
+		s.fail(mysql.ErrParse, "42000", err.Error())
+		return nil, false
+	}
+	return &c, true
+}
+
+// prepare is answered here. The parameters are counted; what columns come, the answer to EXECUTE tells.
+func (s *session) prepare(text string) {
+	scan := mysql.ScanStatement(text)
+	if !s.acceptable(scan) {
+		return
+	}
+	if scan.Kind == mysql.Local || scan.Params > 0xffff {
+		s.unsupported("this as a prepared statement")
+		return
+	}
+	if len(s.stmts) >= maxStatements {
+		s.fail(mysql.ErrMaxPrepared, "42000", "Can't create more prepared statements")
+		return
+	}
+	c, ok := s.comment(text)
+	if !ok {
+		return
+	}
+	s.lastStmt++
+	s.stmts[s.lastStmt] = &statement{text: text, params: scan.Params, scan: scan, comment: c}
+	out := mysql.Append(nil, 1, mysql.PrepareOK{ID: s.lastStmt, Params: scan.Params}.Payload())
+	if scan.Params > 0 {
+		def := mysql.ColumnDef("?")
+		for i := range scan.Params {
+			out = mysql.Append(out, byte(2+i), def)
+		}
+		out = mysql.Append(out, byte(2+scan.Params), mysql.EOF())
+	}
+	s.c.Write(out)
+}
+
+func (s *session) statementCommand(at time.Duration, p []byte) {
+	id, ok := mysql.StatementID(p)
+	st := s.stmts[id]
+	if !ok || st == nil {
+		if p[0] != mysql.ComStmtClose && p[0] != mysql.ComStmtSendLong { // these two get no answer
+			s.fail(mysql.ErrUnknownStmt, "HY000", fmt.Sprintf("Unknown prepared statement handler (%d)", id))
+		}
+		return
+	}
+	switch p[0] {
+	case mysql.ComStmtClose:
+		delete(s.stmts, id)
+	case mysql.ComStmtReset:
+		st.long, st.size = nil, 0
+		s.send(1, mysql.OK())
+	case mysql.ComStmtFetch:
+		s.fail(mysql.ErrNoCursor, "HY000", "The statement has no open cursor")
+	case mysql.ComStmtSendLong:
+		_, d, err := mysql.ParseLongData(p)
+		if st.size += len(d.Data); err != nil || st.size > mysql.MaxCommand || int(d.Param) >= st.params {
+			s.fail(mysql.ErrTooBig, "08S01", "Too much or misplaced long data")
+			s.finish()
+			return
+		}
+		st.long = append(st.long, d)
+	case mysql.ComStmtExecute:
+		e, err := mysql.ParseExecute(p, st.params, st.types)
+		if err != nil {
+			s.fail(mysql.ErrWrongArgs, "HY000", err.Error())
+			return
+		}
+		st.types = e.Types
+		cmd := &Command{Text: st.text, Comment: st.comment, DB: s.db, Prepared: true, Params: st.params, Exec: e,
+			Long: st.long}
+		st.long, st.size = nil, 0
+		s.submit(at, st.scan.Kind, cmd)
+	}
+}
+
+// submit hands a statement to the core, by its comment or by the defaults of its kind.
+func (s *session) submit(at time.Duration, kind mysql.Kind, cmd *Command) {
+	d := s.f.cfg.Read
+	if kind == mysql.Write {
+		d = s.f.cfg.Write
+	}
+	c := comment.Comment{Group: -1}
+	if cmd.Comment != nil {
+		c = *cmd.Comment
+	}
+	if c.Class == "" {
+		c.Class = d.Class
+	}
+	if c.Group < 0 {
+		c.Group = d.Cluster
+	}
+	class, ok := s.f.core.Class(c.Class)
+	switch {
+	case !ok:
+		s.fail(mysql.ErrParse, "42000", "comment: c names an unknown class")
+		return
+	case !s.f.core.HasGroup(c.Group):
+		s.fail(mysql.ErrParse, "42000", "comment: cluster names no known group")
+		return
+	case kind == mysql.Write && s.f.core.ClassInfo(class).Need != rules.NeedWrite:
+		s.fail(mysql.ErrParse, "42000", "comment: a statement that may write is in a class of reads")
+		return
+	}
+	if c.Patience == 0 {
+		c.Patience = s.f.core.ClassInfo(class).Deadline
+	}
+	r := &routing.Request{Class: class, Group: c.Group, Keyed: c.Key != "", After: c.After, Arrived: at,
+		Patience: c.Patience, Payload: cmd, Reply: s}
+	if c.After > 0 || s.f.core.ClassInfo(class).Need == rules.NeedSession {
+		r.Session = comment.Session(cmd.Text)
+	}
+	s.busy = true
+	s.open = s.f.core.Submit(r)
+}
+
+// answer gives the final answer, and goes on with what has come meanwhile.
+func (s *session) answer(out []byte) {
+	s.busy, s.open = false, nil
+	if !s.f.sessions[s] {
+		return
+	}
+	s.c.Write(out)
+	if s.f.draining {
+		s.finish()
+		return
+	}
+	if len(s.buf) > 0 {
+		s.f.loop.Post(func() { s.work(s.f.loop.Now()) })
+	}
+}
+
+// Serve passes on the server's answer to this statement.
+func (s *session) Serve(answer any) { s.answer(answer.([]byte)) }
+
+// Refuse tells the client that nothing has run, and when to come again.
+func (s *session) Refuse(after time.Duration) {
+	text := "Too many connections: no server can take this statement now; nothing has run"
+	if after > 0 {
+		text += fmt.Sprintf("; retry after %d ms", (after+time.Millisecond-1)/time.Millisecond)
+	}
+	s.answer(mysql.Append(nil, 1, mysql.Error(mysql.ErrConCount, "08004", text)))
+}
+
+// Fail promises nothing.
+func (s *session) Fail() {
+	s.answer(mysql.Append(nil, 1, mysql.Error(mysql.ErrInterrupted, "70100",
+		"Query execution was interrupted: no answer in time; the statement may have run")))
+}
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -25,14 +25,14 @@
 }
 
 // Send starts an attempt.
-func (b *Backend) Send(addr string, payload any, left time.Duration, done func(routing.Result)) func() {
+func (b *Backend) Send(addr string, payload any, left time.Duration, done func(routing.Result)) routing.Call {
 	st := payload.(*Statement)
 	until := b.Loop.Now() + left
 	return b.start(addr, done, func() string { return st.Comment.WithPatience(st.Text, until-b.Loop.Now()) })
 }
 
 // Probe asks a server for its health.
-func (b *Backend) Probe(addr string, _ time.Duration, done func(routing.Result)) func() {
+func (b *Backend) Probe(addr string, done func(routing.Result)) routing.Call {
 	text := "SELECT 1"
 	if b.Reports {
 		text = "SHOW health"
@@ -81,20 +81,20 @@
 	res     routing.Result
 }
 
-func (b *Backend) start(addr string, done func(routing.Result), query func() string) (abort func()) {
+func (b *Backend) start(addr string, done func(routing.Result), query func() string) routing.Call {
 	x := &exchange{b: b, addr: addr, query: query, done: done}
 	if c, _ := b.Pool.Get(addr, b.Loop.Now()); c != nil {
 		x.c = c
 		c.SetHandler(x)
 		x.ask()
-		return x.abort
+		return x
 	}
 	if b.Budget.Full() {
 		b.Pool.Shed()
 	}
 	// A machine that has vanished answers neither the dial nor the startup message: one time-out is for both.
 	x.connect = b.Loop.After(b.ConnectTimeout, func() {
-		x.abort()
+		x.Abort()
 		x.end(rules.NoConnect)
 	})
 	x.cancel = transport.Dial(b.Loop, b.Budget, addr, b.ConnectTimeout, func(c *transport.Conn, err error) {
@@ -107,7 +107,7 @@
 		c.SetHandler(x)
 		c.Write(pgwire.AppendStartup(nil, user, database))
 	})
-	return x.abort
+	return x
 }
 
 func (x *exchange) ask() {
@@ -116,7 +116,11 @@
 	x.c.Write(pgwire.AppendQuery(nil, x.query()))
 }
 
-func (x *exchange) abort() {
+// Sent tells whether the server may have some of the query.
+func (x *exchange) Sent() bool { return x.asked }
+
+// Abort closes the connection, which is how an attempt is given up here.
+func (x *exchange) Abort() {
 	x.connect.Stop()
 	if x.cancel != nil {
 		x.cancel()
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -225,7 +225,7 @@
 	if c.Patience == 0 {
 		c.Patience = info.Deadline
 	}
-	r := &routing.Request{Class: class, Group: c.Group, After: c.After, Arrived: at, Patience: c.Patience,
+	r := &routing.Request{Class: class, Keyed: c.Key != "", Group: c.Group, After: c.After, Arrived: at, Patience: c.Patience,
 		Payload: &Statement{Text: text, Comment: c}}
 	if info.Need == rules.NeedSession || info.Need == rules.NeedWrite {
 		r.Session = comment.Session(text)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"threadsail/rules"
@@ -13,6 +14,7 @@
 	// replyMargin of a client's patience is left for the way back of a final answer.
 	replyMargin = 5 * time.Millisecond
 	probeSlack  = 50 * time.Millisecond // a probe may need a connection first
+	graceMargin = 20 * time.Millisecond // of a drain's grace, left for the way to the server
 	maxKnown    = 1 << 16               // names kept; more than any list that is not garbage
 )
 
@@ -26,6 +28,7 @@
 // Request is a client's request, in no wire's terms. Payload goes to the backend as it is.
 type Request struct {
 	Class, Group int
+	Keyed        bool // it carries a key by which its cluster drops repeats
 	Session      uint64
 	After        time.Duration // Unix time of the session's last commit; 0: none
 	Arrived      time.Duration // of its last byte
@@ -44,14 +47,19 @@
 	Report      rules.Report
 }
 
-// Backend reaches the servers. Send and Probe call done once, on the loop and after they have returned; once the
-// function they return has been called, the connection is closed and done is called no more.
+// Backend reaches the servers. Send and Probe call done once, on the loop and after they have returned.
 type Backend interface {
-	Send(addr string, payload any, left time.Duration, done func(Result)) (abort func())
-	Probe(addr string, timeout time.Duration, done func(Result)) (abort func())
+	Send(addr string, payload any, left time.Duration, done func(Result)) Call
+	Probe(addr string, done func(Result)) Call
 	CloseIdle(addr string)
 }
 
+// Call is an attempt or a probe under way.
+type Call interface {
+	Abort()     // closes the connection; done is called no more
+	Sent() bool // some of the request may have reached the server
+}
+
 // Member is one listed server.
 type Member struct {
 	Name, Addr  string
@@ -84,12 +92,19 @@
 
 type call struct {
 	store uint32
-	abort func()
+	call  Call // nil: never sent
 	timer *Timer
 }
 
+func (k *call) abort() {
+	if k.call != nil {
+		k.call.Abort()
+	}
+}
+
 type server struct {
 	addr string
+	stop *Timer // at the end of a drain's grace; nil: it is ready
 }
 
 // Core carries the module's decisions out.
@@ -103,14 +118,25 @@
 	servers map[uint32]*server
 	names   map[string]uint32
 	groups  map[int]bool
+	unkeyed map[int]int // of a keyed class: the one for requests that carry no key
 	actions []func()
 }
 
 // New returns a core that runs on a loop.
 func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
 	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, servers: map[uint32]*server{},
-		names: map[string]uint32{}, groups: map[int]bool{}}
-	router, err := rules.New(opt.Settings, opt.Seed, (*actions)(c))
+		names: map[string]uint32{}, groups: map[int]bool{}, unkeyed: map[int]int{}}
+	// Without a key nobody drops a repeat: such a request of a keyed class may not run twice at all.
+	c.opt.Settings.Classes = slices.Clone(opt.Settings.Classes)
+	for i, k := range opt.Settings.Classes {
+		if k.Effect == rules.Keyed {
+			k.Effect = rules.Unsafe
+			c.unkeyed[i] = len(c.opt.Settings.Classes)
+			k.Name = ""
+			c.opt.Settings.Classes = append(c.opt.Settings.Classes, k)
+		}
+	}
+	router, err := rules.New(c.opt.Settings, opt.Seed, (*actions)(c))
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +151,7 @@
 // Class finds a class by its name.
 func (c *Core) Class(name string) (int, bool) {
 	for i := range c.opt.Settings.Classes {
-		if c.opt.Settings.Classes[i].Name == name {
+		if name != "" && c.opt.Settings.Classes[i].Name == name {
 			return i, true
 		}
 	}
@@ -151,7 +177,11 @@
 	}
 	o.id = c.lastID
 	c.open[o.id] = o
-	in := rules.Request{ID: o.id, Class: r.Class, Group: r.Group, Session: r.Session, Patience: o.deadline - now}
+	class := r.Class
+	if twin, ok := c.unkeyed[class]; ok && !r.Keyed {
+		class = twin
+	}
+	in := rules.Request{ID: o.id, Class: class, Group: r.Group, Session: r.Session, Patience: o.deadline - now}
 	if r.After > 0 {
 		in.WroteAgo = max(now-r.After, time.Microsecond)
 	}
@@ -182,16 +212,66 @@
 		if !ok {
 			continue
 		}
-		if m.State != rules.Gone {
-			c.groups[m.Group] = true
-			c.servers[id] = &server{addr: m.Addr}
-		}
+		c.listed(id, m)
 		entries = append(entries, rules.Member{Store: id, Zone: m.Zone, Group: m.Group, State: m.State,
 			Primary: m.Primary, Started: m.Started})
 	}
+	if kind == rules.ListFull || kind == rules.ListCached {
+		c.unlisted(members)
+	}
 	c.router.List(c.loop.Now(), kind, entries)
 }
 
+func (c *Core) listed(id uint32, m Member) {
+	s := c.servers[id]
+	if s == nil {
+		s = &server{}
+		c.servers[id] = s
+	}
+	if m.Addr != "" {
+		s.addr = m.Addr
+	}
+	if m.State != rules.Gone {
+		c.groups[m.Group] = true
+	}
+	c.setState(id, s, m.State)
+}
+
+// unlisted finds who has left a whole list.
+func (c *Core) unlisted(members []Member) {
+	here := make(map[string]bool, len(members))
+	for _, m := range members {
+		here[m.Name] = true
+	}
+	for name, id := range c.names {
+		if !here[name] {
+			c.setState(id, c.servers[id], rules.Gone)
+		}
+	}
+}
+
+// setState guards a drain's grace to the end. The module stops in time, but an attempt that is still waiting for
+// its connection would be written after that; it is taken back instead.
+func (c *Core) setState(id uint32, s *server, state rules.State) {
+	if state == rules.Ready {
+		s.stop.Stop()
+		s.stop = nil
+	} else if s.stop == nil {
+		s.stop = c.loop.After(max(c.opt.Settings.DrainGrace-graceMargin, 0), func() { c.takeBack(id) })
+	}
+}
+
+func (c *Core) takeBack(store uint32) {
+	for _, o := range c.open {
+		for n, k := range o.live {
+			if k.store == store && k.call != nil && !k.call.Sent() {
+				k.abort()
+				o.outcome(n, Result{Result: rules.NoConnect})
+			}
+		}
+	}
+}
+
 // id is a server's number. It is made from the name alone, so that all poolers come to the same order.
 func (c *Core) id(name string, state rules.State) (uint32, bool) {
 	if id, ok := c.names[name]; ok {
@@ -280,14 +360,14 @@
 	if timeout > 0 {
 		at = min(at, now+timeout)
 	}
-	k := &call{store: store, abort: func() {}}
+	k := &call{store: store}
 	o.live[n] = k
 	s := c.servers[store]
 	if o.ended || at <= now || s == nil {
 		c.loop.Post(func() { o.outcome(n, Result{Result: rules.Moot}) })
 		return
 	}
-	k.abort = c.backend.Send(s.addr, o.req.Payload, at-now, func(r Result) { o.outcome(n, r) })
+	k.call = c.backend.Send(s.addr, o.req.Payload, at-now, func(r Result) { o.outcome(n, r) })
 	k.timer = c.loop.At(at, func() {
 		k.abort()
 		o.outcome(n, Result{Result: rules.TimedOut})
@@ -335,9 +415,9 @@
 		c.loop.Post(func() { done(Result{Result: rules.NoConnect}) })
 		return
 	}
-	abort := c.backend.Probe(s.addr, c.opt.ProbeTimeout+probeSlack, done)
+	call := c.backend.Probe(s.addr, done)
 	timer = c.loop.After(c.opt.ProbeTimeout+probeSlack, func() {
-		abort()
+		call.Abort()
 		done(Result{Result: rules.TimedOut})
 	})
 }
--- a/rules/api.go
+++ b/rules/api.go
@@ -163,6 +163,7 @@
 	Position    time.Duration // clock time up to which it had applied everything
 	HasRole     bool
 	Primary     bool
+	RoleNow     bool    // the role is as of the report itself, not of Position
 	Busy        float64 // share of its cores in use; 0 where untold
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -127,7 +127,9 @@
 	asOf := r.now - pingEvery // where its age is untold
 	if rep.HasPosition {
 		r.proved(s, rep.Position)
-		asOf = rep.Position // exact as of the report
+		if !rep.RoleNow {
+			asOf = rep.Position // exact as of the report
+		}
 	}
 	if s.role == RoleReplica && s.posAt == r.now && r.now-s.pos >= staleLag {
 		r.lagAt = r.now
