--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -36,15 +36,17 @@
 }
 
 // Send starts an attempt.
-func (b *Backend) Send(addr string, payload any, left time.Duration, done func(routing.Result)) routing.Call {
+func (b *Backend) Send(addr string, payload any, left time.Duration, fits func() bool,
+	done func(routing.Result)) routing.Call {
 	cmd := payload.(*Command)
-	x := &exchange{b: b, addr: addr, cmd: cmd, db: cmd.DB, done: done, until: b.Loop.Now() + left}
+	x := &exchange{b: b, addr: addr, cmd: cmd, db: cmd.DB, fits: fits, done: done, until: b.Loop.Now() + left}
 	return x.start()
 }
 
 // Probe asks a server for its role, and a replica for its position.
 func (b *Backend) Probe(addr string, done func(routing.Result)) routing.Call {
-	x := &exchange{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout}
+	x := &exchange{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout,
+		fits: func() bool { return true }}
 	x.done = func(r routing.Result) {
 		r.Answer = nil
 		done(r)
@@ -76,6 +78,7 @@
 	cmd     *Command
 	db      string
 	until   time.Duration
+	fits    func() bool
 	done    func(routing.Result)
 	probe   bool
 	cancel  func() // of the dial
@@ -84,8 +87,10 @@
 	st      *state
 	buf     []byte
 	stage   stage
+	waited  bool // for the server's word, before the command
 	sent    bool
-	skip    int // packets of definitions still to come
+	over    bool // ended while the command was to be sent
+	skip    int  // packets of definitions still to come
 	stmt    mysql.PrepareOK
 	ans     *mysql.Answer
 	res     routing.Result
@@ -122,9 +127,6 @@
 	return x
 }
 
-// Sent tells whether the server may have some of the command.
-func (x *exchange) Sent() bool { return x.sent }
-
 // Abort closes the connection, which is how an attempt is given up here.
 func (x *exchange) Abort() {
 	x.connect.Stop()
@@ -196,6 +198,7 @@
 
 // packet takes in one packet; over: the exchange has ended. last: no more bytes have come yet.
 func (x *exchange) packet(seq byte, p []byte, last bool) (over bool, err error) {
+	x.waited = true
 	if x.stage < answering && p[0] == 0xff {
 		return x.turnedAway(p)
 	}
@@ -252,7 +255,7 @@
 		}
 		return x.answered(last), nil
 	}
-	return false, nil
+	return x.over, nil
 }
 
 // turnedAway ends an exchange whose command has never been sent. A statement that is wrong in itself gets the
@@ -326,6 +329,12 @@
 func (x *exchange) write(p []byte) { x.c.Write(mysql.Append(nil, 0, p)) }
 
 func (x *exchange) command(p []byte) {
+	if x.waited && !x.sent && !x.fits() {
+		x.over = true
+		x.put(true)
+		x.end(rules.Missed)
+		return
+	}
 	if x.stage, x.sent = answering, true; !x.probe {
 		x.connect.Stop()
 	}
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -25,10 +25,11 @@
 }
 
 // Send starts an attempt.
-func (b *Backend) Send(addr string, payload any, left time.Duration, done func(routing.Result)) routing.Call {
+func (b *Backend) Send(addr string, payload any, left time.Duration, fits func() bool,
+	done func(routing.Result)) routing.Call {
 	st := payload.(*Statement)
 	until := b.Loop.Now() + left
-	return b.start(addr, done, func() string { return st.Comment.WithPatience(st.Text, until-b.Loop.Now()) })
+	return b.start(addr, fits, done, func() string { return st.Comment.WithPatience(st.Text, until-b.Loop.Now()) })
 }
 
 // Probe asks a server for its health.
@@ -37,7 +38,7 @@
 	if b.Reports {
 		text = "SHOW health"
 	}
-	return b.start(addr, func(r routing.Result) {
+	return b.start(addr, func() bool { return true }, func(r routing.Result) {
 		if row, ok := r.Answer.([]byte); ok && b.Reports {
 			if rep := report(row); rep.HasPosition || rep.HasRole {
 				r.Report = rep
@@ -68,6 +69,7 @@
 type exchange struct {
 	b       *Backend
 	addr    string
+	fits    func() bool
 	query   func() string
 	done    func(routing.Result)
 	cancel  func() // of the dial
@@ -81,8 +83,8 @@
 	res     routing.Result
 }
 
-func (b *Backend) start(addr string, done func(routing.Result), query func() string) routing.Call {
-	x := &exchange{b: b, addr: addr, query: query, done: done}
+func (b *Backend) start(addr string, fits func() bool, done func(routing.Result), query func() string) routing.Call {
+	x := &exchange{b: b, addr: addr, fits: fits, query: query, done: done}
 	if c, _ := b.Pool.Get(addr, b.Loop.Now()); c != nil {
 		x.c = c
 		c.SetHandler(x)
@@ -116,9 +118,6 @@
 	x.c.Write(pgwire.AppendQuery(nil, x.query()))
 }
 
-// Sent tells whether the server may have some of the query.
-func (x *exchange) Sent() bool { return x.asked }
-
 // Abort closes the connection, which is how an attempt is given up here.
 func (x *exchange) Abort() {
 	x.connect.Stop()
@@ -227,8 +226,7 @@
 func (x *exchange) ready(clean bool) bool {
 	if !x.asked {
 		if x.c.Written() || clean {
-			x.res = routing.Result{} // what a welcome says is no answer's note
-			x.ask()
+			return x.welcome()
 		}
 		return false
 	}
@@ -249,6 +247,18 @@
 	return true
 }
 
+// welcome ends the startup. The query may have become one that must not be sent here any more: true, it has ended.
+func (x *exchange) welcome() bool {
+	x.res = routing.Result{} // what a welcome says is no answer's note
+	if x.fits() {
+		x.ask()
+		return false
+	}
+	x.b.Pool.Put(x.addr, x.c, nil)
+	x.end(rules.Missed)
+	return true
+}
+
 // outcome puts a server's error code into the core's words.
 func outcome(code string) rules.Result {
 	switch code {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -14,7 +14,6 @@
 	// replyMargin of a client's patience is left for the way back of a final answer.
 	replyMargin = 5 * time.Millisecond
 	probeSlack  = 50 * time.Millisecond // a probe may need a connection first
-	graceMargin = 20 * time.Millisecond // of a drain's grace, left for the way to the server
 	maxKnown    = 1 << 16               // names kept; more than any list that is not garbage
 )
 
@@ -47,17 +46,17 @@
 	Report      rules.Report
 }
 
-// Backend reaches the servers. Send and Probe call done once, on the loop and after they have returned.
+// Backend reaches the servers. Send and Probe call done once, on the loop and after they have returned. A request that
+// had to wait for its connection is written only if it still fits; else it has ended as Missed.
 type Backend interface {
-	Send(addr string, payload any, left time.Duration, done func(Result)) Call
+	Send(addr string, payload any, left time.Duration, fits func() bool, done func(Result)) Call
 	Probe(addr string, done func(Result)) Call
 	CloseIdle(addr string)
 }
 
 // Call is an attempt or a probe under way.
 type Call interface {
-	Abort()     // closes the connection; done is called no more
-	Sent() bool // some of the request may have reached the server
+	Abort() // closes the connection; done is called no more
 }
 
 // Member is one listed server.
@@ -102,11 +101,6 @@
 	}
 }
 
-type server struct {
-	addr string
-	stop *Timer // at the end of a drain's grace; nil: it is ready
-}
-
 // Core carries the module's decisions out.
 type Core struct {
 	loop    *Loop
@@ -115,7 +109,7 @@
 	backend Backend
 	open    map[uint32]*Open
 	lastID  uint32
-	servers map[uint32]*server
+	addrs   map[uint32]string
 	names   map[string]uint32
 	groups  map[int]bool
 	unkeyed map[int]int // of a keyed class: the one for requests that carry no key
@@ -124,7 +118,7 @@
 
 // New returns a core that runs on a loop.
 func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
-	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, servers: map[uint32]*server{},
+	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, addrs: map[uint32]string{},
 		names: map[string]uint32{}, groups: map[int]bool{}, unkeyed: map[int]int{}}
 	// Without a key nobody drops a repeat: such a request of a keyed class may not run twice at all.
 	c.opt.Settings.Classes = slices.Clone(opt.Settings.Classes)
@@ -212,66 +206,16 @@
 		if !ok {
 			continue
 		}
-		c.listed(id, m)
+		if m.State != rules.Gone {
+			c.groups[m.Group] = true
+			c.addrs[id] = m.Addr
+		}
 		entries = append(entries, rules.Member{Store: id, Zone: m.Zone, Group: m.Group, State: m.State,
 			Primary: m.Primary, Started: m.Started})
 	}
-	if kind == rules.ListFull || kind == rules.ListCached {
-		c.unlisted(members)
-	}
 	c.router.List(c.loop.Now(), kind, entries)
 }
 
-func (c *Core) listed(id uint32, m Member) {
-	s := c.servers[id]
-	if s == nil {
-		s = &server{}
-		c.servers[id] = s
-	}
-	if m.Addr != "" {
-		s.addr = m.Addr
-	}
-	if m.State != rules.Gone {
-		c.groups[m.Group] = true
-	}
-	c.setState(id, s, m.State)
-}
-
-// unlisted finds who has left a whole list.
-func (c *Core) unlisted(members []Member) {
-	here := make(map[string]bool, len(members))
-	for _, m := range members {
-		here[m.Name] = true
-	}
-	for name, id := range c.names {
-		if !here[name] {
-			c.setState(id, c.servers[id], rules.Gone)
-		}
-	}
-}
-
-// setState guards a drain's grace to the end. The module stops in time, but an attempt that is still waiting for
-// its connection would be written after that; it is taken back instead.
-func (c *Core) setState(id uint32, s *server, state rules.State) {
-	if state == rules.Ready {
-		s.stop.Stop()
-		s.stop = nil
-	} else if s.stop == nil {
-		s.stop = c.loop.After(max(c.opt.Settings.DrainGrace-graceMargin, 0), func() { c.takeBack(id) })
-	}
-}
-
-func (c *Core) takeBack(store uint32) {
-	for _, o := range c.open {
-		for n, k := range o.live {
-			if k.store == store && k.call != nil && !k.call.Sent() {
-				k.abort()
-				o.outcome(n, Result{Result: rules.NoConnect})
-			}
-		}
-	}
-}
-
 // id is a server's number. It is made from the name alone, so that all poolers come to the same order.
 func (c *Core) id(name string, state rules.State) (uint32, bool) {
 	if id, ok := c.names[name]; ok {
@@ -283,7 +227,7 @@
 	h := fnv.New32a()
 	h.Write([]byte(name))
 	id := h.Sum32()
-	for c.servers[id] != nil {
+	for c.addrs[id] != "" {
 		id++
 	}
 	c.names[name] = id
@@ -338,8 +282,8 @@
 func (a *actions) CloseIdle(store uint32) {
 	c := a.core()
 	c.do(func() {
-		if s := c.servers[store]; s != nil {
-			c.backend.CloseIdle(s.addr)
+		if addr := c.addrs[store]; addr != "" {
+			c.backend.CloseIdle(addr)
 		}
 	})
 }
@@ -362,12 +306,13 @@
 	}
 	k := &call{store: store}
 	o.live[n] = k
-	s := c.servers[store]
-	if o.ended || at <= now || s == nil {
+	addr := c.addrs[store]
+	if o.ended || at <= now || addr == "" {
 		c.loop.Post(func() { o.outcome(n, Result{Result: rules.Moot}) })
 		return
 	}
-	k.call = c.backend.Send(s.addr, o.req.Payload, at-now, func(r Result) { o.outcome(n, r) })
+	k.call = c.backend.Send(addr, o.req.Payload, at-now, func() bool { return c.router.StillFits(c.loop.Now(), id, n) },
+		func(r Result) { o.outcome(n, r) })
 	k.timer = c.loop.At(at, func() {
 		k.abort()
 		o.outcome(n, Result{Result: rules.TimedOut})
@@ -401,7 +346,7 @@
 }
 
 func (c *Core) probe(store uint32) {
-	s := c.servers[store]
+	addr := c.addrs[store]
 	ended := false
 	var timer *Timer
 	done := func(r Result) {
@@ -411,11 +356,11 @@
 			c.router.ProbeResult(c.loop.Now(), rules.ProbeResult{Store: store, Result: r.Result, Report: r.Report})
 		}
 	}
-	if s == nil {
+	if addr == "" {
 		c.loop.Post(func() { done(Result{Result: rules.NoConnect}) })
 		return
 	}
-	call := c.backend.Probe(s.addr, done)
+	call := c.backend.Probe(addr, done)
 	timer = c.loop.After(c.opt.ProbeTimeout+probeSlack, func() {
 		call.Abort()
 		done(Result{Result: rules.TimedOut})
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -417,6 +417,21 @@
 		c.Scope == ScopeGroup && s.Group == q.risk.s.Group
 }
 
+// StillFits tells whether an attempt that had to wait for its connection may be written now: a drain's
+// grace may have passed meanwhile, or the store's proven position have become too old for the read.
+func (r *Router) StillFits(now time.Duration, id uint32, attempt int) bool {
+	r.tick(now)
+	q := r.reqs[id]
+	if q == nil || attempt < 0 || attempt >= len(q.tries) {
+		return false
+	}
+	s := q.tries[attempt].s
+	if s.stopAt > 0 && r.now >= s.stopAt {
+		return false
+	}
+	return s == q.g.primary || q.c.Need == NeedWrite || q.c.Need == NeedFresh || r.fresh(q, s)
+}
+
 // ---- Other reads ----
 
 // replicaFor gives a read to the replica whose turn it is: of those fresh enough and healthy the one
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -465,6 +465,24 @@
 	f.wantNot("attempt 11 1")
 }
 
+// An attempt may wait for its connection until its store has become too old for the read, or has drained.
+func TestStillFits(t *testing.T) {
+	f := withPrimary(t, nil)
+	f.request(2, cBounded)
+	f.request(3, cAny)
+	if !f.r.StillFits(f.now, 2, 0) || f.r.StillFits(f.now, 2, 1) || f.r.StillFits(f.now, 9, 0) {
+		t.Error("a new attempt does not fit, or one that was never made does")
+	}
+	f.until(f.now + 1100*ms) // its bound is 1 s, and the replicas' positions are of the start
+	if f.r.StillFits(f.now, 2, 0) || !f.r.StillFits(f.now, 3, 0) {
+		t.Error("a bounded read fits a replica that is too far behind, or an unbounded one does not")
+	}
+	f.r.List(f.now, ListDelta, []Member{{Store: f.sends[3][0], Group: 7, State: Draining}})
+	if !f.r.StillFits(f.now, 3, 0) || f.r.StillFits(f.now+500*ms, 3, 0) {
+		t.Error("an attempt fits after the drain's grace, or does not within it")
+	}
+}
+
 func TestColdBudget(t *testing.T) {
 	f := newFront(t, func(s *Settings) { s.Classes[cAny].Aim = 400 * ms })
 	f.r.List(f.now, ListDelta, []Member{{Store: 2, Group: 7, State: Gone}, {Store: 3, Group: 7, State: Gone},
