Bound waiting answers and logins of PostgreSQL clients; test the transport

New bounds, found by reading: answers held behind an earlier one (1 MiB a client) and clients that never log in (10 s); a refusal for too many open requests names a wait only where clients heed one. The pool, the budget and the order of data and close have tests of their own.

--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -13,7 +13,11 @@
 	"threadsail/rules"
 )
 
-const maxPipelined = 64 // commands of one client under way; it is cut off beyond
+const (
+	maxPipelined   = 64      // commands of one client under way; it is cut off beyond
+	maxHeld        = 1 << 20 // bytes of answers that wait for an earlier one
+	startupTimeout = 10 * time.Second
+)
 
 // Statement is the payload of a request: what the client sent, and its comment.
 type Statement struct {
@@ -23,6 +27,7 @@
 
 // Front takes clients in. All of it runs on the core's loop.
 type Front struct {
+	loop     *routing.Loop
 	core     *routing.Core
 	ln       *transport.Listener
 	most     int
@@ -32,7 +37,7 @@
 
 // Listen starts a front for at most most clients at once.
 func Listen(loop *routing.Loop, budget *transport.Budget, addr string, core *routing.Core, most int) (*Front, error) {
-	f := &Front{core: core, most: most, sessions: map[*session]bool{}}
+	f := &Front{loop: loop, core: core, most: most, sessions: map[*session]bool{}}
 	ln, err := transport.Listen(loop, budget, addr, f.accept)
 	f.ln = ln
 	return f, err
@@ -59,6 +64,7 @@
 		return
 	}
 	s := &session{f: f, c: c}
+	s.startup = f.loop.After(startupTimeout, s.finish)
 	c.SetHandler(s)
 	f.sessions[s] = true
 	if len(f.sessions) > f.most {
@@ -74,7 +80,9 @@
 	buf     []byte
 	started bool
 	skip    bool // after an error in an extended query: until its Sync
+	startup *routing.Timer
 	slots   []*slot
+	held    int // bytes in slots
 }
 
 // slot is a command whose answer is due.
@@ -86,6 +94,7 @@
 }
 
 func (s *session) Closed(error) {
+	s.startup.Stop()
 	delete(s.f.sessions, s)
 	for _, w := range s.slots {
 		if w.open != nil {
@@ -95,8 +104,10 @@
 }
 
 func (s *session) finish() {
-	s.c.Finish()
-	s.Closed(nil)
+	if s.f.sessions[s] {
+		s.c.Finish()
+		s.Closed(nil)
+	}
 }
 
 // fatal answers what can't be understood and closes: the framing may be lost.
@@ -135,6 +146,7 @@
 			s.c.Write([]byte{'N'})
 		case code>>16 == 3:
 			s.started = true
+			s.startup.Stop()
 			s.c.Write(pgwire.AppendWelcome(nil))
 		case code == pgwire.CancelCode: // a client cancels by closing
 			s.finish()
@@ -193,6 +205,7 @@
 		out = pgwire.AppendReady(out)
 	}
 	s.slots = append(s.slots, &slot{s: s, done: true, out: out})
+	s.held += len(out)
 	s.send()
 }
 
@@ -244,6 +257,7 @@
 func (s *session) send() {
 	for len(s.slots) > 0 && s.slots[0].done {
 		s.c.Write(s.slots[0].out)
+		s.held -= len(s.slots[0].out)
 		s.slots[0] = nil
 		s.slots = s.slots[1:]
 	}
@@ -254,8 +268,10 @@
 
 func (w *slot) close(out []byte) {
 	w.done, w.open, w.out = true, nil, pgwire.AppendReady(out)
-	if w.s.f.sessions[w.s] {
-		w.s.send()
+	if w.s.held += len(w.out); w.s.f.sessions[w.s] {
+		if w.s.send(); w.s.held > maxHeld {
+			w.s.finish()
+		}
 	}
 }
 
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -1,6 +1,7 @@
 package program_test
 
 import (
+	"context"
 	"io"
 	"strings"
 	"sync"
@@ -223,14 +224,23 @@
 func TestClientThatLeaves(t *testing.T) {
 	overBoth(t, nil, []string{"p"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
 		f.Servers[0].Do(once(standin.Hang))
-		if a.MySQL != "" {
-			t.Skip("the driver keeps its connection while it waits")
+		c, text := dial(t, a), standin.Write("k4", 2*time.Second)
+		leave := func() { c.Close() }
+		switch c := c.(type) {
+		case *standin.Postgres:
+			if err := c.Send(text); err != nil {
+				t.Fatal(err)
+			}
+		case *standin.MySQL:
+			ctx, cancel := context.WithCancel(context.Background()) // the driver then closes its connection
+			ended := make(chan struct{})
+			go func() { _, _ = c.ExecContext(ctx, text); close(ended) }()
+			leave = func() { cancel(); <-ended }
 		}
-		c := dial(t, a).(*standin.Postgres)
-		if err := c.Send(standin.Write("k4", patience)); err != nil || !f.Servers[0].Wait(1) {
-			t.Fatal("the write never came", err)
+		if !f.Servers[0].Wait(1) {
+			t.Fatal("the write never came")
 		}
-		c.Close()
+		leave()
 		served(t, dial(t, a).Do(standin.Write("k4", patience)))
 	})
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -164,7 +164,11 @@
 	o := &Open{c: c, req: r, deadline: r.Arrived + r.Patience - replyMargin, live: map[int]*call{}}
 	if len(c.open) >= c.opt.MaxOpen {
 		o.ended = true
-		c.do(func() { r.Reply.Refuse(c.opt.Settings.MaxRetryAfter) })
+		after := time.Duration(0)
+		if c.opt.Settings.RetryAfter {
+			after = c.opt.Settings.MaxRetryAfter
+		}
+		c.do(func() { r.Reply.Refuse(after) })
 		return o
 	}
 	for c.lastID++; c.open[c.lastID] != nil; c.lastID++ {
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,178 @@
+package transport_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+)
+
+const late = 20 * time.Second
+
+// side is a connection's owner that passes on what it hears.
+type side struct {
+	data   chan []byte
+	closed chan error
+}
+
+func newSide() side { return side{make(chan []byte, 64), make(chan error, 4)} }
+
+func (s side) Data(_ time.Duration, b []byte) { s.data <- b }
+func (s side) Closed(err error)               { s.closed <- err }
+
+// fixture is a loop with a listener on loopback.
+type fixture struct {
+	t        *testing.T
+	loop     *routing.Loop
+	budget   *transport.Budget
+	ln       *transport.Listener
+	accepted chan *transport.Conn
+	server   side
+}
+
+func newFixture(t *testing.T, descriptors int) *fixture {
+	f := &fixture{t: t, loop: routing.NewLoop(), budget: transport.NewBudget(descriptors),
+		accepted: make(chan *transport.Conn, 8), server: newSide()}
+	ln, err := transport.Listen(f.loop, f.budget, "127.0.0.1:0", func(c *transport.Conn) {
+		c.SetHandler(f.server)
+		f.accepted <- c
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.ln = ln
+	ended := make(chan struct{})
+	go func() { f.loop.Run(); close(ended) }()
+	t.Cleanup(func() { ln.Close(); f.loop.Stop(); <-ended })
+	return f
+}
+
+// on runs f on the loop and waits for it.
+func (f *fixture) on(do func()) {
+	done := make(chan struct{})
+	f.loop.Post(func() { do(); close(done) })
+	<-done
+}
+
+func (f *fixture) dial(h transport.Handler) (*transport.Conn, error) {
+	type end struct {
+		c   *transport.Conn
+		err error
+	}
+	ended := make(chan end, 1)
+	f.on(func() {
+		transport.Dial(f.loop, f.budget, f.ln.Addr(), time.Second, func(c *transport.Conn, err error) {
+			if err == nil {
+				c.SetHandler(h)
+			}
+			ended <- end{c, err}
+		})
+	})
+	e := <-ended
+	return e.c, e.err
+}
+
+func receive[T any](t *testing.T, c chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(late):
+		t.Fatal("nothing comes")
+	}
+	return v
+}
+
+// Bytes arrive whole, a close after them; descriptors are given back; a dial beyond the budget fails.
+func TestConnection(t *testing.T) {
+	f := newFixture(t, 2)
+	client := newSide()
+	c, err := f.dial(client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := receive(t, f.accepted)
+	if _, err := f.dial(newSide()); !errors.Is(err, transport.ErrBudget) {
+		t.Errorf("a dial beyond the budget ends with %v", err)
+	}
+	const size = 300000 // more than the kernel takes at once: the peer must read on
+	f.on(func() { c.Write(make([]byte, size)); c.Finish() })
+	got := 0
+	for got < size {
+		got += len(receive(t, f.server.data))
+	}
+	receive(t, f.server.closed)
+	f.on(func() { s.Close() })
+	if n := f.budget.Used(); n != 0 || got != size {
+		t.Errorf("%d descriptors are still counted, %d bytes came", n, got)
+	}
+}
+
+// Nobody may hear of a connection after closing it, and a peer's close before the first read must not be missed.
+func TestClose(t *testing.T) {
+	f := newFixture(t, 8)
+	client := newSide()
+	c, err := f.dial(client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := receive(t, f.accepted)
+	f.on(s.Close)
+	if err := receive(t, client.closed); !errors.Is(err, io.EOF) {
+		t.Errorf("closed with %v", err)
+	}
+	f.on(c.Close)
+	raw, err := net.Dial("tcp", f.ln.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Close()
+	receive(t, f.accepted)
+	receive(t, f.server.closed)
+	if len(f.server.closed)+len(client.closed) > 0 {
+		t.Error("a connection was reported closed twice, or after its owner's own close")
+	}
+}
+
+// The pool gives back the connection used last, and none that its peer has closed, spoken on or left idle too long.
+func TestPool(t *testing.T) {
+	f := newFixture(t, 64)
+	pool := transport.NewPool(time.Minute, 3)
+	var conns, peers []*transport.Conn
+	for range 4 {
+		c, err := f.dial(newSide())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns, peers = append(conns, c), append(peers, receive(t, f.accepted))
+	}
+	get := func(now time.Duration) (c *transport.Conn) {
+		f.on(func() { c, _ = pool.Get("a", now) })
+		return c
+	}
+	f.on(func() {
+		for _, c := range conns { // the fourth is one too many
+			pool.Put("a", c, nil)
+		}
+		peers[2].Close()
+		peers[1].Write([]byte("out of turn"))
+	})
+	for until := time.Now().Add(late); f.budget.Used() > 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("a connection that is of no use stays")
+		}
+	}
+	if c := get(f.loop.Now()); c != conns[0] {
+		t.Error("not the connection that is left")
+	}
+	f.on(func() { pool.Put("a", conns[0], nil) })
+	if c := get(f.loop.Now() + time.Hour); c != nil {
+		t.Error("a connection that was idle too long comes back")
+	}
+	if pool.Shed() {
+		t.Error("something is left to shed")
+	}
+}
