Wait for a write's result before reporting that its connection broke

Seen by reading and then shown by a test (TestCloseRightAfterTheLastByte): a peer's close could overtake the news that the last byte had gone out, since both are posted from goroutines of their own. The break then counted as NoConnect, which proves that nothing ran, so a write without a key could have been sent twice. Lines at fault: transport.go, the close callback in start, and Written. The same race made the pool close good connections whose answer overtook that news.

--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -225,10 +225,7 @@
 // ready ends the startup, or the exchange: true.
 func (x *exchange) ready(clean bool) bool {
 	if !x.asked {
-		if x.c.Written() || clean {
-			return x.welcome()
-		}
-		return false
+		return x.welcome()
 	}
 	if clean {
 		x.b.Pool.Put(x.addr, x.c, nil)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -33,7 +33,8 @@
 
 // Put gives a connection back, with what its protocol knows of it.
 func (p *Pool) Put(addr string, c *Conn, state any) {
-	if c.closed || !c.Written() {
+	// An answer can overtake the news that its request is written: only bytes that are still queued speak against reuse.
+	if c.closed || c.hungUp || len(c.unsent) > 0 {
 		c.Close()
 		return
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -82,6 +82,7 @@
 	unsent  []byte
 	writing bool
 	closing bool // close once all is written
+	hungUp  bool // the peer has closed while a write was under way
 	over    atomic.Bool
 }
 
@@ -122,16 +123,26 @@
 	case c.closed:
 	case err != nil:
 		c.end(err) // writing stays set: the last byte did not go out
-	case len(c.unsent) > 0:
+	case len(c.unsent) > 0 && !c.hungUp:
 		c.flush()
 	default:
 		c.writing = false
 		if c.closing {
 			c.Close()
+		} else if c.hungUp {
+			c.end(io.EOF)
 		}
 	}
 }
 
+// hangup takes in the peer's close. It can overtake the news of a write that has gone out whole; whether it has decides
+// if the request may have run, so that news is waited for.
+func (c *Conn) hangup() {
+	if c.hungUp = true; !c.writing {
+		c.end(io.EOF)
+	}
+}
+
 // Close ends the connection at once; its handler hears no more.
 func (c *Conn) Close() {
 	if !c.closed {
@@ -182,7 +193,7 @@
 
 // start begins to read. A peer may have closed before the callbacks were set: that is looked at last.
 func (c *Conn) start() {
-	gone := func() { c.loop.Post(func() { c.end(io.EOF) }) }
+	gone := func() { c.loop.Post(c.hangup) }
 	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil })
 	_ = c.raw.SetWriteTimeout(writeTimeout)
 	_ = c.raw.SetOnRequest(func(context.Context, netpoll.Connection) error { return c.read() })
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -176,3 +176,47 @@
 		t.Error("something is left to shed")
 	}
 }
+
+// A peer that takes all bytes and closes at once must not look as if the last byte had never gone out: the request may
+// have run. The close can overtake the news that the write is done.
+func TestCloseRightAfterTheLastByte(t *testing.T) {
+	f := newFixture(t, 64)
+	peer, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	const text = "write"
+	go func() {
+		for {
+			c, err := peer.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(c, make([]byte, len(text)))
+			c.Close()
+		}
+	}()
+	for range 500 {
+		written := make(chan bool, 1)
+		f.on(func() {
+			transport.Dial(f.loop, f.budget, peer.Addr().String(), time.Second, func(c *transport.Conn, err error) {
+				if err != nil {
+					t.Error(err)
+					written <- true
+					return
+				}
+				c.SetHandler(closer(func() { written <- c.Written() }))
+				c.Write([]byte(text))
+			})
+		})
+		if !receive(t, written) {
+			t.Fatal("a request that has gone out whole counts as never written")
+		}
+	}
+}
+
+type closer func()
+
+func (c closer) Data(time.Duration, []byte) {}
+func (c closer) Closed(error)               { c() }
