--- a/internal/program/mysql_test.go
+++ b/internal/program/mysql_test.go
@@ -96,6 +96,27 @@
 	}
 }
 
+// Only clients with the configured password come in.
+func TestLogin(t *testing.T) {
+	_, _, a := mysqlPooler(t, "p")
+	c, err := standin.LogInMySQL(a.MySQL, "wrong")
+	if standin.FromMySQL(err).Code != "1045" {
+		t.Errorf("a wrong password ends with %v", err)
+	}
+	c.Close()
+}
+
+// The statement's own errors reach the client as the server worded them; a server's state does not.
+func TestServerErrors(t *testing.T) {
+	f, c, _ := mysqlPooler(t, "p")
+	for act, code := range map[standin.Act]string{standin.Wrong: "1062", standin.Fault: "1317"} {
+		f.Servers[0].Do(always(act))
+		if r := c.Do(standin.Write("", patience)); r.Code != code {
+			t.Errorf("got %+v, want %s", r, code)
+		}
+	}
+}
+
 // A bad inventory keeps the old list; a new server is found without a restart.
 func TestInventoryIsReadAgain(t *testing.T) {
 	f, c, _ := mysqlPooler(t, "p")
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -120,9 +120,12 @@
 type MySQL struct{ *sql.DB }
 
 // DialMySQL connects by the Go driver.
-func DialMySQL(addr string) (*MySQL, error) {
+func DialMySQL(addr string) (*MySQL, error) { return LogInMySQL(addr, ClientPassword) }
+
+// LogInMySQL connects with a password.
+func LogInMySQL(addr, password string) (*MySQL, error) {
 	cfg := mysql.NewConfig()
-	cfg.Net, cfg.Addr, cfg.User, cfg.DBName = "tcp", addr, "client", "core"
+	cfg.Net, cfg.Addr, cfg.User, cfg.Passwd, cfg.DBName = "tcp", addr, ClientUser, password, "core"
 	cfg.Logger = &mysql.NopLogger{}
 	connector, err := mysql.NewConnector(cfg)
 	if err != nil {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -67,7 +67,8 @@
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known": map[string]any{"revision": 0, "complete": true, "members": f.entries()}, "settings": settings})
 	f.file(f.Env["PROXY_MYSQL"], map[string]any{"enabled": speaksMySQL, "listen": "127.0.0.1:0",
-		"inventory": f.inventory, "user": "backend", "password": "secret", "heartbeat": Heartbeat, "reload_ms": 20,
+		"inventory": f.inventory, "user": BackendUser, "password": BackendPassword,
+		"client": map[string]any{"user": ClientUser, "password": ClientPassword}, "heartbeat": Heartbeat, "reload_ms": 20,
 		"defaults": map[string]any{"read": map[string]any{"class": "any"}, "write": map[string]any{"class": "write"}}})
 	f.List()
 	return f
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,6 +13,14 @@
 	"threadsail/internal/protocol/pgwire"
 )
 
+// What MySQL stand-ins ask of the pooler, and the pooler of its MySQL clients.
+const (
+	BackendUser     = "backend"
+	BackendPassword = "secret"
+	ClientUser      = "client"
+	ClientPassword  = "other secret"
+)
+
 // Heartbeat is the query by which MySQL stand-ins tell their position.
 const Heartbeat = "SELECT ts FROM heartbeat"
 
@@ -26,6 +34,7 @@
 	Break      // close the connection once the statement is in
 	Fault      // an error; it may have run
 	Full       // turned away
+	Wrong      // on MySQL: the statement breaks a constraint
 )
 
 // Seen is a statement that has reached a server whole.
@@ -313,13 +322,30 @@
 	}
 }
 
+// logIn checks the backend's password, by the challenge of the greeting and again by one of its own.
+func logIn(c net.Conn, r *buffered) bool {
+	first, second := []byte("abcdefghijklmnopqrst"), []byte("tsrqponmlkjihgfedcba")
+	c.Write(mysql.AppendGreeting(nil, 1, first))
+	p, seq, err := r.my()
+	l, bad := mysql.ParseLogin(p)
+	if err != nil || bad != nil {
+		return false
+	}
+	c.Write(mysql.Append(nil, seq+1, mysql.SwitchToNative(second)))
+	response, seq, err := r.my()
+	if err != nil || l.User != BackendUser || !mysql.PasswordFits(first, l.Response, BackendPassword) ||
+		!mysql.PasswordFits(second, response, BackendPassword) {
+		c.Write(mysql.Append(nil, seq+1, mysql.Error(mysql.ErrAccessDenied, "28000", "Access denied")))
+		return false
+	}
+	c.Write(mysql.Append(nil, seq+1, mysql.OK()))
+	return true
+}
+
 func (s *Server) serveMySQL(c net.Conn) {
 	r := &buffered{c: c}
-	c.Write(mysql.AppendGreeting(nil, 1, []byte("abcdefghijklmnopqrst")))
-	if _, seq, err := r.my(); err != nil {
+	if !logIn(c, r) {
 		return
-	} else {
-		c.Write(mysql.Append(nil, seq+1, mysql.OK()))
 	}
 	prepared := map[uint32]string{}
 	for {
@@ -378,6 +404,8 @@
 			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrUnknown, "HY000", "fault"))
 		case act == Full:
 			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrConCount, "08004", "full"))
+		case act == Wrong:
+			out = mysql.Append(nil, 1, mysql.Error(1062, "23000", "Duplicate entry"))
 		case readOnly:
 			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrOptionPrevents, "HY000", "--read-only"))
 		case strings.HasPrefix(text, "SELECT"):
