--- /dev/null
+++ b/internal/program/exchange/exchange.go
@@ -0,0 +1,93 @@
+// Package exchange is what attempts and probes on both wires have in common: they take a connection, an idle one or a
+// new one, end once, and give the connection back.
+package exchange
+
+import (
+	"time"
+
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+	"threadsail/rules"
+)
+
+// Servers is how servers are reached.
+type Servers struct {
+	Loop           *routing.Loop
+	Budget         *transport.Budget
+	Pool           *transport.Pool
+	ConnectTimeout time.Duration // for all that goes before the request itself
+}
+
+// CloseIdle closes the idle connections to a server.
+func (s *Servers) CloseIdle(addr string) { s.Pool.CloseIdle(addr) }
+
+// Exchange is one request on one connection. It is a routing.Call.
+type Exchange struct {
+	Conn    *transport.Conn
+	Res     routing.Result
+	servers *Servers
+	addr    string
+	done    func(routing.Result)
+	cancel  func() // of the dial
+	connect *routing.Timer
+}
+
+// Start takes a connection for h: an idle one, with what was put back with it, or a new one. A machine that has vanished
+// answers neither the dial nor what follows: one time-out is for all that goes before Begun.
+func (x *Exchange) Start(s *Servers, addr string, h transport.Handler, done func(routing.Result), idle func(state any),
+	fresh func()) {
+	x.servers, x.addr, x.done = s, addr, done
+	x.connect = s.Loop.After(s.ConnectTimeout, func() {
+		x.Abort()
+		x.End(rules.NoConnect)
+	})
+	if c, state := s.Pool.Get(addr, s.Loop.Now()); c != nil {
+		x.Conn = c
+		c.SetHandler(h)
+		idle(state)
+		return
+	}
+	if s.Budget.Full() {
+		s.Pool.Shed()
+	}
+	x.cancel = transport.Dial(s.Loop, s.Budget, addr, s.ConnectTimeout, func(c *transport.Conn, err error) {
+		x.cancel = nil
+		if err != nil {
+			x.End(rules.NoConnect)
+			return
+		}
+		x.Conn = c
+		c.SetHandler(h)
+		fresh()
+	})
+}
+
+// Begun tells that the request itself is being sent: the time to connect no longer binds.
+func (x *Exchange) Begun() { x.connect.Stop() }
+
+// Abort closes the connection, which is how an attempt is given up.
+func (x *Exchange) Abort() {
+	x.connect.Stop()
+	if x.cancel != nil {
+		x.cancel()
+	}
+	if x.Conn != nil {
+		x.Conn.Close()
+	}
+}
+
+// Put gives the connection back, or closes it if more has come on it than the answer.
+func (x *Exchange) Put(clean bool, state any) {
+	if clean {
+		x.servers.Pool.Put(x.addr, x.Conn, state)
+	} else {
+		x.Conn.Close()
+	}
+}
+
+// End reports the end.
+func (x *Exchange) End(r rules.Result) {
+	x.connect.Stop()
+	x.Res.Result = r
+	x.done(x.Res)
+}
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -4,10 +4,10 @@
 	"errors"
 	"time"
 
+	"threadsail/internal/program/exchange"
 	"threadsail/internal/protocol"
 	"threadsail/internal/protocol/mysql"
 	"threadsail/internal/routing"
-	"threadsail/internal/transport"
 	"threadsail/rules"
 )
 
@@ -18,10 +18,7 @@
 
 // Backend takes attempts and probes to MySQL servers.
 type Backend struct {
-	Loop           *routing.Loop
-	Budget         *transport.Budget
-	Pool           *transport.Pool
-	ConnectTimeout time.Duration
+	exchange.Servers
 	User, Password string
 	Database       string
 	Heartbeat      string // the probe's second query; empty: none
@@ -39,25 +36,21 @@
 func (b *Backend) Send(addr string, payload any, left time.Duration, fits func() bool,
 	done func(routing.Result)) routing.Call {
 	cmd := payload.(*Command)
-	x := &exchange{b: b, addr: addr, cmd: cmd, db: cmd.DB, fits: fits, done: done, until: b.Loop.Now() + left}
-	return x.start()
+	x := &command{b: b, addr: addr, cmd: cmd, db: cmd.DB, fits: fits, until: b.Loop.Now() + left}
+	return x.start(done)
 }
 
 // Probe asks a server for its role, and a replica for its position.
 func (b *Backend) Probe(addr string, done func(routing.Result)) routing.Call {
-	x := &exchange{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout,
+	x := &command{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout,
 		fits: func() bool { return true }}
-	x.done = func(r routing.Result) {
+	x.probe = true
+	return x.start(func(r routing.Result) {
 		r.Answer = nil
 		done(r)
-	}
-	x.probe = true
-	return x.start()
+	})
 }
 
-// CloseIdle closes the idle connections to a server.
-func (b *Backend) CloseIdle(addr string) { b.Pool.CloseIdle(addr) }
-
 // stage is what an exchange waits for.
 type stage uint8
 
@@ -70,105 +63,64 @@
 	answering
 )
 
-// exchange is one command on one connection, with what must go before it: the login, the database, the PREPARE.
+// command is one command on one connection, with what must go before it: the login, the database, the PREPARE.
 // Until the command itself is sent nothing can have run.
-type exchange struct {
-	b       *Backend
-	addr    string
-	cmd     *Command
-	db      string
-	until   time.Duration
-	fits    func() bool
-	done    func(routing.Result)
-	probe   bool
-	cancel  func() // of the dial
-	connect *routing.Timer
-	c       *transport.Conn
-	st      *state
-	buf     []byte
-	stage   stage
-	waited  bool // for the server's word, before the command
-	sent    bool
-	over    bool // ended while the command was to be sent
-	skip    int  // packets of definitions still to come
-	stmt    mysql.PrepareOK
-	ans     *mysql.Answer
-	res     routing.Result
+type command struct {
+	exchange.Exchange
+	b      *Backend
+	addr   string
+	cmd    *Command
+	db     string
+	until  time.Duration
+	fits   func() bool
+	probe  bool
+	st     *state
+	buf    []byte
+	stage  stage
+	waited bool // for the server's word, before the command
+	sent   bool
+	over   bool // ended while the command was to be sent
+	skip   int  // packets of definitions still to come
+	stmt   mysql.PrepareOK
+	ans    *mysql.Answer
 }
 
-func (x *exchange) start() routing.Call {
-	b := x.b
+func (x *command) start(done func(routing.Result)) routing.Call {
 	if x.db == "" {
-		x.db = b.Database
+		x.db = x.b.Database
 	}
-	// One time-out is for all that goes before the command: a server that has vanished stays silent.
-	x.connect = b.Loop.After(b.ConnectTimeout, func() {
-		x.Abort()
-		x.end(rules.NoConnect)
-	})
-	if c, st := b.Pool.Get(x.addr, b.Loop.Now()); c != nil {
-		x.c, x.st = c, st.(*state)
-		c.SetHandler(x)
+	x.Start(&x.b.Servers, x.addr, x, done, func(st any) {
+		x.st = st.(*state)
 		x.ready()
-		return x
-	}
-	if b.Budget.Full() {
-		b.Pool.Shed()
-	}
-	x.cancel = transport.Dial(b.Loop, b.Budget, x.addr, b.ConnectTimeout, func(c *transport.Conn, err error) {
-		x.cancel = nil
-		if err != nil {
-			x.end(rules.NoConnect)
-			return
-		}
-		x.c, x.st = c, &state{prepared: map[string]mysql.PrepareOK{}}
-		c.SetHandler(x)
-	})
+	}, func() { x.st = &state{prepared: map[string]mysql.PrepareOK{}} })
 	return x
 }
 
-// Abort closes the connection, which is how an attempt is given up here.
-func (x *exchange) Abort() {
-	x.connect.Stop()
-	if x.cancel != nil {
-		x.cancel()
-	}
-	if x.c != nil {
-		x.c.Close()
-	}
-}
-
-func (x *exchange) end(r rules.Result) {
-	x.connect.Stop()
-	x.res.Result = r
-	x.done(x.res)
-}
-
 // Closed ends the exchange. Before the command's last byte has gone out nothing can have run.
-func (x *exchange) Closed(error) {
-	if x.sent && x.c.Written() {
-		x.end(rules.Reset)
+func (x *command) Closed(error) {
+	if x.sent && x.Conn.Written() {
+		x.End(rules.Reset)
 	} else {
-		x.end(rules.NoConnect)
+		x.End(rules.NoConnect)
 	}
 }
 
 // drop ends an exchange on a connection that is of no more use.
-func (x *exchange) drop(r rules.Result) {
-	x.c.Close()
-	x.end(r)
+func (x *command) drop(r rules.Result) {
+	x.Conn.Close()
+	x.End(r)
 }
 
-func (x *exchange) broken(err error) {
+func (x *command) broken(err error) {
 	x.b.Log("server " + x.addr + ": " + err.Error())
-	if x.c.Close(); x.sent {
-		x.end(rules.Errored)
+	if x.Conn.Close(); x.sent {
+		x.End(rules.Errored)
 	} else {
-		x.end(rules.NoConnect)
+		x.End(rules.NoConnect)
 	}
 }
 
-func (x *exchange) Data(_ time.Duration, b []byte) {
+func (x *command) Data(_ time.Duration, b []byte) {
 	x.buf = append(x.buf, b...)
 	rest := x.buf
 	for {
@@ -197,7 +149,7 @@
 }
 
 // packet takes in one packet; over: the exchange has ended. last: no more bytes have come yet.
-func (x *exchange) packet(seq byte, p []byte, last bool) (over bool, err error) {
+func (x *command) packet(seq byte, p []byte, last bool) (over bool, err error) {
 	x.waited = true
 	if x.stage < answering && p[0] == 0xff {
 		return x.turnedAway(p)
@@ -208,7 +160,7 @@
 		if err != nil {
 			return false, err
 		}
-		x.c.Write(mysql.AppendLogin(nil, seq+1, g, x.b.User, x.b.Password, ""))
+		x.Conn.Write(mysql.AppendLogin(nil, seq+1, g, x.b.User, x.b.Password, ""))
 		x.stage = login // the database follows: a client that names an unknown one must not look like a lost server
 	case login:
 		if p[0] == 0xfe {
@@ -216,7 +168,7 @@
 			if err != nil {
 				return false, err
 			}
-			x.c.Write(mysql.Append(nil, seq+1, mysql.Scramble(challenge, x.b.Password)))
+			x.Conn.Write(mysql.Append(nil, seq+1, mysql.Scramble(challenge, x.b.Password)))
 			return false, nil
 		}
 		if p[0] != 0 {
@@ -231,7 +183,7 @@
 			return false, err
 		}
 		if x.stmt.Params != x.cmd.Params { // our count of the marks differs: the values can't be laid out
-			x.res.Answer = mysql.Append(nil, 1, mysql.Error(mysql.ErrWrongArgs, "HY000",
+			x.Res.Answer = mysql.Append(nil, 1, mysql.Error(mysql.ErrWrongArgs, "HY000",
 				"the server counts other parameters in this statement"))
 			x.drop(rules.OK)
 			return true, nil
@@ -260,7 +212,7 @@
 
 // turnedAway ends an exchange whose command has never been sent. A statement that is wrong in itself gets the
 // server's own words; all else is no connection made.
-func (x *exchange) turnedAway(p []byte) (bool, error) {
+func (x *command) turnedAway(p []byte) (bool, error) {
 	code, sqlState, text, ok := mysql.ParseError(p)
 	r := outcome(code, sqlState)
 	if x.stage < initDB && r != rules.Full || !ok {
@@ -269,30 +221,30 @@
 	}
 	switch r {
 	case rules.OK:
-		x.res.Answer = mysql.Append(nil, 1, p)
+		x.Res.Answer = mysql.Append(nil, 1, p)
 		x.put(true)
 	case rules.Missed:
-		x.res.Role = rules.RoleReplica
+		x.Res.Role = rules.RoleReplica
 		x.put(true)
 	default:
 		if r == rules.Errored {
 			r = rules.NoConnect
 		}
-		x.c.Close()
+		x.Conn.Close()
 	}
-	x.end(r)
+	x.End(r)
 	return true, nil
 }
 
 // ready sends what is still to go before the command, or the command.
-func (x *exchange) ready() {
+func (x *command) ready() {
 	if x.st.db != x.db && !x.probe {
 		x.stage = initDB
 		x.write(mysql.Command(mysql.ComInitDB, x.db))
 		return
 	}
 	if !x.cmd.Prepared {
-		x.command(mysql.Command(mysql.ComQuery, x.cmd.query(x.until-x.b.Loop.Now())))
+		x.send(mysql.Command(mysql.ComQuery, x.cmd.query(x.until-x.b.Loop.Now())))
 		return
 	}
 	if ok, found := x.st.prepared[x.key()]; found {
@@ -304,10 +256,10 @@
 	x.write(mysql.Command(mysql.ComStmtPrepare, x.cmd.Text))
 }
 
-func (x *exchange) key() string { return x.db + "\x00" + x.cmd.Text }
+func (x *command) key() string { return x.db + "\x00" + x.cmd.Text }
 
 // prepared notes a statement down, and gives the oldest one of the connection up when there are too many.
-func (x *exchange) prepared() {
+func (x *command) prepared() {
 	if len(x.st.order) >= maxPrepared {
 		old := x.st.order[0]
 		x.write(mysql.StmtClose(x.st.prepared[old].ID))
@@ -319,31 +271,31 @@
 	x.execute()
 }
 
-func (x *exchange) execute() {
+func (x *command) execute() {
 	for _, d := range x.cmd.Long {
 		x.write(d.Payload(x.stmt.ID))
 	}
-	x.command(x.cmd.Exec.Payload(x.stmt.ID))
+	x.send(x.cmd.Exec.Payload(x.stmt.ID))
 }
 
-func (x *exchange) write(p []byte) { x.c.Write(mysql.Append(nil, 0, p)) }
+func (x *command) write(p []byte) { x.Conn.Write(mysql.Append(nil, 0, p)) }
 
-func (x *exchange) command(p []byte) {
+func (x *command) send(p []byte) {
 	if x.waited && !x.sent && !x.fits() {
 		x.over = true
 		x.put(true)
-		x.end(rules.Missed)
+		x.End(rules.Missed)
 		return
 	}
 	if x.stage, x.sent = answering, true; !x.probe {
-		x.connect.Stop()
+		x.Begun()
 	}
 	x.ans = &mysql.Answer{}
 	x.write(p)
 }
 
 // answered takes in a whole answer. A probe of a replica goes on with the heartbeat.
-func (x *exchange) answered(last bool) bool {
+func (x *command) answered(last bool) bool {
 	if x.probe {
 		if x.probed() {
 			return false
@@ -351,8 +303,8 @@
 	}
 	x.put(last)
 	if x.ans.Err == nil {
-		x.res.Answer = x.ans.Raw
-		x.end(rules.OK)
+		x.Res.Answer = x.ans.Raw
+		x.End(rules.OK)
 		return true
 	}
 	code, sqlState, _, ok := mysql.ParseError(x.ans.Err)
@@ -362,17 +314,17 @@
 	}
 	switch r {
 	case rules.OK:
-		x.res.Answer = x.ans.Raw
+		x.Res.Answer = x.ans.Raw
 	case rules.Missed:
-		x.res.Role = rules.RoleReplica
+		x.Res.Role = rules.RoleReplica
 	}
-	x.end(r)
+	x.End(r)
 	return true
 }
 
 // probed takes in the answer to one query of a probe; true: another one follows.
-func (x *exchange) probed() bool {
-	rep := &x.res.Report
+func (x *command) probed() bool {
+	rep := &x.Res.Report
 	value, ok := mysql.TextColumn(x.ans.Row)
 	if !rep.HasRole {
 		if x.ans.Err != nil || !ok {
@@ -382,7 +334,7 @@
 		if rep.Primary || x.b.Heartbeat == "" {
 			return false
 		}
-		x.command(mysql.Command(mysql.ComQuery, x.b.Heartbeat))
+		x.send(mysql.Command(mysql.ComQuery, x.b.Heartbeat))
 		return true
 	}
 	if x.ans.Err != nil { // the role is known all the same; the position stays unknown
@@ -394,13 +346,7 @@
 	return false
 }
 
-func (x *exchange) put(clean bool) {
-	if clean {
-		x.b.Pool.Put(x.addr, x.c, x.st)
-	} else {
-		x.c.Close()
-	}
-}
+func (x *command) put(clean bool) { x.Put(clean, x.st) }
 
 // outcome puts a server's error into the core's words. OK: the statement itself is wrong, or breaks a constraint,
 // wherever it runs; the client must hear that from the server.
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"threadsail/internal/program/exchange"
 	"threadsail/internal/protocol"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/routing"
-	"threadsail/internal/transport"
 	"threadsail/rules"
 )
 
@@ -17,11 +17,8 @@
 
 // Backend takes attempts and probes to PostgreSQL servers.
 type Backend struct {
-	Loop           *routing.Loop
-	Budget         *transport.Budget
-	Pool           *transport.Pool
-	ConnectTimeout time.Duration
-	Reports        bool // servers report their health to probes
+	exchange.Servers
+	Reports bool // servers report their health to probes
 }
 
 // Send starts an attempt.
@@ -62,92 +59,45 @@
 	}
 }
 
-// CloseIdle closes the idle connections to a server.
-func (b *Backend) CloseIdle(addr string) { b.Pool.CloseIdle(addr) }
-
-// exchange is one query on one connection.
-type exchange struct {
-	b       *Backend
-	addr    string
-	fits    func() bool
-	query   func() string
-	done    func(routing.Result)
-	cancel  func() // of the dial
-	connect *routing.Timer
-	c       *transport.Conn
-	buf     []byte
-	asked   bool
-	whole   bool // CommandComplete has come
-	code    string
-	rows    []byte
-	res     routing.Result
+// query is one query on one connection.
+type query struct {
+	exchange.Exchange
+	fits  func() bool
+	text  func() string
+	buf   []byte
+	asked bool
+	whole bool // CommandComplete has come
+	code  string
+	rows  []byte
 }
 
-func (b *Backend) start(addr string, fits func() bool, done func(routing.Result), query func() string) routing.Call {
-	x := &exchange{b: b, addr: addr, fits: fits, query: query, done: done}
-	if c, _ := b.Pool.Get(addr, b.Loop.Now()); c != nil {
-		x.c = c
-		c.SetHandler(x)
-		x.ask()
-		return x
-	}
-	if b.Budget.Full() {
-		b.Pool.Shed()
-	}
-	// A machine that has vanished answers neither the dial nor the startup message: one time-out is for both.
-	x.connect = b.Loop.After(b.ConnectTimeout, func() {
-		x.Abort()
-		x.end(rules.NoConnect)
-	})
-	x.cancel = transport.Dial(b.Loop, b.Budget, addr, b.ConnectTimeout, func(c *transport.Conn, err error) {
-		x.cancel = nil
-		if err != nil {
-			x.end(rules.NoConnect)
-			return
-		}
-		x.c = c
-		c.SetHandler(x)
-		c.Write(pgwire.AppendStartup(nil, user, database))
+func (b *Backend) start(addr string, fits func() bool, done func(routing.Result), text func() string) routing.Call {
+	x := &query{fits: fits, text: text}
+	x.Start(&b.Servers, addr, x, done, func(any) { x.ask() }, func() {
+		x.Conn.Write(pgwire.AppendStartup(nil, user, database))
 	})
 	return x
 }
 
-func (x *exchange) ask() {
-	x.connect.Stop()
+func (x *query) ask() {
+	x.Begun()
 	x.asked = true
-	x.c.Write(pgwire.AppendQuery(nil, x.query()))
-}
-
-// Abort closes the connection, which is how an attempt is given up here.
-func (x *exchange) Abort() {
-	x.connect.Stop()
-	if x.cancel != nil {
-		x.cancel()
-	}
-	if x.c != nil {
-		x.c.Close()
-	}
-}
-
-func (x *exchange) end(r rules.Result) {
-	x.connect.Stop()
-	x.res.Result = r
-	x.done(x.res)
+	x.Conn.Write(pgwire.AppendQuery(nil, x.text()))
 }
 
 // Closed ends the exchange. Before the last byte of the query has gone out nothing can have run.
-func (x *exchange) Closed(error) {
+func (x *query) Closed(error) {
 	switch {
-	case !x.asked || !x.c.Written():
-		x.end(rules.NoConnect)
+	case !x.asked || !x.Conn.Written():
+		x.End(rules.NoConnect)
 	case x.code != "":
-		x.end(outcome(x.code))
+		x.End(outcome(x.code))
 	default:
-		x.end(rules.Reset)
+		x.End(rules.Reset)
 	}
 }
 
-func (x *exchange) Data(_ time.Duration, b []byte) {
+func (x *query) Data(_ time.Duration, b []byte) {
 	x.buf = append(x.buf, b...)
 	rest := x.buf
 	for {
@@ -175,12 +125,12 @@
 }
 
 // broken ends an exchange whose server can't be understood.
-func (x *exchange) broken() {
-	x.c.Close()
+func (x *query) broken() {
+	x.Conn.Close()
 	x.Closed(nil)
 }
 
-func (x *exchange) message(m pgwire.Message) bool {
+func (x *query) message(m pgwire.Message) bool {
 	switch m.Type {
 	case 'S':
 		x.parameter(m.Body)
@@ -190,8 +140,8 @@
 			x.code = pgwire.CodeProtocol
 		}
 		if !x.asked { // turned away at the door
-			x.c.Close()
-			x.end(rules.NoConnect)
+			x.Conn.Close()
+			x.End(rules.NoConnect)
 		}
 	case 'T', 'D', 'C':
 		x.rows = append(x.rows, m.Raw...)
@@ -202,7 +152,7 @@
 }
 
 // parameter takes in what the server tells of itself. It comes before ReadyForQuery, and so before the outcome.
-func (x *exchange) parameter(body []byte) {
+func (x *query) parameter(body []byte) {
 	name, value, ok := pgwire.Parameter(body)
 	if !ok {
 		return
@@ -211,48 +161,44 @@
 	case "recovery":
 		switch value {
 		case "off":
-			x.res.Role = rules.RolePrimary
+			x.Res.Role = rules.RolePrimary
 		case "on":
-			x.res.Role = rules.RoleReplica
+			x.Res.Role = rules.RoleReplica
 		}
 	case "lsn_ms":
-		x.res.Position, x.res.HasPosition = protocol.Position(value)
+		x.Res.Position, x.Res.HasPosition = protocol.Position(value)
 	case "health":
-		x.res.Report = protocol.Report(value)
+		x.Res.Report = protocol.Report(value)
 	}
 }
 
 // ready ends the startup, or the exchange: true.
-func (x *exchange) ready(clean bool) bool {
+func (x *query) ready(clean bool) bool {
 	if !x.asked {
 		return x.welcome()
 	}
-	if clean {
-		x.b.Pool.Put(x.addr, x.c, nil)
-	} else {
-		x.c.Close()
-	}
+	x.Put(clean, nil)
 	switch {
 	case x.code != "":
-		x.end(outcome(x.code))
+		x.End(outcome(x.code))
 	case x.whole:
-		x.res.Answer = x.rows
-		x.end(rules.OK)
+		x.Res.Answer = x.rows
+		x.End(rules.OK)
 	default:
-		x.end(rules.Errored)
+		x.End(rules.Errored)
 	}
 	return true
 }
 
 // welcome ends the startup. The query may have become one that must not be sent here any more: true, it has ended.
-func (x *exchange) welcome() bool {
-	x.res = routing.Result{} // what a welcome says is no answer's note
+func (x *query) welcome() bool {
+	x.Res = routing.Result{} // what a welcome says is no answer's note
 	if x.fits() {
 		x.ask()
 		return false
 	}
-	x.b.Pool.Put(x.addr, x.c, nil)
-	x.end(rules.Missed)
+	x.Put(true, nil)
+	x.End(rules.Missed)
 	return true
 }
 
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"threadsail/internal/config"
+	"threadsail/internal/program/exchange"
 	"threadsail/internal/program/mysqlside"
 	"threadsail/internal/program/pgside"
 	"threadsail/internal/routing"
@@ -97,8 +98,8 @@
 	budget := transport.NewBudget(sockets)
 	clients := int(clientShare * float64(sockets))
 	pool := newPool(cfg, loop, sockets-clients)
-	backend := &pgside.Backend{Loop: loop, Budget: budget, ConnectTimeout: cfg.ConnectTimeout, Pool: pool,
-		Reports: cfg.Reports}
+	backend := &pgside.Backend{Reports: cfg.Reports, Servers: exchange.Servers{Loop: loop, Budget: budget, Pool: pool,
+		ConnectTimeout: cfg.ConnectTimeout}}
 	w := &watcher{loop: loop, budget: budget, addr: cfg.Discovery, log: out.line, zones: zones(cfg),
 		since: cfg.Known.Revision}
 	core, err := routing.New(loop, backend, routing.Options{Settings: cfg.Settings, Seed: cfg.Seed,
@@ -121,8 +122,8 @@
 	loop := routing.NewLoop()
 	budget := transport.NewBudget(sockets)
 	clients := int(clientShare * float64(sockets))
-	backend := &mysqlside.Backend{Loop: loop, Budget: budget, Pool: newPool(cfg, loop, sockets-clients),
-		ConnectTimeout: my.ProbeTimeout, User: my.User, Password: my.Password, Database: my.Database,
+	backend := &mysqlside.Backend{Servers: exchange.Servers{Loop: loop, Budget: budget,
+		Pool: newPool(cfg, loop, sockets-clients), ConnectTimeout: my.ProbeTimeout}, User: my.User, Password: my.Password, Database: my.Database,
 		Heartbeat: my.Heartbeat, Log: func(text string) { out.line("mysql: " + text) }}
 	set := cfg.Settings
 	set.Asks, set.MayProbe, set.RoleReported, set.Behind = false, true, true, rules.BehindAnswers
