Write under netpoll's own lock, so that a hang-up cannot end the program

Checked: netpoll frees its buffers on its own goroutine when a peer hangs up; Writer() takes no lock against that, Write does. A small test (3,000 peers that reset under a write) panics within 20 ms before and passes after.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -110,10 +110,9 @@
 	b := c.unsent
 	c.unsent, c.writing = nil, true
 	go func() {
-		_, err := c.raw.Writer().WriteBinary(b)
-		if err == nil {
-			err = c.raw.Writer().Flush()
-		}
+		// Not through Writer: its buffers are taken away under a writer when the peer hangs up, and the program with them.
+		// Write holds the lock that netpoll's close waits for.
+		_, err := c.raw.Write(b)
 		c.loop.Post(func() { c.flushed(err) })
 	}()
 }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -216,6 +216,23 @@
 	}
 }
 
+// A peer that hangs up while it is being written to must cost its connection only. netpoll frees the buffers on its own
+// goroutines then, and a write through them ended the program.
+func TestPeerHangsUpUnderAWrite(t *testing.T) {
+	f := newFixture(t, 256)
+	for range 3000 {
+		c, err := net.Dial("tcp", f.ln.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := receive(t, f.accepted)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		go c.Close()
+		f.on(func() { s.Write([]byte("a")) })
+		receive(t, f.server.closed)
+	}
+}
+
 type closer func()
 
 func (c closer) Data(time.Duration, []byte) {}
