On SIGHUP read the configuration again and turn to the list service it names

Change: the file is read again through internal/config; one that can't be used is logged by its key and changes nothing. A new address ends the old watch, whose answers are no longer heard, and the new service is asked for its whole list, as revisions are its own. It works on while terminating. Other keys hold from the next start on, and the log says so.

--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -17,7 +17,7 @@
 
 const usage = `usage: threadsail COMMAND
 
-  serve     run the pooler, configured by PROXY_CONFIG and the other PROXY_ variables
+  serve     run the pooler, configured by PROXY_CONFIG and the other PROXY_ variables; SIGHUP reads it again
   check     read and check the configuration, and say what is wrong with it
   version   print the version
 `
@@ -51,14 +51,7 @@
 		if err != nil {
 			return err
 		}
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-		terminate := make(chan struct{})
-		go func() {
-			<-signals
-			close(terminate)
-		}()
-		return program.Serve(cfg, my, stderr, terminate, func(program.Addrs) {})
+		return program.Serve(cfg, my, stderr, control(), func(program.Addrs) {})
 	case "check":
 		cfg, my, err := load()
 		if err != nil {
@@ -81,6 +74,29 @@
 	return errUsage
 }
 
+// control listens to signals: SIGTERM and SIGINT end the program, SIGHUP has it read its configuration again.
+func control() program.Control {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	terminate, reload := make(chan struct{}), make(chan struct{}, 1)
+	go func() {
+		for ended := false; ; {
+			switch s := <-signals; {
+			case s == syscall.SIGHUP:
+				select {
+				case reload <- struct{}{}:
+				default: // one is due already, and will see this change too
+				}
+			case !ended:
+				ended = true
+				close(terminate)
+			}
+		}
+	}()
+	return program.Control{Terminate: terminate, Reload: reload,
+		Load: func() (*config.Config, error) { return config.Load(os.Getenv) }}
+}
+
 func load() (*config.Config, *config.MySQL, error) {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
--- a/cmd/threadsail/main_test.go
+++ b/cmd/threadsail/main_test.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// start runs the program and returns where its front listens, as its log tells.
-func start(t *testing.T, f *standin.Fleet, front string) (*exec.Cmd, string) {
+// start runs the program and returns where its front listens, as its log tells, and the log's further lines.
+func start(t *testing.T, f *standin.Fleet, front string) (*exec.Cmd, string, <-chan string) {
 	t.Helper()
 	cmd := command(f.Env, "serve")
 	log, err := cmd.StderrPipe()
@@ -83,12 +83,17 @@
 	lines := bufio.NewScanner(io.TeeReader(log, &seen))
 	for lines.Scan() {
 		if _, addr, ok := strings.Cut(lines.Text(), front+": serving at "); ok {
-			go func() { _, _ = io.Copy(io.Discard, log) }()
-			return cmd, addr
+			said := make(chan string, 1000)
+			go func() {
+				for lines.Scan() {
+					said <- lines.Text()
+				}
+			}()
+			return cmd, addr, said
 		}
 	}
 	t.Fatalf("the program says %s", seen.String())
-	return nil, ""
+	return nil, "", nil
 }
 
 // At a planned restart the program goes on serving for a while, answers what it has taken, closes idle clients and
@@ -97,7 +102,7 @@
 	f := standin.NewFleet(t, false, nil, "p")
 	release := make(chan struct{})
 	f.Servers[0].Do(func(standin.Seen) standin.Act { <-release; return standin.Answer })
-	cmd, addr := start(t, f, "postgres")
+	cmd, addr, _ := start(t, f, "postgres")
 	busy, err := standin.DialPostgres(addr)
 	if err != nil {
 		t.Fatal(err)
@@ -132,9 +137,66 @@
 	}
 }
 
+// SIGHUP has the configuration read again, under load. A bad file changes nothing; a new list service is asked for its
+// whole list, which drops what it omits, and the old one is no longer heard.
+func TestReload(t *testing.T) {
+	f := standin.NewFleet(t, false, nil, "p", "r")
+	cmd, addr, said := start(t, f, "postgres")
+	c, err := standin.DialPostgres(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := func() standin.Result { return c.Do(standin.Read("any", time.Second)) }
+	until := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !holds(); {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+			if r := read(); !r.Served() {
+				t.Fatalf("a read under way got %+v", r)
+			}
+		}
+	}
+	hangUp := func() {
+		t.Helper()
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old := f.Discovery
+	until("no first watch", func() bool { return old.Watches() > 0 })
+	good := old.URL[len("http://"):]
+	f.Configure("discovery", "nowhere")
+	hangUp()
+	until("the bad key is never named", func() bool {
+		select {
+		case line := <-said:
+			return strings.Contains(line, "discovery: \"nowhere\" is no host:port")
+		default:
+			return false
+		}
+	})
+	f.Configure("discovery", good)
+	f.Servers = append(f.Servers[:1], f.Servers[2:]...) // the new service lists the primary only
+	f.MoveDiscovery()
+	hangUp()
+	until("the new list service is never asked", func() bool { return f.Discovery.Watches() > 0 })
+	until("what the new list omits is still used", func() bool { return read().Value == "from p" && read().Value == "from p" })
+	if since := f.Discovery.Since(); since != "" {
+		t.Errorf("the new list service is asked for changes since %s, of which it knows nothing", since)
+	}
+	watches := old.Watches()
+	old.CloseClientConnections()
+	until("the watch on the new service has ended", func() bool { return read().Value == "from p" })
+	if old.Watches() != watches || f.Discovery.Watches() != 1 {
+		t.Error("the old list service is still asked, or the new one again")
+	}
+}
+
 func TestServeMySQL(t *testing.T) {
 	f := standin.NewFleet(t, true, nil, "p")
-	_, addr := start(t, f, "mysql")
+	_, addr, _ := start(t, f, "mysql")
 	c, err := standin.DialMySQL(addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -26,7 +26,8 @@
 		t.Fatal(err)
 	}
 	terminate, ready, ended := make(chan struct{}), make(chan program.Addrs, 1), make(chan error, 1)
-	go func() { ended <- program.Serve(cfg, my, io.Discard, terminate, func(a program.Addrs) { ready <- a }) }()
+	control := program.Control{Terminate: terminate}
+	go func() { ended <- program.Serve(cfg, my, io.Discard, control, func(a program.Addrs) { ready <- a }) }()
 	t.Cleanup(func() {
 		close(terminate)
 		if err := <-ended; err != nil {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -42,14 +42,22 @@
 	loop  *routing.Loop
 	core  *routing.Core
 	front front
+	watch *watcher // nil: its list does not come from the list service
+}
+
+// Control is how a running pooler is told what to do.
+type Control struct {
+	Terminate <-chan struct{}                // closed: end, once what has been taken is answered
+	Reload    <-chan struct{}                // the configuration may have changed
+	Load      func() (*config.Config, error) // reads it again
 }
 
 // Addrs is where the pooler listens; MySQL is empty while that front is off.
 type Addrs struct{ Postgres, MySQL string }
 
-// Serve runs the pooler until terminate is closed and what it has taken is answered. my is nil while the MySQL front
-// is off.
-func Serve(cfg *config.Config, my *config.MySQL, log io.Writer, terminate <-chan struct{}, ready func(Addrs)) error {
+// Serve runs the pooler until it is told to terminate and what it has taken is answered. my is nil while the MySQL
+// front is off.
+func Serve(cfg *config.Config, my *config.MySQL, log io.Writer, control Control, ready func(Addrs)) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
 	// One core, but two runnable threads: netpoll's poller blocks in the kernel holding its place, and with a single
 	// one the loop's timers would wait for the runtime to notice.
@@ -83,14 +91,45 @@
 		}()
 	}
 	ready(addrs)
-	<-terminate
-	out.line("terminating")
+	ended := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(ended)
+	}()
+	for terminate := control.Terminate; ; {
+		select {
+		case <-control.Reload: // also while terminating: servers may still drain
+			reload(sides, cfg, control.Load, out)
+		case <-terminate:
+			terminate = nil
+			out.line("terminating")
+			for _, s := range sides {
+				s.loop.Post(s.drain)
+			}
+		case <-ended:
+			out.line("ended")
+			return nil
+		}
+	}
+}
+
+// reload takes over what can change under load, the address of the list service. A file that can't be used changes
+// nothing.
+func reload(sides []*side, started *config.Config, load func() (*config.Config, error), out *logger) {
+	cfg, err := load()
+	if err != nil {
+		out.line("reload: the old configuration stands: " + err.Error())
+		return
+	}
+	out.line("reload: discovery is at " + cfg.Discovery)
+	if cfg.Listen != started.Listen || cfg.Sockets != started.Sockets || cfg.MemoryBytes != started.MemoryBytes {
+		out.line("reload: listen and limits hold from the next start on")
+	}
 	for _, s := range sides {
-		s.loop.Post(s.drain)
+		if s.watch != nil {
+			s.loop.Post(func() { s.watch.move(cfg.Discovery) })
+		}
 	}
-	running.Wait()
-	out.line("ended")
-	return nil
 }
 
 func newPostgres(cfg *config.Config, out *logger, sockets int) (*side, error) {
@@ -113,7 +152,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &side{name: "postgres", loop: loop, core: core, front: front}, nil
+	return &side{name: "postgres", loop: loop, core: core, front: front, watch: w}, nil
 }
 
 // newMySQL sets up the second front: the inventory is its discovery, probes tell roles and positions, and servers
--- a/internal/program/watch.go
+++ b/internal/program/watch.go
@@ -53,6 +53,20 @@
 	w.hear(watchDial + watchSilence)
 }
 
+// move turns to another list service. Its revisions are its own, so it is asked for the whole list; what the old one
+// still has to say is not heard.
+func (w *watcher) move(addr string) {
+	if addr == w.addr {
+		return
+	}
+	w.silent.Stop()
+	if w.stop != nil {
+		w.stop()
+	}
+	w.addr, w.since, w.stop = addr, 0, nil
+	w.watch()
+}
+
 // hear waits for the next word.
 func (w *watcher) hear(d time.Duration) {
 	w.silent.Stop()
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -27,6 +27,7 @@
 	entries  []Entry
 	changed  chan struct{}
 	watches  int
+	since    string
 }
 
 // NewDiscovery starts a list service.
@@ -53,6 +54,13 @@
 	return d.watches
 }
 
+// Since is the revision that the last watch asked for changes from; empty: it asked for the whole list.
+func (d *Discovery) Since() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.since
+}
+
 func (d *Discovery) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/api/targets" || r.URL.Query().Get("follow") != "1" {
 		http.NotFound(w, r)
@@ -60,6 +68,7 @@
 	}
 	d.mu.Lock()
 	d.watches++
+	d.since = r.URL.Query().Get("since")
 	d.mu.Unlock()
 	for {
 		d.mu.Lock()
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -37,6 +37,7 @@
 	Servers   []*Server
 	Discovery *Discovery
 	Env       map[string]string // what the pooler's environment holds
+	config    map[string]any    // the file that PROXY_CONFIG names
 	inventory string
 	phase     map[string]string
 }
@@ -63,9 +64,11 @@
 	addr := strings.TrimPrefix(f.Discovery.URL, "http://")
 	f.Env = map[string]string{"PROXY_CONFIG": filepath.Join(dir, "config.json"),
 		"PROXY_MYSQL": filepath.Join(dir, "mysql.json")}
-	f.file(f.Env["PROXY_CONFIG"], map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": addr,
-		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known": map[string]any{"revision": 0, "complete": true, "members": f.entries()}, "settings": settings})
+	f.config = map[string]any{"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"revision": 0, "complete": true, "members": f.entries()},
+		"settings": settings}
+	f.Configure("discovery", addr)
 	f.file(f.Env["PROXY_MYSQL"], map[string]any{"enabled": speaksMySQL, "listen": "127.0.0.1:0",
 		"inventory": f.inventory, "user": BackendUser, "password": BackendPassword,
 		"client": map[string]any{"user": ClientUser, "password": ClientPassword}, "heartbeat": Heartbeat, "reload_ms": 20,
@@ -93,6 +96,19 @@
 	f.check(os.WriteFile(path, text, 0o600))
 }
 
+// Configure changes one key of the pooler's configuration file.
+func (f *Fleet) Configure(key string, v any) {
+	f.config[key] = v
+	f.file(f.Env["PROXY_CONFIG"], f.config)
+}
+
+// MoveDiscovery starts another list service and names it in the configuration. The old one stays as it is.
+func (f *Fleet) MoveDiscovery() {
+	f.Discovery = NewDiscovery(f.entries())
+	f.t.Cleanup(f.Discovery.CloseClientConnections)
+	f.Configure("discovery", strings.TrimPrefix(f.Discovery.URL, "http://"))
+}
+
 // entries is the list of servers that speak PostgreSQL.
 func (f *Fleet) entries() []Entry {
 	out := []Entry{}
