Make room for clients that ask, serve only sound answers, let connections rest before reuse

The front closed past owed answers (fatal), pgside.query passed rows on raw and took unsound errors for proof that nothing ran, and Pool.Get reused a connection while a second answer could still be on its way. A connection closed on the loop before netpoll has registered it crashed the program (OnPrepare): a test showed it, now OnConnect is used. Change: internal/program/door counts the clients of both fronts and turns out the silent after 2.5 s, under pressure those idle longest, if nothing of theirs is unread. Clients and servers have a budget each. Ids that are open are refused. Answers are checked by type, order and length as their first bytes come; more behind one costs the connection, which rests 20 ms and must be quiet before reuse. Peers that outrun the loop are cut off at 512 KiB, the kernel keeps 64 KiB.

--- /dev/null
+++ b/internal/program/door/door.go
@@ -0,0 +1,137 @@
+// Package door decides, for both fronts, which clients stay connected: those that say nothing, or nothing whole, must
+// not keep out or crowd the ones that ask. It knows no wire and closes nothing itself.
+package door
+
+import (
+	"time"
+
+	"threadsail/internal/routing"
+)
+
+const (
+	sweepEvery = 100 * time.Millisecond
+	// A client that has asked nothing so long after it came is turned out, and so is one whose message has begun and
+	// stays incomplete: 3 s after coming it is owed a word.
+	silentFor = 2500 * time.Millisecond
+	enterFor  = 200 * time.Millisecond // under pressure: a usual client has asked by then
+	idleFor   = 2 * time.Second        // a client without an open request may be closed after this
+	idleShare = 0.5                    // of the places: with more clients idle ones are closed; clients have limits too
+)
+
+// State is what a guest is about.
+type State uint8
+
+// The states of a guest.
+const (
+	Entering State = iota // it has asked nothing yet
+	Idle                  // it has asked, and has its answers
+	Begun                 // a message has begun and is not whole
+	Busy                  // a request is open
+)
+
+// Door counts the clients of a front. All of it runs on the front's loop.
+type Door struct {
+	loop  *routing.Loop
+	most  int
+	bytes int
+	held  int
+	in    map[*Guest]bool
+}
+
+// Client is what the door asks of a front. It must call Leave for each client that is gone.
+type Client interface {
+	Quiet() bool        // nothing has come that has not been seen yet
+	TurnOut(why string) // answers with an error and closes; where why is empty, just closes
+}
+
+// Guest is one client.
+type Guest struct {
+	d      *Door
+	client Client
+	state  State
+	since  time.Duration // when it came, or its state began
+	held   int
+}
+
+// New lets most clients in at once, whose incomplete messages hold at most so many bytes together.
+func New(loop *routing.Loop, most, bytes int) *Door {
+	d := &Door{loop: loop, most: most, bytes: bytes, in: map[*Guest]bool{}}
+	d.sweep()
+	return d
+}
+
+// Enter lets a client in; nil: there is no room.
+func (d *Door) Enter(c Client) *Guest {
+	if len(d.in) >= d.most && !d.makeRoom() {
+		return nil
+	}
+	g := &Guest{d: d, client: c, since: d.loop.Now()}
+	d.in[g] = true
+	return g
+}
+
+// makeRoom turns out one client: a silent one, else the one that has been idle longest. A newcomer who asks is worth
+// more than either.
+func (d *Door) makeRoom() bool {
+	return d.turnOut(Entering, enterFor, "too many clients, and this one says nothing") || d.turnOut(Idle, idleFor, "") ||
+		d.turnOut(Entering, 0, "too many clients")
+}
+
+// turnOut closes the client that has been in a state longest, and at least for so long. One whose next request has come
+// and only not been seen yet stays: closing it would lose that.
+func (d *Door) turnOut(state State, least time.Duration, why string) bool {
+	until := d.loop.Now() - least
+	var first *Guest
+	for g := range d.in {
+		if g.state == state && g.since <= until && (first == nil || g.since < first.since) && g.client.Quiet() {
+			first = g
+		}
+	}
+	if first != nil {
+		first.client.TurnOut(why)
+	}
+	return first != nil
+}
+
+// sweep turns out the clients that stay silent, and idle ones while there are many.
+func (d *Door) sweep() {
+	now := d.loop.Now()
+	for g := range d.in {
+		if (g.state == Entering || g.state == Begun) && now-g.since >= silentFor {
+			g.client.TurnOut("nothing whole has come for too long")
+		}
+	}
+	for float64(len(d.in)) > idleShare*float64(d.most) && d.turnOut(Idle, idleFor, "") {
+	}
+	d.loop.After(sweepEvery, d.sweep)
+}
+
+// Set tells a guest's state, and how many bytes of an incomplete message are kept for it. Where all guests together hold
+// too many, the one that holds most is turned out.
+func (g *Guest) Set(state State, held int) {
+	if !g.d.in[g] {
+		return
+	}
+	if state != g.state {
+		g.state, g.since = state, g.d.loop.Now()
+	}
+	g.d.held += held - g.held
+	if g.held = held; g.d.held <= g.d.bytes {
+		return
+	}
+	most := g
+	for x := range g.d.in {
+		if x.held > most.held {
+			most = x
+		}
+	}
+	most.client.TurnOut("too much of incomplete messages is kept")
+}
+
+// Leave tells that a guest's connection is closed.
+func (g *Guest) Leave() {
+	if g.d.in[g] {
+		delete(g.d.in, g)
+		g.d.held -= g.held
+	}
+}
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"errors"
 	"time"
 
 	"threadsail/internal/routing"
@@ -30,8 +31,12 @@
 	done    func(routing.Result)
 	cancel  func() // of the dial
 	connect *routing.Timer
+	rest    *routing.Timer // of an answer that has begun
 }
 
+// restOfAnswer may pass between the first bytes of an answer and its last; values are small.
+const restOfAnswer = 100 * time.Millisecond
+
 // Start takes a connection for h: an idle one, with what was put back with it, or a new one. A machine that has vanished
 // answers neither the dial nor what follows: one time-out is for all that goes before Begun.
 func (x *Exchange) Start(s *Servers, addr string, h transport.Handler, done func(routing.Result), idle func(state any),
@@ -52,6 +57,10 @@
 	}
 	x.cancel = transport.Dial(s.Loop, s.Budget, addr, s.ConnectTimeout, func(c *transport.Conn, err error) {
 		x.cancel = nil
+		if errors.Is(err, transport.ErrBudget) { // our own want says nothing of the server's health
+			x.End(rules.Full)
+			return
+		}
 		if err != nil {
 			x.End(rules.NoConnect)
 			return
@@ -65,9 +74,26 @@
 // Begun tells that the request itself is being sent: the time to connect no longer binds.
 func (x *Exchange) Begun() { x.connect.Stop() }
 
+// Heard tells that an answer has begun: if its rest stays away, as behind a length that is too large, it is spoilt.
+func (x *Exchange) Heard(spoilt func()) {
+	if x.rest != nil {
+		return
+	}
+	var look func()
+	look = func() {
+		if x.Conn.Quiet() {
+			spoilt()
+		} else { // more has come while this machine was busy, and is not taken in yet
+			x.rest = x.servers.Loop.After(restOfAnswer/4, look)
+		}
+	}
+	x.rest = x.servers.Loop.After(restOfAnswer, look)
+}
+
 // Abort closes the connection, which is how an attempt is given up.
 func (x *Exchange) Abort() {
 	x.connect.Stop()
+	x.rest.Stop()
 	if x.cancel != nil {
 		x.cancel()
 	}
@@ -88,6 +114,7 @@
 // End reports the end.
 func (x *Exchange) End(r rules.Result) {
 	x.connect.Stop()
+	x.rest.Stop()
 	x.Res.Result = r
 	x.done(x.Res)
 }
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -8,6 +8,7 @@
 	"threadsail/internal/protocol"
 	"threadsail/internal/protocol/mysql"
 	"threadsail/internal/routing"
+	"threadsail/internal/transport"
 	"threadsail/rules"
 )
 
@@ -16,6 +17,8 @@
 	roleQuery   = "SELECT @@global.read_only"
 )
 
+var errStalled = errors.New("an answer has begun and its rest stays away")
+
 // Backend takes attempts and probes to MySQL servers.
 type Backend struct {
 	exchange.Servers
@@ -97,11 +100,14 @@
 }
 
 // Closed ends the exchange. Before the command's last byte has gone out nothing can have run.
-func (x *command) Closed(error) {
-	if x.sent && x.Conn.Written() {
-		x.End(rules.Reset)
-	} else {
+func (x *command) Closed(err error) {
+	switch {
+	case !x.sent || !x.Conn.Written():
 		x.End(rules.NoConnect)
+	case errors.Is(err, transport.ErrFlood):
+		x.broken(err)
+	default:
+		x.End(rules.Reset)
 	}
 }
 
@@ -121,6 +127,9 @@
 }
 
 func (x *command) Data(_ time.Duration, b []byte) {
+	if x.sent && !x.probe {
+		x.Heard(func() { x.broken(errStalled) })
+	}
 	x.buf = append(x.buf, b...)
 	rest := x.buf
 	for {
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"threadsail/internal/config"
+	"threadsail/internal/program/door"
 	"threadsail/internal/protocol/comment"
 	"threadsail/internal/protocol/mysql"
 	"threadsail/internal/routing"
@@ -18,7 +19,6 @@
 const (
 	maxStatements = 1024 // prepared by one client
 	maxBuffered   = 2 * mysql.MaxCommand
-	loginTimeout  = 10 * time.Second
 )
 
 // Command is the payload of a request.
@@ -45,15 +45,16 @@
 	core     *routing.Core
 	cfg      *config.MySQL
 	ln       *transport.Listener
-	most     int
+	door     *door.Door
 	lastID   uint32
 	sessions map[*session]bool
+	ids      map[string]bool // of open requests
 	draining bool
 }
 
-// Listen starts a front for at most most clients at once.
-func Listen(loop *routing.Loop, budget *transport.Budget, core *routing.Core, cfg *config.MySQL, most int) (*Front, error) {
-	f := &Front{loop: loop, core: core, cfg: cfg, most: most, sessions: map[*session]bool{}}
+// Listen starts a front for the clients that a door lets in.
+func Listen(loop *routing.Loop, budget *transport.Budget, core *routing.Core, cfg *config.MySQL, d *door.Door) (*Front, error) {
+	f := &Front{loop: loop, core: core, cfg: cfg, door: d, sessions: map[*session]bool{}, ids: map[string]bool{}}
 	ln, err := transport.Listen(loop, budget, cfg.Listen, f.accept)
 	f.ln = ln
 	return f, err
@@ -84,14 +85,13 @@
 	s := &session{f: f, c: c, challenge: newChallenge(), stmts: map[uint32]*statement{}}
 	c.SetHandler(s)
 	f.sessions[s] = true
-	if len(f.sessions) > f.most {
+	if s.guest = f.door.Enter(s); s.guest == nil {
 		s.send(0, mysql.Error(mysql.ErrConCount, "08004", "Too many connections"))
 		s.finish()
 		return
 	}
 	f.lastID++
 	c.Write(mysql.AppendGreeting(nil, f.lastID, s.challenge))
-	s.login = f.loop.After(loginTimeout, s.finish)
 }
 
 // newChallenge draws 20 bytes for the login, none of them 0 or '$', which end or split strings in some clients.
@@ -120,8 +120,10 @@
 	f         *Front
 	c         *transport.Conn
 	challenge []byte
-	login     *routing.Timer // running until the login is through
+	guest     *door.Guest // nil: there was no room
 	switched  bool
+	asked     bool // a command has come
+	id        string
 	in        bool
 	user      string
 	db        string
@@ -133,13 +135,41 @@
 }
 
 func (s *session) Closed(error) {
-	s.login.Stop()
 	delete(s.f.sessions, s)
+	if s.guest != nil {
+		s.guest.Leave()
+	}
 	if s.open != nil {
+		delete(s.f.ids, s.id)
 		s.open.Gone()
 	}
 }
 
+// Quiet tells the door that nothing has come that was not seen.
+func (s *session) Quiet() bool { return s.c.Quiet() }
+
+// TurnOut closes a client for the door.
+func (s *session) TurnOut(why string) {
+	if why != "" {
+		s.fail(mysql.ErrHandshake, "08S01", why)
+	}
+	s.finish()
+}
+
+// settle tells the door what the client is about.
+func (s *session) settle() {
+	state := door.Idle
+	switch {
+	case s.busy:
+		state = door.Busy
+	case !s.asked:
+		state = door.Entering
+	case len(s.buf) > 0:
+		state = door.Begun
+	}
+	s.guest.Set(state, len(s.buf))
+}
+
 func (s *session) finish() {
 	if s.f.sessions[s] {
 		s.c.Finish()
@@ -156,6 +186,7 @@
 		return
 	}
 	s.work(at)
+	s.settle()
 }
 
 // work takes packets until a command must wait for its answer.
@@ -210,7 +241,6 @@
 		s.finish()
 		return
 	}
-	s.login.Stop()
 	s.in = true
 	s.send(seq+1, mysql.OK())
 }
@@ -222,6 +252,7 @@
 }
 
 func (s *session) command(at time.Duration, p []byte) {
+	s.asked = true
 	switch p[0] {
 	case mysql.ComQuit:
 		s.finish()
@@ -381,6 +412,11 @@
 		s.fail(mysql.ErrParse, "42000", "comment: a statement that may write is in a class of reads")
 		return
 	}
+	// A prepared statement's comment is the same at each EXECUTE: only an id that is open now can't be told apart.
+	if c.ID != "" && s.f.ids[c.ID] {
+		s.fail(mysql.ErrParse, "42000", "comment: id is that of an open request")
+		return
+	}
 	if c.Patience == 0 {
 		c.Patience = s.f.core.ClassInfo(class).Deadline
 	}
@@ -389,12 +425,17 @@
 	if c.After > 0 || s.f.core.ClassInfo(class).Need == rules.NeedSession {
 		r.Session = comment.Session(cmd.Text)
 	}
-	s.busy = true
+	s.busy, s.id = true, c.ID
+	s.f.ids[c.ID] = c.ID != ""
 	s.open = s.f.core.Submit(r)
 }
 
 // answer gives the final answer, and goes on with what has come meanwhile.
 func (s *session) answer(out []byte) {
+	if s.open == nil { // abandoned
+		return
+	}
+	delete(s.f.ids, s.id)
 	s.busy, s.open = false, nil
 	if !s.f.sessions[s] {
 		return
@@ -404,8 +445,12 @@
 		s.finish()
 		return
 	}
+	s.settle()
 	if len(s.buf) > 0 {
-		s.f.loop.Post(func() { s.work(s.f.loop.Now()) })
+		s.f.loop.Post(func() {
+			s.work(s.f.loop.Now())
+			s.settle()
+		})
 	}
 }
 
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -1,12 +1,14 @@
 package pgside
 
 import (
+	"errors"
 	"time"
 
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/protocol"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/routing"
+	"threadsail/internal/transport"
 	"threadsail/rules"
 )
 
@@ -45,18 +47,19 @@
 	}, func() string { return text })
 }
 
-// report finds the load report in the row that SHOW health gave.
-func report(row []byte) rules.Report {
-	for {
-		m, n, err := pgwire.Next(row)
+// report reads the load report in the row that SHOW health gave.
+func report(answer []byte) rules.Report {
+	for len(answer) > 0 {
+		m, n, err := pgwire.NextAnswer(answer)
 		if err != nil || n == 0 {
-			return rules.Report{}
+			break
 		}
 		if v, ok := pgwire.Column(m.Body); ok && m.Type == 'D' {
 			return protocol.Report(string(v))
 		}
-		row = row[n:]
+		answer = answer[n:]
 	}
+	return rules.Report{}
 }
 
 // query is one query on one connection.
@@ -66,7 +69,7 @@
 	text  func() string
 	buf   []byte
 	asked bool
-	whole bool // CommandComplete has come
+	stage byte // the last message of the answer: T, D, C; 0: none so far
 	code  string
 	rows  []byte
 }
@@ -86,77 +89,110 @@
 }
 
 // Closed ends the exchange. Before the last byte of the query has gone out nothing can have run.
-func (x *query) Closed(error) {
+func (x *query) Closed(err error) {
 	switch {
 	case !x.asked || !x.Conn.Written():
 		x.End(rules.NoConnect)
-	case x.code != "":
+	case x.code != "" && len(x.buf) == 0:
 		x.End(outcome(x.code))
+	case errors.Is(err, transport.ErrFlood):
+		x.spoilt()
 	default:
+		x.Res = routing.Result{}
 		x.End(rules.Reset)
 	}
 }
 
 func (x *query) Data(_ time.Duration, b []byte) {
+	if x.asked {
+		x.Heard(x.spoilt)
+	}
 	x.buf = append(x.buf, b...)
 	rest := x.buf
 	for {
-		m, n, err := pgwire.Next(rest)
+		m, n, err := pgwire.NextAnswer(rest)
 		if err != nil {
-			x.broken()
+			x.spoilt()
 			return
 		}
 		if n == 0 {
 			break
 		}
 		rest = rest[n:]
-		if m.Type == 'Z' {
-			if x.ready(len(rest) == 0) {
-				return
-			}
-			continue
+		over, sound := x.message(m, len(rest) == 0)
+		if !sound {
+			x.spoilt()
 		}
-		if !x.message(m) {
-			x.broken()
+		if over || !sound {
 			return
 		}
 	}
 	x.buf = append([]byte(nil), rest...)
 }
 
-// broken ends an exchange whose server can't be understood.
-func (x *query) broken() {
+// spoilt ends an exchange whose answer can't be used. Only exactly one answer made as it should be is served, and only
+// such a one is believed: anything else may have run, whatever code or note stands in it.
+func (x *query) spoilt() {
 	x.Conn.Close()
-	x.Closed(nil)
+	x.Res = routing.Result{}
+	if x.asked {
+		x.End(rules.Errored)
+	} else {
+		x.End(rules.NoConnect)
+	}
 }
 
-func (x *query) message(m pgwire.Message) bool {
+// message takes in one message; over: the exchange has ended. last: nothing has come behind it.
+func (x *query) message(m pgwire.Message, last bool) (over, sound bool) {
+	if !x.asked {
+		return x.greeting(m, last)
+	}
 	switch m.Type {
 	case 'S':
-		x.parameter(m.Body)
+		return false, x.parameter(m.Body)
+	case 'N':
+		return false, true
 	case 'E':
+		sound = x.stage == 0 && x.code == ""
 		x.code = pgwire.ErrorCode(m.Body)
-		if x.code == "" {
-			x.code = pgwire.CodeProtocol
-		}
-		if !x.asked { // turned away at the door
-			x.Conn.Close()
-			x.End(rules.NoConnect)
+		return false, sound && x.code != ""
+	case 'T':
+		sound = x.stage == 0 && x.code == "" && pgwire.OneColumn(m.Body)
+	case 'D':
+		_, ok := pgwire.Column(m.Body)
+		sound = x.stage == 'T' && ok
+	case 'C':
+		_, ok := pgwire.Text(m.Body)
+		sound = x.stage == 'D' && ok
+	case 'Z':
+		if m.Body[0] != 'I' || x.stage != 'C' && x.code == "" {
+			return false, false
 		}
-	case 'T', 'D', 'C':
-		x.rows = append(x.rows, m.Raw...)
-		x.whole = x.whole || m.Type == 'C'
-		return len(x.rows) <= 2*pgwire.MaxMessage
+		x.ready(last)
+		return true, true
 	}
-	return true
+	x.stage = m.Type
+	x.rows = append(x.rows, m.Raw...)
+	return false, sound
 }
 
-// parameter takes in what the server tells of itself. It comes before ReadyForQuery, and so before the outcome.
-func (x *query) parameter(body []byte) {
-	name, value, ok := pgwire.Parameter(body)
-	if !ok {
-		return
+// greeting takes in what comes before the query is sent.
+func (x *query) greeting(m pgwire.Message, last bool) (over, sound bool) {
+	switch m.Type {
+	case 'E': // turned away at the door
+		x.Conn.Close()
+		x.End(rules.NoConnect)
+		return true, true
+	case 'Z':
+		return x.welcome(), last
 	}
+	return false, m.Type == 'R' || m.Type == 'K' || m.Type == 'S' || m.Type == 'N'
+}
+
+// parameter takes in what the server tells of itself. It comes before ReadyForQuery, and so before the outcome. A value
+// that can't be read tells nothing, and spoils nothing.
+func (x *query) parameter(body []byte) (sound bool) {
+	name, value, ok := pgwire.Parameter(body)
 	switch name {
 	case "recovery":
 		switch value {
@@ -170,29 +206,22 @@
 	case "health":
 		x.Res.Report = protocol.Report(value)
 	}
+	return ok
 }
 
-// ready ends the startup, or the exchange: true.
-func (x *query) ready(clean bool) bool {
-	if !x.asked {
-		return x.welcome()
-	}
+// ready ends the exchange with its answer.
+func (x *query) ready(clean bool) {
 	x.Put(clean, nil)
-	switch {
-	case x.code != "":
+	if x.code != "" {
 		x.End(outcome(x.code))
-	case x.whole:
-		x.Res.Answer = x.rows
-		x.End(rules.OK)
-	default:
-		x.End(rules.Errored)
+		return
 	}
-	return true
+	x.Res.Answer = x.rows
+	x.End(rules.OK)
 }
 
 // welcome ends the startup. The query may have become one that must not be sent here any more: true, it has ended.
 func (x *query) welcome() bool {
-	x.Res = routing.Result{} // what a welcome says is no answer's note
 	if x.fits() {
 		x.ask()
 		return false
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"threadsail/internal/program/door"
 	"threadsail/internal/protocol/comment"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/routing"
@@ -14,9 +15,8 @@
 )
 
 const (
-	maxPipelined   = 64      // commands of one client under way; it is cut off beyond
-	maxHeld        = 1 << 20 // bytes of answers that wait for an earlier one
-	startupTimeout = 10 * time.Second
+	maxPipelined = 64      // commands of one client under way; it is cut off beyond
+	maxHeld      = 1 << 20 // bytes of answers that wait for an earlier one
 )
 
 // Statement is the payload of a request: what the client sent, and its comment.
@@ -30,14 +30,15 @@
 	loop     *routing.Loop
 	core     *routing.Core
 	ln       *transport.Listener
-	most     int
+	door     *door.Door
 	sessions map[*session]bool
+	ids      map[string]bool // of open requests
 	draining bool
 }
 
-// Listen starts a front for at most most clients at once.
-func Listen(loop *routing.Loop, budget *transport.Budget, addr string, core *routing.Core, most int) (*Front, error) {
-	f := &Front{loop: loop, core: core, most: most, sessions: map[*session]bool{}}
+// Listen starts a front for the clients that a door lets in.
+func Listen(loop *routing.Loop, budget *transport.Budget, addr string, core *routing.Core, d *door.Door) (*Front, error) {
+	f := &Front{loop: loop, core: core, door: d, sessions: map[*session]bool{}, ids: map[string]bool{}}
 	ln, err := transport.Listen(loop, budget, addr, f.accept)
 	f.ln = ln
 	return f, err
@@ -64,12 +65,10 @@
 		return
 	}
 	s := &session{f: f, c: c}
-	s.startup = f.loop.After(startupTimeout, s.finish)
 	c.SetHandler(s)
 	f.sessions[s] = true
-	if len(f.sessions) > f.most {
-		c.Write(pgwire.AppendError(nil, "FATAL", pgwire.CodeTooMany, "too many clients", ""))
-		s.finish()
+	if s.guest = f.door.Enter(s); s.guest == nil {
+		s.fatal(pgwire.CodeTooMany, "too many clients")
 	}
 }
 
@@ -77,10 +76,11 @@
 type session struct {
 	f       *Front
 	c       *transport.Conn
+	guest   *door.Guest // nil: there was no room
 	buf     []byte
 	started bool
+	asked   bool // a whole command has come
 	skip    bool // after an error in an extended query: until its Sync
-	startup *routing.Timer
 	slots   []*slot
 	held    int // bytes in slots
 }
@@ -88,21 +88,48 @@
 // slot is a command whose answer is due.
 type slot struct {
 	s    *session
+	id   string // of its request; empty: it needs no server
 	open *routing.Open
 	done bool
 	out  []byte
 }
 
 func (s *session) Closed(error) {
-	s.startup.Stop()
 	delete(s.f.sessions, s)
+	if s.guest != nil {
+		s.guest.Leave()
+	}
 	for _, w := range s.slots {
-		if w.open != nil {
-			w.open.Gone()
-		}
+		w.abandon()
 	}
 }
 
+// Quiet tells the door that nothing has come that was not seen.
+func (s *session) Quiet() bool { return s.c.Quiet() }
+
+// TurnOut closes a client for the door.
+func (s *session) TurnOut(why string) {
+	if why == "" {
+		s.finish()
+	} else {
+		s.fatal(pgwire.CodeProtocol, why)
+	}
+}
+
+// settle tells the door what the client is about.
+func (s *session) settle() {
+	state := door.Idle
+	switch {
+	case len(s.slots) > 0:
+		state = door.Busy
+	case !s.asked:
+		state = door.Entering
+	case len(s.buf) > 0:
+		state = door.Begun
+	}
+	s.guest.Set(state, len(s.buf))
+}
+
 func (s *session) finish() {
 	if s.f.sessions[s] {
 		s.c.Finish()
@@ -110,9 +137,19 @@
 	}
 }
 
-// fatal answers what can't be understood and closes: the framing may be lost.
+// fatal answers what can't be understood and closes at once: the framing may be lost. Commands that came before it and
+// still wait get their final answer first, a failure: none may end without one.
 func (s *session) fatal(code, text string) {
-	s.c.Write(pgwire.AppendError(nil, "FATAL", code, text, ""))
+	var out []byte
+	for _, w := range s.slots {
+		if !w.done {
+			w.abandon()
+			w.out = pgwire.AppendReady(failure(nil))
+		}
+		out = append(out, w.out...)
+	}
+	s.slots = nil
+	s.c.Write(pgwire.AppendError(out, "FATAL", code, text, ""))
 	s.finish()
 }
 
@@ -131,6 +168,7 @@
 	} else {
 		s.buf = append([]byte(nil), rest...)
 	}
+	s.settle()
 }
 
 // next takes one message off b.
@@ -146,7 +184,6 @@
 			s.c.Write([]byte{'N'})
 		case code>>16 == 3:
 			s.started = true
-			s.startup.Stop()
 			s.c.Write(pgwire.AppendWelcome(nil))
 		case code == pgwire.CancelCode: // a client cancels by closing
 			s.finish()
@@ -157,7 +194,7 @@
 		}
 		return n, true
 	}
-	m, n, err := pgwire.Next(b)
+	m, n, err := pgwire.Next(b, pgwire.MaxQuery)
 	if err != nil {
 		s.fatal(pgwire.CodeProtocol, "impossible message length")
 		return 0, false
@@ -169,6 +206,7 @@
 }
 
 func (s *session) message(at time.Duration, m pgwire.Message) {
+	s.asked = true
 	if len(s.slots) >= maxPipelined {
 		s.fatal(pgwire.CodeTooMany, "too many commands in one pipeline")
 		return
@@ -234,6 +272,10 @@
 		s.protocolError("comment: cluster names no known group")
 		return
 	}
+	if s.f.ids[c.ID] { // its answer would be told from the other's by nobody
+		s.protocolError("comment: id is that of an open request")
+		return
+	}
 	info := s.f.core.ClassInfo(class)
 	if c.Patience == 0 {
 		c.Patience = info.Deadline
@@ -243,7 +285,8 @@
 	if info.Need == rules.NeedSession || info.Need == rules.NeedWrite {
 		r.Session = comment.Session(text)
 	}
-	w := &slot{s: s}
+	w := &slot{s: s, id: c.ID}
+	s.f.ids[c.ID] = true
 	r.Reply = w
 	s.slots = append(s.slots, w)
 	w.open = s.f.core.Submit(r)
@@ -263,14 +306,34 @@
 	}
 	if s.f.draining && len(s.slots) == 0 {
 		s.finish()
+		return
 	}
+	s.settle()
+}
+
+// abandon ends a request that nobody waits for any more.
+func (w *slot) abandon() {
+	if w.open != nil {
+		w.open.Gone()
+		w.free()
+	}
+}
+
+// free gives the request's id back.
+func (w *slot) free() {
+	delete(w.s.f.ids, w.id)
+	w.open = nil
 }
 
 func (w *slot) close(out []byte) {
-	w.done, w.open, w.out = true, nil, pgwire.AppendReady(out)
+	if w.open == nil { // abandoned
+		return
+	}
+	w.free()
+	w.done, w.out = true, pgwire.AppendReady(out)
 	if w.s.held += len(w.out); w.s.f.sessions[w.s] {
 		if w.s.send(); w.s.held > maxHeld {
-			w.s.finish()
+			w.s.fatal(pgwire.CodeTooMany, "too much waits for an earlier answer")
 		}
 	}
 }
@@ -282,6 +345,8 @@
 func (w *slot) Refuse(after time.Duration) { w.close(pgwire.AppendRefusal(nil, after)) }
 
 // Fail promises nothing.
-func (w *slot) Fail() {
-	w.close(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed, "no answer in time; the statement may have run", ""))
+func (w *slot) Fail() { w.close(failure(nil)) }
+
+func failure(b []byte) []byte {
+	return pgwire.AppendError(b, "ERROR", pgwire.CodeFailed, "no answer in time; the statement may have run", "")
 }
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"threadsail/internal/config"
+	"threadsail/internal/program/door"
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/program/mysqlside"
 	"threadsail/internal/program/pgside"
@@ -23,10 +24,12 @@
 	drainAfter = 500 * time.Millisecond
 	drainMost  = 4 * time.Second // the longest deadline, and some
 
-	idleShare   = 0.6 // of the time after which servers close idle connections: reuse none that is about to go
-	memoryShare = 0.7 // of the limit: the rest is for stacks, the runtime and the kernel's buffers
-	spareFiles  = 24  // descriptors of the runtime, the logs and the listeners
-	clientShare = 0.6 // of the sockets: the rest is for servers
+	idleShare   = 0.6  // of the time after which servers close idle connections: reuse none that is about to go
+	memoryShare = 0.7  // of the limit: the rest is for stacks, the runtime and the kernel's buffers
+	spareFiles  = 24   // descriptors of the runtime, the logs and the listeners
+	clientShare = 0.45 // of the sockets: the rest is for servers
+	comingShare = 0.05 // and for clients that are on their way in or out
+	bufferShare = 0.06 // of the memory, for incomplete messages of clients
 )
 
 // Front is what takes clients in.
@@ -134,11 +137,9 @@
 
 func newPostgres(cfg *config.Config, out *logger, sockets int) (*side, error) {
 	loop := routing.NewLoop()
-	budget := transport.NewBudget(sockets)
-	clients := int(clientShare * float64(sockets))
-	pool := newPool(cfg, loop, sockets-clients)
-	backend := &pgside.Backend{Reports: cfg.Reports, Servers: exchange.Servers{Loop: loop, Budget: budget, Pool: pool,
-		ConnectTimeout: cfg.ConnectTimeout}}
+	d, in, budget := newDoor(cfg, loop, sockets)
+	backend := &pgside.Backend{Reports: cfg.Reports, Servers: exchange.Servers{Loop: loop, Budget: budget,
+		Pool: newPool(cfg, loop, budget), ConnectTimeout: cfg.ConnectTimeout}}
 	w := &watcher{loop: loop, budget: budget, addr: cfg.Discovery, log: out.line, zones: zones(cfg),
 		since: cfg.Known.Revision}
 	core, err := routing.New(loop, backend, routing.Options{Settings: cfg.Settings, Seed: cfg.Seed,
@@ -148,7 +149,7 @@
 	}
 	w.list = core.List
 	core.List(rules.ListCached, members(cfg.Known, w.zones))
-	front, err := pgside.Listen(loop, budget, cfg.Listen, core, clients)
+	front, err := pgside.Listen(loop, in, cfg.Listen, core, d)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -159,10 +160,9 @@
 // answer reads from whatever they have.
 func newMySQL(cfg *config.Config, my *config.MySQL, out *logger, sockets int) (*side, error) {
 	loop := routing.NewLoop()
-	budget := transport.NewBudget(sockets)
-	clients := int(clientShare * float64(sockets))
+	d, in, budget := newDoor(cfg, loop, sockets)
 	backend := &mysqlside.Backend{Servers: exchange.Servers{Loop: loop, Budget: budget,
-		Pool: newPool(cfg, loop, sockets-clients), ConnectTimeout: my.ProbeTimeout}, User: my.User, Password: my.Password, Database: my.Database,
+		Pool: newPool(cfg, loop, budget), ConnectTimeout: my.ProbeTimeout}, User: my.User, Password: my.Password, Database: my.Database,
 		Heartbeat: my.Heartbeat, Log: func(text string) { out.line("mysql: " + text) }}
 	set := cfg.Settings
 	set.Asks, set.MayProbe, set.RoleReported, set.Behind = false, true, true, rules.BehindAnswers
@@ -176,17 +176,24 @@
 		return nil, fmt.Errorf("inventory: %w", err)
 	}
 	every(loop, my.Reload, inv.reread)
-	front, err := mysqlside.Listen(loop, budget, core, my, clients)
+	front, err := mysqlside.Listen(loop, in, core, my, d)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return &side{name: "mysql", loop: loop, core: core, front: front}, nil
 }
 
-// newPool keeps idle connections, at most half of those that servers may be sent, for a share of the time after
-// which the servers close them.
-func newPool(cfg *config.Config, loop *routing.Loop, most int) *transport.Pool {
-	pool := transport.NewPool(time.Duration(idleShare*float64(cfg.ConnIdle)), most/2)
+// newDoor splits the sockets between clients and servers: neither can take what the other needs.
+func newDoor(cfg *config.Config, loop *routing.Loop, sockets int) (d *door.Door, clients, servers *transport.Budget) {
+	most, coming := int(clientShare*float64(sockets)), int(comingShare*float64(sockets))
+	d = door.New(loop, most, int(bufferShare*float64(cfg.MemoryBytes)))
+	return d, transport.NewBudget(most + coming), transport.NewBudget(sockets - most - coming)
+}
+
+// newPool keeps idle connections, as many as there may be, for a share of the time after which the servers close them.
+// A dial that finds no descriptor sheds one.
+func newPool(cfg *config.Config, loop *routing.Loop, budget *transport.Budget) *transport.Pool {
+	pool := transport.NewPool(time.Duration(idleShare*float64(cfg.ConnIdle)), budget.Most())
 	every(loop, time.Second, func() { pool.Sweep(loop.Now()) })
 	return pool
 }
--- a/internal/protocol/comment/comment.go
+++ b/internal/protocol/comment/comment.go
@@ -74,27 +74,32 @@
 	case "c":
 		c.Class = value
 	case "k":
-		c.Key = value
+		if c.Key = value; value == "" {
+			err = errors.New("empty")
+		}
 	case "d":
 		c.Patience, err = milliseconds(value)
 		if err == nil && (c.Patience <= 0 || c.Patience > MaxPatience) {
 			err = errors.New("out of range")
 		}
 	case "cluster":
-		c.Group, err = strconv.Atoi(value)
-		if err == nil && (c.Group < 0 || c.Group > math.MaxUint16) {
-			err = errors.New("out of range")
-		}
+		var n uint64
+		n, err = strconv.ParseUint(value, 10, 16)
+		c.Group = int(n)
 	case "after":
 		c.After, err = milliseconds(value)
 	}
 	if err != nil {
-		return fmt.Errorf("comment: %s=%.32q: not a number in range", name, value)
+		return fmt.Errorf("comment: %s=%.32q is empty, or no number in range", name, value)
 	}
 	return nil
 }
 
+// milliseconds reads a plain decimal number: no sign, exponent, or word.
 func milliseconds(text string) (time.Duration, error) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, errors.New("not a decimal number")
+	}
 	v, err := strconv.ParseFloat(text, 64)
 	if err != nil {
 		return 0, err
--- a/internal/protocol/comment/comment_test.go
+++ b/internal/protocol/comment/comment_test.go
@@ -27,7 +27,7 @@
 func TestParseBad(t *testing.T) {
 	for _, text := range []string{"", "SELECT 1", "SELECT 1 /* hint */", "/*/", "x /* id= */", "x /* id=1,d */",
 		"x /* id=1,d=-1 */", "x /* id=1,d=NaN */", "x /* id=1,d=1e99 */", "x /* id=1,d=0 */", "x /* id=1,cluster=-1 */",
-		"x /* id=1,cluster=99999 */", "x /* id=1,after=x */", "x /* id=1,id=2 */", "x /* id=1 */ y"} {
+		"x /* id=1,cluster=99999 */", "x /* id=1,cluster=+1 */", "x /* id=1,d=0x10 */", "x /* id=1,d=1e3 */", "x /* id=1,d=+5 */", "x /* id=1,k= */", "x /* id=1,after=x */", "x /* id=1,id=2 */", "x /* id=1 */ y"} {
 		if c, err := Parse(text); err == nil {
 			t.Errorf("%q passes as %+v", text, c)
 		}
--- a/internal/protocol/pgwire/pgwire.go
+++ b/internal/protocol/pgwire/pgwire.go
@@ -2,6 +2,7 @@
 package pgwire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -12,7 +13,8 @@
 // Limits of what is taken in.
 const (
 	MaxStartup = 10 << 10
-	MaxMessage = 256 << 10 // values hold at most 64 KiB, twice that written in hexadecimal
+	MaxValue   = 64 << 10
+	MaxQuery   = 2*MaxValue + 16<<10 // a value written in hexadecimal, and the statement around it
 )
 
 // Codes that a startup message can begin with.
@@ -45,13 +47,13 @@
 	Raw  []byte // with its type and length
 }
 
-// Next takes one message off b. n is 0 while more bytes are needed.
-func Next(b []byte) (m Message, n int, err error) {
+// Next takes one message of at most most bytes off b. n is 0 while more bytes are needed.
+func Next(b []byte, most int) (m Message, n int, err error) {
 	if len(b) < 5 {
 		return m, 0, nil
 	}
 	size := binary.BigEndian.Uint32(b[1:])
-	if size < 4 || size > MaxMessage {
+	if size < 4 || uint64(size) > uint64(most) {
 		return m, 0, fmt.Errorf("%w %d", ErrFraming, size)
 	}
 	n = 1 + int(size)
@@ -61,6 +63,44 @@
 	return Message{Type: b[0], Body: b[5:n], Raw: b[:n]}, n, nil
 }
 
+// NextAnswer takes one message of a server off b, as Next does. A server's message that can't be whole or sound is found
+// by its first bytes: nobody waits for the rest of an impossible one.
+func NextAnswer(b []byte) (m Message, n int, err error) {
+	if len(b) > 0 && !answers[b[0]].known {
+		return m, 0, fmt.Errorf("%w: type %q", ErrFraming, b[0])
+	}
+	if len(b) < 5 {
+		return m, 0, nil
+	}
+	a, size := answers[b[0]], binary.BigEndian.Uint32(b[1:])
+	if size < 4+a.least || size > 4+a.most {
+		return m, 0, fmt.Errorf("%w %d of type %q", ErrFraming, size, b[0])
+	}
+	if b[0] == 'D' && len(b) >= 11 &&
+		(binary.BigEndian.Uint16(b[5:]) != 1 || binary.BigEndian.Uint32(b[7:]) != size-10) {
+		return m, 0, fmt.Errorf("%w of a value", ErrFraming)
+	}
+	return Next(b, int(size))
+}
+
+// answers has the messages that a server sends here, and the bounds of their bodies.
+var answers = [256]struct {
+	known       bool
+	least, most uint32
+}{
+	'R': {true, 4, 64}, 'K': {true, 8, 64}, 'Z': {true, 1, 1}, 'S': {true, 2, 4 << 10}, 'N': {true, 1, 16 << 10},
+	'E': {true, 1, 16 << 10}, 'T': {true, 21, 1 << 10}, 'D': {true, 6, 6 + MaxValue}, 'C': {true, 1, 256},
+}
+
+// OneColumn tells whether a RowDescription's body describes exactly one column.
+func OneColumn(body []byte) bool {
+	if len(body) < 3 || binary.BigEndian.Uint16(body) != 1 {
+		return false
+	}
+	end := 2 + bytes.IndexByte(body[2:], 0)
+	return end >= 2 && len(body) == end+19
+}
+
 // NextStartup takes the untyped first message off b and returns its code.
 func NextStartup(b []byte) (code uint32, n int, err error) {
 	if len(b) < 4 {
@@ -100,8 +140,19 @@
 	return "", "", false
 }
 
-// ErrorCode reads the SQLSTATE of an ErrorResponse; empty where it has none.
-func ErrorCode(body []byte) string { return ErrorField(body, 'C') }
+// ErrorCode reads the SQLSTATE of an ErrorResponse; empty where it has none, or the message is not made as it should be.
+func ErrorCode(body []byte) string {
+	code := ErrorField(body, 'C')
+	if len(code) != 5 || len(body) < 2 || body[len(body)-1] != 0 || body[len(body)-2] != 0 {
+		return ""
+	}
+	for _, c := range []byte(code) {
+		if (c < '0' || c > '9') && (c < 'A' || c > 'Z') {
+			return ""
+		}
+	}
+	return code
+}
 
 // ErrorField reads one field of an ErrorResponse.
 func ErrorField(body []byte, field byte) string {
@@ -121,16 +172,13 @@
 	return ""
 }
 
-// Column reads the first column of a DataRow.
+// Column reads a DataRow of one column that is not null.
 func Column(body []byte) ([]byte, bool) {
-	if len(body) < 6 || binary.BigEndian.Uint16(body) == 0 {
-		return nil, false
-	}
-	n := int32(binary.BigEndian.Uint32(body[2:]))
-	if n < 0 || int(n) > len(body)-6 {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 ||
+		uint64(binary.BigEndian.Uint32(body[2:])) != uint64(len(body)-6) {
 		return nil, false
 	}
-	return body[6 : 6+n], true
+	return body[6:], true
 }
 
 // Append adds a message with the given parts of its body.
--- a/internal/protocol/pgwire/pgwire_test.go
+++ b/internal/protocol/pgwire/pgwire_test.go
@@ -24,7 +24,7 @@
 		"length too small": {in: []byte("Q\x00\x00\x00\x03"), err: ErrFraming},
 		"length too large": {in: []byte("Q\x7f\xff\xff\xff"), err: ErrFraming},
 	} {
-		m, n, err := Next(c.in)
+		m, n, err := Next(c.in, MaxQuery)
 		if d := cmp.Diff(c.want, m); d != "" || n != c.n || !errors.Is(err, c.err) {
 			t.Errorf("%s: %d, %v, %s", name, n, err, d)
 		}
@@ -58,13 +58,13 @@
 		OK                                      [3]bool
 	}
 	var got values
-	m, _, _ := Next(AppendParameter(nil, "recovery", "on"))
+	m, _, _ := Next(AppendParameter(nil, "recovery", "on"), MaxQuery)
 	got.Name, got.Value, got.OK[0] = Parameter(m.Body)
-	m, _, _ = Next(AppendRefusal(nil, 1500*time.Microsecond))
+	m, _, _ = Next(AppendRefusal(nil, 1500*time.Microsecond), MaxQuery)
 	got.Code, got.Detail = ErrorCode(m.Body), ErrorField(m.Body, 'D')
 	row := AppendRow(nil, "val", "x", "SELECT 1")
-	_, n, _ := Next(row)
-	m, _, _ = Next(row[n:])
+	_, n, _ := Next(row, MaxQuery)
+	m, _, _ = Next(row[n:], MaxQuery)
 	column, ok := Column(m.Body)
 	got.Column, got.OK[1] = string(column), ok
 	got.Text, got.OK[2] = Text([]byte("SELECT\x00"))
@@ -90,7 +90,7 @@
 	f.Add(AppendRow(AppendParameter(nil, "a", "b"), "v", "x", "SELECT 1"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, _, _ = NextStartup(b)
-		m, n, err := Next(b)
+		m, n, err := Next(b, MaxQuery)
 		if err != nil || n == 0 {
 			return
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -54,6 +54,7 @@
 	primary bool
 	behind  time.Duration // of its position; below 0: it tells none
 	act     func(Seen) Act
+	spoil   func(Seen) []byte
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
@@ -165,6 +166,13 @@
 	s.act = act
 }
 
+// Spoil sets what it sends in place of an answer; nil bytes: the answer. The connection stays open.
+func (s *Server) Spoil(spoil func(Seen) []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spoil = spoil
+}
+
 // Seen is what has reached it so far.
 func (s *Server) Seen() []Seen {
 	s.mu.Lock()
@@ -205,7 +213,7 @@
 }
 
 // take notes a statement down. A replica turns writes away untouched: readOnly.
-func (s *Server) take(text string) (end func(), act Act, readOnly bool) {
+func (s *Server) take(text string) (end func(), act Act, readOnly bool, spoilt []byte) {
 	cm, _ := comment.Parse(text)
 	end = s.ledger.begin(cm.ID)
 	s.mu.Lock()
@@ -214,12 +222,15 @@
 	s.seen = append(s.seen, one)
 	close(s.changed)
 	s.changed = make(chan struct{})
-	do := s.act
+	do, spoil := s.act, s.spoil
 	s.mu.Unlock()
 	if do != nil {
 		act = do(one) // it may wait
 	}
-	return end, act, readOnly
+	if spoil != nil {
+		spoilt = spoil(one)
+	}
+	return end, act, readOnly, spoilt
 }
 
 // state is its role and position as a Unix time in milliseconds; 0: it tells none.
@@ -259,7 +270,7 @@
 
 func (r *buffered) pg() (m pgwire.Message, err error) {
 	err = r.next(func(b []byte) (n int, err error) {
-		m, n, err = pgwire.Next(b)
+		m, n, err = pgwire.Next(b, pgwire.MaxQuery)
 		m.Body = append([]byte(nil), m.Body...)
 		return n, err
 	})
@@ -294,9 +305,13 @@
 				fmt.Sprintf("x0=%.3f,x1=%d,waiting=0", float64(position)/1000, x1), "SHOW")))
 			continue
 		}
-		end, act, readOnly := s.take(text)
+		end, act, readOnly, spoilt := s.take(text)
 		var out []byte
 		switch {
+		case spoilt != nil:
+			end()
+			c.Write(spoilt)
+			continue
 		case act == Break:
 			end()
 			return
@@ -390,9 +405,13 @@
 			c.Write(myRow("ts", value, false))
 			continue
 		}
-		end, act, readOnly := s.take(text)
+		end, act, readOnly, spoilt := s.take(text)
 		var out []byte
 		switch {
+		case spoilt != nil:
+			end()
+			c.Write(spoilt)
+			continue
 		case act == Break:
 			end()
 			return
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// restFor passes between an answer and the next request on its connection.
+const restFor = 20 * time.Millisecond
+
 // Pool keeps idle connections to peers for reuse, the last used first.
 type Pool struct {
 	idleFor time.Duration
@@ -51,19 +54,25 @@
 	p.count++
 }
 
-// Get takes a connection, or returns nil. The caller sets its handler.
+// Get takes a connection, or returns nil. The caller sets its handler. What a peer sends right behind an answer would be
+// taken for the next one: a connection rests for a moment first, and must have stayed quiet.
 func (p *Pool) Get(addr string, now time.Duration) (*Conn, any) {
 	l := p.idle[addr]
-	if len(l) == 0 {
-		return nil, nil
-	}
-	i := l[len(l)-1]
-	if now-i.since >= p.idleFor { // the newest is too old: so are all
-		p.CloseIdle(addr)
-		return nil, nil
+	for n := len(l) - 1; n >= 0; n-- {
+		i := l[n]
+		if now-i.since >= p.idleFor { // so are all that are left
+			break
+		}
+		if now-i.since < restFor {
+			continue
+		}
+		p.remove(addr, i)
+		if i.c.Quiet() {
+			return i.c, i.state
+		}
+		i.c.Close()
 	}
-	p.remove(addr, i)
-	return i.c, i.state
+	return nil, nil
 }
 
 // CloseIdle closes all idle connections to a peer.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -21,8 +22,13 @@
 // ErrOverrun tells that a peer does not read what it is sent.
 var ErrOverrun = errors.New("transport: the peer leaves too much unread")
 
+// ErrFlood tells that a peer sends faster than what it sends is taken in.
+var ErrFlood = errors.New("transport: the peer sends too much at once")
+
 const (
 	maxUnsent    = 1 << 20         // bytes queued for one peer before it counts as stuck
+	maxUnheard   = 512 << 10       // bytes of one peer on their way to the loop; no sound peer comes near
+	kernelBuffer = 64 << 10        // of each connection, for what has not been read: values are no larger
 	writeTimeout = 4 * time.Second // a peer that takes no byte for this long is stuck
 )
 
@@ -56,6 +62,9 @@
 // NewBudget allows most descriptors at once.
 func NewBudget(most int) *Budget { return &Budget{most: int64(most)} }
 
+// Most is how many there may be.
+func (b *Budget) Most() int { return int(b.most) }
+
 // Used is how many are taken.
 func (b *Budget) Used() int { return int(b.used.Load()) }
 
@@ -84,6 +93,8 @@
 	closing bool // close once all is written
 	hungUp  bool // the peer has closed while a write was under way
 	over    atomic.Bool
+	deaf    atomic.Bool  // what still comes is thrown away
+	unheard atomic.Int64 // bytes taken from netpoll and not yet seen on the loop
 }
 
 // SetHandler hands the connection to a new owner.
@@ -153,6 +164,7 @@
 
 // Finish closes the connection after what is queued has been written.
 func (c *Conn) Finish() {
+	c.deaf.Store(true)
 	if c.closing = true; c.Written() {
 		c.Close()
 	}
@@ -173,23 +185,52 @@
 	}
 }
 
-// read runs on netpoll's goroutines. The arrival is stamped here, so that time in the loop's queue counts.
+// read runs on netpoll's goroutines. The arrival is stamped here, so that time in the loop's queue counts. netpoll reads
+// whatever comes: a peer that outruns the loop is cut off here, before the loop has seen what it sends.
 func (c *Conn) read() error {
 	r := c.raw.Reader()
-	b, err := r.ReadBinary(r.Len())
+	n := r.Len()
+	if c.deaf.Load() {
+		_ = r.Skip(n)
+		return r.Release()
+	}
+	if c.unheard.Add(int64(n)) > maxUnheard {
+		c.deaf.Store(true)
+		c.loop.Post(func() { c.end(ErrFlood) })
+		_ = r.Skip(n)
+		return r.Release()
+	}
+	b, err := r.ReadBinary(n)
 	if err != nil {
 		return err
 	}
 	_ = r.Release()
 	at := c.loop.Now()
 	c.loop.Post(func() {
-		if !c.closed && len(b) > 0 {
+		c.unheard.Add(-int64(n))
+		if !c.closed && !c.closing && n > 0 {
 			c.handler.Data(at, b)
 		}
 	})
 	return nil
 }
 
+// Quiet tells whether the peer has neither said nor closed anything that the owner has not been told of. It looks at
+// the kernel's buffer first, as the goroutines that read it may lag behind.
+func (c *Conn) Quiet() bool {
+	if c.closed || c.hungUp || !c.raw.IsActive() {
+		return false
+	}
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(c.raw.(netpoll.Conn).Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN && c.raw.Reader().Len() == 0 && c.unheard.Load() == 0
+}
+
+// limitKernel bounds what the kernel keeps for a peer that is not read; netpoll reads as much at once.
+func limitKernel(raw netpoll.Connection) {
+	_ = syscall.SetsockoptInt(raw.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelBuffer)
+}
+
 // start begins to read. A peer may have closed before the callbacks were set: that is looked at last.
 func (c *Conn) start() {
 	gone := func() { c.loop.Post(c.hangup) }
@@ -222,6 +263,7 @@
 				}
 				return
 			}
+			limitKernel(raw)
 			c := &Conn{loop: loop, budget: budget, raw: raw}
 			if cancelled {
 				c.Close()
@@ -248,19 +290,21 @@
 	if err != nil {
 		return nil, err
 	}
-	// Reading starts once the loop has given the connection its handler; until then netpoll keeps the bytes.
-	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(func(raw netpoll.Connection) context.Context {
+	// Reading starts once the loop has given the connection its handler; until then netpoll keeps the bytes. Not in
+	// OnPrepare: a connection that the loop closes before netpoll has registered it ends the program.
+	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnConnect(func(ctx context.Context, raw netpoll.Connection) context.Context {
 		if !budget.take() {
 			raw.Close()
-			return nil
+			return ctx
 		}
+		limitKernel(raw)
 		c := &Conn{loop: loop, budget: budget, raw: raw}
 		loop.Post(func() {
 			if accept(c); !c.closed {
 				c.start()
 			}
 		})
-		return nil
+		return ctx
 	}))
 	if err != nil {
 		ln.Close()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -165,13 +165,14 @@
 			t.Fatal("a connection that is of no use stays")
 		}
 	}
-	if c := get(f.loop.Now()); c != conns[0] {
+	if c := get(f.loop.Now() + time.Second); c != conns[0] {
 		t.Error("not the connection that is left")
 	}
 	f.on(func() { pool.Put("a", conns[0], nil) })
 	if c := get(f.loop.Now() + time.Hour); c != nil {
 		t.Error("a connection that was idle too long comes back")
 	}
+	f.on(func() { pool.Sweep(f.loop.Now() + time.Hour) })
 	if pool.Shed() {
 		t.Error("something is left to shed")
 	}
@@ -233,6 +234,31 @@
 	}
 }
 
+// An owner that closes a connection as soon as it comes must not meet netpoll while that still registers it: the program
+// ended then.
+func TestCloseOnAccept(t *testing.T) {
+	loop := routing.NewLoop()
+	closed := make(chan bool, 64)
+	ln, err := transport.Listen(loop, transport.NewBudget(64), "127.0.0.1:0", func(c *transport.Conn) {
+		c.Close()
+		closed <- true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() { loop.Run(); close(ended) }()
+	defer func() { ln.Close(); loop.Stop(); <-ended }()
+	for range 2000 {
+		c, err := net.Dial("tcp", ln.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		receive(t, closed)
+		c.Close()
+	}
+}
+
 type closer func()
 
 func (c closer) Data(time.Duration, []byte) {}
