Turn clients out without a word, and set the reader before a connection comes

A trace of why each session ends showed none closed with an open request; 1,116 newcomers were refused at accept with FATAL 53300, and the lost were among them. Ruled out: idle closes (as many lost with none), pipelines cut off (none), bad clients' served requests (no relation to the count). Cause: front.go accept wrote an error to a client whose first query was on its way; it took that for the answer. Also found by reading: with SetOnRequest after OnConnect netpoll can keep a connection's first bytes for good (transport.go Listen). Change: who is turned out is closed by reset, with nothing sent; clients that have only met errors make room first.

--- a/internal/program/clients_test.go
+++ b/internal/program/clients_test.go
@@ -78,6 +78,33 @@
 	}
 }
 
+// A newcomer for whom there is no room is closed without a word: its first query may be on the way, and would take the
+// word for its answer.
+func TestNoRoomIsNoAnswer(t *testing.T) {
+	f := standin.NewFleet(t, false, nil, "p")
+	f.Configure("limits", map[string]any{"sockets": 64, "memory_mb": 64})
+	a := pooler(t, f)
+	f.Servers[0].Do(always(standin.Hang))
+	for {
+		c, err := net.Dial("tcp", a.Postgres)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		text := standin.Write("k", 10*time.Second)
+		if _, err := c.Write(pgwire.AppendQuery(pgwire.AppendStartup(nil, "client", "core"), text)); err != nil {
+			return
+		}
+		b := make([]byte, 4096)
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if n, err := c.Read(b); err != nil {
+			return // full
+		} else if b[0] != 'R' {
+			t.Fatalf("a newcomer got %q", b[:n])
+		}
+	}
+}
+
 // An id that is open elsewhere can't be told from the other's: an error, and the first is served.
 func TestOpenIDIsRefused(t *testing.T) {
 	overBoth(t, nil, []string{"p"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
--- a/internal/program/door/door.go
+++ b/internal/program/door/door.go
@@ -10,12 +10,13 @@
 
 const (
 	sweepEvery = 100 * time.Millisecond
-	// A client that has asked nothing so long after it came is turned out, and so is one whose message has begun and
-	// stays incomplete: 3 s after coming it is owed a word.
+	// A client that has asked nothing sound so long after it came is turned out, and so is one whose message has begun and
+	// stays incomplete: 3 s after coming it is owed a word or a close.
 	silentFor = 2500 * time.Millisecond
-	enterFor  = 200 * time.Millisecond // under pressure: a usual client has asked by then
-	idleFor   = 2 * time.Second        // a client without an open request may be closed after this
-	idleShare = 0.5                    // of the places: with more clients idle ones are closed; clients have limits too
+	enterFor  = 50 * time.Millisecond // under pressure: a usual client has asked by then
+	beginFor  = time.Second           // and sent the rest of a message that has begun
+	idleFor   = 2 * time.Second       // a client without an open request may be closed after this
+	idleShare = 0.5                   // of the places: with more clients idle ones are closed; clients have limits too
 )
 
 // State is what a guest is about.
@@ -23,7 +24,7 @@
 
 // The states of a guest.
 const (
-	Entering State = iota // it has asked nothing yet
+	Entering State = iota // it has asked nothing sound yet
 	Idle                  // it has asked, and has its answers
 	Begun                 // a message has begun and is not whole
 	Busy                  // a request is open
@@ -40,8 +41,9 @@
 
 // Client is what the door asks of a front. It must call Leave for each client that is gone.
 type Client interface {
-	Quiet() bool        // nothing has come that has not been seen yet
-	TurnOut(why string) // answers with an error and closes; where why is empty, just closes
+	Quiet() bool // nothing has come that has not been seen yet
+	// TurnOut closes it without a word: its next request may be on the way, and would take the word for its answer.
+	TurnOut()
 }
 
 // Guest is one client.
@@ -73,13 +75,12 @@
 // makeRoom turns out one client: a silent one, else the one that has been idle longest. A newcomer who asks is worth
 // more than either.
 func (d *Door) makeRoom() bool {
-	return d.turnOut(Entering, enterFor, "too many clients, and this one says nothing") || d.turnOut(Idle, idleFor, "") ||
-		d.turnOut(Entering, 0, "too many clients")
+	return d.turnOut(Entering, enterFor) || d.turnOut(Idle, idleFor) || d.turnOut(Begun, beginFor)
 }
 
 // turnOut closes the client that has been in a state longest, and at least for so long. One whose next request has come
 // and only not been seen yet stays: closing it would lose that.
-func (d *Door) turnOut(state State, least time.Duration, why string) bool {
+func (d *Door) turnOut(state State, least time.Duration) bool {
 	until := d.loop.Now() - least
 	var first *Guest
 	for g := range d.in {
@@ -88,7 +89,7 @@
 		}
 	}
 	if first != nil {
-		first.client.TurnOut(why)
+		first.client.TurnOut()
 	}
 	return first != nil
 }
@@ -98,10 +99,10 @@
 	now := d.loop.Now()
 	for g := range d.in {
 		if (g.state == Entering || g.state == Begun) && now-g.since >= silentFor {
-			g.client.TurnOut("nothing whole has come for too long")
+			g.client.TurnOut()
 		}
 	}
-	for float64(len(d.in)) > idleShare*float64(d.most) && d.turnOut(Idle, idleFor, "") {
+	for float64(len(d.in)) > idleShare*float64(d.most) && d.turnOut(Idle, idleFor) {
 	}
 	d.loop.After(sweepEvery, d.sweep)
 }
@@ -125,7 +126,7 @@
 			most = x
 		}
 	}
-	most.client.TurnOut("too much of incomplete messages is kept")
+	most.client.TurnOut()
 }
 
 // Leave tells that a guest's connection is closed.
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -149,11 +149,9 @@
 func (s *session) Quiet() bool { return s.c.Quiet() }
 
 // TurnOut closes a client for the door.
-func (s *session) TurnOut(why string) {
-	if why != "" {
-		s.fail(mysql.ErrHandshake, "08S01", why)
-	}
-	s.finish()
+func (s *session) TurnOut() {
+	s.c.Reset()
+	s.Closed(nil)
 }
 
 // settle tells the door what the client is about.
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -68,7 +68,7 @@
 	c.SetHandler(s)
 	f.sessions[s] = true
 	if s.guest = f.door.Enter(s); s.guest == nil {
-		s.fatal(pgwire.CodeTooMany, "too many clients")
+		s.TurnOut() // with no error, as its first query may be on the way
 	}
 }
 
@@ -79,7 +79,7 @@
 	guest   *door.Guest // nil: there was no room
 	buf     []byte
 	started bool
-	asked   bool // a whole command has come
+	asked   bool // a sound command has come: only errors are no reason to stay
 	skip    bool // after an error in an extended query: until its Sync
 	slots   []*slot
 	held    int // bytes in slots
@@ -108,12 +108,9 @@
 func (s *session) Quiet() bool { return s.c.Quiet() }
 
 // TurnOut closes a client for the door.
-func (s *session) TurnOut(why string) {
-	if why == "" {
-		s.finish()
-	} else {
-		s.fatal(pgwire.CodeProtocol, why)
-	}
+func (s *session) TurnOut() {
+	s.c.Reset()
+	s.Closed(nil)
 }
 
 // settle tells the door what the client is about.
@@ -206,7 +203,6 @@
 }
 
 func (s *session) message(at time.Duration, m pgwire.Message) {
-	s.asked = true
 	if len(s.slots) >= maxPipelined {
 		s.fatal(pgwire.CodeTooMany, "too many commands in one pipeline")
 		return
@@ -250,6 +246,7 @@
 func (s *session) query(at time.Duration, text string) {
 	trimmed := strings.Trim(text, " \t\r\n;")
 	if trimmed == "" {
+		s.asked = true
 		s.answer(pgwire.Append(nil, 'I'), true)
 		return
 	}
@@ -257,6 +254,7 @@
 	if err != nil {
 		word, _, _ := strings.Cut(strings.ToUpper(trimmed), " ")
 		if err == comment.ErrNone && (word == "SET" || word == "RESET" || word == "DISCARD") {
+			s.asked = true
 			s.answer(pgwire.Append(nil, 'C', word, "\x00"), true) // a session here has no state to set
 			return
 		}
@@ -285,6 +283,7 @@
 	if info.Need == rules.NeedSession || info.Need == rules.NeedWrite {
 		r.Session = comment.Session(text)
 	}
+	s.asked = true
 	w := &slot{s: s, id: c.ID}
 	s.f.ids[c.ID] = true
 	r.Reply = w
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -27,7 +27,7 @@
 	idleShare   = 0.6  // of the time after which servers close idle connections: reuse none that is about to go
 	memoryShare = 0.7  // of the limit: the rest is for stacks, the runtime and the kernel's buffers
 	spareFiles  = 24   // descriptors of the runtime, the logs and the listeners
-	clientShare = 0.45 // of the sockets: the rest is for servers
+	clientShare = 0.6  // of the sockets: the rest is for servers
 	comingShare = 0.05 // and for clients that are on their way in or out
 	bufferShare = 0.06 // of the memory, for incomplete messages of clients
 )
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -170,6 +170,15 @@
 	}
 }
 
+// Reset closes the connection at once and lets the peer know that what it may just be sending is not read: after an
+// ordinary close it sees the end of the stream, and can't tell.
+func (c *Conn) Reset() {
+	if !c.closed {
+		_ = syscall.SetsockoptLinger(c.raw.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		c.Close()
+	}
+}
+
 // end closes the connection and tells its owner.
 func (c *Conn) end(err error) {
 	if h := c.handler; !c.closed {
@@ -231,12 +240,17 @@
 	_ = syscall.SetsockoptInt(raw.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelBuffer)
 }
 
-// start begins to read. A peer may have closed before the callbacks were set: that is looked at last.
+// start begins to read a connection that was dialled.
 func (c *Conn) start() {
+	_ = c.raw.SetOnRequest(func(context.Context, netpoll.Connection) error { return c.read() })
+	c.watch()
+}
+
+// watch looks out for the peer's close. It may have come before the callback was set: that is looked at last.
+func (c *Conn) watch() {
 	gone := func() { c.loop.Post(c.hangup) }
-	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil })
 	_ = c.raw.SetWriteTimeout(writeTimeout)
-	_ = c.raw.SetOnRequest(func(context.Context, netpoll.Connection) error { return c.read() })
+	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil })
 	if !c.raw.IsActive() {
 		gone()
 	}
@@ -278,6 +292,9 @@
 	return func() { cancelled = true }
 }
 
+// connKey is where a connection's context keeps its Conn.
+type connKey struct{}
+
 // Listener accepts connections.
 type Listener struct {
 	ln     net.Listener
@@ -290,21 +307,24 @@
 	if err != nil {
 		return nil, err
 	}
-	// Reading starts once the loop has given the connection its handler; until then netpoll keeps the bytes. Not in
-	// OnPrepare: a connection that the loop closes before netpoll has registered it ends the program.
-	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnConnect(func(ctx context.Context, raw netpoll.Connection) context.Context {
+	// Not OnPrepare: a connection that the loop closes before netpoll has registered it ends the program. And the reader is
+	// set from the start: if it came later, netpoll could miss bytes that came meanwhile, for good. What is read is posted
+	// behind accept.
+	events, err := netpoll.NewEventLoop(func(ctx context.Context, raw netpoll.Connection) error {
+		if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+			return c.read()
+		}
+		return raw.Reader().Skip(raw.Reader().Len())
+	}, netpoll.WithOnConnect(func(ctx context.Context, raw netpoll.Connection) context.Context {
 		if !budget.take() {
 			raw.Close()
 			return ctx
 		}
 		limitKernel(raw)
 		c := &Conn{loop: loop, budget: budget, raw: raw}
-		loop.Post(func() {
-			if accept(c); !c.closed {
-				c.start()
-			}
-		})
-		return ctx
+		loop.Post(func() { accept(c) })
+		c.watch()
+		return context.WithValue(ctx, connKey{}, c)
 	}))
 	if err != nil {
 		ln.Close()
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -259,6 +259,25 @@
 	}
 }
 
+// What a client sends with its connection must be read, however it meets the accept: now and then netpoll kept it to
+// itself for good, and the client's request was lost.
+func TestFirstBytesAreRead(t *testing.T) {
+	f := newFixture(t, 64)
+	for range 5000 {
+		c, err := net.Dial("tcp", f.ln.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("hello")); err != nil {
+			t.Fatal(err)
+		}
+		receive(t, f.server.data)
+		c.Close()
+		receive(t, f.server.closed)
+		receive(t, f.accepted)
+	}
+}
+
 type closer func()
 
 func (c closer) Data(time.Duration, []byte) {}
