Give a lost store its trial beside an attempt that hangs; one broken connect closes no idle ones

Change: attempts from before a store lost its turn take no place of its trial; one that a later answered attempt has overtaken is no sign of silence; a cold store's silence is measured by its warmth; connects must fail twice running before idle connections are given up. Connections rest 5 ms, not 20: every tenth found only resting ones.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,7 +6,7 @@
 )
 
 // restFor passes between an answer and the next request on its connection.
-const restFor = 20 * time.Millisecond
+const restFor = 5 * time.Millisecond
 
 // Pool keeps idle connections to peers for reuse, the last used first.
 type Pool struct {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -569,7 +569,11 @@
 	if s.window < 1 && max(r.slowness(s), r.slow) > jamRatio { // none while answers come in good time
 		rest = time.Duration((1/s.window - 1) * float64(r.base[class].time))
 	}
-	return float64(len(s.out)) < max(s.window, 1) && r.now >= s.pausedTo && r.now >= s.ended+rest &&
+	held := s.out
+	for s.lost && len(held) > 0 && held[0].sent < s.lostAt {
+		held = held[1:] // what hangs there since before must not keep it from its trial
+	}
+	return float64(len(held)) < max(s.window, 1) && r.now >= s.pausedTo && r.now >= s.ended+rest &&
 		r.coldRoom(s, class)
 }
 
@@ -592,13 +596,19 @@
 	if len(s.out) == 0 {
 		return
 	}
-	waited, rate := 0.0, 0.0
+	waited, rate, oldest := 0.0, 0.0, time.Duration(0)
 	for _, a := range s.out {
-		m := float64(r.mean[a.req.class])
+		if a.sent < s.answered {
+			continue // a later one has been answered: this one may be lost, but the store is not silent
+		}
+		m := float64(r.mean[a.req.class]) / r.warmth(s)
 		waited += float64(r.now-max(a.sent, s.heard)) / m
 		rate += 1 / m
+		oldest = max(oldest, r.now-max(a.sent, s.heard))
+	}
+	if rate == 0 {
+		return
 	}
-	oldest := r.now - max(s.out[0].sent, s.heard)
 	if waited >= silentAfter && oldest >= leastSilence {
 		s.silent = true // no claim counts until it answers a request: a shallow probe may succeed on a hung one
 		r.lostTurn(s, "is silent")
@@ -615,7 +625,7 @@
 	if s.lost {
 		return
 	}
-	s.lost, s.trialWait, s.trialAt = true, trialFirst, r.now+trialFirst
+	s.lost, s.lostAt, s.trialWait, s.trialAt = true, r.now, trialFirst, r.now+trialFirst
 	r.act.Log(fmt.Sprintf("group %d: store %d %s and loses its turn", s.Group, s.Store, why))
 }
 
@@ -803,6 +813,9 @@
 }
 
 func (r *Router) health(s *store, a *attempt, o Outcome) {
+	if o.Result == OK || o.Result == Missed || o.Result == Errored {
+		s.answered = max(s.answered, a.sent)
+	}
 	switch o.Result {
 	case TimedOut, Cancelled:
 		r.took(s, a, false)
@@ -829,7 +842,9 @@
 			s.window = max(s.window/2, r.least)
 			break
 		}
-		s.heard, r.scarceAt = 0, r.now
+		if s.heard = 0; s.fullWait > fullPause { // again, with nothing served between: one may have broken
+			r.scarceAt = r.now
+		}
 		r.failed(s)
 		if g := r.group(s.Group); g.primary == s {
 			r.round(g)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -814,3 +814,34 @@
 		t.Errorf("rules.go has %d non-blank lines, want 300 to 950", lines)
 	}
 }
+
+// An attempt that hangs at a store that has lost its turn must not keep it from its trial until it times out: it may be
+// a lost connection, and the store well.
+func TestHungAttemptLeavesRoomForTheTrial(t *testing.T) {
+	f := newFront(t, nil)
+	s := f.r.stores[2]
+	s.window = 1
+	f.r.send(&request{c: &f.r.set.Classes[cUnsafe], class: cUnsafe, g: f.r.group(7)}, s)
+	if f.r.room(s, cUnsafe) {
+		t.Fatal("a full window has room")
+	}
+	f.r.tick(f.now + ms)
+	f.r.lostTurn(s, "is silent")
+	if !f.r.room(s, cUnsafe) {
+		t.Error("no room for a trial beside the attempt that hangs")
+	}
+}
+
+// One attempt that is never answered, while later ones are, is no silence of the store's.
+func TestOvertakenAttemptIsNoSilence(t *testing.T) {
+	f := withPrimary(t, nil)
+	f.request(2, cUnsafe)
+	f.until(f.now + 10*ms)
+	f.request(3, cUnsafe)
+	f.until(f.now + 10*ms)
+	f.outcome(3, 0, OK, RolePrimary)
+	f.until(f.now + 1500*ms)
+	if s := f.r.stores[1]; s.silent || s.lost {
+		t.Error("the store counts as silent")
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -47,10 +47,12 @@
 
 	out       []*attempt    // in the order of their sends
 	heard     time.Duration // last answer on the request path
+	answered  time.Duration // when the latest attempt that it has answered was sent
 	slow      float64
 	slowAt    time.Duration
 	fails     float64
 	lost      bool // has lost its turn
+	lostAt    time.Duration
 	trialAt   time.Duration
 	trialWait time.Duration
 	busy      float64
