--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -210,7 +210,7 @@
 			x.prepared()
 		}
 	case answering:
-		whole, err := x.ans.Feed(p)
+		whole, err := x.ans.Feed(seq, p)
 		if err != nil || !whole {
 			return false, err
 		}
@@ -299,7 +299,7 @@
 	if x.stage, x.sent = answering, true; !x.probe {
 		x.Begun()
 	}
-	x.ans = &mysql.Answer{}
+	x.ans = &mysql.Answer{Binary: x.cmd.Prepared}
 	x.write(p)
 }
 
--- a/internal/program/spoilt_test.go
+++ b/internal/program/spoilt_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"threadsail/internal/program"
+	"threadsail/internal/protocol/mysql"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/standin"
 )
@@ -42,34 +43,52 @@
 	}
 }
 
+// Answers that are not made as they should be, on MySQL's.
+func spoiltPackets() map[string][]byte {
+	refusal := mysql.Error(mysql.ErrConCount, "08004", "full")
+	return map[string][]byte{
+		"noise":                 []byte("\xff\xff\xff\x00 noise"),
+		"a packet of 16 MB":     append([]byte("\xfe\xff\xff\x01"), mysql.OK()...),
+		"a length that is long": append([]byte("\x20\x00\x00\x01"), mysql.OK()...),
+		"out of order":          mysql.Append(nil, 5, refusal),
+		"half a refusal":        mysql.Append(nil, 1, refusal[:2]),
+		"rows without columns":  mysql.Append(mysql.Append(nil, 1, []byte{1}), 2, mysql.EOF()),
+	}
+}
+
 // A spoilt answer is a failed attempt that may have run, whatever stands in it. A read is served by another attempt; a
 // write without a key is failed and not sent again.
 func TestSpoiltAnswersAreNotServed(t *testing.T) {
-	f := standin.NewFleet(t, false, nil, "p", "r")
-	c := dial(t, pooler(t, f))
-	served(t, c.Do(standin.Read("any", patience)))
-	for name, bytes := range spoiltAnswers() {
-		t.Run(name, func(t *testing.T) {
-			var n atomic.Int32
-			first := func(standin.Seen) []byte {
-				if n.Add(1) == 1 {
-					return bytes
+	overBoth(t, nil, []string{"p", "r"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
+		answers := spoiltAnswers()
+		if a.MySQL != "" {
+			answers = spoiltPackets()
+		}
+		c := dial(t, a)
+		served(t, c.Do(standin.Read("any", patience)))
+		for name, bytes := range answers {
+			t.Run(name, func(t *testing.T) {
+				var n atomic.Int32
+				first := func(standin.Seen) []byte {
+					if n.Add(1) == 1 {
+						return bytes
+					}
+					return nil
 				}
-				return nil
-			}
-			for _, s := range f.Servers {
-				s.Spoil(first)
-			}
-			if r := c.Do(standin.Read("any", patience)); !r.Served() || !strings.HasPrefix(r.Value, "from ") {
-				t.Errorf("a read got %+v", r)
-			}
-			n.Store(0)
-			before := len(f.Servers[0].Seen())
-			if r := c.Do(standin.Write("", patience)); !r.Failed || len(f.Servers[0].Seen()) != before+1 {
-				t.Errorf("a write without a key got %+v after %d sends", r, len(f.Servers[0].Seen())-before)
-			}
-		})
-	}
+				for _, s := range f.Servers {
+					s.Spoil(first)
+				}
+				if r := c.Do(standin.Read("any", patience)); !r.Served() || !strings.HasPrefix(r.Value, "from ") {
+					t.Errorf("a read got %+v", r)
+				}
+				n.Store(0)
+				before := len(f.Servers[0].Seen())
+				if r := c.Do(standin.Write("", patience)); !r.Failed || len(f.Servers[0].Seen()) != before+1 {
+					t.Errorf("a write without a key got %+v after %d sends", r, len(f.Servers[0].Seen())-before)
+				}
+			})
+		}
+	})
 }
 
 // An answer followed by more than belongs to it is good, but its connection is of no further use: the next request's
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -135,17 +135,23 @@
 		"a second result": {in: [][]byte{{1}, col, EOF(), {0xfe, 0, 0, statusMoreResults, 0}}, bad: true},
 		"too large":       {in: [][]byte{{1}, col, EOF(), make([]byte, MaxAnswer)}, bad: true},
 		"empty packet":    {in: [][]byte{{}}, bad: true},
+		"a long length":   {in: [][]byte{{1}, col, EOF(), []byte("\x09hi")}, bad: true},
+		"a short length":  {in: [][]byte{{1}, col, EOF(), []byte("\x01hi")}, bad: true},
+		"half an error":   {in: [][]byte{{0xff, 0x10}}, bad: true},
 	} {
 		a := &Answer{}
 		whole, err := false, error(nil)
-		for _, p := range c.in {
-			whole, err = a.Feed(p)
+		for i, p := range c.in {
+			whole, err = a.Feed(byte(i+1), p)
 		}
 		v, _ := TextColumn(a.Row)
 		if whole != c.whole && !c.bad || (err != nil) != c.bad || v != c.row || (a.Err != nil) != c.isErr {
 			t.Errorf("%s: %v, %v, row %q, error %q", name, whole, err, v, a.Err)
 		}
 	}
+	if _, err := new(Answer).Feed(2, OK()); err == nil {
+		t.Error("a packet out of order passes")
+	}
 	code, state, text, ok := ParseError(Error(1040, "08004", "full"))
 	if code != 1040 || state != "08004" || text != "full" || !ok {
 		t.Error(code, state, text, ok)
@@ -177,7 +183,7 @@
 		a := &Answer{}
 		for len(b) > 0 {
 			k := min(int(b[0])+1, len(b))
-			if whole, err := a.Feed(b[:k]); whole || err != nil {
+			if whole, err := a.Feed(a.seq+1, b[:k]); whole || err != nil {
 				return
 			}
 			b = b[k:]
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -255,18 +255,22 @@
 
 // Answer gathers the packets of a server's answer to a QUERY or an EXECUTE, numbered for the client.
 type Answer struct {
+	Binary bool // its rows are those of an EXECUTE
+
 	Raw   []byte
 	Err   []byte // the ERR packet's payload, if it ended in one
 	Row   []byte // the first row's payload
 	stage int    // 0: first packet, 1: columns, 2: rows
+	cols  uint64
 	left  uint64
 	seq   byte
 }
 
-// Feed takes in one packet's payload and tells whether the answer is whole.
-func (a *Answer) Feed(p []byte) (whole bool, err error) {
-	if len(p) == 0 {
-		return false, errShort
+// Feed takes in one packet and tells whether the answer is whole. A packet out of order or not made as it should be is
+// an error: the answer is spoilt, and what it says, a refusal too, is not to be believed.
+func (a *Answer) Feed(seq byte, p []byte) (whole bool, err error) {
+	if len(p) == 0 || seq != a.seq+1 {
+		return false, ErrFraming
 	}
 	if len(a.Raw)+len(p) > MaxAnswer {
 		return false, errors.New("mysql: the answer is too large")
@@ -274,6 +278,9 @@
 	a.seq++
 	a.Raw = Append(a.Raw, a.seq, p)
 	if p[0] == 0xff {
+		if _, _, _, ok := ParseError(p); !ok {
+			return false, errShort
+		}
 		a.Err = p
 		return true, nil
 	}
@@ -289,7 +296,7 @@
 		if a.left, _ = r.lenenc(); r.err != nil || a.left == 0 || a.left > 4096 {
 			return false, errShort
 		}
-		a.stage = 1
+		a.stage, a.cols = 1, a.left
 	case 1:
 		if a.left > 0 {
 			a.left--
@@ -302,6 +309,9 @@
 		if IsEOF(p) {
 			return true, eofStatus(p)
 		}
+		if !a.sound(p) {
+			return false, ErrFraming
+		}
 		if a.Row == nil {
 			a.Row = p
 		}
@@ -309,6 +319,18 @@
 	return false, nil
 }
 
+// sound tells whether a row's lengths fit. Those of a binary row depend on types that are not kept here.
+func (a *Answer) sound(row []byte) bool {
+	if a.Binary {
+		return row[0] == 0 && uint64(len(row)) >= 1+(a.cols+9)/8
+	}
+	r := &reader{b: row}
+	for range a.cols {
+		r.lenencBytes()
+	}
+	return r.err == nil && len(r.b) == 0
+}
+
 var errMore = errors.New("mysql: a second result is not supported")
 
 func okStatus(p []byte) error {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -15,6 +15,7 @@
 	replyMargin = 5 * time.Millisecond
 	probeSlack  = 50 * time.Millisecond // a probe may need a connection first
 	maxKnown    = 1 << 16               // names kept; more than any list that is not garbage
+	goneFor     = 3 * time.Minute       // after which a server that is gone is forgotten; the module forgets it sooner
 )
 
 // Replier gives a client its one final answer.
@@ -111,6 +112,7 @@
 	lastID  uint32
 	addrs   map[uint32]string
 	names   map[string]uint32
+	gone    map[uint32]time.Duration // since when; servers that are to be forgotten
 	groups  map[int]bool
 	unkeyed map[int]int // of a keyed class: the one for requests that carry no key
 	actions []func()
@@ -119,7 +121,7 @@
 // New returns a core that runs on a loop.
 func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
 	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, addrs: map[uint32]string{},
-		names: map[string]uint32{}, groups: map[int]bool{}, unkeyed: map[int]int{}}
+		names: map[string]uint32{}, gone: map[uint32]time.Duration{}, groups: map[int]bool{}, unkeyed: map[int]int{}}
 	// Without a key nobody drops a repeat: such a request of a keyed class may not run twice at all.
 	c.opt.Settings.Classes = slices.Clone(opt.Settings.Classes)
 	for i, k := range opt.Settings.Classes {
@@ -205,21 +207,67 @@
 // List hands a list to the module.
 func (c *Core) List(kind rules.ListKind, members []Member) {
 	entries := make([]rules.Member, 0, len(members))
+	named := map[uint32]bool{}
 	for _, m := range members {
 		id, ok := c.id(m.Name, m.State)
 		if !ok {
 			continue
 		}
-		if m.State != rules.Gone {
+		named[id] = true
+		if m.State == rules.Gone {
+			c.leave(m.Name, id)
+		} else {
 			c.groups[m.Group] = true
 			c.addrs[id] = m.Addr
+			delete(c.gone, id)
 		}
 		entries = append(entries, rules.Member{Store: id, Zone: m.Zone, Group: m.Group, State: m.State,
 			Primary: m.Primary, Started: m.Started})
 	}
+	if kind == rules.ListFull || kind == rules.ListCached { // what it omits is gone
+		for name, id := range c.names {
+			if !named[id] {
+				c.leave(name, id)
+			}
+		}
+	}
 	c.router.List(c.loop.Now(), kind, entries)
 }
 
+// leave notes that a server is gone. It is forgotten later, unless it comes back or an attempt is still out there.
+func (c *Core) leave(name string, id uint32) {
+	if _, ok := c.gone[id]; ok || c.opt.Settings.DrainOnly { // there the module may still send to it
+		return
+	}
+	since := c.loop.Now()
+	c.gone[id] = since
+	c.loop.After(goneFor, func() { c.forget(name, id, since) })
+}
+
+func (c *Core) forget(name string, id uint32, since time.Duration) {
+	if at, ok := c.gone[id]; !ok || at != since {
+		return
+	}
+	delete(c.gone, id)
+	if c.uses(id) {
+		c.leave(name, id)
+		return
+	}
+	delete(c.names, name)
+	delete(c.addrs, id)
+}
+
+func (c *Core) uses(id uint32) bool {
+	for _, o := range c.open {
+		for _, k := range o.live {
+			if k.store == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // id is a server's number. It is made from the name alone, so that all poolers come to the same order.
 func (c *Core) id(name string, state rules.State) (uint32, bool) {
 	if id, ok := c.names[name]; ok {
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -107,3 +107,38 @@
 		t.Errorf("%d requests open, first %s, %d more answers", n, first, len(r.ended))
 	}
 }
+
+// A server that has left the list, or that a whole list omits, must be forgotten in the end, or a long life fills the
+// table of names; but not while an attempt is out there, nor when it has come back.
+func TestGoneServerIsForgotten(t *testing.T) {
+	c, b := start(t)
+	r, w := submit(c, b, 20*time.Second)
+	known := func(change func()) (n int) {
+		done := make(chan int)
+		c.loop.Post(func() { change(); done <- len(c.names) + len(c.addrs) })
+		return <-done
+	}
+	due := func() {
+		for name, id := range c.names {
+			if since, ok := c.gone[id]; ok {
+				c.forget(name, id, since)
+			}
+		}
+	}
+	member := func(name string) []Member { return []Member{{Name: name, Addr: name, State: rules.Ready}} }
+	if n := known(func() { c.List(rules.ListFull, member("a")); due() }); n != 4 {
+		t.Errorf("%d names and addresses while an attempt is out", n)
+	}
+	c.loop.Post(func() { w.done(Result{Result: rules.OK}) })
+	<-r.ended
+	if n := known(due); n != 2 {
+		t.Errorf("%d names and addresses after the attempt", n)
+	}
+	if n := known(func() {
+		c.List(rules.ListDelta, []Member{{Name: "a", State: rules.Gone}})
+		c.List(rules.ListDelta, member("a"))
+		due()
+	}); n != 2 {
+		t.Errorf("%d names and addresses for a server that has come back", n)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -68,6 +68,7 @@
 	// List.
 	askAgainFirst = 500 * ms
 	askAgainMost  = 4 * time.Second
+	goneFor       = time.Minute // after which a store that has left the list is forgotten
 )
 
 func (r *Router) windowAt() float64 { return max(windowFirst/float64(r.set.Balancers), r.least) }
@@ -765,6 +766,9 @@
 		return // the list does not prove what is up
 	}
 	s.State = st
+	if st == Gone {
+		r.after(goneFor, func() { r.retire(s) })
+	}
 	if s.stopAt > 0 {
 		return
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -845,3 +845,17 @@
 		t.Error("the store counts as silent")
 	}
 }
+
+// A store that has left must be forgotten, or a long life holds every store there ever was. One that comes back within
+// that time keeps its state.
+func TestGoneStoreIsForgotten(t *testing.T) {
+	f := newFront(t, nil)
+	gone := []Member{{Store: 2, Group: 7, State: Gone}, {Store: 3, Group: 7, State: Gone}}
+	f.r.List(f.now, ListDelta, gone)
+	f.until(f.now + goneFor/2)
+	f.r.List(f.now, ListDelta, []Member{{Store: 3, Group: 7, State: Ready}})
+	f.until(f.now + goneFor)
+	if len(f.r.stores) != 2 || len(f.r.order) != 2 || f.r.stores[2] != nil {
+		t.Errorf("%d stores are known, want 1 and 3", len(f.r.stores))
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -352,6 +352,18 @@
 	}
 }
 
+// retire forgets a store that has left for good, once nothing of it is under way: in a long life every store is replaced.
+func (r *Router) retire(s *store) {
+	switch {
+	case s.State != Gone || r.stores[s.Store] != s:
+	case s.listed || s.inRound || len(s.out) > 0:
+		r.after(goneFor, func() { r.retire(s) })
+	default:
+		delete(r.stores, s.Store)
+		r.order = slices.DeleteFunc(r.order, func(x *store) bool { return x == s })
+	}
+}
+
 // roundEnds takes a member's answer into the running round and tells whether it was the last one.
 func (g *group) roundEnds(s *store, reached bool) bool {
 	if !s.inRound {
