End hopeless waits at half the patience; a broken connection is no restart

A trace at each refusal showed every store 'cold true', windows of 1: after a connect that broke, the next answer counted as a restart (rules.go reached, chill), and each store got a cold one's share for 18 s. Pings that met a broken connection took the primary off the record as well. Checked: resets by the rest of reused connections: 6 to 9% below 200 ms and on new ones alike, so reuse is not at fault. Change: only a store that was out of reach for 1 s may have restarted; a probe whose connection breaks is started once more (exchange.Probe, both wires); connections are given up at a store that refused three running, not everywhere; a write with nothing sent whose deadline comes well before another primary is likely is refused at half its patience, with the time to come again. Others are held as before.

--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -111,6 +111,31 @@
 	}
 }
 
+// Break reports that the connection broke.
+func (x *Exchange) Break(r rules.Result) {
+	x.Res = routing.Result{Broken: true}
+	x.End(r)
+}
+
+// Probe is a probe that is started once more if its connection breaks: the next one tells whether the server is gone.
+type Probe struct{ call routing.Call }
+
+// NewProbe starts a probe.
+func NewProbe(start func(done func(routing.Result)) routing.Call, done func(routing.Result)) *Probe {
+	p := &Probe{}
+	p.call = start(func(r routing.Result) {
+		if r.Broken {
+			p.call = start(done)
+		} else {
+			done(r)
+		}
+	})
+	return p
+}
+
+// Abort gives it up.
+func (p *Probe) Abort() { p.call.Abort() }
+
 // End reports the end.
 func (x *Exchange) End(r rules.Result) {
 	x.connect.Stop()
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -45,10 +45,12 @@
 
 // Probe asks a server for its role, and a replica for its position.
 func (b *Backend) Probe(addr string, done func(routing.Result)) routing.Call {
-	x := &command{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout,
-		fits: func() bool { return true }}
-	x.probe = true
-	return x.start(func(r routing.Result) {
+	start := func(done func(routing.Result)) routing.Call {
+		x := &command{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout,
+			fits: func() bool { return true }, probe: true}
+		return x.start(done)
+	}
+	return exchange.NewProbe(start, func(r routing.Result) {
 		r.Answer = nil
 		done(r)
 	})
@@ -103,11 +105,11 @@
 func (x *command) Closed(err error) {
 	switch {
 	case !x.sent || !x.Conn.Written():
-		x.End(rules.NoConnect)
+		x.Break(rules.NoConnect)
 	case errors.Is(err, transport.ErrFlood):
 		x.broken(err)
 	default:
-		x.End(rules.Reset)
+		x.Break(rules.Reset)
 	}
 }
 
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -37,14 +37,17 @@
 	if b.Reports {
 		text = "SHOW health"
 	}
-	return b.start(addr, func() bool { return true }, func(r routing.Result) {
+	start := func(done func(routing.Result)) routing.Call {
+		return b.start(addr, func() bool { return true }, done, func() string { return text })
+	}
+	return exchange.NewProbe(start, func(r routing.Result) {
 		if row, ok := r.Answer.([]byte); ok && b.Reports {
 			if rep := report(row); rep.HasPosition || rep.HasRole {
 				r.Report = rep
 			}
 		}
 		done(r)
-	}, func() string { return text })
+	})
 }
 
 // report reads the load report in the row that SHOW health gave.
@@ -92,14 +95,13 @@
 func (x *query) Closed(err error) {
 	switch {
 	case !x.asked || !x.Conn.Written():
-		x.End(rules.NoConnect)
+		x.Break(rules.NoConnect)
 	case x.code != "" && len(x.buf) == 0:
 		x.End(outcome(x.code))
 	case errors.Is(err, transport.ErrFlood):
 		x.spoilt()
 	default:
-		x.Res = routing.Result{}
-		x.End(rules.Reset)
+		x.Break(rules.Reset)
 	}
 }
 
--- a/internal/program/spoilt_test.go
+++ b/internal/program/spoilt_test.go
@@ -6,9 +6,12 @@
 	"testing"
 
 	"threadsail/internal/program"
+	"threadsail/internal/program/exchange"
 	"threadsail/internal/protocol/mysql"
 	"threadsail/internal/protocol/pgwire"
+	"threadsail/internal/routing"
 	"threadsail/internal/standin"
+	"threadsail/rules"
 )
 
 // Answers that are not made as they should be, on PostgreSQL's wire.
@@ -123,3 +126,20 @@
 		t.Errorf("got %+v", r)
 	}
 }
+
+// A ping that meets a broken connection must not take a well primary off the record: it is tried again.
+func TestBrokenProbeIsTriedAgain(t *testing.T) {
+	var running []func(routing.Result)
+	ended := 0
+	exchange.NewProbe(func(done func(routing.Result)) routing.Call {
+		running = append(running, done)
+		return nil
+	}, func(routing.Result) { ended++ })
+	running[0](routing.Result{Result: rules.NoConnect, Broken: true})
+	if len(running) != 2 || ended != 0 {
+		t.Fatalf("%d probes started, %d ended", len(running), ended)
+	}
+	if running[1](routing.Result{Result: rules.NoConnect, Broken: true}); ended != 1 {
+		t.Error("the second end counts")
+	}
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -45,6 +45,7 @@
 	HasPosition bool
 	Position    time.Duration
 	Report      rules.Report
+	Broken      bool // the connection had come up, and broke
 }
 
 // Backend reaches the servers. Send and Probe call done once, on the loop and after they have returned. A request that
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,6 +19,11 @@
 	roundDark   = time.Second // to the next round when none did
 	roundGap    = 50 * ms     // no two rounds of a group start closer than this: a storm of misses is one cause
 
+	// Waits without a primary.
+	outage   = 4 * time.Second // from a primary's death until another takes writes, more or less
+	handOver = 700 * ms        // and from a drained one's last write
+	lastHope = 0.3             // a wait that meets a primary less often is not worth a late refusal
+
 	// Freshness.
 	posSlack    = 2 * ms           // positions and ages are rounded on their way here
 	refreshGap  = 60 * ms          // replicas are asked for positions this often while a read is held
@@ -62,6 +67,7 @@
 
 	// Cold start.
 	coldUse    = 0.9              // of this front's share: the rest is for probes and handshakes
+	outOfReach = time.Second      // no process is back sooner
 	loadMemory = 10 * time.Second // over which the work sent to warm stores is averaged
 	coldCores  = 2.0              // no database host is smaller than this
 
@@ -112,16 +118,21 @@
 		return
 	}
 	s.role, s.roleAt = RoleReplica, asOf
-	r.lose(s, "says it is a replica")
+	if r.lose(s, "says it is a replica") {
+		r.group(s.Group).expect = handOver
+	}
 }
 
 // lose drops a store from the record, if it stands there, and looks for the primary at once.
-func (r *Router) lose(s *store, why string) {
-	if g := r.group(s.Group); g.primary == s {
-		g.primary = nil
-		r.act.Log(fmt.Sprintf("group %d: primary %d %s", g.id, s.Store, why))
-		r.round(g)
+func (r *Router) lose(s *store, why string) bool {
+	g := r.group(s.Group)
+	if g.primary != s {
+		return false
 	}
+	g.primary, g.lostAt, g.expect = nil, r.now, outage
+	r.act.Log(fmt.Sprintf("group %d: primary %d %s", g.id, s.Store, why))
+	r.round(g)
+	return true
 }
 
 func (r *Router) learn(s *store, rep Report) {
@@ -275,9 +286,27 @@
 	if q.useful > r.now {
 		r.after(q.useful-r.now, func() { r.passed(q) })
 	}
+	if half := (q.arrived+q.deadline)/2 - endMargin - r.set.Tick; half > r.now {
+		r.after(half-r.now, func() {
+			if q.held && !q.ended && !q.reached && r.hopeless(q) {
+				r.end(q)
+			}
+		})
+	}
 	r.watchHeld(q.g)
 }
 
+// hopeless tells whether a wait for a primary will hardly end in time: it ends at half the patience, while
+// the client has time to come again.
+func (r *Router) hopeless(q *request) bool {
+	g := q.g
+	if g.primary != nil || !g.dark {
+		return false
+	}
+	rest := max(g.expect-(r.now-g.lostAt), g.expect/2)
+	return float64(q.deadline-r.now) < lastHope*float64(rest)
+}
+
 // density is what the answer is still worth for the work; past the aim only the late share is left.
 func (r *Router) density(q *request) float64 {
 	c := q.c
@@ -647,12 +676,13 @@
 	}
 }
 
-// reached notes that a store answered: one that had been out of reach may have restarted and counts as cold.
+// reached notes that a store answered: after a while out of reach it may have restarted and counts as cold.
+// A connection that broke between two answers is no restart.
 func (r *Router) reached(s *store) {
-	if s.unreach {
-		s.unreach = false
+	if s.unreach && r.now >= s.reachedAt+outOfReach {
 		r.chill(s, r.now)
 	}
+	s.unreach, s.reachedAt = false, r.now
 }
 
 // ---- Cold start ----
@@ -794,6 +824,7 @@
 	if !o.Result.NeverRan() && q.risk == nil {
 		q.risk = a
 	}
+	q.reached = q.reached || o.Result != NoConnect && o.Result != Moot
 	r.health(s, a, o)
 	if o.HasPosition && !(q.c.Need == NeedWrite && o.Result == OK) {
 		r.proved(s, o.Position)
@@ -846,8 +877,8 @@
 			s.window = max(s.window/2, r.least)
 			break
 		}
-		if s.heard = 0; s.fullWait > fullPause { // again, with nothing served between: one may have broken
-			r.scarceAt = r.now
+		if s.heard = 0; s.fullWait > 2*fullPause { // thrice with nothing served between: one may just have broken
+			s.scarceAt = r.now
 		}
 		r.failed(s)
 		if g := r.group(s.Group); g.primary == s {
@@ -859,7 +890,7 @@
 			r.lose(s, "cannot be reached")
 		}
 	}
-	if len(s.out) == 0 && r.scarceAt > 0 && r.now < r.scarceAt+scarceFor {
+	if len(s.out) == 0 && s.scarceAt > 0 && r.now < s.scarceAt+scarceFor {
 		r.act.CloseIdle(s.Store) // leave the connection to fronts that have none
 	}
 }
@@ -930,6 +961,8 @@
 		away := time.Duration(0)
 		if r.set.RetryAfter && r.now >= q.useful && c.Need != NeedWrite {
 			away = r.set.MaxRetryAfter
+		} else if r.set.RetryAfter && r.hopeless(q) { // when this try's time would have been over
+			away = min(r.set.MaxRetryAfter, max(q.deadline-r.now, 0))
 		}
 		r.act.Refuse(q.id, away)
 	} else {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -859,3 +859,37 @@
 		t.Errorf("%d stores are known, want 1 and 3", len(f.r.stores))
 	}
 }
+
+// A connection that breaks between two answers is no restart: its store must not be held to a cold one's share. One that
+// was out of reach for longer may have restarted.
+func TestBrokenConnectionIsNoRestart(t *testing.T) {
+	for away, cold := range map[time.Duration]bool{outOfReach / 2: false, 2 * outOfReach: true} {
+		f := withPrimary(t, nil)
+		f.until(f.now + away)
+		f.unreachable(2)
+		f.report(2, false, f.now)
+		if s := f.r.stores[2]; s.coldSince > 0 != cold {
+			t.Errorf("out of reach for %v: cold %v, want %v", away, !cold, cold)
+		}
+	}
+}
+
+// While a group is without a primary, a write that can hardly live to see the next one is refused at half its time, so
+// that its client can come again; one with more time is held to its end, as the design has it.
+func TestHopelessWaitEndsAtHalfItsTime(t *testing.T) {
+	f := withPrimary(t, func(s *Settings) { s.RetryAfter, s.MaxRetryAfter = true, time.Second })
+	f.until(f.now + 100*ms)
+	f.r.lostTurn(f.r.stores[1], "fails")
+	f.unreachable(1)
+	f.unreachable(1)
+	f.report(2, false, f.now)
+	f.report(3, false, f.now)
+	f.r.Request(f.now, Request{ID: 2, Class: cUnsafe, Group: 7, Patience: 600 * ms})
+	f.r.Request(f.now, Request{ID: 3, Class: cUnsafe, Group: 7, Patience: 3 * time.Second})
+	f.until(f.now + 250*ms)
+	f.wantNot("refuse 2")
+	f.until(f.now + 60*ms)
+	f.want("refuse 2")
+	f.until(f.now + 2600*ms)
+	f.wantNot("refuse 3")
+}
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -56,8 +56,8 @@
 }
 
 // Scarce connections: a refused connect pauses the store and starts a round; the record stands while the primary
-// answers that. When it comes again with nothing served between, connections are not kept idle meanwhile; one alone may
-// be a connection that broke.
+// answers that. When it comes a third time with nothing served between, connections are not kept idle meanwhile;
+// sooner it may be one that broke.
 func TestRefusedConnectKeepsTheRecord(t *testing.T) {
 	f := withPrimary(t, nil)
 	f.request(2, cUnsafe)
@@ -70,8 +70,10 @@
 	if len(f.sends[2]) != 2 || f.sends[2][1] != 1 {
 		t.Fatalf("sent to %v, want store 1 again after a pause", f.sends[2])
 	}
-	f.wantNot("close 1")
 	f.outcome(2, 1, NoConnect, RoleUnknown)
+	f.wantNot("close 1")
+	f.until(f.now + 200*ms)
+	f.outcome(2, 2, NoConnect, RoleUnknown)
 	f.want("close 1")
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -30,6 +30,7 @@
 	live                       int
 	risk                       *attempt // first attempt that may have run
 	held, ended                bool
+	reached                    bool // an attempt has reached a store
 	stale, soon                bool // some replica lacks only the position for it; and will soon have it
 }
 
@@ -66,6 +67,8 @@
 	budgetAt  time.Duration
 	phase     float64 // cold: share of a request's work at which it may be sent, drawn at the start
 	unreach   bool
+	scarceAt  time.Duration // it last refused connections again and again
+	reachedAt time.Duration // last answer to a request or a probe
 	window    float64
 	cutAt     time.Duration
 	pausedTo  time.Duration
@@ -88,7 +91,9 @@
 	watching  bool
 	refreshAt time.Duration
 	asked     int
-	dark      bool // rounds have found no primary
+	dark      bool          // rounds have found no primary
+	lostAt    time.Duration // when the last primary was lost
+	expect    time.Duration // how long a group is without one then, more or less
 }
 
 // base is a class's undisturbed answer time and the measure under way.
@@ -129,35 +134,34 @@
 
 // Router decides for one front.
 type Router struct {
-	set      Settings
-	act      Actions
-	now      time.Duration
-	seq      uint64
-	rng      uint64
-	timers   timers
-	armed    time.Duration
-	stores   map[uint32]*store
-	groups   map[int]*group
-	reqs     map[uint32]*request
-	mean     []time.Duration // per class: mean answer time
-	base     []base
-	least    float64       // least window of a store
-	lagAt    time.Duration // a replica last showed itself far behind
-	pingGap  time.Duration
-	large    bool          // the fleet is too large to ping every 100 ms
-	scarceAt time.Duration // last refused connection
-	usual    []usual       // per class
-	slow     float64       // as a store's, of all together
-	fails    float64       // share of recent attempts failing at all stores
-	retry    float64
-	askWait  time.Duration
-	asking   bool
-	kept     map[uint64]time.Duration // remembered tokens, newest generation
-	keptOld  map[uint64]time.Duration
-	keptMax  time.Duration // newest commit forgotten
-	order    []*store      // all stores, in the order of their first listing
-	load     float64       // own work per warm store, as cores kept busy
-	loadAt   time.Duration
+	set     Settings
+	act     Actions
+	now     time.Duration
+	seq     uint64
+	rng     uint64
+	timers  timers
+	armed   time.Duration
+	stores  map[uint32]*store
+	groups  map[int]*group
+	reqs    map[uint32]*request
+	mean    []time.Duration // per class: mean answer time
+	base    []base
+	least   float64       // least window of a store
+	lagAt   time.Duration // a replica last showed itself far behind
+	pingGap time.Duration
+	large   bool    // the fleet is too large to ping every 100 ms
+	usual   []usual // per class
+	slow    float64 // as a store's, of all together
+	fails   float64 // share of recent attempts failing at all stores
+	retry   float64
+	askWait time.Duration
+	asking  bool
+	kept    map[uint64]time.Duration // remembered tokens, newest generation
+	keptOld map[uint64]time.Duration
+	keptMax time.Duration // newest commit forgotten
+	order   []*store      // all stores, in the order of their first listing
+	load    float64       // own work per warm store, as cores kept busy
+	loadAt  time.Duration
 }
 
 // New returns a Router that knows nothing but its settings.
