With many clients connected, close those idle longest after 0.2 s

Change: with half of the places taken the longest idle go, after 0.2 s at the least, never one whose next request has come; logged-in clients count as idle, those that have only met errors as silent, on both wires.

--- a/internal/program/clients_test.go
+++ b/internal/program/clients_test.go
@@ -18,9 +18,11 @@
 	return a.Postgres
 }
 
-// Clients that connect and say nothing, or nothing whole, are owed a word or a close within 3 s.
+// Clients that connect and say nothing, or nothing whole, are owed a word or a close within 3 s. One that has logged in
+// and has not asked yet stays.
 func TestSilentClientsAreTurnedOut(t *testing.T) {
 	overBoth(t, nil, []string{"p"}, func(t *testing.T, _ *standin.Fleet, a program.Addrs) {
+		waits := dial(t, a) // logged in, and keeps its connection for later
 		var silent []net.Conn
 		for _, first := range []string{"", "\x00\x00\x00\x54\x00\x03",
 			string(pgwire.AppendStartup(nil, "client", "core")) + "Q\x00\x00\x00\x40SELECT"} {
@@ -44,6 +46,7 @@
 				t.Errorf("silent client %d is never turned out", i)
 			}
 		}
+		served(t, waits.Do(standin.Read("any", patience)))
 	})
 }
 
--- a/internal/program/door/door.go
+++ b/internal/program/door/door.go
@@ -16,7 +16,10 @@
 	enterFor  = 50 * time.Millisecond // under pressure: a usual client has asked by then
 	beginFor  = time.Second           // and sent the rest of a message that has begun
 	idleFor   = 2 * time.Second       // a client without an open request may be closed after this
-	idleShare = 0.5                   // of the places: with more clients idle ones are closed; clients have limits too
+	// Clients may hold a third of the descriptors. Some ask once and stay: with more than this share of the places taken,
+	// those that have been idle longest are closed, or the ones that ask next find no connection left on their side.
+	idleShare = 0.5
+	shortIdle = 200 * time.Millisecond
 )
 
 // State is what a guest is about.
@@ -75,7 +78,7 @@
 // makeRoom turns out one client: a silent one, else the one that has been idle longest. A newcomer who asks is worth
 // more than either.
 func (d *Door) makeRoom() bool {
-	return d.turnOut(Entering, enterFor) || d.turnOut(Idle, idleFor) || d.turnOut(Begun, beginFor)
+	return d.turnOut(Entering, enterFor) || d.turnOut(Idle, idleFor) || d.turnOut(Begun, beginFor) || d.turnOut(Idle, 0)
 }
 
 // turnOut closes the client that has been in a state longest, and at least for so long. One whose next request has come
@@ -102,7 +105,7 @@
 			g.client.TurnOut()
 		}
 	}
-	for float64(len(d.in)) > idleShare*float64(d.most) && d.turnOut(Idle, idleFor) {
+	for float64(len(d.in)) > idleShare*float64(d.most) && d.turnOut(Idle, shortIdle) {
 	}
 	d.loop.After(sweepEvery, d.sweep)
 }
--- /dev/null
+++ b/internal/program/door/door_test.go
@@ -0,0 +1,57 @@
+package door
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"threadsail/internal/routing"
+)
+
+// client is a stand-in that leaves when it is turned out.
+type client struct {
+	guest *Guest
+	name  string
+	out   *[]string
+	busy  bool // its next request has come and was not seen yet
+}
+
+func (c *client) Quiet() bool { return !c.busy }
+
+func (c *client) TurnOut() {
+	*c.out = append(*c.out, c.name)
+	c.guest.Leave()
+}
+
+// Some clients ask once and keep their connection. With many connected, those idle longest must go long before places run
+// short here: the clients have limits of their own. Busy ones stay, and one whose next request has come.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	d := New(routing.NewLoop(), 6, 1<<20)
+	var out []string
+	enter := func(name string, state State, idle time.Duration, busy bool) {
+		c := &client{name: name, out: &out, busy: busy}
+		c.guest = d.Enter(c)
+		c.guest.state, c.guest.since = state, d.loop.Now()-idle
+	}
+	enter("coming", Idle, 9*time.Second, true)
+	enter("busy", Busy, 9*time.Second, false)
+	enter("oldest", Idle, 8*time.Second, false)
+	enter("old", Idle, 2*shortIdle, false)
+	enter("fresh", Idle, 0, false)
+	d.sweep()
+	if want := []string{"oldest", "old"}; !slices.Equal(out, want) {
+		t.Errorf("%v were turned out, want %v", out, want)
+	}
+	enter("silent", Entering, 2*enterFor, false)
+	enter("more", Busy, 0, false)
+	enter("most", Busy, 0, false)
+	if enter("newcomer", Busy, 0, false); out[len(out)-1] != "silent" {
+		t.Errorf("%v were turned out, want the silent one last", out)
+	}
+	if enter("another", Busy, 0, false); out[len(out)-1] != "fresh" {
+		t.Errorf("%v were turned out, want the one that is idle last", out)
+	}
+	if d.Enter(&client{}) != nil {
+		t.Error("there is room where all are busy")
+	}
+}
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -122,7 +122,6 @@
 	challenge []byte
 	guest     *door.Guest // nil: there was no room
 	switched  bool
-	asked     bool // a command has come
 	id        string
 	in        bool
 	user      string
@@ -160,7 +159,7 @@
 	switch {
 	case s.busy:
 		state = door.Busy
-	case !s.asked:
+	case !s.in:
 		state = door.Entering
 	case len(s.buf) > 0:
 		state = door.Begun
@@ -250,7 +249,6 @@
 }
 
 func (s *session) command(at time.Duration, p []byte) {
-	s.asked = true
 	switch p[0] {
 	case mysql.ComQuit:
 		s.finish()
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -79,7 +79,8 @@
 	guest   *door.Guest // nil: there was no room
 	buf     []byte
 	started bool
-	asked   bool // a sound command has come: only errors are no reason to stay
+	asked   bool // a request has come
+	erred   bool // a command has met an error: alone that is no reason to stay
 	skip    bool // after an error in an extended query: until its Sync
 	slots   []*slot
 	held    int // bytes in slots
@@ -119,7 +120,7 @@
 	switch {
 	case len(s.slots) > 0:
 		state = door.Busy
-	case !s.asked:
+	case !s.started || s.erred && !s.asked:
 		state = door.Entering
 	case len(s.buf) > 0:
 		state = door.Begun
@@ -246,7 +247,6 @@
 func (s *session) query(at time.Duration, text string) {
 	trimmed := strings.Trim(text, " \t\r\n;")
 	if trimmed == "" {
-		s.asked = true
 		s.answer(pgwire.Append(nil, 'I'), true)
 		return
 	}
@@ -254,7 +254,6 @@
 	if err != nil {
 		word, _, _ := strings.Cut(strings.ToUpper(trimmed), " ")
 		if err == comment.ErrNone && (word == "SET" || word == "RESET" || word == "DISCARD") {
-			s.asked = true
 			s.answer(pgwire.Append(nil, 'C', word, "\x00"), true) // a session here has no state to set
 			return
 		}
@@ -292,6 +291,7 @@
 }
 
 func (s *session) protocolError(text string) {
+	s.erred = true
 	s.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocol, text, ""), true)
 }
 
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -28,8 +28,8 @@
 	memoryShare = 0.7 // of the limit: the rest is for stacks, the runtime and the kernel's buffers
 	gcPercent   = 200
 	spareFiles  = 24   // descriptors of the runtime, the logs and the listeners
-	clientShare = 0.6  // of the sockets: the rest is for servers
-	comingShare = 0.05 // and for clients that are on their way in or out
+	clientShare = 0.5  // of the sockets: the rest is for servers
+	comingShare = 0.25 // and for clients that are on their way in or out
 	bufferShare = 0.06 // of the memory, for incomplete messages of clients
 )
 
