--- a/internal/protocol/pgwire/pgwire_test.go
+++ b/internal/protocol/pgwire/pgwire_test.go
@@ -31,6 +31,35 @@
 	}
 }
 
+// An impossible message of a server is found by its first bytes: nobody waits for the rest.
+func TestNextAnswer(t *testing.T) {
+	row := AppendRow(nil, "v", "x", "SELECT 1")
+	for name, c := range map[string]struct {
+		in  string
+		n   int
+		bad bool
+	}{
+		"nothing":           {},
+		"a description":     {in: string(row), n: 27},
+		"half of one":       {in: string(row[:20])},
+		"unknown type":      {in: "y", bad: true},
+		"noise":             {in: "HTTP/1.1", bad: true},
+		"3 GB":              {in: "D\xb2\xd0\x5e\x00", bad: true},
+		"below 0":           {in: "C\xff\xff\xff\xff", bad: true},
+		"two columns":       {in: "D\x00\x00\x00\x20\x00\x02\x00\x00\x00\x01", bad: true},
+		"a length too long": {in: "D\x00\x00\x00\x20\x00\x01\x00\x00\x00\x60", bad: true},
+		"a long end":        {in: "Z\x00\x00\x00\x06", bad: true},
+		"an end":            {in: "Z\x00\x00\x00\x05I", n: 6},
+	} {
+		if _, n, err := NextAnswer([]byte(c.in)); n != c.n || (err != nil) != c.bad {
+			t.Errorf("%s: %d, %v", name, n, err)
+		}
+	}
+	if m, _, _ := NextAnswer(row); !OneColumn(m.Body) || OneColumn(m.Body[:len(m.Body)-1]) || OneColumn(nil) {
+		t.Error("a description of one column is not told from others")
+	}
+}
+
 func TestNextStartup(t *testing.T) {
 	for name, c := range map[string]struct {
 		in   []byte
@@ -90,6 +119,9 @@
 	f.Add(AppendRow(AppendParameter(nil, "a", "b"), "v", "x", "SELECT 1"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, _, _ = NextStartup(b)
+		if m, n, err := NextAnswer(b); err == nil && n > 0 {
+			OneColumn(m.Body)
+		}
 		m, n, err := Next(b, MaxQuery)
 		if err != nil || n == 0 {
 			return
