--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,7 @@
 type Config struct {
 	Name           string
 	Listen         string
+	Admin          string // the operators' door; empty: there is none
 	Discovery      string
 	Seed           uint64
 	MemoryBytes    int64
@@ -61,8 +62,8 @@
 
 func parse(text []byte, getenv func(string) string) (*Config, error) {
 	var file struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Admin, Discovery, Seed string
+		Limits                               struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int
 		}
@@ -81,6 +82,11 @@
 	if err := address("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
+	if c.Admin = or(file.Admin, getenv("PROXY_ADMIN")); c.Admin != "" {
+		if err := address("admin", c.Admin); err != nil {
+			return nil, err
+		}
+	}
 	if c.Sockets < leastSockets {
 		return nil, fmt.Errorf("limits.sockets: %d is under %d", c.Sockets, leastSockets)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -13,7 +13,7 @@
 	"threadsail/rules"
 )
 
-const good = `{"name":"n3","listen":"127.0.0.4:6432","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+const good = `{"name":"n3","listen":"127.0.0.4:6432","admin":"127.0.0.4:12000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":64,"sockets":512},"known":{"revision":41,"complete":true,"members":[]},
 "settings":{"zones":["a"],"caps":{"maxOpen":7,"connIdleMs":9000},"report":{"how":"probe","fields":["x0"]},
 "familyInfo":{"classRead":["mutate"]},"lanes":[{"name":"w","semantics":"guarded","hardLimitMs":3000}]}}`
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := &Config{Name: "n3", Listen: "127.0.0.4:6432", Discovery: "127.2.0.1:8500", Seed: 0x8c1f30d27a5be964,
+	want := &Config{Name: "n3", Listen: "127.0.0.4:6432", Admin: "127.0.0.4:12000", Discovery: "127.2.0.1:8500", Seed: 0x8c1f30d27a5be964,
 		MemoryBytes: 64 << 20, Sockets: 512, Known: discovery.List{Revision: 41, Complete: true, Members: []discovery.Member{}},
 		Zones: []string{"a"}, Reports: true, MaxOpen: 7, ConnIdle: 9 * time.Second, ConnectTimeout: defaultConnectTimeout,
 		Settings: rules.Settings{Classes: []rules.Class{{Name: "w", Need: rules.NeedWrite, Effect: rules.Keyed,
@@ -39,6 +39,7 @@
 	for key, change := range map[string][2]string{
 		"listen":          {`"127.0.0.4:6432"`, `"nowhere"`},
 		"discovery":       {`"127.2.0.1:8500"`, `""`},
+		"admin":           {`"127.0.0.4:12000"`, `"door"`},
 		"seed":            {"8c1f", "xyz"},
 		"limits.sockets":  {"512", "3"},
 		"memory_mb":       {`"memory_mb":64`, `"memory_mb":"much"`},
--- /dev/null
+++ b/internal/program/admin/admin.go
@@ -0,0 +1,132 @@
+// Package admin is the operators' door: it tells whether the pooler takes clients, and its figures. It runs on a loop
+// and on descriptors of its own and answers from what was last published, so that a busy pooler keeps nobody waiting.
+package admin
+
+import (
+	"time"
+
+	"threadsail/internal/protocol/admin"
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+)
+
+const (
+	maxCallers = 16 // at once; the one that has waited longest makes room
+	callFor    = 10 * time.Second
+	// Descriptors is how many the door may hold: callers, those on their way out, and the listener.
+	Descriptors = maxCallers + 8
+)
+
+// Figures is what the pooler reports.
+type Figures struct {
+	Serving                       bool // clients are taken in
+	Reloads, ReloadErrors         uint64
+	Classes                       []routing.Counts
+	Pending, Members, Unavailable int
+}
+
+// Door answers operators.
+type Door struct {
+	loop    *routing.Loop
+	ln      *transport.Listener
+	figures func() Figures
+	callers []*caller // in the order of their coming
+}
+
+// Listen opens the door. figures is called on the door's own goroutine and must not wait.
+func Listen(addr string, figures func() Figures) (*Door, error) {
+	d := &Door{loop: routing.NewLoop(), figures: figures}
+	ln, err := transport.Listen(d.loop, transport.NewBudget(Descriptors), addr, d.enter)
+	if err != nil {
+		return nil, err
+	}
+	d.ln = ln
+	go d.loop.Run()
+	return d, nil
+}
+
+// Addr is where it listens.
+func (d *Door) Addr() string { return d.ln.Addr() }
+
+// Close ends it.
+func (d *Door) Close() {
+	d.ln.Close()
+	d.loop.Stop()
+}
+
+// caller is one connection. It gets one answer.
+type caller struct {
+	d    *Door
+	c    *transport.Conn
+	line []byte
+	late *routing.Timer
+}
+
+func (d *Door) enter(c *transport.Conn) {
+	if len(d.callers) >= maxCallers {
+		d.callers[0].end()
+	}
+	k := &caller{d: d, c: c}
+	d.callers = append(d.callers, k)
+	c.SetHandler(k)
+	k.late = d.loop.After(callFor, k.end)
+}
+
+// end closes the connection once the answer, if any, is written.
+func (k *caller) end() {
+	k.c.Finish()
+	k.Closed(nil)
+}
+
+func (k *caller) Closed(error) {
+	k.late.Stop()
+	for i, x := range k.d.callers {
+		if x == k {
+			k.d.callers = append(k.d.callers[:i], k.d.callers[i+1:]...)
+			return
+		}
+	}
+}
+
+func (k *caller) Data(_ time.Duration, b []byte) {
+	k.line = append(k.line, b...)
+	call, ok, err := admin.Next(k.line)
+	switch {
+	case err != nil:
+		k.c.Write(admin.AppendError(nil, err.Error()))
+	case !ok:
+		return
+	case call == admin.Ping && k.d.figures().Serving:
+		k.c.Write(admin.AppendDone(nil))
+	case call == admin.Ping:
+		k.c.Write(admin.AppendError(nil, "no clients are taken in"))
+	case call == admin.Info:
+		k.c.Write(report(k.d.figures()))
+	default:
+		k.c.Write(admin.AppendError(nil, "unknown call"))
+	}
+	k.end()
+}
+
+// report writes the figures.
+func report(f Figures) []byte {
+	b := admin.AppendDone(nil)
+	for _, c := range f.Classes {
+		lane := admin.Label{Name: "lane", Value: c.Class}
+		for _, r := range []struct {
+			result string
+			count  uint64
+		}{{"completed", c.Served}, {"rejected", c.Refused}, {"failed", c.Failed}} {
+			b = admin.AppendFigure(b, "downstream_requests", r.count, lane, admin.Label{Name: "result", Value: r.result})
+		}
+		b = admin.AppendFigure(b, "upstream_requests", c.Attempts, lane)
+	}
+	for _, g := range []struct {
+		name  string
+		value uint64
+	}{{"pending", uint64(f.Pending)}, {"members", uint64(f.Members)}, {"members_unavailable", uint64(f.Unavailable)},
+		{"config_reloads", f.Reloads}, {"config_reload_errors", f.ReloadErrors}} {
+		b = admin.AppendFigure(b, g.name, g.value)
+	}
+	return admin.AppendEnd(b)
+}
--- a/internal/program/clients_test.go
+++ b/internal/program/clients_test.go
@@ -1,8 +1,10 @@
 package program_test
 
 import (
+	"errors"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,6 +92,9 @@
 	f.Servers[0].Do(always(standin.Hang))
 	for {
 		c, err := net.Dial("tcp", a.Postgres)
+		if errors.Is(err, syscall.ECONNRESET) {
+			return // full, and closed before this side had looked
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -28,7 +28,7 @@
 	Res     routing.Result
 	servers *Servers
 	addr    string
-	done    func(routing.Result)
+	attempt routing.Attempt
 	cancel  func() // of the dial
 	connect *routing.Timer
 	rest    *routing.Timer // of an answer that has begun
@@ -39,9 +39,9 @@
 
 // Start takes a connection for h: an idle one, with what was put back with it, or a new one. A machine that has vanished
 // answers neither the dial nor what follows: one time-out is for all that goes before Begun.
-func (x *Exchange) Start(s *Servers, addr string, h transport.Handler, done func(routing.Result), idle func(state any),
+func (x *Exchange) Start(s *Servers, addr string, h transport.Handler, a routing.Attempt, idle func(state any),
 	fresh func()) {
-	x.servers, x.addr, x.done = s, addr, done
+	x.servers, x.addr, x.attempt = s, addr, a
 	x.connect = s.Loop.After(s.ConnectTimeout, func() {
 		x.Abort()
 		x.End(rules.NoConnect)
@@ -71,8 +71,20 @@
 	})
 }
 
-// Begun tells that the request itself is being sent: the time to connect no longer binds.
-func (x *Exchange) Begun() { x.connect.Stop() }
+// Begun tells that the request itself has been given to Write: the time to connect no longer binds, and its last byte
+// is reported.
+func (x *Exchange) Begun() {
+	x.connect.Stop()
+	x.Conn.OnWritten(x.attempt.Sent)
+}
+
+// Fits tells whether the request may still be sent.
+func (x *Exchange) Fits() bool { return x.attempt.Fits() }
+
+// ForProbe is the attempt of a probe, which always fits and counts nowhere.
+func ForProbe(done func(routing.Result)) routing.Attempt {
+	return routing.Attempt{Fits: func() bool { return true }, Sent: func() {}, Done: done}
+}
 
 // Heard tells that an answer has begun: if its rest stays away, as behind a length that is too large, it is spoilt.
 func (x *Exchange) Heard(spoilt func()) {
@@ -141,5 +153,5 @@
 	x.connect.Stop()
 	x.rest.Stop()
 	x.Res.Result = r
-	x.done(x.Res)
+	x.attempt.Done(x.Res)
 }
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -36,19 +36,18 @@
 }
 
 // Send starts an attempt.
-func (b *Backend) Send(addr string, payload any, left time.Duration, fits func() bool,
-	done func(routing.Result)) routing.Call {
+func (b *Backend) Send(addr string, payload any, left time.Duration, a routing.Attempt) routing.Call {
 	cmd := payload.(*Command)
-	x := &command{b: b, addr: addr, cmd: cmd, db: cmd.DB, fits: fits, until: b.Loop.Now() + left}
-	return x.start(done)
+	x := &command{b: b, addr: addr, cmd: cmd, db: cmd.DB, until: b.Loop.Now() + left}
+	return x.start(a)
 }
 
 // Probe asks a server for its role, and a replica for its position.
 func (b *Backend) Probe(addr string, done func(routing.Result)) routing.Call {
 	start := func(done func(routing.Result)) routing.Call {
 		x := &command{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout,
-			fits: func() bool { return true }, probe: true}
-		return x.start(done)
+			probe: true}
+		return x.start(exchange.ForProbe(done))
 	}
 	return exchange.NewProbe(start, func(r routing.Result) {
 		r.Answer = nil
@@ -77,7 +76,6 @@
 	cmd    *Command
 	db     string
 	until  time.Duration
-	fits   func() bool
 	probe  bool
 	st     *state
 	buf    []byte
@@ -90,11 +88,11 @@
 	ans    *mysql.Answer
 }
 
-func (x *command) start(done func(routing.Result)) routing.Call {
+func (x *command) start(a routing.Attempt) routing.Call {
 	if x.db == "" {
 		x.db = x.b.Database
 	}
-	x.Start(&x.b.Servers, x.addr, x, done, func(st any) {
+	x.Start(&x.b.Servers, x.addr, x, a, func(st any) {
 		x.st = st.(*state)
 		x.ready()
 	}, func() { x.st = &state{prepared: map[string]mysql.PrepareOK{}} })
@@ -292,17 +290,17 @@
 func (x *command) write(p []byte) { x.Conn.Write(mysql.Append(nil, 0, p)) }
 
 func (x *command) send(p []byte) {
-	if x.waited && !x.sent && !x.fits() {
+	if x.waited && !x.sent && !x.Fits() {
 		x.over = true
 		x.put(true)
 		x.End(rules.Missed)
 		return
 	}
-	if x.stage, x.sent = answering, true; !x.probe {
+	x.stage, x.sent = answering, true
+	x.ans = &mysql.Answer{Binary: x.cmd.Prepared}
+	if x.write(p); !x.probe {
 		x.Begun()
 	}
-	x.ans = &mysql.Answer{Binary: x.cmd.Prepared}
-	x.write(p)
 }
 
 // answered takes in a whole answer. A probe of a replica goes on with the heartbeat.
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -24,11 +24,10 @@
 }
 
 // Send starts an attempt.
-func (b *Backend) Send(addr string, payload any, left time.Duration, fits func() bool,
-	done func(routing.Result)) routing.Call {
+func (b *Backend) Send(addr string, payload any, left time.Duration, a routing.Attempt) routing.Call {
 	st := payload.(*Statement)
 	until := b.Loop.Now() + left
-	return b.start(addr, fits, done, func() string { return st.Comment.WithPatience(st.Text, until-b.Loop.Now()) })
+	return b.start(addr, a, func() string { return st.Comment.WithPatience(st.Text, until-b.Loop.Now()) })
 }
 
 // Probe asks a server for its health.
@@ -38,7 +37,7 @@
 		text = "SHOW health"
 	}
 	start := func(done func(routing.Result)) routing.Call {
-		return b.start(addr, func() bool { return true }, done, func() string { return text })
+		return b.start(addr, exchange.ForProbe(done), func() string { return text })
 	}
 	return exchange.NewProbe(start, func(r routing.Result) {
 		if row, ok := r.Answer.([]byte); ok && b.Reports {
@@ -68,7 +67,6 @@
 // query is one query on one connection.
 type query struct {
 	exchange.Exchange
-	fits  func() bool
 	text  func() string
 	buf   []byte
 	asked bool
@@ -77,18 +75,18 @@
 	rows  []byte
 }
 
-func (b *Backend) start(addr string, fits func() bool, done func(routing.Result), text func() string) routing.Call {
-	x := &query{fits: fits, text: text}
-	x.Start(&b.Servers, addr, x, done, func(any) { x.ask() }, func() {
+func (b *Backend) start(addr string, a routing.Attempt, text func() string) routing.Call {
+	x := &query{text: text}
+	x.Start(&b.Servers, addr, x, a, func(any) { x.ask() }, func() {
 		x.Conn.Write(pgwire.AppendStartup(nil, user, database))
 	})
 	return x
 }
 
 func (x *query) ask() {
-	x.Begun()
 	x.asked = true
 	x.Conn.Write(pgwire.AppendQuery(nil, x.text()))
+	x.Begun()
 }
 
 // Closed ends the exchange. Before the last byte of the query has gone out nothing can have run.
@@ -224,7 +222,7 @@
 
 // welcome ends the startup. The query may have become one that must not be sent here any more: true, it has ended.
 func (x *query) welcome() bool {
-	if x.fits() {
+	if x.Fits() {
 		x.ask()
 		return false
 	}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -7,9 +7,11 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"threadsail/internal/config"
+	"threadsail/internal/program/admin"
 	"threadsail/internal/program/door"
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/program/mysqlside"
@@ -31,6 +33,8 @@
 	clientShare = 0.5  // of the sockets: the rest is for servers
 	comingShare = 0.25 // and for clients that are on their way in or out
 	bufferShare = 0.06 // of the memory, for incomplete messages of clients
+
+	publishEvery = 100 * time.Millisecond // the figures
 )
 
 // Front is what takes clients in.
@@ -47,6 +51,13 @@
 	core  *routing.Core
 	front front
 	watch *watcher // nil: its list does not come from the list service
+	shown atomic.Pointer[routing.Figures]
+}
+
+// publish shows how things stand to who asks from other goroutines.
+func (s *side) publish() {
+	f := s.core.Figures()
+	s.shown.Store(&f)
 }
 
 // Control is how a running pooler is told what to do.
@@ -56,8 +67,8 @@
 	Load      func() (*config.Config, error) // reads it again
 }
 
-// Addrs is where the pooler listens; MySQL is empty while that front is off.
-type Addrs struct{ Postgres, MySQL string }
+// Addrs is where the pooler listens; MySQL and Admin are empty while they are off.
+type Addrs struct{ Postgres, MySQL, Admin string }
 
 // Serve runs the pooler until it is told to terminate and what it has taken is answered. my is nil while the MySQL
 // front is off.
@@ -69,6 +80,9 @@
 	runtime.GOMAXPROCS(2)
 	out := newLog(log)
 	sockets := cfg.Sockets - spareFiles
+	if cfg.Admin != "" {
+		sockets -= admin.Descriptors
+	}
 	if my != nil {
 		sockets /= 2 // each front has its own share: neither can starve the other
 	}
@@ -89,12 +103,25 @@
 	var running sync.WaitGroup
 	for _, s := range sides {
 		out.line(s.name + ": serving at " + s.front.Addr())
+		s.publish()
+		every(s.loop, publishEvery, s.publish)
 		running.Add(1)
 		go func() {
 			defer running.Done()
 			s.loop.Run()
 		}()
 	}
+	state := &state{sides: sides}
+	state.serving.Store(true)
+	if cfg.Admin != "" { // last, so that its yes is true
+		door, err := admin.Listen(cfg.Admin, state.figures)
+		if err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+		defer door.Close()
+		addrs.Admin = door.Addr()
+		out.line("admin: serving at " + addrs.Admin)
+	}
 	ready(addrs)
 	ended := make(chan struct{})
 	go func() {
@@ -104,9 +131,10 @@
 	for terminate := control.Terminate; ; {
 		select {
 		case <-control.Reload: // also while terminating: servers may still drain
-			reload(sides, cfg, control.Load, out)
+			state.reload(cfg, control.Load, out)
 		case <-terminate:
 			terminate = nil
+			state.serving.Store(false)
 			out.line("terminating")
 			for _, s := range sides {
 				s.loop.Post(s.drain)
@@ -118,21 +146,40 @@
 	}
 }
 
+// state is what the operators' door tells of, besides the fronts' own figures.
+type state struct {
+	sides                 []*side
+	serving               atomic.Bool
+	reloads, reloadErrors atomic.Uint64
+}
+
+// figures may be called on any goroutine.
+func (s *state) figures() admin.Figures {
+	var all routing.Figures
+	for _, side := range s.sides {
+		all.Add(*side.shown.Load())
+	}
+	return admin.Figures{Serving: s.serving.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
+		Classes: all.Classes, Pending: all.Pending, Members: all.Members, Unavailable: all.Unavailable}
+}
+
 // reload takes over what can change under load, the address of the list service. A file that can't be used changes
 // nothing.
-func reload(sides []*side, started *config.Config, load func() (*config.Config, error), out *logger) {
+func (s *state) reload(started *config.Config, load func() (*config.Config, error), out *logger) {
 	cfg, err := load()
 	if err != nil {
+		s.reloadErrors.Add(1)
 		out.line("reload: the old configuration stands: " + err.Error())
 		return
 	}
+	s.reloads.Add(1)
 	out.line("reload: discovery is at " + cfg.Discovery)
 	if cfg.Listen != started.Listen || cfg.Sockets != started.Sockets || cfg.MemoryBytes != started.MemoryBytes {
 		out.line("reload: listen and limits hold from the next start on")
 	}
-	for _, s := range sides {
-		if s.watch != nil {
-			s.loop.Post(func() { s.watch.move(cfg.Discovery) })
+	for _, side := range s.sides {
+		if side.watch != nil {
+			side.loop.Post(func() { side.watch.move(cfg.Discovery) })
 		}
 	}
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -48,10 +48,17 @@
 	Broken      bool // the connection had come up, and broke
 }
 
-// Backend reaches the servers. Send and Probe call done once, on the loop and after they have returned. A request that
+// Attempt is the core's side of a request sent to a server. All of it is called on the loop.
+type Attempt struct {
+	Fits func() bool  // asked before a request that had to wait for its connection is written
+	Sent func()       // its last byte has gone out
+	Done func(Result) // its end, once
+}
+
+// Backend reaches the servers. Send and Probe tell the end once, on the loop and after they have returned. A request that
 // had to wait for its connection is written only if it still fits; else it has ended as Missed.
 type Backend interface {
-	Send(addr string, payload any, left time.Duration, fits func() bool, done func(Result)) Call
+	Send(addr string, payload any, left time.Duration, a Attempt) Call
 	Probe(addr string, done func(Result)) Call
 	CloseIdle(addr string)
 }
@@ -85,6 +92,7 @@
 	c        *Core
 	id       uint32
 	req      *Request
+	counts   *Counts
 	deadline time.Duration
 	ended    bool
 	sent     int
@@ -116,16 +124,21 @@
 	gone    map[uint32]time.Duration // since when; servers that are to be forgotten
 	groups  map[int]bool
 	unkeyed map[int]int // of a keyed class: the one for requests that carry no key
+	listed  map[uint32]bool
+	counts  []*Counts
+	pending int
 	actions []func()
 }
 
 // New returns a core that runs on a loop.
 func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
 	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, addrs: map[uint32]string{},
-		names: map[string]uint32{}, gone: map[uint32]time.Duration{}, groups: map[int]bool{}, unkeyed: map[int]int{}}
+		names: map[string]uint32{}, gone: map[uint32]time.Duration{}, groups: map[int]bool{}, unkeyed: map[int]int{},
+		listed: map[uint32]bool{}}
 	// Without a key nobody drops a repeat: such a request of a keyed class may not run twice at all.
 	c.opt.Settings.Classes = slices.Clone(opt.Settings.Classes)
 	for i, k := range opt.Settings.Classes {
+		c.countsOf(k.Name) // they show from the start
 		if k.Effect == rules.Keyed {
 			k.Effect = rules.Unsafe
 			c.unkeyed[i] = len(c.opt.Settings.Classes)
@@ -164,9 +177,11 @@
 // Submit takes a request in. It is answered through its Reply, once, unless Gone comes first.
 func (c *Core) Submit(r *Request) *Open {
 	now := c.loop.Now()
-	o := &Open{c: c, req: r, deadline: r.Arrived + r.Patience - replyMargin, live: map[int]*call{}}
+	o := &Open{c: c, req: r, counts: c.countsOf(c.opt.Settings.Classes[r.Class].Name),
+		deadline: r.Arrived + r.Patience - replyMargin, live: map[int]*call{}}
 	if len(c.open) >= c.opt.MaxOpen {
 		o.ended = true
+		o.counts.Refused++
 		after := time.Duration(0)
 		if c.opt.Settings.RetryAfter {
 			after = c.opt.Settings.MaxRetryAfter
@@ -178,6 +193,7 @@
 	}
 	o.id = c.lastID
 	c.open[o.id] = o
+	c.pending++
 	class := r.Class
 	if twin, ok := c.unkeyed[class]; ok && !r.Keyed {
 		class = twin
@@ -193,12 +209,17 @@
 // Gone tells that the client has left.
 func (o *Open) Gone() {
 	if !o.ended {
-		o.ended = true
+		o.close()
 		o.c.router.Gone(o.c.loop.Now(), o.id)
 		o.forget()
 	}
 }
 
+func (o *Open) close() {
+	o.ended = true
+	o.c.pending--
+}
+
 func (o *Open) forget() {
 	if o.ended && len(o.live) == 0 {
 		delete(o.c.open, o.id)
@@ -218,6 +239,7 @@
 		if m.State == rules.Gone {
 			c.leave(m.Name, id)
 		} else {
+			c.listed[id] = true
 			c.groups[m.Group] = true
 			c.addrs[id] = m.Addr
 			delete(c.gone, id)
@@ -237,6 +259,7 @@
 
 // leave notes that a server is gone. It is forgotten later, unless it comes back or an attempt is still out there.
 func (c *Core) leave(name string, id uint32) {
+	delete(c.listed, id)
 	if _, ok := c.gone[id]; ok || c.opt.Settings.DrainOnly { // there the module may still send to it
 		return
 	}
@@ -310,10 +333,22 @@
 }
 
 func (a *actions) Refuse(id uint32, after time.Duration) {
-	a.core().do(func() { a.core().end(id, func(r Replier) { r.Refuse(after) }) })
+	a.core().do(func() {
+		a.core().end(id, func(o *Open) {
+			o.counts.Refused++
+			o.req.Reply.Refuse(after)
+		})
+	})
 }
 
-func (a *actions) Fail(id uint32) { a.core().do(func() { a.core().end(id, Replier.Fail) }) }
+func (a *actions) Fail(id uint32) {
+	a.core().do(func() {
+		a.core().end(id, func(o *Open) {
+			o.counts.Failed++
+			o.req.Reply.Fail()
+		})
+	})
+}
 
 func (a *actions) Cancel(id uint32, attempt int) {
 	c := a.core()
@@ -364,8 +399,10 @@
 		c.loop.Post(func() { o.outcome(n, Result{Result: rules.Moot}) })
 		return
 	}
-	k.call = c.backend.Send(addr, o.req.Payload, at-now, func() bool { return c.router.StillFits(c.loop.Now(), id, n) },
-		func(r Result) { o.outcome(n, r) })
+	k.call = c.backend.Send(addr, o.req.Payload, at-now, Attempt{
+		Fits: func() bool { return c.router.StillFits(c.loop.Now(), id, n) },
+		Sent: func() { o.counts.Attempts++ },
+		Done: func(r Result) { o.outcome(n, r) }})
 	k.timer = c.loop.At(at, func() {
 		k.abort()
 		o.outcome(n, Result{Result: rules.TimedOut})
@@ -381,7 +418,8 @@
 	delete(o.live, n)
 	k.timer.Stop()
 	if r.Result == rules.OK && !o.ended {
-		o.ended = true
+		o.close()
+		o.counts.Served++
 		o.c.do(func() { o.req.Reply.Serve(r.Answer) })
 	}
 	o.c.router.Outcome(o.c.loop.Now(), rules.Outcome{ID: o.id, Attempt: n, Store: k.store, Result: r.Result,
@@ -390,10 +428,10 @@
 }
 
 // end gives the module's own final answer, at once.
-func (c *Core) end(id uint32, answer func(Replier)) {
+func (c *Core) end(id uint32, answer func(*Open)) {
 	if o := c.open[id]; o != nil && !o.ended {
-		o.ended = true
-		answer(o.req.Reply)
+		o.close()
+		answer(o)
 		o.forget()
 	}
 }
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -15,16 +15,15 @@
 }
 
 type waiting struct {
-	addr    string
-	fits    func() bool
-	done    func(Result)
+	addr string
+	Attempt
 	aborted chan struct{}
 }
 
 func (w *waiting) Abort() { close(w.aborted) }
 
-func (b *backend) Send(addr string, _ any, _ time.Duration, fits func() bool, done func(Result)) Call {
-	w := &waiting{addr, fits, done, make(chan struct{})}
+func (b *backend) Send(addr string, _ any, _ time.Duration, a Attempt) Call {
+	w := &waiting{addr, a, make(chan struct{})}
 	b.calls <- w
 	return w
 }
@@ -76,7 +75,7 @@
 	r, w := submit(c, b, 400*time.Millisecond)
 	fits := make(chan bool)
 	ask := func() bool {
-		c.loop.Post(func() { fits <- w.fits() })
+		c.loop.Post(func() { fits <- w.Fits() })
 		return <-fits
 	}
 	if !ask() {
@@ -88,7 +87,7 @@
 			t.Fatal("the attempt fits for all its time")
 		}
 	}
-	c.loop.Post(func() { w.done(Result{Result: rules.Missed}) })
+	c.loop.Post(func() { w.Done(Result{Result: rules.Missed}) })
 	if end := <-r.ended; end != "refused" {
 		t.Errorf("a write that was never sent was %s", end)
 	}
@@ -100,7 +99,7 @@
 	r, w := submit(c, b, 100*time.Millisecond)
 	first := <-r.ended
 	<-w.aborted
-	c.loop.Post(func() { w.done(Result{Result: rules.OK, Answer: "late"}) })
+	c.loop.Post(func() { w.Done(Result{Result: rules.OK, Answer: "late"}) })
 	open := make(chan int)
 	c.loop.Post(func() { open <- c.Open() })
 	if n := <-open; n != 0 || first != "failed" || len(r.ended) != 0 {
@@ -129,7 +128,7 @@
 	if n := known(func() { c.List(rules.ListFull, member("a")); due() }); n != 4 {
 		t.Errorf("%d names and addresses while an attempt is out", n)
 	}
-	c.loop.Post(func() { w.done(Result{Result: rules.OK}) })
+	c.loop.Post(func() { w.Done(Result{Result: rules.OK}) })
 	<-r.ended
 	if n := known(due); n != 2 {
 		t.Errorf("%d names and addresses after the attempt", n)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -64,7 +64,7 @@
 	addr := strings.TrimPrefix(f.Discovery.URL, "http://")
 	f.Env = map[string]string{"PROXY_CONFIG": filepath.Join(dir, "config.json"),
 		"PROXY_MYSQL": filepath.Join(dir, "mysql.json")}
-	f.config = map[string]any{"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+	f.config = map[string]any{"name": "n1", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":    map[string]any{"revision": 0, "complete": true, "members": f.entries()},
 		"settings": settings}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -91,9 +91,10 @@
 	closed  bool // by its owner or reported to it
 	unsent  []byte
 	writing bool
-	closing bool // close once all is written
-	hungUp  bool // the peer has closed while a write was under way
-	watched bool // the poller closes it after a hang-up
+	closing bool   // close once all is written
+	written func() // is told once all bytes given to Write are with the network; nil: nobody waits
+	hungUp  bool   // the peer has closed while a write was under way
+	watched bool   // the poller closes it after a hang-up
 	freed   atomic.Bool
 	mu      sync.Mutex
 	gone    bool         // its descriptor is no longer ours; under mu
@@ -107,6 +108,16 @@
 // Written tells whether all bytes given to Write have been passed to the network.
 func (c *Conn) Written() bool { return !c.writing && len(c.unsent) == 0 }
 
+// OnWritten calls f once, as soon as all that has been given to Write is with the network. It is not called where the
+// connection ends before.
+func (c *Conn) OnWritten(f func()) {
+	if c.Written() && !c.closed {
+		f()
+	} else {
+		c.written = f
+	}
+}
+
 // Write queues bytes and never blocks.
 func (c *Conn) Write(b []byte) {
 	if c.closed || c.closing {
@@ -159,6 +170,10 @@
 		c.flush()
 	default:
 		c.writing = false
+		if f := c.written; f != nil && len(c.unsent) == 0 {
+			c.written = nil
+			f()
+		}
 		if c.closing {
 			c.Close()
 		} else if c.hungUp {
--- a/rules/state.go
+++ b/rules/state.go
@@ -400,3 +400,9 @@
 	r.rng = r.rng*6364136223846793005 + 1442695040888963407
 	return float64(r.rng>>40) / (1 << 24)
 }
+
+// Avoids tells whether requests now go past a store: it drains, is out of reach or has lost its turn.
+func (r *Router) Avoids(id uint32) bool {
+	s := r.stores[id]
+	return s == nil || s.State != Ready || s.lost || s.unreach
+}
