Serve on the inherited socket and leave it to the next process at SIGTERM

Cause: transport.Listen always bound cfg.Listen. Now transport.Inherit serves on a copy of the descriptor that PROXY_FD names. At SIGTERM its Accept says that it is closed, which makes netpoll take the socket out of its poller; the queue is left to the new process. The fronts yield at once: each client is closed behind its next answer, and those idle after 0.5 s when nothing has come on them (Drain used to close idle clients whose request was on its way, on plain restarts too).

Ruled out by the test: that the old process closes or shuts the socket (a connection made after both have ended still waits in its queue).

--- a/cmd/threadsail/main_test.go
+++ b/cmd/threadsail/main_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"strings"
@@ -67,10 +68,12 @@
 	}
 }
 
-// start runs the program and returns where its front listens, as its log tells, and the log's further lines.
-func start(t *testing.T, f *standin.Fleet, front string) (*exec.Cmd, string, <-chan string) {
+// start runs the program, on inherited files if any, and returns where its front listens, as its log tells, and the log's
+// further lines.
+func start(t *testing.T, f *standin.Fleet, front string, inherited ...*os.File) (*exec.Cmd, string, <-chan string) {
 	t.Helper()
 	cmd := command(f.Env, "serve")
+	cmd.ExtraFiles = inherited
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -137,6 +140,82 @@
 	}
 }
 
+// While the pooler serves, another process takes its place on the socket that both have inherited. The old one must answer
+// what it has accepted, and neither close the socket for the new one nor take a connection that it does not serve.
+func TestReplace(t *testing.T) {
+	f := standin.NewFleet(t, false, nil, "p")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Env["PROXY_FD"] = "3"
+	old, addr, _ := start(t, f, "postgres", socket)
+	if addr != ln.Addr().String() {
+		t.Fatalf("it serves at %s, not on the inherited socket", addr)
+	}
+	release := make(chan struct{})
+	f.Servers[0].Do(func(s standin.Seen) standin.Act {
+		if strings.Contains(s.Text, ",k=") {
+			<-release
+		}
+		return standin.Answer
+	})
+	dial := func() *standin.Postgres {
+		t.Helper()
+		c, err := standin.DialPostgres(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	busy, idle := dial(), dial()
+	if err := busy.Send(standin.Write("k", 10*time.Second)); err != nil || !f.Servers[0].Wait(1) {
+		t.Fatal("the write never came", err)
+	}
+	next, _, _ := start(t, f, "admin", socket)
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if r := idle.Do(standin.Read("any", time.Second)); !r.Served() {
+		t.Errorf("a client of the old process got %+v", r)
+	}
+	if r := idle.Receive(); r.Err == nil {
+		t.Error("and is not closed behind its answer")
+	}
+	for range 50 {
+		if r := dial().Do(standin.Read("any", time.Second)); !r.Served() {
+			t.Fatalf("a new client got %+v", r)
+		}
+	}
+	close(release)
+	if r := busy.Receive(); !r.Served() {
+		t.Errorf("the write under way got %+v", r)
+	}
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old process ended with %v", err)
+	}
+	for range 5 {
+		if r := dial().Do(standin.Read("any", time.Second)); !r.Served() {
+			t.Fatalf("after the old process a client got %+v", r)
+		}
+	}
+	if err := next.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := next.Wait(); err != nil {
+		t.Errorf("the new process ended with %v", err)
+	}
+	late, err := net.Dial("tcp", addr) // waits for the next process
+	if err != nil {
+		t.Fatalf("the inherited socket is closed: %v", err)
+	}
+	late.Close()
+}
+
 // SIGHUP has the configuration read again, under load. A bad file changes nothing; a new list service is asked for its
 // whole list, which drops what it omits, and the old one is no longer heard.
 func TestReload(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,7 @@
 	Name           string
 	Listen         string
 	Admin          string // the operators' door; empty: there is none
+	Inherited      int    // the descriptor of a listening socket for clients that the platform holds; 0: there is none
 	Discovery      string
 	Seed           uint64
 	MemoryBytes    int64
@@ -79,6 +80,13 @@
 	if err := address("listen", c.Listen); err != nil {
 		return nil, err
 	}
+	if v := getenv("PROXY_FD"); v != "" {
+		fd, err := strconv.Atoi(v)
+		if err != nil || fd < 3 {
+			return nil, fmt.Errorf("PROXY_FD: %q names no inherited descriptor", v)
+		}
+		c.Inherited = fd
+	}
 	if err := address("discovery", c.Discovery); err != nil {
 		return nil, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,6 +64,12 @@
 			t.Errorf("%s: %v", key, err)
 		}
 	}
+	for _, fd := range []string{"x", "-1", "2"} {
+		getenv := func(name string) string { return map[string]string{"PROXY_FD": fd}[name] }
+		if _, err := parse([]byte(good), getenv); err == nil || !strings.Contains(err.Error(), "PROXY_FD") {
+			t.Errorf("%s: %v", fd, err)
+		}
+	}
 	if _, err := Load(none); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
 		t.Error(err)
 	}
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -66,22 +66,24 @@
 // Clients tells how many are connected.
 func (f *Front) Clients() int { return len(f.sessions) }
 
-// Drain takes no new clients, closes idle ones, and the others once they are answered.
-func (f *Front) Drain() {
+// Yield takes no new clients, and closes each that there is behind its next answer.
+func (f *Front) Yield() {
 	f.draining = true
 	f.ln.Close()
+}
+
+// Drain does as Yield, and closes the clients that are idle now. One whose next command has come and only not been seen
+// yet stays, for that would be lost.
+func (f *Front) Drain() {
+	f.Yield()
 	for s := range f.sessions {
-		if !s.busy {
+		if !s.busy && len(s.buf) == 0 && s.Quiet() {
 			s.finish()
 		}
 	}
 }
 
 func (f *Front) accept(c *transport.Conn) {
-	if f.draining {
-		c.Close()
-		return
-	}
 	s := &session{f: f, c: c, challenge: newChallenge(), stmts: map[uint32]*statement{}}
 	c.SetHandler(s)
 	f.sessions[s] = true
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -36,10 +36,11 @@
 	draining bool
 }
 
-// Listen starts a front for the clients that a door lets in.
-func Listen(loop *routing.Loop, budget *transport.Budget, addr string, core *routing.Core, d *door.Door) (*Front, error) {
+// Listen starts a front for the clients that a door lets in; listen opens its socket.
+func Listen(loop *routing.Loop, listen func(accept func(*transport.Conn)) (*transport.Listener, error), core *routing.Core,
+	d *door.Door) (*Front, error) {
 	f := &Front{loop: loop, core: core, door: d, sessions: map[*session]bool{}, ids: map[string]bool{}}
-	ln, err := transport.Listen(loop, budget, addr, f.accept)
+	ln, err := listen(f.accept)
 	f.ln = ln
 	return f, err
 }
@@ -47,12 +48,20 @@
 // Addr is where it listens.
 func (f *Front) Addr() string { return f.ln.Addr() }
 
-// Drain takes no new clients, closes idle ones, and the others once they are answered.
-func (f *Front) Drain() {
+// Yield takes no new clients, and closes each that there is behind its next answer.
+func (f *Front) Yield() {
 	f.draining = true
 	f.ln.Close()
+}
+
+// Drain does as Yield, and closes the clients that are idle now. One whose next request has come and only not been seen
+// yet stays, for that would be lost.
+func (f *Front) Drain() {
+	f.Yield()
 	for s := range f.sessions {
-		s.send()
+		if len(s.slots) == 0 && len(s.buf) == 0 && s.Quiet() {
+			s.finish()
+		}
 	}
 }
 
@@ -60,10 +69,6 @@
 func (f *Front) Clients() int { return len(f.sessions) }
 
 func (f *Front) accept(c *transport.Conn) {
-	if f.draining {
-		c.Close()
-		return
-	}
 	s := &session{f: f, c: c}
 	c.SetHandler(s)
 	f.sessions[s] = true
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -41,7 +41,8 @@
 type front interface {
 	Addr() string
 	Clients() int
-	Drain() // takes no new clients, closes idle ones, and the others once they are answered
+	Yield() // takes no new clients, and closes each that there is behind its next answer
+	Drain() // does so too, and closes those that are idle now
 }
 
 // side is one front with all that is behind it, on a loop of its own.
@@ -51,7 +52,9 @@
 	core  *routing.Core
 	front front
 	watch *watcher // nil: its list does not come from the list service
-	shown atomic.Pointer[routing.Figures]
+	// Its socket stays open when it ends, and another process serves on it.
+	replaced bool
+	shown    atomic.Pointer[routing.Figures]
 }
 
 // publish shows how things stand to who asks from other goroutines.
@@ -198,11 +201,16 @@
 	}
 	w.list = core.List
 	core.List(rules.ListCached, members(cfg.Known, w.zones))
-	front, err := pgside.Listen(loop, in, cfg.Listen, core, d)
+	front, err := pgside.Listen(loop, func(accept func(*transport.Conn)) (*transport.Listener, error) {
+		if cfg.Inherited > 0 {
+			return transport.Inherit(loop, in, cfg.Inherited, accept)
+		}
+		return transport.Listen(loop, in, cfg.Listen, accept)
+	}, core, d)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &side{name: "postgres", loop: loop, core: core, front: front, watch: w}, nil
+	return &side{name: "postgres", loop: loop, core: core, front: front, watch: w, replaced: cfg.Inherited > 0}, nil
 }
 
 // newMySQL sets up the second front: the inventory is its discovery, probes tell roles and positions, and servers
@@ -262,17 +270,21 @@
 	return out
 }
 
-// drain serves on while the news of the restart spreads, and ends once all that was taken is answered.
+// drain serves on while the news of the restart spreads, and ends once all that was taken is answered. Where another
+// process serves on the same socket new clients are left to it at once.
 func (s *side) drain() {
-	s.loop.After(drainAfter, s.front.Drain)
+	if s.replaced {
+		s.front.Yield()
+	}
 	until := s.loop.Now() + drainAfter + drainMost
 	var look func()
 	look = func() {
+		s.front.Drain()
 		if s.core.Open() == 0 && s.front.Clients() == 0 || s.loop.Now() >= until {
 			s.loop.Stop()
 			return
 		}
 		s.loop.After(10*time.Millisecond, look)
 	}
-	s.loop.After(drainAfter+20*time.Millisecond, look)
+	s.loop.After(drainAfter, look)
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -376,6 +377,46 @@
 	if err != nil {
 		return nil, err
 	}
+	return serve(loop, budget, ln, accept)
+}
+
+// Inherit accepts connections, as Listen does, on a listening socket that this process was started with and shares with
+// others. It is neither bound again nor shut down.
+func Inherit(loop Loop, budget *Budget, fd int, accept func(*Conn)) (*Listener, error) {
+	f := os.NewFile(uintptr(fd), "listener")
+	std, err := net.FileListener(f) // on a copy of the descriptor
+	if err != nil {
+		return nil, err
+	}
+	f.Close()
+	ln, err := netpoll.ConvertListener(std)
+	if err != nil {
+		return nil, err
+	}
+	return serve(loop, budget, &shared{Listener: ln}, accept)
+}
+
+// shared is a listening socket that other processes hold too. Closing it here would not take it out of the poller, which
+// would go on telling of connections under a number that may be another's by then. An Accept that says it is closed does
+// take it out, at the next connection, and leaves that one to the others.
+type shared struct {
+	netpoll.Listener
+	stopped atomic.Bool
+}
+
+func (s *shared) Accept() (net.Conn, error) {
+	if s.stopped.Load() {
+		return nil, net.ErrClosed
+	}
+	return s.Listener.Accept()
+}
+
+func (s *shared) Close() error {
+	s.stopped.Store(true)
+	return nil
+}
+
+func serve(loop Loop, budget *Budget, ln netpoll.Listener, accept func(*Conn)) (*Listener, error) {
 	// Not OnPrepare: a connection that the loop closes before netpoll has registered it ends the program. And the reader is
 	// set from the start: if it came later, netpoll could miss bytes that came meanwhile, for good. What is read is posted
 	// behind accept.
