Take new settings at SIGHUP into both cores and the module; turn bad files down whole

Now a sound file goes to the loop of each core as one event. Core.enlist numbers classes for good and finds them by name; Router.Retune adds the new ones behind the others, with the measures of their name. An open request keeps its class, and min(what was allowed as it came, what is now) attempts. config.Reload turns down what lacks any key of the file in force (shape), besides what a start turns down; a start now also names a class twice or a deadline of 0 as errors.

--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -94,7 +94,7 @@
 		}
 	}()
 	return program.Control{Terminate: terminate, Reload: reload,
-		Load: func() (*config.Config, error) { return config.Load(os.Getenv) }}
+		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(os.Getenv) }}
 }
 
 func load() (*config.Config, *config.MySQL, error) {
--- a/cmd/threadsail/main_test.go
+++ b/cmd/threadsail/main_test.go
@@ -257,6 +257,13 @@
 		}
 	})
 	f.Configure("discovery", good)
+	settings := standin.Settings()
+	lanes := settings["lanes"].([]any)
+	settings["lanes"] = lanes[1:2] // view and write vanish
+	settings["familyInfo"].(map[string]any)["classRead"] = []string{"mutate"}
+	f.Configure("settings", settings)
+	hangUp()
+	until("the new settings are never used", func() bool { return c.Do(standin.Read("view", time.Second)).Failed })
 	f.Servers = append(f.Servers[:1], f.Servers[2:]...) // the new service lists the primary only
 	f.MoveDiscovery()
 	hangUp()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,10 +42,29 @@
 	MaxOpen        int
 	ConnIdle       time.Duration
 	ConnectTimeout time.Duration
+	shape          shape // of its file
 }
 
 // Load reads the file that PROXY_CONFIG names. The other variables fill in what it leaves out.
 func Load(getenv func(string) string) (*Config, error) {
+	return load(getenv, func(*Config) error { return nil })
+}
+
+// Reload reads the file again that c was read from. It may be cut short or half written, so nothing is defaulted here:
+// it must hold every key that the file in force holds, and name how many attempts there may be.
+func (c *Config) Reload(getenv func(string) string) (*Config, error) {
+	return load(getenv, func(next *Config) error {
+		if err := c.shape.within(next.shape); err != nil {
+			return err
+		}
+		if next.Settings.MaxAttempts == 0 {
+			return errors.New("settings.caps.maxAttempts: not above 0")
+		}
+		return nil
+	})
+}
+
+func load(getenv func(string) string, check func(*Config) error) (*Config, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
 		return nil, errors.New("PROXY_CONFIG: not set")
@@ -55,6 +74,9 @@
 		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
 	c, err := parse(text, getenv)
+	if err == nil {
+		err = check(c)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -76,7 +98,7 @@
 	}
 	c := &Config{Name: or(file.Name, getenv("PROXY_NAME")), Listen: or(file.Listen, getenv("PROXY_LISTEN")),
 		Discovery: or(file.Discovery, getenv("PROXY_DISCOVERY")), Sockets: or(file.Limits.Sockets, defaultSockets),
-		MemoryBytes: int64(or(file.Limits.MemoryMB, defaultMemoryMB) * (1 << 20))}
+		MemoryBytes: int64(or(file.Limits.MemoryMB, defaultMemoryMB) * (1 << 20)), shape: shapeOf(text)}
 	if err := address("listen", c.Listen); err != nil {
 		return nil, err
 	}
@@ -133,9 +155,22 @@
 	if len(c.Settings.Classes) == 0 {
 		return errors.New("settings: lanes: no class is named")
 	}
+	seen := map[string]bool{}
+	for i, k := range c.Settings.Classes {
+		switch {
+		case k.Name == "" || seen[k.Name]:
+			return fmt.Errorf("settings: lanes[%d].name: %q is empty or names another class too", i, k.Name)
+		case k.Deadline <= 0:
+			return fmt.Errorf("settings: lanes[%d].hardLimitMs: not above 0", i)
+		}
+		seen[k.Name] = true
+	}
 	if err := c.Settings.Validate(); err != nil {
 		return err
 	}
+	if n := len(facts.FamilyInfo.ClassRead); n > 0 && n != len(facts.Lanes) {
+		return fmt.Errorf("settings: familyInfo.classRead: %d words for %d lanes", n, len(facts.Lanes))
+	}
 	if facts.Caps.MaxOpen < 0 || facts.Caps.ConnIdleMs < 0 || facts.Caps.ConnectTimeoutMs < 0 {
 		return errors.New("settings: caps: maxOpen, connIdleMs or connectTimeoutMs is below 0")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"threadsail/internal/protocol/discovery"
 	"threadsail/rules"
@@ -30,7 +31,7 @@
 		Zones: []string{"a"}, Reports: true, MaxOpen: 7, ConnIdle: 9 * time.Second, ConnectTimeout: defaultConnectTimeout,
 		Settings: rules.Settings{Classes: []rules.Class{{Name: "w", Need: rules.NeedWrite, Effect: rules.Keyed,
 			Scope: rules.ScopeGroup, Deadline: 3 * time.Second}}}}
-	if d := cmp.Diff(want, got); d != "" {
+	if d := cmp.Diff(want, got, cmpopts.IgnoreFields(Config{}, "shape")); d != "" {
 		t.Error(d)
 	}
 }
@@ -48,7 +49,10 @@
 		"semantics":       {"guarded", "twice"},
 		"classRead":       {"mutate", "maybe"},
 		"lanes":           {`"lanes"`, `"lines"`},
-		"Deadline":        {"3000", "-3000"},
+		"hardLimitMs":     {"3000", "0"},
+		"limitMs: not":    {"3000", "-3000"},
+		"lanes[0].name":   {`"name":"w"`, `"name":""`},
+		"classRead: 2":    {`["mutate"]`, `["mutate","mutate"]`},
 		"maxOpen":         {`"maxOpen":7`, `"maxOpen":-7`},
 		"lanes.name":      {`"name":"w"`, `"name":5`},
 		"unexpected end":  {good[len(good)-1:], ""},
@@ -75,6 +79,71 @@
 	}
 }
 
+// A file that is half written, or wrong in part, must be turned down whole: nothing is defaulted at a reload.
+func TestReloadIsStrict(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := map[string]string{"PROXY_CONFIG": path, "PROXY_LISTEN": "127.0.0.9:1", "PROXY_DISCOVERY": "127.0.0.9:2"}
+	getenv := func(name string) string { return env[name] }
+	whole := strings.Replace(good, `"maxOpen":7`, `"maxOpen":7,"maxAttempts":6`, 1)
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(whole)
+	inForce, err := Load(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := strings.Replace(whole, `["mutate"]},"lanes":[`, `["eventual","mutate"]},"lanes":[{"name":"r","semantics":"free","hardLimitMs":9},`, 1)
+	second = strings.Replace(second, `"members":[]`, `"members":[{"id":"s","host_port":"127.0.0.1:1","phase":"Ready"}]`, 1)
+	if write(second); second != whole {
+		next, err := inForce.Reload(getenv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		write(whole) // fewer classes, and no known servers
+		if _, err := next.Reload(getenv); err != nil {
+			t.Error(err)
+		}
+	}
+	for change, key := range map[[2]string]string{
+		{whole, ""}:                                          "unexpected end",
+		{whole[len(whole)/2:], ""}:                           "unexpected end",
+		{`"listen":"127.0.0.4:6432",`, ""}:                   "listen: missing",
+		{`"discovery":"127.2.0.1:8500",`, ""}:                "discovery: missing",
+		{`"discovery":"127.2.0.1:8500"`, `"discovery":null`}: "discovery: missing",
+		{`"seed":"8c1f30d27a5be964",`, ""}:                   "seed: missing",
+		{`"sockets":512`, `"others":512`}:                    "limits.sockets: missing",
+		{`"caps"`, `"hats"`}:                                 "settings.caps: missing",
+		{`"connIdleMs":9000`, `"idle":9000`}:                 "settings.caps.connIdleMs: missing",
+		{`,"maxAttempts":6`, ""}:                             "settings.caps.maxAttempts: missing",
+		{`"maxAttempts":6`, `"maxAttempts":0`}:               "maxAttempts: not above 0",
+		{`"maxAttempts":6`, `"maxAttempts":-1`}:              "MaxAttempts is -1",
+		{`"maxAttempts":6`, `"maxAttempts":"many"`}:          "maxAttempts",
+		{`"maxAttempts":6`, `"maxAttempts":2.5`}:             "maxAttempts",
+		{`"hardLimitMs":3000`, `"hardLimitMs":0`}:            "hardLimitMs: not above 0",
+		{`"hardLimitMs":3000`, `"hardLimitMs":"x"`}:          "hardLimitMs",
+		{`,"hardLimitMs":3000`, ""}:                          "hardLimitMs",
+		{`"settings"`, `"setting"`}:                          "settings: missing",
+	} {
+		write(strings.Replace(whole, change[0], change[1], 1))
+		if _, err := inForce.Reload(getenv); err == nil || !strings.Contains(strings.ToLower(err.Error()), strings.ToLower(key)) {
+			t.Errorf("%q for %.40q: %v, want %s", change[1], change[0], err, key)
+		}
+	}
+}
+
+func FuzzShape(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if s := shapeOf(text); s.within(s) != nil {
+			t.Errorf("%q is not within itself", text)
+		}
+	})
+}
+
 func TestMySQL(t *testing.T) {
 	text := `{"enabled":true,"listen":"127.0.0.1:3306","inventory":"i.csv","user":"u","reload_ms":50,
 "defaults":{"read":{"class":"r"},"write":{"class":"w","cluster":2}}}`
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -26,7 +26,8 @@
 		t.Fatal(err)
 	}
 	terminate, ready, ended := make(chan struct{}), make(chan program.Addrs, 1), make(chan error, 1)
-	control := program.Control{Terminate: terminate}
+	control := program.Control{Terminate: terminate, Reload: f.Hup,
+		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(f.Getenv) }}
 	go func() { ended <- program.Serve(cfg, my, io.Discard, control, func(a program.Addrs) { ready <- a }) }()
 	t.Cleanup(func() {
 		close(terminate)
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -6,6 +6,8 @@
 	"io"
 	"runtime"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +53,8 @@
 	loop  *routing.Loop
 	core  *routing.Core
 	front front
-	watch *watcher // nil: its list does not come from the list service
+	// retune takes over a configuration under way, on the loop.
+	retune func(*config.Config)
 	// Its socket stays open when it ends, and another process serves on it.
 	replaced bool
 	shown    atomic.Pointer[routing.Figures]
@@ -65,9 +68,9 @@
 
 // Control is how a running pooler is told what to do.
 type Control struct {
-	Terminate <-chan struct{}                // closed: end, once what has been taken is answered
-	Reload    <-chan struct{}                // the configuration may have changed
-	Load      func() (*config.Config, error) // reads it again
+	Terminate <-chan struct{}                                      // closed: end, once what has been taken is answered
+	Reload    <-chan struct{}                                      // the configuration may have changed
+	Load      func(inForce *config.Config) (*config.Config, error) // reads it again, strictly
 }
 
 // Addrs is where the pooler listens; MySQL and Admin are empty while they are off.
@@ -134,7 +137,7 @@
 	for terminate := control.Terminate; ; {
 		select {
 		case <-control.Reload: // also while terminating: servers may still drain
-			state.reload(cfg, control.Load, out)
+			cfg = state.reload(cfg, control.Load, out)
 		case <-terminate:
 			terminate = nil
 			state.serving.Store(false)
@@ -166,25 +169,29 @@
 		Classes: all.Classes, Pending: all.Pending, Members: all.Members, Unavailable: all.Unavailable}
 }
 
-// reload takes over what can change under load, the address of the list service. A file that can't be used changes
-// nothing.
-func (s *state) reload(started *config.Config, load func() (*config.Config, error), out *logger) {
-	cfg, err := load()
+// reload takes over what can change under load: the settings and the address of the list service. A file that can't be
+// used changes nothing. It returns the configuration in force.
+func (s *state) reload(inForce *config.Config, load func(*config.Config) (*config.Config, error), out *logger) *config.Config {
+	cfg, err := load(inForce)
 	if err != nil {
 		s.reloadErrors.Add(1)
 		out.line("reload: the old configuration stands: " + err.Error())
-		return
+		return inForce
 	}
 	s.reloads.Add(1)
-	out.line("reload: discovery is at " + cfg.Discovery)
-	if cfg.Listen != started.Listen || cfg.Sockets != started.Sockets || cfg.MemoryBytes != started.MemoryBytes {
-		out.line("reload: listen and limits hold from the next start on")
+	out.line(fmt.Sprintf("reload: discovery is at %s, classes are %s", cfg.Discovery, strings.Join(cfg.ClassNames(), ", ")))
+	if cfg.Listen != inForce.Listen || cfg.Admin != inForce.Admin || cfg.Sockets != inForce.Sockets ||
+		cfg.MemoryBytes != inForce.MemoryBytes {
+		out.line("reload: listen, admin and limits hold from the next start on")
+	}
+	if !slices.Equal(cfg.Zones, inForce.Zones) || cfg.Settings.Zone != inForce.Settings.Zone {
+		out.line("reload: zones hold from the next start on") // servers are known by their numbers
+		cfg.Zones, cfg.Settings.Zone = inForce.Zones, inForce.Settings.Zone
 	}
 	for _, side := range s.sides {
-		if side.watch != nil {
-			side.loop.Post(func() { side.watch.move(cfg.Discovery) })
-		}
+		side.loop.Post(func() { side.retune(cfg) })
 	}
+	return cfg
 }
 
 func newPostgres(cfg *config.Config, out *logger, sockets int) (*side, error) {
@@ -210,7 +217,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &side{name: "postgres", loop: loop, core: core, front: front, watch: w, replaced: cfg.Inherited > 0}, nil
+	retune := func(cfg *config.Config) {
+		backend.Reports, backend.ConnectTimeout = cfg.Reports, cfg.ConnectTimeout
+		backend.Pool.Rest(idleFor(cfg))
+		if err := core.Retune(cfg.Settings, cfg.MaxOpen, cfg.ConnectTimeout); err != nil {
+			out.line("reload: " + err.Error())
+		}
+		w.move(cfg.Discovery)
+	}
+	return &side{name: "postgres", loop: loop, core: core, front: front, retune: retune, replaced: cfg.Inherited > 0}, nil
 }
 
 // newMySQL sets up the second front: the inventory is its discovery, probes tell roles and positions, and servers
@@ -221,9 +236,7 @@
 	backend := &mysqlside.Backend{Servers: exchange.Servers{Loop: loop, Budget: budget,
 		Pool: newPool(cfg, loop, budget), ConnectTimeout: my.ProbeTimeout}, User: my.User, Password: my.Password, Database: my.Database,
 		Heartbeat: my.Heartbeat, Log: func(text string) { out.line("mysql: " + text) }}
-	set := cfg.Settings
-	set.Asks, set.MayProbe, set.RoleReported, set.Behind = false, true, true, rules.BehindAnswers
-	core, err := routing.New(loop, backend, routing.Options{Settings: set, Seed: cfg.Seed + 1, MaxOpen: cfg.MaxOpen,
+	core, err := routing.New(loop, backend, routing.Options{Settings: probed(cfg.Settings), Seed: cfg.Seed + 1, MaxOpen: cfg.MaxOpen,
 		ProbeTimeout: my.ProbeTimeout, Watch: func() {}, Log: backend.Log})
 	if err != nil {
 		return nil, err
@@ -237,7 +250,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &side{name: "mysql", loop: loop, core: core, front: front}, nil
+	retune := func(cfg *config.Config) {
+		backend.Pool.Rest(idleFor(cfg))
+		if err := core.Retune(probed(cfg.Settings), cfg.MaxOpen, my.ProbeTimeout); err != nil {
+			backend.Log("reload: " + err.Error())
+		}
+	}
+	return &side{name: "mysql", loop: loop, core: core, front: front, retune: retune}, nil
+}
+
+// probed are the settings for servers that tell of themselves only when probed.
+func probed(set rules.Settings) rules.Settings {
+	set.Asks, set.MayProbe, set.RoleReported, set.Behind = false, true, true, rules.BehindAnswers
+	return set
 }
 
 // newDoor splits the sockets between clients and servers: neither can take what the other needs.
@@ -250,11 +275,15 @@
 // newPool keeps idle connections, as many as there may be, for a share of the time after which the servers close them.
 // A dial that finds no descriptor sheds one.
 func newPool(cfg *config.Config, loop *routing.Loop, budget *transport.Budget) *transport.Pool {
-	pool := transport.NewPool(time.Duration(idleShare*float64(cfg.ConnIdle)), budget.Most())
+	pool := transport.NewPool(idleFor(cfg), budget.Most())
 	every(loop, time.Second, func() { pool.Sweep(loop.Now()) })
 	return pool
 }
 
+func idleFor(cfg *config.Config) time.Duration {
+	return time.Duration(idleShare * float64(cfg.ConnIdle))
+}
+
 func every(loop *routing.Loop, d time.Duration, f func()) {
 	loop.After(d, func() {
 		f()
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -123,7 +123,8 @@
 	names   map[string]uint32
 	gone    map[uint32]time.Duration // since when; servers that are to be forgotten
 	groups  map[int]bool
-	unkeyed map[int]int // of a keyed class: the one for requests that carry no key
+	classes map[string]int // the numbers of those in the settings
+	unkeyed map[int]int    // of a keyed class: the one for requests that carry no key
 	listed  map[uint32]bool
 	counts  []*Counts
 	pending int
@@ -133,19 +134,10 @@
 // New returns a core that runs on a loop.
 func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
 	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, addrs: map[uint32]string{},
-		names: map[string]uint32{}, gone: map[uint32]time.Duration{}, groups: map[int]bool{}, unkeyed: map[int]int{},
+		names: map[string]uint32{}, gone: map[uint32]time.Duration{}, groups: map[int]bool{}, unkeyed: map[int]int{}, classes: map[string]int{},
 		listed: map[uint32]bool{}}
-	// Without a key nobody drops a repeat: such a request of a keyed class may not run twice at all.
-	c.opt.Settings.Classes = slices.Clone(opt.Settings.Classes)
-	for i, k := range opt.Settings.Classes {
-		c.countsOf(k.Name) // they show from the start
-		if k.Effect == rules.Keyed {
-			k.Effect = rules.Unsafe
-			c.unkeyed[i] = len(c.opt.Settings.Classes)
-			k.Name = ""
-			c.opt.Settings.Classes = append(c.opt.Settings.Classes, k)
-		}
-	}
+	c.opt.Settings.Classes = nil
+	c.enlist(opt.Settings)
 	router, err := rules.New(c.opt.Settings, opt.Seed, (*actions)(c))
 	if err != nil {
 		return nil, err
@@ -155,17 +147,48 @@
 	return c, nil
 }
 
+// Retune takes over new settings under way. Requests that are open keep their class.
+func (c *Core) Retune(set rules.Settings, maxOpen int, probeTimeout time.Duration) error {
+	c.enlist(set)
+	c.opt.MaxOpen, c.opt.ProbeTimeout = maxOpen, probeTimeout
+	return c.router.Retune(c.loop.Now(), c.opt.Settings)
+}
+
+// enlist numbers the classes of the settings. A number stands for the same class for good: one that has changed gets
+// another, one that comes back has the one it had.
+func (c *Core) enlist(set rules.Settings) {
+	table := c.opt.Settings.Classes
+	c.opt.Settings = set
+	number := func(k rules.Class) int {
+		i := slices.Index(table, k)
+		if i < 0 {
+			i = len(table)
+			table = append(table, k)
+		}
+		return i
+	}
+	clear(c.classes)
+	for _, k := range set.Classes {
+		i := number(k)
+		c.classes[k.Name] = i
+		c.countsOf(k.Name) // they show from the start
+		// Without a key nobody drops a repeat: such a request of a keyed class may not run twice at all.
+		if k.Effect == rules.Keyed {
+			k.Effect = rules.Unsafe
+			k.Name += " without a key"
+			c.unkeyed[i] = number(k)
+		}
+	}
+	c.opt.Settings.Classes = table
+}
+
 // Open tells how many requests are open.
 func (c *Core) Open() int { return len(c.open) }
 
 // Class finds a class by its name.
 func (c *Core) Class(name string) (int, bool) {
-	for i := range c.opt.Settings.Classes {
-		if name != "" && c.opt.Settings.Classes[i].Name == name {
-			return i, true
-		}
-	}
-	return 0, false
+	i, ok := c.classes[name]
+	return i, ok
 }
 
 // ClassInfo is what the settings say of a class.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -40,13 +40,14 @@
 	config    map[string]any    // the file that PROXY_CONFIG names
 	inventory string
 	phase     map[string]string
+	Hup       chan struct{} // tells a pooler of this process to read its configuration again
 }
 
 // NewFleet starts servers of the given names on one of the wires; the first is the primary. change may alter the
 // settings.
 func NewFleet(t testing.TB, speaksMySQL bool, change func(settings map[string]any), names ...string) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, mysql: speaksMySQL, Ledger: NewLedger(), phase: map[string]string{}}
+	f := &Fleet{t: t, mysql: speaksMySQL, Ledger: NewLedger(), phase: map[string]string{}, Hup: make(chan struct{}, 1)}
 	for i, n := range names {
 		s, err := NewServer(n, speaksMySQL, i == 0, f.Ledger)
 		f.check(err)
@@ -102,6 +103,12 @@
 	f.file(f.Env["PROXY_CONFIG"], f.config)
 }
 
+// Reload changes one key and has it read again.
+func (f *Fleet) Reload(key string, v any) {
+	f.Configure(key, v)
+	f.Hup <- struct{}{}
+}
+
 // MoveDiscovery starts another list service and names it in the configuration. The old one stays as it is.
 func (f *Fleet) MoveDiscovery() {
 	f.Discovery = NewDiscovery(f.entries())
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -34,6 +34,9 @@
 	return &Pool{idleFor: idleFor, most: most, idle: map[string][]*idle{}}
 }
 
+// Rest sets for how long connections are kept idle from now on.
+func (p *Pool) Rest(idleFor time.Duration) { p.idleFor = idleFor }
+
 // Put gives a connection back, with what its protocol knows of it.
 func (p *Pool) Put(addr string, c *Conn, state any) {
 	// An answer can overtake the news that its request is written: only bytes that are still queued speak against reuse.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -238,7 +238,7 @@
 		r.ping(g)
 	}
 	q := &request{id: in.ID, class: in.Class, c: &r.set.Classes[in.Class], session: in.Session, g: g,
-		arrived: r.now, deadline: r.now + in.Patience}
+		most: r.set.MaxAttempts, arrived: r.now, deadline: r.now + in.Patience}
 	r.reqs[q.id] = q
 	if q.c.Need == NeedSession {
 		q.needPos = r.token(in)
@@ -361,7 +361,7 @@
 
 // place sends a request if there is a store for it now.
 func (r *Router) place(q *request) bool {
-	if q.live > 0 && (!r.set.SecondCopies || q.c.Effect != Safe) || len(q.tries) >= r.set.MaxAttempts {
+	if q.live > 0 && (!r.set.SecondCopies || q.c.Effect != Safe) || r.spent(q) {
 		return false
 	}
 	var s *store
@@ -937,7 +937,7 @@
 	c, ran := q.c, q.risk != nil
 	pointless := q.deadline-r.now <= endMargin+r.set.Tick || r.now >= q.useful && c.LateWorth == 0
 	repeats := ran && c.Effect == Safe && res != Cancelled
-	if pointless || ran && c.Effect == Unsafe || len(q.tries) >= r.set.MaxAttempts || res == Moot ||
+	if pointless || ran && c.Effect == Unsafe || r.spent(q) || res == Moot ||
 		repeats && r.retry < 1 {
 		r.end(q)
 		return
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -893,3 +893,45 @@
 	f.until(f.now + 2600*ms)
 	f.wantNot("refuse 3")
 }
+
+// New settings must not change a request under way: it keeps its class, and may have fewer attempts but not more.
+func TestRetuneKeepsOpenRequests(t *testing.T) {
+	retune := func(f *fake, attempts int, change func(*Class)) error {
+		set := testSettings()
+		set.MaxAttempts = attempts
+		stricter := set.Classes[cAny]
+		change(&stricter)
+		set.Classes = append(set.Classes, stricter)
+		return f.r.Retune(f.now, set)
+	}
+	unsafe := func(c *Class) { c.Need, c.Effect = NeedWrite, Unsafe }
+	f := withPrimary(t, func(s *Settings) { s.MaxAttempts = 3 })
+	f.request(2, cKeyed)
+	f.request(3, cKeyed)
+	f.request(4, cKeyed)
+	if err := retune(f, 4, unsafe); err != nil {
+		t.Fatal(err)
+	}
+	f.request(5, len(testSettings().Classes))
+	f.outcome(2, 0, Errored, RolePrimary)
+	f.outcome(5, 0, Errored, RolePrimary)
+	if f.want("fail 5"); len(f.sends[2]) != 2 {
+		t.Errorf("a keyed write under way has been sent to %v, want a repeat", f.sends[2])
+	}
+	for n := range 4 { // three were allowed when it came
+		f.outcome(3, n, Missed, RoleUnknown)
+	}
+	if n := len(f.sends[3]); n != 3 {
+		t.Errorf("%d attempts, want 3", n)
+	}
+	if err := retune(f, 1, unsafe); err != nil {
+		t.Fatal(err)
+	}
+	f.outcome(4, 0, Missed, RoleUnknown)
+	if n := len(f.sends[4]); n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+	if err := f.r.Retune(f.now, testSettings()); err == nil {
+		t.Error("settings that take a class's number away pass")
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -22,7 +23,7 @@
 	id                         uint32
 	c                          *Class
 	session                    uint64
-	class                      int
+	class, most                int // most attempts, as it came
 	g                          *group
 	arrived, deadline, needPos time.Duration
 	aimAt, useful              time.Duration // answered by aimAt, or sent by useful, it earns its full worth
@@ -169,28 +170,57 @@
 	if err := set.Validate(); err != nil {
 		return nil, err
 	}
+	r := &Router{act: act, rng: seed, stores: map[uint32]*store{}, groups: map[int]*group{},
+		reqs: map[uint32]*request{}, kept: map[uint64]time.Duration{}, retry: retryBurst, askWait: askAgainFirst, slow: 1}
+	r.tune(set)
+	return r, nil
+}
+
+// Retune takes over new settings under way. Classes keep their numbers: those that there are must stand where they did,
+// and new ones behind them. An open request keeps its class; a class of an earlier one's name keeps that one's measures.
+func (r *Router) Retune(now time.Duration, set Settings) error {
+	if err := set.Validate(); err != nil {
+		return err
+	}
+	if len(set.Classes) < len(r.set.Classes) {
+		return fmt.Errorf("settings: %d classes, where there are %d", len(set.Classes), len(r.set.Classes))
+	}
+	r.tick(now)
+	r.tune(set)
+	return nil
+}
+
+func (r *Router) tune(set Settings) {
+	old := r.set.Classes
 	set.Balancers = max(set.Balancers, 1)
 	if set.MaxAttempts == 0 {
 		set.MaxAttempts = math.MaxInt32
 	}
-	r := &Router{set: set, act: act, rng: seed, stores: map[uint32]*store{}, groups: map[int]*group{},
-		reqs: map[uint32]*request{}, kept: map[uint64]time.Duration{}, retry: retryBurst, askWait: askAgainFirst, slow: 1}
+	set.Classes = append(slices.Clip(old), set.Classes[len(old):]...) // the old ones stay where requests point to them
+	r.set = set
 	r.least = min(windowLeast/float64(set.Balancers), 1)
 	r.pingGap = max(pingEvery, time.Duration(set.Balancers)*time.Second/pingsBorne)
 	r.large = r.pingGap > pingEvery
-	r.usual = make([]usual, len(set.Classes))
-	r.set.Classes = slices.Clone(set.Classes)
-	for i := range set.Classes {
-		c, guess := &r.set.Classes[i], set.Classes[i].Aim/baseGuess
+	for i := len(old); i < len(set.Classes); i++ {
+		c, guess := &set.Classes[i], set.Classes[i].Aim/baseGuess
 		if c.Aim == 0 { // none: full worth up to the deadline
 			c.Aim, guess = cmp.Or(c.Deadline, time.Hour), baseBlind
 		}
-		r.mean = append(r.mean, guess)
-		r.base = append(r.base, base{time: guess})
+		from := i - 1
+		for from >= 0 && (c.Name == "" || set.Classes[from].Name != c.Name) {
+			from--
+		}
+		mean, b, u := guess, base{time: guess}, usual{}
+		if from >= 0 {
+			mean, b, u = r.mean[from], r.base[from], r.usual[from]
+		}
+		r.mean, r.base, r.usual = append(r.mean, mean), append(r.base, b), append(r.usual, u)
 	}
-	return r, nil
 }
 
+// spent tells whether a request has had all its attempts. What is allowed may become less under way, but not more.
+func (r *Router) spent(q *request) bool { return len(q.tries) >= min(q.most, r.set.MaxAttempts) }
+
 func (r *Router) tick(now time.Duration) {
 	if now > r.now {
 		r.now = now
