Pass long answers on as they come, and keep the servers of slow clients waiting

Cause: NextAnswer took any row above MaxValue for spoilt. A spoilt one closes the client's connection, and is not tried again.

netpoll reads whatever comes (defaultPoll.handler calls Inputs on every EPOLLIN), so a peer that must wait leaves it for a goroutine on Go's poller (transport/direct.go). Its Detach alone is not safe: the poller may just be reading into the buffer, so the close callback waits for one turn of the poller (bell) before it takes what was read and a copy of the descriptor.

--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -78,6 +78,9 @@
 	x.Conn.OnWritten(x.attempt.Sent)
 }
 
+// Loop is what it runs on.
+func (x *Exchange) Loop() *routing.Loop { return x.servers.Loop }
+
 // Fits tells whether the request may still be sent.
 func (x *Exchange) Fits() bool { return x.attempt.Fits() }
 
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -73,6 +73,7 @@
 	stage byte // the last message of the answer: T, D, C; 0: none so far
 	code  string
 	rows  []byte
+	relay *relay // of a long answer that has begun
 }
 
 func (b *Backend) start(addr string, a routing.Attempt, text func() string) routing.Call {
@@ -92,6 +93,8 @@
 // Closed ends the exchange. Before the last byte of the query has gone out nothing can have run.
 func (x *query) Closed(err error) {
 	switch {
+	case x.relay != nil:
+		x.spoilt()
 	case !x.asked || !x.Conn.Written():
 		x.Break(rules.NoConnect)
 	case x.code != "" && len(x.buf) == 0:
@@ -104,7 +107,11 @@
 }
 
 func (x *query) Data(_ time.Duration, b []byte) {
-	if x.asked {
+	if x.relay != nil {
+		if b = x.relay.pass(b); len(b) == 0 {
+			return
+		}
+	} else if x.asked {
 		x.Heard(x.spoilt)
 	}
 	x.buf = append(x.buf, b...)
@@ -116,6 +123,9 @@
 			return
 		}
 		if n == 0 {
+			if x.begin(rest) {
+				return
+			}
 			break
 		}
 		rest = rest[n:]
@@ -134,6 +144,10 @@
 // such a one is believed: anything else may have run, whatever code or note stands in it.
 func (x *query) spoilt() {
 	x.Conn.Close()
+	if x.relay != nil {
+		x.relay.finish(routing.Broken, nil)
+		return
+	}
 	x.Res = routing.Result{}
 	if x.asked {
 		x.End(rules.Errored)
@@ -211,7 +225,12 @@
 
 // ready ends the exchange with its answer.
 func (x *query) ready(clean bool) {
+	x.Conn.Pause(false)
 	x.Put(clean, nil)
+	if x.relay != nil {
+		x.relay.finish(routing.Whole, x.rows)
+		return
+	}
 	if x.code != "" {
 		x.End(outcome(x.code))
 		return
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -93,11 +93,12 @@
 
 // slot is a command whose answer is due.
 type slot struct {
-	s    *session
-	id   string // of its request; empty: it needs no server
-	open *routing.Open
-	done bool
-	out  []byte
+	s     *session
+	id    string // of its request; empty: it needs no server
+	open  *routing.Open
+	done  bool
+	out   []byte
+	relay *relay // of a long answer
 }
 
 func (s *session) Closed(error) {
@@ -143,6 +144,10 @@
 // fatal answers what can't be understood and closes at once: the framing may be lost. Commands that came before it and
 // still wait get their final answer first, a failure: none may end without one.
 func (s *session) fatal(code, text string) {
+	if len(s.slots) > 0 && s.slots[0].begun() { // no word fits into the middle of an answer
+		s.finish()
+		return
+	}
 	var out []byte
 	for _, w := range s.slots {
 		if !w.done {
@@ -308,6 +313,10 @@
 		s.slots[0] = nil
 		s.slots = s.slots[1:]
 	}
+	if len(s.slots) > 0 && s.slots[0].relay != nil && !s.slots[0].begun() {
+		s.slots[0].relay.start(s.slots[0])
+		return
+	}
 	if s.f.draining && len(s.slots) == 0 {
 		s.finish()
 		return
@@ -317,6 +326,9 @@
 
 // abandon ends a request that nobody waits for any more.
 func (w *slot) abandon() {
+	if w.relay != nil {
+		w.relay.Drop()
+	}
 	if w.open != nil {
 		w.open.Gone()
 		w.free()
@@ -342,8 +354,30 @@
 	}
 }
 
-// Serve passes on the row as the server gave it.
-func (w *slot) Serve(answer any) { w.close(answer.([]byte)) }
+// Serve passes on the row as the server gave it, or begins to.
+func (w *slot) Serve(answer any) {
+	r, long := answer.(*relay)
+	switch {
+	case !long:
+		w.close(answer.([]byte))
+	case w.open == nil: // abandoned
+		r.Drop()
+	default:
+		w.relay = r
+		w.s.send()
+	}
+}
+
+// begun tells that part of its answer has been passed on.
+func (w *slot) begun() bool { return w.relay != nil && w.relay.to != nil }
+
+// whole ends a long answer.
+func (w *slot) whole(tail []byte) {
+	w.free()
+	w.done, w.out = true, pgwire.AppendReady(tail)
+	w.s.held += len(w.out)
+	w.s.send()
+}
 
 // Refuse tells the client that nothing has run, and when to come again.
 func (w *slot) Refuse(after time.Duration) { w.close(pgwire.AppendRefusal(nil, after)) }
--- a/internal/protocol/pgwire/pgwire.go
+++ b/internal/protocol/pgwire/pgwire.go
@@ -15,6 +15,7 @@
 	MaxStartup = 10 << 10
 	MaxValue   = 64 << 10
 	MaxQuery   = 2*MaxValue + 16<<10 // a value written in hexadecimal, and the statement around it
+	MaxLong    = 4 << 20             // a value that is passed on as it comes
 )
 
 // Codes that a startup message can begin with.
@@ -83,13 +84,22 @@
 	return Next(b, int(size))
 }
 
+// LongRow is the size of the row that b begins with, if its value is longer than those that are held whole; 0: it is not.
+// NextAnswer has found nothing wrong with b.
+func LongRow(b []byte) int {
+	if len(b) < 11 || b[0] != 'D' || binary.BigEndian.Uint32(b[7:]) <= MaxValue {
+		return 0
+	}
+	return 1 + int(binary.BigEndian.Uint32(b[1:]))
+}
+
 // answers has the messages that a server sends here, and the bounds of their bodies.
 var answers = [256]struct {
 	known       bool
 	least, most uint32
 }{
 	'R': {true, 4, 64}, 'K': {true, 8, 64}, 'Z': {true, 1, 1}, 'S': {true, 2, 4 << 10}, 'N': {true, 1, 16 << 10},
-	'E': {true, 1, 16 << 10}, 'T': {true, 21, 1 << 10}, 'D': {true, 6, 6 + MaxValue}, 'C': {true, 1, 256},
+	'E': {true, 1, 16 << 10}, 'T': {true, 21, 1 << 10}, 'D': {true, 6, 6 + MaxLong}, 'C': {true, 1, 256},
 }
 
 // OneColumn tells whether a RowDescription's body describes exactly one column.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -55,6 +55,22 @@
 	Done func(Result) // its end, once
 }
 
+// Stream is an answer that is passed on while it still comes. It is the final answer of its request from its beginning on.
+type Stream interface {
+	OnEnd(func(End))
+	Drop() // nobody waits for it
+}
+
+// End is how a stream ends.
+type End uint8
+
+// The ends.
+const (
+	Whole End = iota
+	Broken
+	Left // the client has gone
+)
+
 // Backend reaches the servers. Send and Probe tell the end once, on the loop and after they have returned. A request that
 // had to wait for its connection is written only if it still fits; else it has ended as Missed.
 type Backend interface {
@@ -238,6 +254,17 @@
 	}
 }
 
+// streamed counts a request whose answer was passed on as it came.
+func (o *Open) streamed(how End) {
+	o.c.pending--
+	switch how {
+	case Whole:
+		o.counts.Served++
+	case Broken:
+		o.counts.Failed++
+	}
+}
+
 func (o *Open) close() {
 	o.ended = true
 	o.c.pending--
@@ -440,7 +467,15 @@
 	}
 	delete(o.live, n)
 	k.timer.Stop()
-	if r.Result == rules.OK && !o.ended {
+	stream, long := r.Answer.(Stream)
+	switch {
+	case long && o.ended:
+		stream.Drop()
+	case long:
+		o.ended = true
+		stream.OnEnd(o.streamed)
+		o.c.do(func() { o.req.Reply.Serve(r.Answer) })
+	case r.Result == rules.OK && !o.ended:
 		o.close()
 		o.counts.Served++
 		o.c.do(func() { o.req.Reply.Serve(r.Answer) })
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -59,6 +59,7 @@
 	ledger  *Ledger
 	conns   map[net.Conn]bool
 	changed chan struct{} // closed at the next statement
+	unsent  map[net.Conn]bool
 }
 
 // Ledger is what servers share: the requests under way at any of them.
@@ -109,7 +110,7 @@
 
 // NewServer starts a server at a free port of loopback.
 func NewServer(name string, speaksMySQL, primary bool, ledger *Ledger) (*Server, error) {
-	s := &Server{Name: name, mysql: speaksMySQL, primary: primary, ledger: ledger, conns: map[net.Conn]bool{},
+	s := &Server{Name: name, mysql: speaksMySQL, primary: primary, ledger: ledger, conns: map[net.Conn]bool{}, unsent: map[net.Conn]bool{},
 		changed: make(chan struct{})}
 	return s, s.Up()
 }
@@ -180,6 +181,21 @@
 	return append([]Seen(nil), s.seen...)
 }
 
+func (s *Server) writing(c net.Conn, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unsent[c] = on; !on {
+		delete(s.unsent, c)
+	}
+}
+
+// Unsent counts the answers that it is still writing.
+func (s *Server) Unsent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.unsent)
+}
+
 // Wait waits until it has seen n statements, for a generous while.
 func (s *Server) Wait(n int) bool {
 	late := time.After(20 * time.Second)
@@ -270,7 +286,7 @@
 
 func (r *buffered) pg() (m pgwire.Message, err error) {
 	err = r.next(func(b []byte) (n int, err error) {
-		m, n, err = pgwire.Next(b, pgwire.MaxQuery)
+		m, n, err = pgwire.Next(b, pgwire.MaxLong+1<<10)
 		m.Body = append([]byte(nil), m.Body...)
 		return n, err
 	})
@@ -287,6 +303,7 @@
 }
 
 func (s *Server) servePostgres(c net.Conn) {
+	_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10) // else the kernel takes long answers whole
 	r := &buffered{c: c}
 	if r.next(func(b []byte) (int, error) { _, n, err := pgwire.NextStartup(b); return n, err }) != nil {
 		return
@@ -310,7 +327,9 @@
 		switch {
 		case spoilt != nil:
 			end()
+			s.writing(c, true)
 			c.Write(spoilt)
+			s.writing(c, false)
 			continue
 		case act == Break:
 			end()
--- /dev/null
+++ b/internal/transport/polled.go
@@ -0,0 +1,356 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// polled is the socket of a connection on netpoll.
+type polled struct {
+	c       *Conn
+	budget  *Budget
+	raw     netpoll.Connection
+	freed   atomic.Bool
+	watched bool // the poller closes it after a hang-up
+	paused  bool // while it is leaving
+	mu      sync.Mutex
+	gone    bool          // its descriptor is no longer ours; under mu, as what follows
+	shut    bool          // its owner has closed it
+	writes  int           // under way through netpoll
+	leaving chan struct{} // not nil: it is leaving netpoll, closed at the end of that
+	next    *direct       // what it has become
+}
+
+func newPolled(loop Loop, budget *Budget, raw netpoll.Connection) *polled {
+	s := &polled{budget: budget, raw: raw}
+	s.c = &Conn{loop: loop, socket: s}
+	s.use(limitKernel)
+	return s
+}
+
+func (s *polled) use(f func(fd int)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.next != nil:
+		return s.next.use(f)
+	case !s.gone:
+		f(s.raw.(netpoll.Conn).Fd())
+	}
+	return !s.gone
+}
+
+// write goes not through Writer: its buffers are taken away under a writer when the peer hangs up, and the program with
+// them. Write holds the lock that netpoll's close waits for.
+func (s *polled) write(b []byte) error {
+	s.mu.Lock()
+	if left := s.leaving; left != nil {
+		s.mu.Unlock()
+		if <-left; s.next == nil {
+			return io.EOF
+		}
+		return s.next.write(b)
+	}
+	s.writes++
+	s.mu.Unlock()
+	_, err := s.raw.Write(b)
+	s.mu.Lock()
+	s.writes--
+	s.mu.Unlock()
+	return err
+}
+
+// close does not use netpoll's Close: that spins on the loop while the poller is at work on the connection, and on one
+// core the poller's thread stands still meanwhile, for 24 ms on average. Shut down both ways, the connection is over for
+// the peer at once, and the poller itself closes it. A peer that still sends then is reset, or it could wait for room for
+// good; where the connection is just leaving netpoll, what it becomes sees to that.
+func (s *polled) close() {
+	if !s.watched { // the poller would leave it open
+		s.raw.Close()
+		s.free()
+		return
+	}
+	s.mu.Lock()
+	s.shut = true
+	how := syscall.SHUT_RDWR
+	if s.leaving != nil {
+		how = syscall.SHUT_WR
+	}
+	s.mu.Unlock()
+	s.use(func(fd int) {
+		if how == syscall.SHUT_RDWR && (!silent(fd) || s.ahead() > 0 || s.c.unheard.Load() > 0) {
+			_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		}
+		_ = syscall.Shutdown(fd, how)
+	})
+}
+
+func (s *polled) reset() {
+	s.use(func(fd int) {
+		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	})
+	s.raw.Close() // nothing comes on it, so the poller is not at work there
+	s.free()
+}
+
+func (s *polled) ahead() int { return s.raw.Reader().Len() }
+
+// free gives the descriptor back to the budget, once.
+func (s *polled) free() {
+	if s.freed.CompareAndSwap(false, true) {
+		s.budget.free()
+	}
+}
+
+// read runs on netpoll's goroutines. The arrival is stamped here, so that time in the loop's queue counts. netpoll reads
+// whatever comes: where a peer outruns the loop the connection leaves netpoll, and a peer that does not read what it is
+// sent meanwhile is cut off before the loop has seen what it sends.
+func (s *polled) read() error {
+	c, r := s.c, s.raw.Reader()
+	n := r.Len()
+	if c.deaf.Load() {
+		_ = r.Skip(n)
+		return r.Release()
+	}
+	unheard := c.unheard.Add(int64(n))
+	leaves := unheard > brakeAt && s.leave()
+	if !leaves && unheard > maxUnheard && !s.isLeaving() {
+		c.deaf.Store(true)
+		c.loop.Post(func() { c.end(ErrFlood) })
+		_ = r.Skip(n)
+		return r.Release()
+	}
+	b, err := r.ReadBinary(n)
+	if err != nil {
+		return err
+	}
+	_ = r.Release()
+	at := c.loop.Now()
+	c.loop.Post(func() { c.heard(at, b) })
+	if leaves {
+		return s.raw.Close()
+	}
+	return nil
+}
+
+// pause takes the connection out of netpoll, which has no way to stop reading.
+func (s *polled) pause(on bool) {
+	if s.paused = on; on && s.leave() {
+		go s.raw.Close()
+	}
+}
+
+// leave tells whether the connection is to leave netpoll now: the caller then has it closed there. It can't be while a
+// write is under way there.
+func (s *polled) leave() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone || s.shut || s.writes > 0 || s.leaving != nil {
+		return false
+	}
+	s.leaving = make(chan struct{})
+	return true
+}
+
+// isLeaving tells that the connection is on its way out of netpoll, which may go on reading meanwhile.
+func (s *polled) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving != nil
+}
+
+// start begins to read a connection that was dialled.
+func (s *polled) start() {
+	s.watched = true
+	_ = s.raw.SetOnRequest(func(context.Context, netpoll.Connection) error { return s.read() })
+	s.watch()
+}
+
+// watch looks out for the end of the connection on netpoll. It may have come before the callback was set: that is looked
+// at last.
+func (s *polled) watch() {
+	_ = s.raw.SetWriteTimeout(writeTimeout)
+	// The callback runs before the descriptor is closed, and never together with read.
+	_ = s.raw.AddCloseCallback(func(netpoll.Connection) error { s.ended(); return nil })
+	if !s.raw.IsActive() {
+		s.ended()
+	}
+}
+
+func (s *polled) ended() {
+	if s.left() {
+		return
+	}
+	s.mu.Lock()
+	s.gone = true
+	s.mu.Unlock()
+	s.free()
+	s.c.loop.Post(s.c.hangup)
+}
+
+// left moves a connection that was to leave netpoll over to a socket of the other kind, on a copy of the descriptor: the
+// poller may just be reading into the buffer, so its turn is waited for. What it has read comes first.
+func (s *polled) left() bool {
+	s.mu.Lock()
+	leaving, next := s.leaving, s.next
+	s.mu.Unlock()
+	if leaving == nil || next != nil {
+		return next != nil
+	}
+	poller.turn()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer close(leaving)
+	r := s.raw.Reader()
+	rest, err := r.ReadBinary(r.Len())
+	if err != nil {
+		return false
+	}
+	next, err = newDirect(s.c, s.budget, s.raw.(netpoll.Conn).Fd())
+	if err != nil {
+		return false
+	}
+	s.next = next
+	s.c.unheard.Add(int64(len(rest)))
+	at := s.c.loop.Now()
+	s.c.loop.Post(func() {
+		s.c.heard(at, rest)
+		s.c.socket, next.paused = next, s.paused
+		go next.read()
+		if s.c.closed {
+			next.close()
+		}
+	})
+	return true
+}
+
+// Dial connects on a goroutine of its own and reports on the loop. Cancelling the returned function's call stops
+// the report; a connection that still comes up is closed.
+func Dial(loop Loop, budget *Budget, addr string, timeout time.Duration, done func(*Conn, error)) (cancel func()) {
+	cancelled := false
+	if !budget.take() {
+		loop.Post(func() {
+			if !cancelled {
+				done(nil, ErrBudget)
+			}
+		})
+		return func() { cancelled = true }
+	}
+	go func() {
+		raw, err := netpoll.DialConnection("tcp", addr, timeout)
+		loop.Post(func() {
+			if err != nil {
+				if budget.free(); !cancelled {
+					done(nil, err)
+				}
+				return
+			}
+			s := newPolled(loop, budget, raw)
+			if cancelled {
+				s.c.Close()
+				return
+			}
+			if done(s.c, nil); !s.c.closed {
+				s.start()
+			}
+		})
+	}()
+	return func() { cancelled = true }
+}
+
+// connKey is where a connection's context keeps its socket.
+type connKey struct{}
+
+// Listener accepts connections.
+type Listener struct {
+	ln     net.Listener
+	events netpoll.EventLoop
+}
+
+// Listen accepts connections at one address. For each, accept runs on the loop and sets its handler, or closes it.
+func Listen(loop Loop, budget *Budget, addr string, accept func(*Conn)) (*Listener, error) {
+	ln, err := netpoll.CreateListener("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return serve(loop, budget, ln, accept)
+}
+
+// Inherit accepts connections, as Listen does, on a listening socket that this process was started with and shares with
+// others. It is neither bound again nor shut down.
+func Inherit(loop Loop, budget *Budget, fd int, accept func(*Conn)) (*Listener, error) {
+	f := os.NewFile(uintptr(fd), "listener")
+	std, err := net.FileListener(f) // on a copy of the descriptor
+	if err != nil {
+		return nil, err
+	}
+	f.Close()
+	ln, err := netpoll.ConvertListener(std)
+	if err != nil {
+		return nil, err
+	}
+	return serve(loop, budget, &shared{Listener: ln}, accept)
+}
+
+// shared is a listening socket that other processes hold too. Closing it here would not take it out of the poller, which
+// would go on telling of connections under a number that may be another's by then. An Accept that says it is closed does
+// take it out, at the next connection, and leaves that one to the others.
+type shared struct {
+	netpoll.Listener
+	stopped atomic.Bool
+}
+
+func (s *shared) Accept() (net.Conn, error) {
+	if s.stopped.Load() {
+		return nil, net.ErrClosed
+	}
+	return s.Listener.Accept()
+}
+
+func (s *shared) Close() error {
+	s.stopped.Store(true)
+	return nil
+}
+
+func serve(loop Loop, budget *Budget, ln netpoll.Listener, accept func(*Conn)) (*Listener, error) {
+	// Not OnPrepare: a connection that the loop closes before netpoll has registered it ends the program. And the reader is
+	// set from the start: if it came later, netpoll could miss bytes that came meanwhile, for good. What is read is posted
+	// behind accept.
+	events, err := netpoll.NewEventLoop(func(ctx context.Context, raw netpoll.Connection) error {
+		if s, ok := ctx.Value(connKey{}).(*polled); ok {
+			return s.read()
+		}
+		return raw.Reader().Skip(raw.Reader().Len())
+	}, netpoll.WithOnConnect(func(ctx context.Context, raw netpoll.Connection) context.Context {
+		if !budget.take() {
+			raw.Close()
+			return ctx
+		}
+		s := newPolled(loop, budget, raw)
+		s.watched = true
+		loop.Post(func() { accept(s.c) })
+		s.watch()
+		return context.WithValue(ctx, connKey{}, s)
+	}))
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	l := &Listener{ln: ln, events: events}
+	go func() { _ = events.Serve(ln) }()
+	return l, nil
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() string { return l.ln.Addr().String() }
+
+// Close stops listening; open connections stay.
+func (l *Listener) Close() { _ = l.ln.Close() }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,12 +5,8 @@
 package transport
 
 import (
-	"context"
 	"errors"
 	"io"
-	"net"
-	"os"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,7 +25,8 @@
 
 const (
 	maxUnsent    = 1 << 20         // bytes queued for one peer before it counts as stuck
-	maxUnheard   = 512 << 10       // bytes of one peer on their way to the loop; no sound peer comes near
+	brakeAt      = 128 << 10       // bytes of one peer on their way to the loop from which on it has to wait
+	maxUnheard   = 512 << 10       // and the most, where it can't be made to wait
 	kernelBuffer = 64 << 10        // of each connection, for what has not been read: values are no larger
 	writeTimeout = 4 * time.Second // a peer that takes no byte for this long is stuck
 )
@@ -49,7 +46,7 @@
 }
 
 // Handler is what a connection tells its owner, on the loop. Closed comes once, after the last Data, and not
-// after a Close of the owner's own.
+// after a Close of the owner's own. The bytes are the owner's only until Data returns.
 type Handler interface {
 	Data(at time.Duration, b []byte)
 	Closed(err error)
@@ -86,21 +83,26 @@
 // Conn is one connection.
 type Conn struct {
 	loop    Loop
-	budget  *Budget
-	raw     netpoll.Connection
+	socket  socket
 	handler Handler
 	closed  bool // by its owner or reported to it
 	unsent  []byte
 	writing bool
-	closing bool   // close once all is written
-	written func() // is told once all bytes given to Write are with the network; nil: nobody waits
-	hungUp  bool   // the peer has closed while a write was under way
-	watched bool   // the poller closes it after a hang-up
-	freed   atomic.Bool
-	mu      sync.Mutex
-	gone    bool         // its descriptor is no longer ours; under mu
+	closing bool         // close once all is written
+	written func()       // is told once all bytes given to Write are with the network; nil: nobody waits
+	hungUp  bool         // the peer has closed while a write was under way
 	deaf    atomic.Bool  // what still comes is thrown away
-	unheard atomic.Int64 // bytes taken from netpoll and not yet seen on the loop
+	unheard atomic.Int64 // bytes that have been read and not yet seen on the loop
+}
+
+// socket is where a connection's bytes go: on netpoll, or, once its peer has had to wait, on Go's own poller.
+type socket interface {
+	use(f func(fd int)) bool // runs f on the descriptor, if that is still ours
+	write(b []byte) error    // waits for the peer, but not for long
+	close()                  // ends the connection
+	reset()                  // ends it and lets the peer know that what it may just be sending is not read
+	pause(on bool)           // stops reading for a while
+	ahead() int              // bytes that are read and not counted in unheard yet
 }
 
 // SetHandler hands the connection to a new owner.
@@ -119,6 +121,19 @@
 	}
 }
 
+// Pause stops reading, so that the peer has to wait, or goes on with it. What has been read comes all the
+// same. It does nothing while a write is under way.
+func (c *Conn) Pause(on bool) {
+	if !c.closed {
+		c.socket.pause(on)
+	}
+}
+
+// Narrow bounds what the kernel keeps for a peer that does not read: it would take megabytes for each.
+func (c *Conn) Narrow() {
+	c.socket.use(func(fd int) { _ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, kernelBuffer) })
+}
+
 // Write queues bytes and never blocks.
 func (c *Conn) Write(b []byte) {
 	if c.closed || c.closing {
@@ -140,24 +155,17 @@
 
 // send gives the kernel what it takes at once, which is nearly always all: a goroutine a write, and its way through
 // netpoll's buffers, cost a tenth of the processor. An error is left for flush to find.
-func (c *Conn) send(b []byte) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.gone {
-		return 0
-	}
-	n, _ := syscall.Write(c.raw.(netpoll.Conn).Fd(), b)
+func (c *Conn) send(b []byte) (n int) {
+	c.socket.use(func(fd int) { n, _ = syscall.Write(fd, b) })
 	return max(n, 0)
 }
 
-// flush writes the rest on a goroutine of its own, as netpoll waits there for a peer that reads slowly.
+// flush writes the rest on a goroutine of its own, which waits there for a peer that reads slowly.
 func (c *Conn) flush() {
 	b := c.unsent
 	c.unsent, c.writing = nil, true
 	go func() {
-		// Not through Writer: its buffers are taken away under a writer when the peer hangs up, and the program with them.
-		// Write holds the lock that netpoll's close waits for.
-		_, err := c.raw.Write(b)
+		err := c.socket.write(b)
 		c.loop.Post(func() { c.flushed(err) })
 	}()
 }
@@ -196,7 +204,7 @@
 	if !c.closed {
 		c.closed = true
 		c.handler = nil
-		c.release()
+		c.socket.close()
 	}
 }
 
@@ -211,17 +219,10 @@
 // Reset closes the connection at once and lets the peer know that what it may just be sending is not read: after an
 // ordinary close it sees the end of the stream, and can't tell.
 func (c *Conn) Reset() {
-	if c.closed {
-		return
-	}
-	c.closed, c.handler = true, nil
-	c.mu.Lock()
-	if !c.gone {
-		_ = syscall.SetsockoptLinger(c.raw.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	if !c.closed {
+		c.closed, c.handler = true, nil
+		c.socket.reset()
 	}
-	c.mu.Unlock()
-	c.raw.Close() // nothing comes on it, so the poller is not at work there
-	c.free()
 }
 
 // end closes the connection and tells its owner.
@@ -232,221 +233,33 @@
 	}
 }
 
-// release closes the socket. Not by netpoll's Close: that spins on the loop while the poller is at work on the
-// connection, and on one core the poller's thread stands still meanwhile, for 24 ms on average. Shut down both ways, the
-// connection is over for the peer at once, and the poller itself closes it.
-func (c *Conn) release() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.gone:
-	case !c.watched: // the poller would leave it open
-		c.raw.Close()
-		c.free()
-	default:
-		_ = syscall.Shutdown(c.raw.(netpoll.Conn).Fd(), syscall.SHUT_RDWR)
+// heard hands bytes that have been read to the owner.
+func (c *Conn) heard(at time.Duration, b []byte) {
+	c.unheard.Add(-int64(len(b)))
+	if !c.closed && !c.closing && len(b) > 0 {
+		c.handler.Data(at, b)
 	}
 }
 
-// free gives the descriptor back to the budget, once.
-func (c *Conn) free() {
-	if c.freed.CompareAndSwap(false, true) {
-		c.budget.free()
-	}
-}
-
-// read runs on netpoll's goroutines. The arrival is stamped here, so that time in the loop's queue counts. netpoll reads
-// whatever comes: a peer that outruns the loop is cut off here, before the loop has seen what it sends.
-func (c *Conn) read() error {
-	r := c.raw.Reader()
-	n := r.Len()
-	if c.deaf.Load() {
-		_ = r.Skip(n)
-		return r.Release()
-	}
-	if c.unheard.Add(int64(n)) > maxUnheard {
-		c.deaf.Store(true)
-		c.loop.Post(func() { c.end(ErrFlood) })
-		_ = r.Skip(n)
-		return r.Release()
-	}
-	b, err := r.ReadBinary(n)
-	if err != nil {
-		return err
-	}
-	_ = r.Release()
-	at := c.loop.Now()
-	c.loop.Post(func() {
-		c.unheard.Add(-int64(n))
-		if !c.closed && !c.closing && n > 0 {
-			c.handler.Data(at, b)
-		}
-	})
-	return nil
-}
-
 // Quiet tells whether the peer has neither said nor closed anything that the owner has not been told of. It looks at
 // the kernel's buffer first, as the goroutines that read it may lag behind.
 func (c *Conn) Quiet() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || c.hungUp || c.gone {
+	if c.closed || c.hungUp {
 		return false
 	}
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(c.raw.(netpoll.Conn).Fd(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN && c.raw.Reader().Len() == 0 && c.unheard.Load() == 0
-}
-
-// limitKernel bounds what the kernel keeps for a peer that is not read; netpoll reads as much at once.
-func limitKernel(raw netpoll.Connection) {
-	_ = syscall.SetsockoptInt(raw.(netpoll.Conn).Fd(), syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelBuffer)
-}
-
-// start begins to read a connection that was dialled.
-func (c *Conn) start() {
-	c.watched = true
-	_ = c.raw.SetOnRequest(func(context.Context, netpoll.Connection) error { return c.read() })
-	c.watch()
-}
-
-// watch looks out for the end of the connection. It may have come before the callback was set: that is looked at last.
-func (c *Conn) watch() {
-	gone := func() {
-		c.mu.Lock()
-		c.gone = true
-		c.mu.Unlock()
-		c.free()
-		c.loop.Post(c.hangup)
-	}
-	_ = c.raw.SetWriteTimeout(writeTimeout)
-	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error { gone(); return nil }) // runs before the descriptor is closed
-	if !c.raw.IsActive() {
-		gone()
-	}
-}
-
-// Dial connects on a goroutine of its own and reports on the loop. Cancelling the returned function's call stops
-// the report; a connection that still comes up is closed.
-func Dial(loop Loop, budget *Budget, addr string, timeout time.Duration, done func(*Conn, error)) (cancel func()) {
-	cancelled := false
-	if !budget.take() {
-		loop.Post(func() {
-			if !cancelled {
-				done(nil, ErrBudget)
-			}
-		})
-		return func() { cancelled = true }
-	}
-	go func() {
-		raw, err := netpoll.DialConnection("tcp", addr, timeout)
-		loop.Post(func() {
-			if err != nil {
-				if budget.free(); !cancelled {
-					done(nil, err)
-				}
-				return
-			}
-			limitKernel(raw)
-			c := &Conn{loop: loop, budget: budget, raw: raw}
-			if cancelled {
-				c.Close()
-				return
-			}
-			done(c, nil)
-			if !c.closed {
-				c.start()
-			}
-		})
-	}()
-	return func() { cancelled = true }
+	quiet := false
+	c.socket.use(func(fd int) { quiet = silent(fd) })
+	return quiet && c.socket.ahead() == 0 && c.unheard.Load() == 0
 }
 
-// connKey is where a connection's context keeps its Conn.
-type connKey struct{}
-
-// Listener accepts connections.
-type Listener struct {
-	ln     net.Listener
-	events netpoll.EventLoop
-}
-
-// Listen accepts connections at one address. For each, accept runs on the loop and sets its handler, or closes it.
-func Listen(loop Loop, budget *Budget, addr string, accept func(*Conn)) (*Listener, error) {
-	ln, err := netpoll.CreateListener("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return serve(loop, budget, ln, accept)
-}
-
-// Inherit accepts connections, as Listen does, on a listening socket that this process was started with and shares with
-// others. It is neither bound again nor shut down.
-func Inherit(loop Loop, budget *Budget, fd int, accept func(*Conn)) (*Listener, error) {
-	f := os.NewFile(uintptr(fd), "listener")
-	std, err := net.FileListener(f) // on a copy of the descriptor
-	if err != nil {
-		return nil, err
-	}
-	f.Close()
-	ln, err := netpoll.ConvertListener(std)
-	if err != nil {
-		return nil, err
-	}
-	return serve(loop, budget, &shared{Listener: ln}, accept)
-}
-
-// shared is a listening socket that other processes hold too. Closing it here would not take it out of the poller, which
-// would go on telling of connections under a number that may be another's by then. An Accept that says it is closed does
-// take it out, at the next connection, and leaves that one to the others.
-type shared struct {
-	netpoll.Listener
-	stopped atomic.Bool
-}
-
-func (s *shared) Accept() (net.Conn, error) {
-	if s.stopped.Load() {
-		return nil, net.ErrClosed
-	}
-	return s.Listener.Accept()
-}
-
-func (s *shared) Close() error {
-	s.stopped.Store(true)
-	return nil
+// silent tells whether the kernel holds neither bytes of the peer nor its close.
+func silent(fd int) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
 }
 
-func serve(loop Loop, budget *Budget, ln netpoll.Listener, accept func(*Conn)) (*Listener, error) {
-	// Not OnPrepare: a connection that the loop closes before netpoll has registered it ends the program. And the reader is
-	// set from the start: if it came later, netpoll could miss bytes that came meanwhile, for good. What is read is posted
-	// behind accept.
-	events, err := netpoll.NewEventLoop(func(ctx context.Context, raw netpoll.Connection) error {
-		if c, ok := ctx.Value(connKey{}).(*Conn); ok {
-			return c.read()
-		}
-		return raw.Reader().Skip(raw.Reader().Len())
-	}, netpoll.WithOnConnect(func(ctx context.Context, raw netpoll.Connection) context.Context {
-		if !budget.take() {
-			raw.Close()
-			return ctx
-		}
-		limitKernel(raw)
-		c := &Conn{loop: loop, budget: budget, raw: raw, watched: true}
-		loop.Post(func() { accept(c) })
-		c.watch()
-		return context.WithValue(ctx, connKey{}, c)
-	}))
-	if err != nil {
-		ln.Close()
-		return nil, err
-	}
-	l := &Listener{ln: ln, events: events}
-	go func() { _ = events.Serve(ln) }()
-	return l, nil
+// limitKernel bounds what the kernel keeps for a peer that is not read.
+func limitKernel(fd int) {
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelBuffer)
 }
-
-// Addr is where it listens.
-func (l *Listener) Addr() string { return l.ln.Addr().String() }
-
-// Close stops listening; open connections stay.
-func (l *Listener) Close() { _ = l.ln.Close() }
