Queue what was read far ahead in pieces, and give slow clients 10 s a piece

Ruled out by a probe in the backend: the server's side (neither Closed nor spoilt of the query came). So it is the client's: of the ways there, relay.pass handed Conn.Write all that netpoll had read at once, which on a busy machine is more than maxUnsent (ErrOverrun); it goes by pieces now. And writeTimeout was 4 s, as long as slow clients may pause.

--- a/internal/program/pgside/relay.go
+++ b/internal/program/pgside/relay.go
@@ -74,9 +74,15 @@
 	n := min(r.left, len(b))
 	r.left -= n
 	r.heard = r.x.Loop().Now()
-	if r.to != nil && !r.full && len(r.out) == 0 {
+	turn := r.to != nil && !r.full
+	if turn && len(r.out) == 0 && n <= relayAhead {
 		r.write(b[:n])
-	} else if r.out = append(r.out, b[:n]...); len(r.out) > relayAhead {
+		return b[n:]
+	}
+	// On a busy machine netpoll has read far ahead: more than a connection queues may come at once.
+	if r.out = append(r.out, b[:n]...); turn {
+		r.flow()
+	} else if len(r.out) > relayAhead {
 		r.x.Conn.Pause(true)
 	}
 	return b[n:]
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -24,11 +24,11 @@
 var ErrFlood = errors.New("transport: the peer sends too much at once")
 
 const (
-	maxUnsent    = 1 << 20         // bytes queued for one peer before it counts as stuck
-	brakeAt      = 128 << 10       // bytes of one peer on their way to the loop from which on it has to wait
-	maxUnheard   = 512 << 10       // and the most, where it can't be made to wait
-	kernelBuffer = 64 << 10        // of each connection, for what has not been read: values are no larger
-	writeTimeout = 4 * time.Second // a peer that takes no byte for this long is stuck
+	maxUnsent    = 1 << 20          // bytes queued for one peer before it counts as stuck
+	brakeAt      = 128 << 10        // bytes of one peer on their way to the loop from which on it has to wait
+	maxUnheard   = 512 << 10        // and the most, where it can't be made to wait
+	kernelBuffer = 64 << 10         // of each connection, for what has not been read: values are no larger
+	writeTimeout = 10 * time.Second // a peer that takes no more for this long is stuck; slow ones pause for seconds
 )
 
 func init() {
