--- a/internal/program/admin/admin.go
+++ b/internal/program/admin/admin.go
@@ -23,6 +23,15 @@
 	Reloads, ReloadErrors         uint64
 	Classes                       []routing.Counts
 	Pending, Members, Unavailable int
+	Lists                         []List // of fronts that take their servers from a file
+}
+
+// List is how a front's list of servers stands.
+type List struct {
+	Front                   string
+	Generation              uint64 // in force
+	Taken, Held, TurnedDown uint64 // candidates, since the start
+	Holding                 bool   // one is held now
 }
 
 // Door answers operators.
@@ -128,5 +137,20 @@
 		{"config_reloads", f.Reloads}, {"config_reload_errors", f.ReloadErrors}} {
 		b = admin.AppendFigure(b, g.name, g.value)
 	}
+	for _, l := range f.Lists {
+		holding := uint64(0)
+		if l.Holding {
+			holding = 1
+		}
+		front := admin.Label{Name: "front", Value: l.Front}
+		b = admin.AppendFigure(b, "list_generation", l.Generation, front)
+		b = admin.AppendFigure(b, "list_holding", holding, front)
+		for _, r := range []struct {
+			result string
+			count  uint64
+		}{{"taken", l.Taken}, {"held", l.Held}, {"turned_down", l.TurnedDown}} {
+			b = admin.AppendFigure(b, "list_candidates", r.count, front, admin.Label{Name: "result", Value: r.result})
+		}
+	}
 	return admin.AppendEnd(b)
 }
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -12,6 +12,7 @@
 	"threadsail/internal/archive"
 	"threadsail/internal/config"
 	"threadsail/internal/membership"
+	"threadsail/internal/program/admin"
 	"threadsail/internal/protocol/inventory"
 	"threadsail/internal/routing"
 	"threadsail/internal/transport"
@@ -104,7 +105,7 @@
 	if src.File == "" {
 		return &source{watcher: &watcher{loop: loop, budget: budget, addr: src.Discovery, log: said(log), zones: zones(cfg)}}
 	}
-	return &source{keeper: &keeper{wire: w, path: src.File, rooms: cfg.Zones, zones: zones(cfg), log: log, loop: loop,
+	return &source{keeper: &keeper{wire: w, path: src.File, rooms: cfg.Zones, zones: zones(cfg), log: log, loop: loop, counts: admin.List{Front: w.name},
 		orders: make(chan func(), 16), quit: make(chan struct{}), ended: make(chan struct{})}}
 }
 
@@ -208,14 +209,8 @@
 	orders  chan func()
 	quit    chan struct{}
 	ended   chan struct{}
-	shown   atomic.Pointer[listFigures]
-	counts  listFigures
-}
-
-// listFigures is how a file's list stands, for the operators' door.
-type listFigures struct {
-	Generation, Taken, Held, TurnedDown uint64
-	Holding                             bool
+	counts  admin.List
+	shown   atomic.Pointer[admin.List] // counts, for the operators' door
 }
 
 // begin reads the file, or the generation kept last where the file is of no use, and hands the core its first list. With
--- /dev/null
+++ b/internal/program/lists_test.go
@@ -0,0 +1,199 @@
+package program_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"threadsail/internal/lab"
+	"threadsail/internal/membership"
+	"threadsail/internal/program"
+	"threadsail/internal/protocol/inventory"
+	"threadsail/internal/standin"
+)
+
+func rewrite(t *testing.T, wire string, gateOff bool, versions int) lab.RewriteReport {
+	return lab.Rewrite{Wire: wire, Versions: versions, Pace: 9 * time.Millisecond, Clients: 8, Seed: 1, GateOff: gateOff,
+		Pooler: func(env map[string]string) string {
+			a := serve(t, func(name string) string { return env[name] }, nil)
+			if wire == "mysql" {
+				return a.MySQL
+			}
+			return a.Postgres
+		}}.Run(t)
+}
+
+// A thousand versions of the file under load, one in five of them bad, while servers leave and come and the primary moves:
+// no request may be lost or overlap, nothing go to a server 2 s after it has left, and no bad file be used.
+func TestRewrites(t *testing.T) {
+	for _, wire := range []string{"postgres", "mysql"} {
+		t.Run(wire, func(t *testing.T) {
+			t.Parallel()
+			report := rewrite(t, wire, false, 1000)
+			for _, v := range report.Violations() {
+				t.Error(v)
+			}
+			t.Log(report)
+		})
+	}
+}
+
+// The experiment itself must notice a pooler that takes whatever can be read.
+func TestRewritesWithoutGate(t *testing.T) {
+	for _, wire := range []string{"postgres", "mysql"} {
+		t.Run(wire, func(t *testing.T) {
+			t.Parallel()
+			if report := rewrite(t, wire, true, 100); len(report.Violations()) == 0 || report.Trapped == 0 {
+				t.Errorf("without the gate no bad file is used: %v", report)
+			}
+		})
+	}
+}
+
+// overFiles runs a test on fronts that take their servers from a file.
+func overFiles(t *testing.T, keys map[string]any, names []string, test func(t *testing.T, f *standin.Fleet)) {
+	for _, wire := range []string{"postgres", "mysql"} {
+		t.Run(wire, func(t *testing.T) {
+			f := standin.NewFleet(t, wire == "mysql", nil, names...)
+			f.FromFile(keys)
+			test(t, f)
+		})
+	}
+}
+
+func row(s *standin.Server, more string) string {
+	host, port, _ := net.SplitHostPort(s.Addr)
+	return fmt.Sprintf("%s,%s,%s,%s\n", s.Name, host, port, more)
+}
+
+const columns = "name,host,port,zone,cluster,weight\n"
+
+func rename(t *testing.T, path string, text []byte) {
+	t.Helper()
+	if err := os.WriteFile(path+".next", text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(path+".next", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Reads by turns follow the weights of the file; the one of weight 0 gets none.
+func TestReadsByWeights(t *testing.T) {
+	overFiles(t, nil, []string{"p", "r1", "r2", "r3", "r4"}, func(t *testing.T, f *standin.Fleet) {
+		const reads, clients = 20000, 8
+		weights := []int{1, 1, 2, 5, 0}
+		text := columns
+		for i, s := range f.Servers {
+			text += row(s, fmt.Sprintf("a,0,%d", weights[i]))
+		}
+		rename(t, f.Inventory(), inventory.AppendSeal([]byte(text), len(weights), ""))
+		a := pooler(t, f)
+		served(t, dial(t, a).Do(standin.Write("k", patience)))
+		before := make([]int, len(weights))
+		for i, s := range f.Servers {
+			before[i] = len(s.Seen())
+		}
+		var all sync.WaitGroup
+		for range clients {
+			c := dial(t, a)
+			all.Go(func() {
+				for range reads / clients {
+					if r := c.Do(standin.Read("any", patience)); !r.Served() {
+						t.Errorf("got %+v", r)
+					}
+				}
+			})
+		}
+		all.Wait()
+		for i, s := range f.Servers[1:] {
+			want := reads * float64(weights[i+1]) / 8
+			if got := float64(len(s.Seen()) - before[i+1]); got < 0.95*want || got > 1.05*want {
+				t.Errorf("%s of weight %d has %v of %d reads, want %v", s.Name, weights[i+1], got, reads, want)
+			}
+		}
+	})
+}
+
+// A start with a bad file fails and names the line; with a kept generation it serves from that, and takes the file once it
+// is mended.
+func TestStartWithBadFile(t *testing.T) {
+	overFiles(t, nil, []string{"p", "r"}, func(t *testing.T, f *standin.Fleet) {
+		good, err := os.ReadFile(f.Inventory())
+		if err != nil {
+			t.Fatal(err)
+		}
+		bad := []byte(columns + row(f.Servers[0], "a,0,1") + "db9,10.0.0.9,1,ujpest2,0,1\n")
+		rename(t, f.Inventory(), bad)
+		if _, err := tryServe(t, f.Getenv, nil); err == nil || !strings.Contains(err.Error(), `line 3: zone: unknown server room "ujpest2"`) {
+			t.Fatalf("it starts with %v", err)
+		}
+		keys := map[string]any{"state": t.TempDir()}
+		f.FromFile(keys)
+		rename(t, f.Inventory(), good)
+		t.Run("first", func(t *testing.T) { served(t, dial(t, pooler(t, f)).Do(standin.Read("any", patience))) })
+		rename(t, f.Inventory(), bad)
+		a := pooler(t, f)
+		served(t, dial(t, a).Do(standin.Write("k", patience)))
+		front := f.Wire()
+		shows(t, a, `edge_proxy_list_generation{front="`+front+`"} 1`, `edge_proxy_list_candidates{front="`+front+`",result="turned_down"} 1`)
+		text := columns + row(f.Servers[0], "a,0,1")
+		rename(t, f.Inventory(), inventory.AppendSeal([]byte(text), 1, ""))
+		shows(t, a, `edge_proxy_list_generation{front="`+front+`"} 2`, `edge_proxy_members 1`)
+	})
+}
+
+// A sealed list that takes too much away is held, through other changes of its text, until it is sealed as confirmed
+// against the list in force; another policy at SIGHUP lets it pass as well.
+func TestHeldUntilConfirmed(t *testing.T) {
+	for name, release := range map[string]func(t *testing.T, f *standin.Fleet, text []byte, inForce string){
+		"confirmed": func(t *testing.T, f *standin.Fleet, text []byte, inForce string) {
+			rename(t, f.Inventory(), inventory.AppendSeal(text, 1, inForce))
+		},
+		"another policy": func(t *testing.T, f *standin.Fleet, _ []byte, _ string) {
+			f.FromFile(map[string]any{"hold_share": 1})
+			f.Hup <- struct{}{}
+		},
+		"another file": func(t *testing.T, f *standin.Fleet, text []byte, inForce string) {
+			next := f.Inventory() + ".other.csv"
+			rename(t, next, inventory.AppendSeal(text, 1, inForce))
+			f.FromFile(map[string]any{f.Wire(): map[string]any{"file": next}})
+			f.Hup <- struct{}{}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			overFiles(t, nil, []string{"p", "r1", "r2", "r3"}, func(t *testing.T, f *standin.Fleet) {
+				front := f.Wire()
+				list, err := program.ReadList(front, f.Inventory(), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				a := pooler(t, f)
+				text := []byte(columns + row(f.Servers[0], "a,0,1"))
+				rename(t, f.Inventory(), inventory.AppendSeal(text, 1, ""))
+				shows(t, a, `edge_proxy_list_holding{front="`+front+`"} 1`, `edge_proxy_members 4`)
+				served(t, dial(t, a).Do(standin.Write("k", patience)))
+				release(t, f, text, membership.Digest(list.Servers))
+				shows(t, a, `edge_proxy_list_holding{front="`+front+`"} 0`, `edge_proxy_list_generation{front="`+front+`"} 2`, `edge_proxy_members 1`)
+			})
+		})
+	}
+}
+
+// The MySQL front may have its servers from a list service, the PostgreSQL front from a file: each by the operators' file.
+func TestMySQLByListService(t *testing.T) {
+	f := standin.NewFleet(t, true, nil, "p", "r")
+	service := standin.NewDiscovery([]standin.Entry{{ID: "p", HostPort: f.Servers[0].Addr, Locality: "a", Phase: "Ready"},
+		{ID: "r", HostPort: f.Servers[1].Addr, Locality: "a", Phase: "Ready"}})
+	t.Cleanup(service.CloseClientConnections)
+	f.Lists(map[string]any{"enabled": true, "mysql": map[string]any{"discovery": strings.TrimPrefix(service.URL, "http://")}})
+	c := dial(t, pooler(t, f))
+	served(t, c.Do(standin.Write("k", patience)))
+	if r := c.Do(standin.Read("any", patience)); r.Value != "from r" {
+		t.Errorf("a read got %+v", r)
+	}
+}
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -18,32 +18,46 @@
 // pooler runs the program on a fleet until the test ends.
 func pooler(t testing.TB, f *standin.Fleet) program.Addrs {
 	t.Helper()
-	cfg, err := config.Load(f.Getenv)
+	return serve(t, f.Getenv, f.Hup)
+}
+
+func serve(t testing.TB, getenv func(string) string, hup <-chan struct{}) program.Addrs {
+	t.Helper()
+	a, err := tryServe(t, getenv, hup)
 	if err != nil {
 		t.Fatal(err)
 	}
-	my, err := config.LoadMySQL(f.Getenv, cfg)
+	return a
+}
+
+// tryServe runs the program until the test ends, if it starts.
+func tryServe(t testing.TB, getenv func(string) string, hup <-chan struct{}) (program.Addrs, error) {
+	cfg, err := config.Load(getenv)
 	if err != nil {
-		t.Fatal(err)
+		return program.Addrs{}, err
+	}
+	my, err := config.LoadMySQL(getenv, cfg)
+	if err != nil {
+		return program.Addrs{}, err
 	}
 	terminate, ready, ended := make(chan struct{}), make(chan program.Addrs, 1), make(chan error, 1)
-	control := program.Control{Terminate: terminate, Reload: f.Hup,
-		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(f.Getenv) }}
-	go func() { ended <- program.Serve(cfg, my, zerolog.Nop(), control, func(a program.Addrs) { ready <- a }) }()
-	t.Cleanup(func() {
-		close(terminate)
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
+	control := program.Control{Terminate: terminate, Reload: hup,
+		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(getenv) }}
+	go func() {
+		ended <- program.Serve(cfg, my, zerolog.Nop(), control, func(a program.Addrs) { ready <- a })
+	}()
 	select {
 	case a := <-ready:
-		return a
+		t.Cleanup(func() {
+			close(terminate)
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+		return a, nil
 	case err := <-ended:
-		ended <- err
-		t.Fatal(err)
+		return program.Addrs{}, err
 	}
-	return program.Addrs{}
 }
 
 func dial(t testing.TB, a program.Addrs) standin.Client {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -170,11 +170,15 @@
 // figures may be called on any goroutine.
 func (s *state) figures() admin.Figures {
 	var all routing.Figures
+	var lists []admin.List
 	for _, side := range s.sides {
 		all.Add(*side.shown.Load())
+		if k := side.source.keeper; k != nil {
+			lists = append(lists, *k.shown.Load())
+		}
 	}
 	return admin.Figures{Serving: s.serving.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
-		Classes: all.Classes, Pending: all.Pending, Members: all.Members, Unavailable: all.Unavailable}
+		Classes: all.Classes, Pending: all.Pending, Members: all.Members, Unavailable: all.Unavailable, Lists: lists}
 }
 
 // reload takes over what can change under load: the settings and the address of the list service. A file that can't be
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -52,6 +52,14 @@
 		lastID.Add(1), patience.Milliseconds(), key)
 }
 
+// Dial connects to a front of a wire, "postgres" or "mysql".
+func Dial(wire, addr string) (Client, error) {
+	if wire == "mysql" {
+		return DialMySQL(addr)
+	}
+	return DialPostgres(addr)
+}
+
 // Postgres is a client on PostgreSQL's protocol.
 type Postgres struct {
 	net.Conn
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"testing"
 
 	"threadsail/internal/protocol/inventory"
 )
@@ -31,9 +30,17 @@
 	}
 }
 
+// Host is what a fleet needs of the test, or the tool, that it serves. testing.TB is one.
+type Host interface {
+	Helper()
+	Fatal(args ...any)
+	Cleanup(func())
+	TempDir() string
+}
+
 // Fleet is a group of servers, the list service, and the files that tell a pooler of them.
 type Fleet struct {
-	t         testing.TB
+	t         Host
 	mysql     bool
 	Ledger    *Ledger
 	Servers   []*Server
@@ -47,14 +54,11 @@
 
 // NewFleet starts servers of the given names on one of the wires; the first is the primary. change may alter the
 // settings.
-func NewFleet(t testing.TB, speaksMySQL bool, change func(settings map[string]any), names ...string) *Fleet {
+func NewFleet(t Host, speaksMySQL bool, change func(settings map[string]any), names ...string) *Fleet {
 	t.Helper()
 	f := &Fleet{t: t, mysql: speaksMySQL, Ledger: NewLedger(), phase: map[string]string{}, Hup: make(chan struct{}, 1)}
 	for i, n := range names {
-		s, err := NewServer(n, speaksMySQL, i == 0, f.Ledger)
-		f.check(err)
-		t.Cleanup(s.Down)
-		f.Servers = append(f.Servers, s)
+		f.Servers = append(f.Servers, f.Server(n, i == 0))
 	}
 	f.Discovery = NewDiscovery(f.entries())
 	t.Cleanup(f.Discovery.CloseClientConnections)
@@ -66,7 +70,7 @@
 	f.inventory = filepath.Join(dir, "inventory.csv")
 	addr := strings.TrimPrefix(f.Discovery.URL, "http://")
 	f.Env = map[string]string{"PROXY_CONFIG": filepath.Join(dir, "config.json"),
-		"PROXY_MYSQL": filepath.Join(dir, "mysql.json")}
+		"PROXY_MYSQL": filepath.Join(dir, "mysql.json"), "PROXY_MEMBERSHIP": filepath.Join(dir, "membership.json")}
 	f.config = map[string]any{"name": "n1", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"known":    map[string]any{"revision": 0, "complete": true, "members": f.entries()},
@@ -76,10 +80,39 @@
 		"inventory": f.inventory, "user": BackendUser, "password": BackendPassword,
 		"client": map[string]any{"user": ClientUser, "password": ClientPassword}, "heartbeat": Heartbeat, "reload_ms": 20,
 		"defaults": map[string]any{"read": map[string]any{"class": "any"}, "write": map[string]any{"class": "write"}}})
+	f.Lists(map[string]any{"enabled": false})
 	f.List()
 	return f
 }
 
+// Server starts one more server of the fleet's wire, which no list names yet.
+func (f *Fleet) Server(name string, primary bool) *Server {
+	s, err := NewServer(name, f.mysql, primary, f.Ledger)
+	f.check(err)
+	f.t.Cleanup(s.Down)
+	return s
+}
+
+// Lists writes the operators' file of the server lists.
+func (f *Fleet) Lists(file map[string]any) { f.file(f.Env["PROXY_MEMBERSHIP"], file) }
+
+// Wire is the wire that its servers speak: "postgres" or "mysql".
+func (f *Fleet) Wire() string {
+	if f.mysql {
+		return "mysql"
+	}
+	return "postgres"
+}
+
+// FromFile has the front of the fleet's wire take its servers from the inventory, with further keys of the operators' file.
+func (f *Fleet) FromFile(keys map[string]any) {
+	file := map[string]any{"enabled": true, f.Wire(): map[string]any{"file": f.inventory}, "poll_ms": 1000}
+	for k, v := range keys {
+		file[k] = v
+	}
+	f.Lists(file)
+}
+
 // Getenv reads the pooler's environment.
 func (f *Fleet) Getenv(name string) string { return f.Env[name] }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -58,6 +58,7 @@
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
+	came    int           // connections, ever
 	changed chan struct{} // closed at the next statement
 	unsent  map[net.Conn]bool
 }
@@ -136,6 +137,7 @@
 			}
 			s.mu.Lock()
 			s.conns[c] = true
+			s.came++
 			s.mu.Unlock()
 			go s.serve(c)
 		}
@@ -196,6 +198,13 @@
 	return len(s.unsent)
 }
 
+// Came counts the connections that it has ever had.
+func (s *Server) Came() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.came
+}
+
 // Wait waits until it has seen n statements, for a generous while.
 func (s *Server) Wait(n int) bool {
 	late := time.After(20 * time.Second)
