--- a/cmd/threadsail/bench_test.go
+++ b/cmd/threadsail/bench_test.go
@@ -27,7 +27,7 @@
 
 // BenchmarkServe measures the processor time of the pooler's process a request, with four clients in a closed loop. Where
 // THREADSAIL_OTHER names the binary of another build, both run side by side on the same servers, in turns, and the ratio of
-// this one's time to the other's is reported.
+// this one's time to the other's is reported. THREADSAIL_THIS names a binary in place of the test's own, which is larger.
 func BenchmarkServe(b *testing.B) {
 	const clients, turn = 4, 500
 	for _, wire := range []string{"postgres", "mysql"} {
@@ -40,9 +40,14 @@
 				used    time.Duration
 			}
 			builds := []*build{{name: "this", cmd: command(f.Env, "serve")}}
+			env := builds[0].cmd.Env
+			if this := os.Getenv("THREADSAIL_THIS"); this != "" {
+				builds[0].cmd = exec.Command(this, "serve")
+				builds[0].cmd.Env = env
+			}
 			if other := os.Getenv("THREADSAIL_OTHER"); other != "" {
 				cmd := exec.Command(other, "serve")
-				cmd.Env = builds[0].cmd.Env
+				cmd.Env = env
 				builds = append(builds, &build{name: "other", cmd: cmd})
 			}
 			for _, x := range builds {
--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -40,6 +40,9 @@
 func main() { os.Exit(run(os.Args[1:], streams{os.Stdout, os.Stderr})) }
 
 func run(args []string, s streams) (code int) {
+	if len(args) == 1 && args[0] == "serve" { // as deployed: the parser of the commands would cost memory for good
+		return exit((&serveCmd{LogFormat: "json", LogLevel: "info"}).Run(s), s)
+	}
 	var cli commands
 	type ended int
 	defer func() { // help ends the parse, and not the program: the code is ours to return
@@ -64,7 +67,12 @@
 		}
 		return exitUsage
 	}
-	switch err := ctx.Run(s); {
+	return exit(ctx.Run(s), s)
+}
+
+// exit puts a command's end into the program's.
+func exit(err error, s streams) int {
+	switch {
 	case err == nil:
 		return exitFine
 	case errors.Is(err, errDiffer):
--- a/internal/program/lists_test.go
+++ b/internal/program/lists_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -197,3 +198,47 @@
 		t.Errorf("a read got %+v", r)
 	}
 }
+
+// The primary leaves the file while a write is under way there: that ends as it would. A later write waits, is tried out at
+// no other server, and goes once to the one that is promoted. A bad operators' file at SIGHUP changes nothing meanwhile.
+func TestPrimaryLeavesTheFile(t *testing.T) {
+	overFiles(t, nil, []string{"p", "r1", "r2"}, func(t *testing.T, f *standin.Fleet) {
+		a := pooler(t, f)
+		p, rest := f.Servers[0], f.Servers[1:]
+		served(t, dial(t, a).Do(standin.Write("k0", patience)))
+		release := make(chan struct{})
+		p.Do(func(standin.Seen) standin.Act { <-release; return standin.Answer })
+		under, later := make(chan standin.Result, 1), make(chan standin.Result, 1)
+		c1, c2 := dial(t, a), dial(t, a)
+		go func() { under <- c1.Do(standin.Write("k1", 20*time.Second)) }()
+		if !p.Wait(2) {
+			t.Fatal("the write never came")
+		}
+		f.Servers = rest
+		f.List()
+		shows(t, a, "edge_proxy_members 2")
+		f.FromFile(map[string]any{"hold_share": 7})
+		f.Hup <- struct{}{}
+		shows(t, a, "edge_proxy_config_reload_errors 1")
+		p.Set(false, 0)
+		time.Sleep(600 * time.Millisecond) // the grace is 500 ms: what follows must not fall into it
+		go func() { later <- c2.Do(standin.Write("k2", 20*time.Second)) }()
+		shows(t, a, "edge_proxy_pending 2")
+		close(release)
+		served(t, <-under)
+		had := len(p.Seen())
+		rest[1].Set(true, 0)
+		served(t, <-later)
+		var came []string
+		for _, s := range f.Servers {
+			for _, seen := range s.Seen() {
+				if strings.Contains(seen.Text, ",k=k2,") {
+					came = append(came, s.Name)
+				}
+			}
+		}
+		if !slices.Equal(came, []string{"r2"}) || len(p.Seen()) != had {
+			t.Errorf("the write has come to %v, and %d statements to the one that left", came, len(p.Seen())-had)
+		}
+	})
+}
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -141,3 +142,30 @@
 		t.Errorf("%d names and addresses for a server that has come back", n)
 	}
 }
+
+// BenchmarkList hands a core of 10,000 servers in 1,000 clusters one that has changed, and the whole list for comparison.
+func BenchmarkList(b *testing.B) {
+	loop := NewLoop()
+	c, err := New(loop, &backend{calls: make(chan *waiting, 1), loop: loop}, Options{Settings: rules.Settings{Classes: []rules.Class{{Name: "r"}}},
+		MaxOpen: 1, Watch: func() {}, Log: func(string) {}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	list := make([]Member, 10000)
+	for i := range list {
+		list[i] = Member{Name: fmt.Sprint("db", i), Addr: fmt.Sprint("10.0.0.1:", i), Group: i / 10, State: rules.Ready, Weight: 1}
+	}
+	c.List(rules.ListFull, list)
+	b.Run("one", func(b *testing.B) {
+		for n := 0; b.Loop(); n++ {
+			one := list[5000]
+			one.Weight = 1 + n%2
+			c.List(rules.ListDelta, []Member{one})
+		}
+	})
+	b.Run("all", func(b *testing.B) {
+		for b.Loop() {
+			c.List(rules.ListFull, list)
+		}
+	})
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -793,7 +793,9 @@
 	}
 	r.join(s)
 	s.Member, s.stopAt = m, 0
-	r.group(s.Group).weigh()
+	g := r.group(s.Group)
+	g.left = g.left && g.primary != s
+	g.weigh()
 	if m.Started > 0 {
 		r.chill(s, m.Started)
 	}
@@ -807,6 +809,8 @@
 	}
 	s.State = st
 	if st == Gone {
+		g := r.group(s.Group)
+		g.left = g.left || g.primary == s // what stays may be about to be promoted, or not: no write tries it out
 		r.after(goneFor, func() { r.retire(s) })
 	}
 	if s.stopAt > 0 {
@@ -816,7 +820,7 @@
 	r.after(max(s.stopAt-r.now, 0), func() {
 		if s.State != Ready && r.now >= s.stopAt {
 			r.part(s)
-			if r.lose(s, "has left") { // what stays may be about to be promoted, or not: no write tries it out
+			if r.lose(s, "has left") {
 				r.group(s.Group).left = true
 			}
 		}
--- a/rules/state.go
+++ b/rules/state.go
@@ -90,7 +90,7 @@
 	usedAt    time.Duration // last request
 	cursor    int
 	weighed   bool // its members differ in weight
-	left      bool // its last primary has left the list, and no other has shown itself
+	left      bool // the recorded primary has left the list, and no other has shown itself
 	held      []*request
 	watching  bool
 	refreshAt time.Duration
