Take MySQL clients to PostgreSQL servers: routes and the extended protocol

Need: a cluster moves to newer servers while booking tools stay old; each front reached only servers of its own wire.

Change: the inventory names a server's wire and version; internal/routes tells what a request needs at a cluster, so that one that can't be translated is turned down with 1235 before anything is sent, whichever server would have taken it. The backend internal/program/crossside speaks Parse, Bind and Execute, keeps prepared statements a connection, holds an answer until it is whole and reads roles by pg_is_in_recovery. Clients of latin2 and cp1250 are served on either wire. A server that changes its wire is another server to the module.

Measured: the rule tests run over five pairs from one table: PostgreSQL, MySQL, MySQL to PostgreSQL, and two mixed clusters as in a migration; all pass, no overlap in the stand-ins' ledger.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -207,10 +208,5 @@
 	return nil
 }
 
-func or[T comparable](v, otherwise T) T {
-	var zero T
-	if v == zero {
-		return otherwise
-	}
-	return v
-}
+// or is the first value that is set.
+func or[T comparable](values ...T) T { return cmp.Or(values...) }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -151,7 +151,7 @@
 	classes := []string{"r", "w"}
 	got, err := parseMySQL([]byte(text), classes, false)
 	want := &MySQL{Listen: "127.0.0.1:3306", Inventory: "i.csv", User: "u", Read: Default{"r", 0}, Write: Default{"w", 2},
-		Reload: 50 * time.Millisecond, ProbeTimeout: defaultProbeTimeout}
+		Reload: 50 * time.Millisecond, ProbeTimeout: defaultProbeTimeout, Postgres: Postgres{User: "u", Database: "core"}}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
 		t.Error(err, d)
 	}
--- a/internal/config/mysql.go
+++ b/internal/config/mysql.go
@@ -8,6 +8,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"threadsail/internal/translate"
 )
 
 // MySQLFile is where the file of the MySQL front lies unless PROXY_MYSQL names another.
@@ -36,6 +38,14 @@
 	Read, Write    Default
 	Reload         time.Duration // how often the inventory is looked at without being told
 	ProbeTimeout   time.Duration
+	Postgres       Postgres
+	Translate      translate.Options
+}
+
+// Postgres is how PostgreSQL servers behind the MySQL front are reached.
+type Postgres struct {
+	User, Database string // empty: as at MySQL servers
+	Heartbeat      string // as MySQL.Heartbeat
 }
 
 // LoadMySQL reads the file of the MySQL front. Without the file, or with "enabled" false, the front is off: nil.
@@ -65,6 +75,8 @@
 		Defaults                     struct{ Read, Write Default }
 		ReloadMs                     float64 `json:"reload_ms"`
 		ProbeTimeoutMs               float64 `json:"probe_timeout_ms"`
+		Postgres                     Postgres
+		Translate                    translate.Options
 	}
 	dec := json.NewDecoder(strings.NewReader(string(text)))
 	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
@@ -78,7 +90,10 @@
 		Database: file.Database, ClientUser: file.Client.User, ClientPassword: file.Client.Password,
 		Heartbeat: file.Heartbeat, Read: file.Defaults.Read, Write: file.Defaults.Write,
 		Reload:       or(Milliseconds(file.ReloadMs), defaultReload),
-		ProbeTimeout: or(Milliseconds(file.ProbeTimeoutMs), defaultProbeTimeout)}
+		ProbeTimeout: or(Milliseconds(file.ProbeTimeoutMs), defaultProbeTimeout),
+		Postgres:     file.Postgres, Translate: file.Translate}
+	m.Postgres.User = or(m.Postgres.User, m.User)
+	m.Postgres.Database = or(m.Postgres.Database, m.Database, "core")
 	if err := address("listen", m.Listen); err != nil {
 		return nil, err
 	}
--- a/internal/membership/check.go
+++ b/internal/membership/check.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"threadsail/internal/routes"
 	"threadsail/rules"
 )
 
@@ -23,10 +24,12 @@
 	Cluster // empty: 0
 	State   // empty: ready
 	Weight  // empty: 1
+	Wire    // empty: the front's own
+	Version // empty: unknown
 	Fields  // how many there are
 )
 
-var fieldNames = [Fields]string{"name", "host", "port", "zone", "cluster", "state", "weight"}
+var fieldNames = [Fields]string{"name", "host", "port", "zone", "cluster", "state", "weight", "wire", "version"}
 
 func (f Field) String() string { return fieldNames[f] }
 
@@ -127,6 +130,8 @@
 	return out, nil
 }
 
+var wirePorts = map[string]int{"mysql": 3306, "postgres": 5432}
+
 type checker struct {
 	lim      Limits
 	names    map[string]int // the line where each stands first
@@ -176,7 +181,18 @@
 	if !ok && s.Name != "" {
 		c.fail(r, hostField, "%.80q, expected a host name or an IP address", host)
 	}
-	port := c.number(r, Port, 1, 65535, c.lim.Port)
+	s.Wire, s.Version = r.Value[Wire], r.Value[Version]
+	if _, err := routes.ParseWire(s.Wire, routes.MySQL); err != nil {
+		c.fail(r, Wire, "%v", err)
+	}
+	if _, err := routes.ParseVersion(s.Version); err != nil {
+		c.fail(r, Version, "%v", err)
+	}
+	otherwise := c.lim.Port
+	if p := wirePorts[s.Wire]; p > 0 {
+		otherwise = p
+	}
+	port := c.number(r, Port, 1, 65535, otherwise)
 	s.Addr = net.JoinHostPort(host, strconv.Itoa(port))
 	if first, twice := c.addrs[s.Addr]; twice && ok {
 		c.fail(r, hostField, "%s is the address of the server on line %d too", s.Addr, first)
--- a/internal/membership/server.go
+++ b/internal/membership/server.go
@@ -27,14 +27,22 @@
 	Addr    string      `json:"addr"`           // host:port, the host in lower case; unique
 	Room    string      `json:"room,omitempty"` // one of the settings' zones; empty: in none of them
 	Cluster int         `json:"cluster"`
-	State   rules.State `json:"state"`  // rules.Ready or rules.Draining
-	Weight  int         `json:"weight"` // its share of reads by turns, against its cluster's others; 0: none
+	State   rules.State `json:"state"`             // rules.Ready or rules.Draining
+	Weight  int         `json:"weight"`            // its share of reads by turns, against its cluster's others; 0: none
+	Wire    string      `json:"wire,omitempty"`    // mysql or postgres; empty: the front's own
+	Version string      `json:"version,omitempty"` // of the server; empty: unknown
 }
 
 // Key tells servers apart. What is known of a server (its role, its position, its health) was learnt at an address in a
-// cluster, so one that moves to another of either counts as a server that has gone and another that has come: the old
+// cluster, over a wire, so one that moves to another of these counts as a server that has gone and another that has come: the old
 // primary's role must not follow its name to a machine that may hold anything.
-func (s Server) Key() string { return s.Name + "@" + s.Addr + "#" + strconv.Itoa(s.Cluster) }
+func (s Server) Key() string {
+	key := s.Name + "@" + s.Addr + "#" + strconv.Itoa(s.Cluster)
+	if s.Wire != "" {
+		key += "/" + s.Wire
+	}
+	return key
+}
 
 // Generation is one list that was, or is, in force.
 type Generation struct {
@@ -65,6 +73,8 @@
 		number(s.Cluster)
 		number(int(s.State))
 		number(s.Weight)
+		text(s.Wire)
+		text(s.Version)
 	}
 	return fmt.Sprintf("%016x", h.Sum64())
 }
@@ -75,8 +85,8 @@
 // Diff is what leads from one list to another.
 type Diff struct {
 	Added, Removed []Server
-	Moved          []Change // the same name at another address or in another cluster: one server gone, one come
-	Changed        []Change // room, state or weight
+	Moved          []Change // the same name under another key: one server gone, one come
+	Changed        []Change // room, state, weight or version
 }
 
 // Compare finds the differences of two lists that are in the order of their names.
@@ -98,7 +108,7 @@
 		case way > 0:
 			d.Added, after = append(d.Added, after[0]), after[1:]
 		default:
-			if b, a := before[0], after[0]; b.Addr != a.Addr || b.Cluster != a.Cluster {
+			if b, a := before[0], after[0]; b.Addr != a.Addr || b.Cluster != a.Cluster || b.Wire != a.Wire {
 				d.Moved = append(d.Moved, Change{b, a})
 			} else if b != a {
 				d.Changed = append(d.Changed, Change{b, a})
@@ -165,6 +175,7 @@
 			{"room", c.Before.Room, c.After.Room},
 			{"state", StateName(c.Before.State), StateName(c.After.State)},
 			{"weight", strconv.Itoa(c.Before.Weight), strconv.Itoa(c.After.Weight)},
+			{"version", c.Before.Version, c.After.Version},
 		} {
 			if f.before != f.after {
 				what = append(what, fmt.Sprintf("%s %s -> %s", f.name, cmp.Or(f.before, "none"), cmp.Or(f.after, "none")))
@@ -181,8 +192,9 @@
 }
 
 func (s Server) String() string {
-	return fmt.Sprintf("%s at %s, room %s, cluster %d, %s, weight %d", s.Name, s.Addr, cmp.Or(s.Room, "none"), s.Cluster,
-		StateName(s.State), s.Weight)
+	speaks := strings.TrimRight(fmt.Sprintf(", %s %s", s.Wire, s.Version), " ,")
+	return fmt.Sprintf("%s at %s, room %s, cluster %d, %s, weight %d%s", s.Name, s.Addr, cmp.Or(s.Room, "none"), s.Cluster,
+		StateName(s.State), s.Weight, speaks)
 }
 
 // StateName is a state in the inventory's words.
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -32,6 +32,7 @@
 	cancel  func() // of the dial
 	connect *routing.Timer
 	rest    *routing.Timer // of an answer that has begun
+	over    bool
 }
 
 // restOfAnswer may pass between the first bytes of an answer and its last; values are small.
@@ -156,5 +157,9 @@
 	x.connect.Stop()
 	x.rest.Stop()
 	x.Res.Result = r
+	x.over = true
 	x.attempt.Done(x.Res)
 }
+
+// Over tells that its end has been reported.
+func (x *Exchange) Over() bool { return x.over }
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -14,6 +14,7 @@
 	"threadsail/internal/membership"
 	"threadsail/internal/program/admin"
 	"threadsail/internal/protocol/inventory"
+	"threadsail/internal/routes"
 	"threadsail/internal/routing"
 	"threadsail/internal/transport"
 	"threadsail/internal/watchfile"
@@ -101,11 +102,12 @@
 	}
 }
 
-func newSource(cfg *config.Config, src config.ListSource, w wire, loop *routing.Loop, budget *transport.Budget, log zerolog.Logger) *source {
+func newSource(cfg *config.Config, src config.ListSource, w wire, table *routes.Table, loop *routing.Loop, budget *transport.Budget,
+	log zerolog.Logger) *source {
 	if src.File == "" {
 		return &source{watcher: &watcher{loop: loop, budget: budget, addr: src.Discovery, log: said(log), zones: zones(cfg)}}
 	}
-	return &source{keeper: &keeper{wire: w, path: src.File, rooms: cfg.Zones, zones: zones(cfg), log: log, loop: loop, counts: admin.List{Front: w.name},
+	return &source{keeper: &keeper{wire: w, path: src.File, rooms: cfg.Zones, zones: zones(cfg), routes: table, log: log, loop: loop, counts: admin.List{Front: w.name},
 		orders: make(chan func(), 16), quit: make(chan struct{}), ended: make(chan struct{})}}
 }
 
@@ -203,6 +205,7 @@
 	log     zerolog.Logger
 	loop    *routing.Loop
 	core    *routing.Core
+	routes  *routes.Table // what the servers speak; it belongs to the loop
 	gate    *membership.Gate
 	archive *archive.Archive // nil: none
 	watcher *watchfile.Watcher
@@ -238,6 +241,7 @@
 	if d.Verdict != membership.Taken {
 		k.log.Info().Uint64("generation", cur.Number).Dur("age_ms", k.loop.Now()-cur.Taken).Msg("list: serving from the kept generation")
 	}
+	k.speak(cur.Servers, nil)
 	core.List(rules.ListFull, k.members(cur.Servers, nil))
 	k.note(d)
 	k.watch(lists, st)
@@ -293,8 +297,12 @@
 	}
 	k.note(d)
 	if d.Verdict == membership.Taken {
-		list := k.members(d.Diff.Listed(), d.Diff.Gone())
-		k.loop.Post(func() { k.core.List(rules.ListDelta, list) })
+		listed, gone := d.Diff.Listed(), d.Diff.Gone()
+		list := k.members(listed, gone)
+		k.loop.Post(func() {
+			k.speak(listed, gone)
+			k.core.List(rules.ListDelta, list)
+		})
 	}
 }
 
@@ -356,6 +364,19 @@
 	k.watcher.Close()
 }
 
+// speak notes down which wire and version servers speak, before the core hears of them.
+func (k *keeper) speak(listed, gone []membership.Server) {
+	for _, s := range gone {
+		k.routes.Drop(s.Key())
+	}
+	for _, s := range listed {
+		var t routes.Target
+		t.Wire, _ = routes.ParseWire(s.Wire, k.routes.Front())
+		t.Version, _ = routes.ParseVersion(s.Version) // both were checked with the list
+		k.routes.Add(s.Key(), s.Addr, s.Cluster, t)
+	}
+}
+
 // members puts servers into the core's words.
 func (k *keeper) members(listed, gone []membership.Server) []routing.Member {
 	out := make([]routing.Member, 0, len(listed)+len(gone))
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -8,6 +8,7 @@
 	"threadsail/internal/protocol"
 	"threadsail/internal/protocol/mysql"
 	"threadsail/internal/routing"
+	"threadsail/internal/translate"
 	"threadsail/internal/transport"
 	"threadsail/rules"
 )
@@ -284,7 +285,11 @@
 	for _, d := range x.cmd.Long {
 		x.write(d.Payload(x.stmt.ID))
 	}
-	x.send(x.cmd.Exec.Payload(x.stmt.ID))
+	exec := x.cmd.Exec
+	if x.cmd.utf8 != nil {
+		exec = *x.cmd.utf8
+	}
+	x.send(exec.Payload(x.stmt.ID))
 }
 
 func (x *command) write(p []byte) { x.Conn.Write(mysql.Append(nil, 0, p)) }
@@ -312,7 +317,7 @@
 	}
 	x.put(last)
 	if x.ans.Err == nil {
-		x.Res.Answer = x.ans.Raw
+		x.Res.Answer = x.recoded()
 		x.End(rules.OK)
 		return true
 	}
@@ -323,7 +328,7 @@
 	}
 	switch r {
 	case rules.OK:
-		x.Res.Answer = x.ans.Raw
+		x.Res.Answer = x.recoded()
 	case rules.Missed:
 		x.Res.Role = rules.RoleReplica
 	}
@@ -331,6 +336,22 @@
 	return true
 }
 
+// recoded is the answer as the client reads it: as the server gave it, unless the client writes in a charset of 8 bits.
+func (x *command) recoded() []byte {
+	if !x.cmd.Client.Foreign() {
+		return x.ans.Raw
+	}
+	out, err := x.cmd.Client.Recode(x.ans.Raw, x.cmd.Prepared)
+	if err != nil { // the statement has run: its error says why nothing is seen of it
+		var own *translate.Error
+		if !errors.As(err, &own) {
+			own = &translate.Error{Meaning: translate.Unknown, Text: err.Error()}
+		}
+		return x.cmd.Client.AppendError(nil, own)
+	}
+	return out
+}
+
 // probed takes in the answer to one query of a probe; true: another one follows.
 func (x *command) probed() bool {
 	rep := &x.Res.Report
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,7 +12,9 @@
 	"threadsail/internal/program/door"
 	"threadsail/internal/protocol/comment"
 	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/routes"
 	"threadsail/internal/routing"
+	"threadsail/internal/translate"
 	"threadsail/internal/transport"
 	"threadsail/rules"
 )
@@ -30,6 +33,24 @@
 	Params   int
 	Exec     mysql.Execute
 	Long     []mysql.LongData
+
+	Client translate.Client
+	Other  *Translated    // for servers of the other wire; nil: there are none in its cluster
+	utf8   *mysql.Execute // Exec with its texts in UTF-8, where the client's are not; nil: they are
+}
+
+// Translated is a statement as PostgreSQL servers get it.
+type Translated struct {
+	translate.Statement
+	comment *comment.Comment
+}
+
+// Text is its SQL, with the time that is left in its comment, if it has one.
+func (t *Translated) Text(left time.Duration) string {
+	if t.comment == nil {
+		return t.SQL
+	}
+	return t.comment.WithPatience(t.SQL, left)
 }
 
 func (c *Command) query(left time.Duration) string {
@@ -50,11 +71,13 @@
 	sessions map[*session]bool
 	ids      map[string]bool // of open requests
 	draining bool
+	routes   *routes.Table
 }
 
-// Listen starts a front for the clients that a door lets in.
-func Listen(loop *routing.Loop, budget *transport.Budget, core *routing.Core, cfg *config.MySQL, d *door.Door) (*Front, error) {
-	f := &Front{loop: loop, core: core, cfg: cfg, door: d, sessions: map[*session]bool{}, ids: map[string]bool{}}
+// Listen starts a front for the clients that a door lets in. table knows what the servers speak.
+func Listen(loop *routing.Loop, budget *transport.Budget, core *routing.Core, cfg *config.MySQL, d *door.Door,
+	table *routes.Table) (*Front, error) {
+	f := &Front{loop: loop, core: core, cfg: cfg, door: d, routes: table, sessions: map[*session]bool{}, ids: map[string]bool{}}
 	ln, err := transport.Listen(loop, budget, cfg.Listen, f.accept)
 	f.ln = ln
 	return f, err
@@ -112,6 +135,7 @@
 	params  int
 	scan    mysql.Scan
 	comment *comment.Comment
+	other   *Translated
 	types   []byte
 	long    []mysql.LongData
 	size    int // of long
@@ -127,6 +151,7 @@
 	id        string
 	in        bool
 	user      string
+	client    translate.Client
 	db        string
 	buf       []byte
 	busy      bool
@@ -227,6 +252,7 @@
 			return
 		}
 		s.user, s.db, response = l.User, l.Database, l.Response
+		s.client = clientOf(&l)
 		if !l.IsNative() {
 			s.switched = true
 			s.send(seq+1, mysql.SwitchToNative(s.challenge))
@@ -244,6 +270,21 @@
 	s.send(seq+1, mysql.OK())
 }
 
+// clientOf is what a login tells of its client.
+func clientOf(l *mysql.Login) translate.Client {
+	c := translate.Client{Generation: translate.Gen80, Charset: translate.UTF8MB4}
+	switch {
+	case !l.PluginAuth():
+		c.Generation = translate.Gen50
+	case !l.TracksSessions():
+		c.Generation = translate.Gen55
+	}
+	if cs, ok := translate.CharsetOf(l.Collation); ok {
+		c.Charset = cs
+	}
+	return c
+}
+
 func (s *session) fail(code uint16, state, text string) { s.send(1, mysql.Error(code, state, text)) }
 
 func (s *session) unsupported(what string) {
@@ -271,11 +312,13 @@
 			return
 		}
 		if scan.Kind == mysql.Local {
-			s.send(1, mysql.OK())
+			s.local(scan)
 			return
 		}
-		if c, ok := s.comment(text); ok {
-			s.submit(at, scan.Kind, &Command{Text: text, Comment: c, DB: s.db})
+		if text, ok := s.decoded(text); ok {
+			if c, ok := s.comment(text); ok {
+				s.submit(at, scan.Kind, &Command{Text: text, Comment: c, DB: s.db}, nil)
+			}
 		}
 	case mysql.ComStmtPrepare:
 		s.prepare(string(p[1:]))
@@ -286,6 +329,60 @@
 	}
 }
 
+// local answers a SET of how things stand.
+func (s *session) local(scan mysql.Scan) {
+	if scan.Names != "" {
+		cs, ok := translate.CharsetNamed(scan.Names)
+		if !ok && scan.Names != "default" {
+			s.unsupported("the character set " + scan.Names)
+			return
+		}
+		if ok {
+			s.client.Charset = cs
+		}
+	}
+	s.send(1, mysql.OK())
+}
+
+// decoded is a client's statement in UTF-8.
+func (s *session) decoded(text string) (string, bool) {
+	if !s.client.Foreign() {
+		return text, true
+	}
+	out, err := s.client.Charset.Decode([]byte(text))
+	if err != nil {
+		s.wrong(err)
+		return "", false
+	}
+	return string(out), true
+}
+
+// wrong answers a statement that can't be taken anywhere. Nothing has been sent.
+func (s *session) wrong(err error) {
+	var unsupported *translate.Unsupported
+	var own *translate.Error
+	switch {
+	case errors.As(err, &unsupported):
+		own = &translate.Error{Meaning: translate.NotSupported, Text: err.Error()}
+	case !errors.As(err, &own):
+		own = &translate.Error{Meaning: translate.BadValue, Text: err.Error()}
+	}
+	s.c.Write(s.client.AppendError(nil, own))
+}
+
+// translated is a statement for servers of the other wire, whose comment keeps its place in what is resent.
+func (s *session) translated(text string) (*Translated, error) {
+	st, err := translate.ToPostgres(text, s.f.cfg.Translate)
+	if err != nil {
+		return nil, err
+	}
+	t := &Translated{Statement: st}
+	if c, err := comment.Parse(st.SQL); err == nil {
+		t.comment = &c
+	}
+	return t, nil
+}
+
 // acceptable answers what can't be served.
 func (s *session) acceptable(scan mysql.Scan) bool {
 	switch {
@@ -314,6 +411,10 @@
 
 // prepare is answered here. The parameters are counted; what columns come, the answer to EXECUTE tells.
 func (s *session) prepare(text string) {
+	text, ok := s.decoded(text)
+	if !ok {
+		return
+	}
 	scan := mysql.ScanStatement(text)
 	if !s.acceptable(scan) {
 		return
@@ -378,12 +479,38 @@
 		cmd := &Command{Text: st.text, Comment: st.comment, DB: s.db, Prepared: true, Params: st.params, Exec: e,
 			Long: st.long}
 		st.long, st.size = nil, 0
-		s.submit(at, st.scan.Kind, cmd)
+		s.submit(at, st.scan.Kind, cmd, st)
 	}
 }
 
+// fit makes a command ready for the servers of a cluster; st is the prepared statement that it runs, if any. What can't be
+// translated is turned down for the whole cluster: the same statement must not be served at one server and not at the next.
+func (s *session) fit(cmd *Command, st *statement, cluster int) (err error) {
+	cmd.Client = s.client
+	if s.f.routes.Needs(cluster).Translation {
+		switch {
+		case st == nil:
+			cmd.Other, err = s.translated(cmd.Text)
+		case st.other == nil:
+			st.other, err = s.translated(st.text)
+			fallthrough
+		default:
+			cmd.Other = st.other
+		}
+	}
+	if err == nil && cmd.Other != nil && cmd.Other.Params != cmd.Params {
+		err = &translate.Error{Meaning: translate.Syntax, Text: "a parameter that is not bound"}
+	}
+	if err == nil && cmd.Prepared && cmd.Params > 0 && s.client.Foreign() {
+		var e mysql.Execute
+		e, err = s.client.RecodeParams(cmd.Exec, cmd.Params)
+		cmd.utf8 = &e
+	}
+	return err
+}
+
 // submit hands a statement to the core, by its comment or by the defaults of its kind.
-func (s *session) submit(at time.Duration, kind mysql.Kind, cmd *Command) {
+func (s *session) submit(at time.Duration, kind mysql.Kind, cmd *Command, st *statement) {
 	d := s.f.cfg.Read
 	if kind == mysql.Write {
 		d = s.f.cfg.Write
@@ -418,6 +545,10 @@
 	if c.Patience == 0 {
 		c.Patience = s.f.core.ClassInfo(class).Deadline
 	}
+	if err := s.fit(cmd, st, c.Group); err != nil {
+		s.wrong(err)
+		return
+	}
 	r := &routing.Request{Class: class, Group: c.Group, Keyed: c.Key != "", After: c.After, Arrived: at,
 		Patience: c.Patience, Payload: cmd, Reply: s}
 	if c.After > 0 || s.f.core.ClassInfo(class).Need == rules.NeedSession {
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -76,11 +76,24 @@
 	return c
 }
 
-// overBoth runs a test of a rule over both fronts.
+// pairs are the fronts, and the wires of the servers behind them.
+var pairs = []struct {
+	name  string
+	mysql bool
+	speak func(i int) bool // MySQL
+}{
+	{"postgres", false, func(int) bool { return false }},
+	{"mysql", true, func(int) bool { return true }},
+	{"mysql to postgres", true, func(int) bool { return false }},
+	{"mysql to new and old", true, func(i int) bool { return i > 0 }}, // a migration: the primary is new already
+	{"mysql to old and new", true, func(i int) bool { return i == 0 }},
+}
+
+// overBoth runs a test of a rule over all pairs of fronts and servers.
 func overBoth(t *testing.T, change func(map[string]any), names []string, test func(*testing.T, *standin.Fleet, program.Addrs)) {
-	for _, wire := range []string{"postgres", "mysql"} {
-		t.Run(wire, func(t *testing.T) {
-			f := standin.NewFleet(t, wire == "mysql", change, names...)
+	for _, pair := range pairs {
+		t.Run(pair.name, func(t *testing.T) {
+			f := standin.NewMixedFleet(t, pair.mysql, pair.speak, change, names...)
 			test(t, f, pooler(t, f))
 			if n := f.Ledger.Overlaps(); n > 0 {
 				t.Errorf("%d attempts met an earlier one of the same request", n)
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -15,10 +15,12 @@
 
 	"threadsail/internal/config"
 	"threadsail/internal/program/admin"
+	"threadsail/internal/program/crossside"
 	"threadsail/internal/program/door"
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/program/mysqlside"
 	"threadsail/internal/program/pgside"
+	"threadsail/internal/routes"
 	"threadsail/internal/routing"
 	"threadsail/internal/transport"
 	"threadsail/rules"
@@ -212,7 +214,7 @@
 	d, in, budget := newDoor(cfg, loop, sockets)
 	backend := &pgside.Backend{Reports: cfg.Reports, Servers: exchange.Servers{Loop: loop, Budget: budget,
 		Pool: newPool(cfg, loop, budget), ConnectTimeout: cfg.ConnectTimeout}}
-	src := newSource(cfg, postgresSource(cfg), postgresWire, loop, budget, log)
+	src := newSource(cfg, postgresSource(cfg), postgresWire, routes.NewTable(routes.Postgres), loop, budget, log)
 	core, err := routing.New(loop, backend, routing.Options{Settings: src.settings(cfg.Settings), Seed: cfg.Seed,
 		MaxOpen: cfg.MaxOpen, ProbeTimeout: cfg.ConnectTimeout, Watch: src.watch, Log: said(log)})
 	if err != nil {
@@ -254,12 +256,18 @@
 	log = log.With().Str("front", "mysql").Logger()
 	loop := routing.NewLoop()
 	d, in, budget := newDoor(cfg, loop, sockets)
-	backend := &mysqlside.Backend{Servers: exchange.Servers{Loop: loop, Budget: budget,
-		Pool: newPool(cfg, loop, budget), ConnectTimeout: my.ProbeTimeout}, User: my.User, Password: my.Password, Database: my.Database,
-		Heartbeat: my.Heartbeat, Log: said(log)}
-	src := newSource(cfg, mysqlSource(cfg, my), mysqlWire, loop, budget, log)
+	servers := func() exchange.Servers { // each wire has idle connections of its own: an address may change its wire
+		return exchange.Servers{Loop: loop, Budget: budget, Pool: newPool(cfg, loop, budget), ConnectTimeout: my.ProbeTimeout}
+	}
+	own := &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
+		Log: said(log)}
+	other := &crossside.Backend{Servers: servers(), User: my.Postgres.User, Database: my.Postgres.Database, Heartbeat: my.Postgres.Heartbeat,
+		Log: own.Log}
+	table := routes.NewTable(routes.MySQL)
+	backend := &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.MySQL: own, routes.Postgres: other}}
+	src := newSource(cfg, mysqlSource(cfg, my), mysqlWire, table, loop, budget, log)
 	core, err := routing.New(loop, backend, routing.Options{Settings: src.settings(probed(cfg.Settings)), Seed: cfg.Seed + 1,
-		MaxOpen: cfg.MaxOpen, ProbeTimeout: my.ProbeTimeout, Watch: src.watch, Log: backend.Log})
+		MaxOpen: cfg.MaxOpen, ProbeTimeout: my.ProbeTimeout, Watch: src.watch, Log: own.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -269,12 +277,13 @@
 	if err := src.begin(cfg, core); err != nil {
 		return nil, err
 	}
-	front, err := mysqlside.Listen(loop, in, core, my, d)
+	front, err := mysqlside.Listen(loop, in, core, my, d, table)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	retune := func(cfg *config.Config) {
-		backend.Pool.Rest(idleFor(cfg))
+		own.Pool.Rest(idleFor(cfg))
+		other.Pool.Rest(idleFor(cfg))
 		if err := core.Retune(src.settings(probed(cfg.Settings)), cfg.MaxOpen, my.ProbeTimeout); err != nil {
 			log.Error().Err(err).Msg("reload")
 		}
--- /dev/null
+++ b/internal/program/wires.go
@@ -0,0 +1,28 @@
+package program
+
+import (
+	"time"
+
+	"threadsail/internal/routes"
+	"threadsail/internal/routing"
+)
+
+// wires reaches each server over the wire that it speaks.
+type wires struct {
+	table    *routes.Table
+	backends map[routes.Wire]routing.Backend
+}
+
+func (w *wires) Send(addr string, payload any, left time.Duration, a routing.Attempt) routing.Call {
+	return w.backends[w.table.At(addr)].Send(addr, payload, left, a)
+}
+
+func (w *wires) Probe(addr string, done func(routing.Result)) routing.Call {
+	return w.backends[w.table.At(addr)].Probe(addr, done)
+}
+
+func (w *wires) CloseIdle(addr string) {
+	for _, b := range w.backends {
+		b.CloseIdle(addr)
+	}
+}
--- a/internal/protocol/inventory/csv.go
+++ b/internal/protocol/inventory/csv.go
@@ -76,7 +76,7 @@
 		f, ok := fields[strings.ToLower(title)]
 		switch {
 		case !ok:
-			p.Add(line, "header", "unknown column %.40q, expected name, host, port, zone, cluster, state or weight", title)
+			p.Add(line, "header", "unknown column %.40q, expected name, host, port, zone, cluster, state, weight, wire or version", title)
 			f = membership.Fields
 		case seen[f]:
 			p.Add(line, "header", "two columns hold the %s", f)
--- a/internal/protocol/inventory/inventory.go
+++ b/internal/protocol/inventory/inventory.go
@@ -90,4 +90,4 @@
 
 var fields = map[string]membership.Field{"name": membership.Name, "host": membership.Host, "port": membership.Port,
 	"zone": membership.Room, "room": membership.Room, "cluster": membership.Cluster, "state": membership.State,
-	"weight": membership.Weight, "ansible_host": membership.Host}
+	"weight": membership.Weight, "wire": membership.Wire, "version": membership.Version, "ansible_host": membership.Host}
--- a/internal/protocol/inventory/inventory_test.go
+++ b/internal/protocol/inventory/inventory_test.go
@@ -41,9 +41,13 @@
 			[]membership.Server{one, two}, ""},
 		"csv of a spreadsheet": {CSV, "\ufeffname;host;port;zone;cluster;state\r\n;;;;;\r\n\"db1\";10.0.0.1;3307;a;2;ready;;\r\n\r\ndb2;;;b;;draining\r\n",
 			[]membership.Server{one, two}, ""},
-		"csv with tabs":     {CSV, "name\thost\tport\tzone\tcluster\tstate\ndb2\t\t\tb\t\tdraining\n", []membership.Server{two}, ""},
-		"csv, nobody":       {CSV, "name\n", []membership.Server{}, ""},
-		"csv, weight":       {CSV, "name,weight\ndb1,5\n", []membership.Server{heavy}, ""},
+		"csv with tabs": {CSV, "name\thost\tport\tzone\tcluster\tstate\ndb2\t\t\tb\t\tdraining\n", []membership.Server{two}, ""},
+		"csv, nobody":   {CSV, "name\n", []membership.Server{}, ""},
+		"csv, weight":   {CSV, "name,weight\ndb1,5\n", []membership.Server{heavy}, ""},
+		"csv, wires": {CSV, "name,wire,version\ndb1,postgres,16\ndb2,mysql,8.4\n", []membership.Server{
+			{Name: "db1", Addr: "db1:5432", State: rules.Ready, Weight: 1, Wire: "postgres", Version: "16"},
+			{Name: "db2", Addr: "db2:3306", State: rules.Ready, Weight: 1, Wire: "mysql", Version: "8.4"}}, ""},
+		"csv, bad wire":     {CSV, "name,wire,version\ndb1,odbc,x\n", nil, `line 2: wire: "odbc", expected mysql or postgres; line 2: version: "x", expected a version like 8.4 or 16`},
 		"csv, quoted break": {CSV, "name,zone\n\"db1\",\"a\n\"\ndb9,q\n", nil, `line 4: zone: unknown server room "q", expected one of a, b, x`},
 		"csv, all at once": {CSV, "name,host,port,zone,cluster,state,weight\ndb1,bad host,0,ujpest2,x,up,-1\n,,,,,,\ndb1,10.0.0.256,,,,,\n", nil,
 			`line 2: host: "bad host", expected a host name or an IP address; ` +
@@ -57,7 +61,7 @@
 		"csv, two spellings":  {CSV, "name,host\ndb7.pest-east.example.org,10.0.0.1\nDB7.pest-east.example.org.,10.0.0.2\n", nil, `line 3: name: "DB7.pest-east.example.org." is listed twice, first on line 2`},
 		"csv, one address":    {CSV, "name,host\ndb1,Db.example.org\ndb2,db.example.org.\n", nil, "line 3: host: db.example.org:3306 is the address of the server on line 2 too"},
 		"csv, IP spellings":   {CSV, "name,host\ndb1,::ffff:10.0.0.1\ndb2,10.0.0.1\n", nil, "line 3: host: 10.0.0.1:3306 is the address of the server on line 2 too"},
-		"csv, unknown column": {CSV, "name,wieght\ndb1,1\n", nil, `line 1: header: unknown column "wieght", expected name, host, port, zone, cluster, state or weight`},
+		"csv, unknown column": {CSV, "name,wieght\ndb1,1\n", nil, `line 1: header: unknown column "wieght", expected name, host, port, zone, cluster, state, weight, wire or version`},
 		"csv, column twice":   {CSV, "name,zone,room\n", nil, "line 1: header: two columns hold the zone"},
 		"csv, short row":      {CSV, "name,port\ndb1\ndb2,1,2\n", nil, "line 2: row: 1 cells, expected 2 as in the header; line 3: row: 3 cells, expected 2 as in the header"},
 		"csv, no name":        {CSV, "name,port\n,1\n", nil, "line 2: name: missing, expected the server's name"},
@@ -157,7 +161,7 @@
 // What Format writes must read back as the same list.
 func TestFormat(t *testing.T) {
 	in := []membership.Server{server("a", "10.0.0.1:3307", "a", 2), server("no", "[::1]:3306", "", 0),
-		{Name: "x:y", Addr: "h.example:1", Room: "b", Cluster: 2, State: rules.Draining, Weight: 0}}
+		{Name: "x:y", Addr: "h.example:1", Room: "b", Cluster: 2, State: rules.Draining, Weight: 0, Wire: "postgres", Version: "16"}}
 	for _, form := range []Form{CSV, YAML} {
 		text, err := Format(form, "mysql_port", in)
 		if err != nil {
--- a/internal/protocol/inventory/write.go
+++ b/internal/protocol/inventory/write.go
@@ -5,6 +5,7 @@
 	"encoding/csv"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 
 	"go.yaml.in/yaml/v3"
@@ -19,14 +20,22 @@
 	}
 	var b bytes.Buffer
 	w := csv.NewWriter(&b)
-	_ = w.Write([]string{"name", "host", "port", "zone", "cluster", "state", "weight"})
+	head := []string{"name", "host", "port", "zone", "cluster", "state", "weight"}
+	wires := slices.ContainsFunc(servers, func(s membership.Server) bool { return s.Wire+s.Version != "" })
+	if wires {
+		head = append(head, "wire", "version")
+	}
+	_ = w.Write(head)
 	for _, s := range servers {
 		host, port, err := net.SplitHostPort(s.Addr)
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", s.Name, err)
 		}
-		_ = w.Write([]string{s.Name, host, port, s.Room, strconv.Itoa(s.Cluster), membership.StateName(s.State),
-			strconv.Itoa(s.Weight)})
+		row := []string{s.Name, host, port, s.Room, strconv.Itoa(s.Cluster), membership.StateName(s.State), strconv.Itoa(s.Weight)}
+		if wires {
+			row = append(row, s.Wire, s.Version)
+		}
+		_ = w.Write(row)
 	}
 	w.Flush()
 	return b.Bytes(), w.Error()
@@ -64,6 +73,12 @@
 		}
 		add(one, "state", scalar(membership.StateName(s.State)))
 		add(one, "weight", scalar(s.Weight))
+		if s.Wire != "" {
+			add(one, "wire", scalar(s.Wire))
+		}
+		if s.Version != "" {
+			add(one, "version", scalar(s.Version))
+		}
 		add(hosts[s.Cluster], s.Name, one)
 	}
 	return yaml.Marshal(root)
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -36,7 +36,7 @@
 	}
 	_, p, _, _ = Next(AppendLogin(nil, 1, g, "u", "secret", "lessons"), MaxCommand)
 	l, err := ParseLogin(p)
-	want := Login{capabilities, "u", Scramble(challenge, "secret"), "lessons", nativePassword}
+	want := Login{capabilities, charsetUTF8MB4, "u", Scramble(challenge, "secret"), "lessons", nativePassword}
 	if d := cmp.Diff(want, l); d != "" || err != nil {
 		t.Fatal(err, d)
 	}
--- a/internal/protocol/mysql/packet.go
+++ b/internal/protocol/mysql/packet.go
@@ -44,6 +44,7 @@
 	capSecureConn   = 1 << 15
 	capPluginAuth   = 1 << 19
 	capLenencAuth   = 1 << 21
+	capSessionTrack = 1 << 23
 
 	capabilities = capLongPassword | capConnectDB | capProtocol41 | capTransactions | capSecureConn | capPluginAuth
 )
@@ -302,6 +303,7 @@
 // Login is a client's answer to the greeting.
 type Login struct {
 	Capabilities uint32
+	Collation    uint16
 	User         string
 	Response     []byte
 	Database     string
@@ -312,7 +314,9 @@
 func ParseLogin(p []byte) (l Login, err error) {
 	r := &reader{b: p}
 	l.Capabilities = r.u32()
-	r.take(4 + 1 + 23)
+	r.take(4)
+	l.Collation = uint16(r.u8())
+	r.take(23)
 	if r.err == nil && l.Capabilities&capProtocol41 == 0 {
 		return l, errors.New("mysql: the client speaks no protocol 4.1")
 	}
@@ -383,6 +387,12 @@
 // IsNative tells whether a login used the native password method.
 func (l *Login) IsNative() bool { return l.Plugin == "" || l.Plugin == nativePassword }
 
+// PluginAuth tells whether the client knows methods of logging in by name, as those since 5.5 do.
+func (l *Login) PluginAuth() bool { return l.Capabilities&capPluginAuth != 0 }
+
+// TracksSessions tells whether the client can be told how its session stands, as those since 5.7 can.
+func (l *Login) TracksSessions() bool { return l.Capabilities&capSessionTrack != 0 }
+
 // Scramble is the native password method: SHA1(password) XOR SHA1(challenge, SHA1(SHA1(password))).
 func Scramble(challenge []byte, password string) []byte {
 	if password == "" {
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -22,6 +22,7 @@
 	Kind   Kind
 	Params int
 	Multi  bool
+	Names  string // of SET NAMES and SET CHARACTER SET: the charset, in lower case
 }
 
 // ScanStatement reads a statement outside its strings and comments.
@@ -37,7 +38,7 @@
 		case c == '\'' || c == '"' || c == '`':
 			from := i
 			i = skipQuoted(text, i)
-			if len(words) == 2 && words[1] == "NAMES" {
+			if len(words) == 2 && words[1] == "NAMES" || len(words) == 3 && words[1] == "CHARACTER" {
 				words = append(words, strings.ToUpper(strings.Trim(text[from:i], "'\"")))
 			}
 			s.Multi = s.Multi || ended
@@ -90,6 +91,11 @@
 		i++
 	}
 	s.Kind = kind(words, intoSeen, locks, modifies)
+	if len(words) >= 3 && words[0] == "SET" && words[1] == "NAMES" {
+		s.Names = strings.ToLower(words[2])
+	} else if len(words) >= 4 && words[0] == "SET" && words[1] == "CHARACTER" && words[2] == "SET" {
+		s.Names = strings.ToLower(words[3])
+	}
 	return s
 }
 
@@ -131,7 +137,7 @@
 		return Unsupported
 	}
 	switch w := words[2]; {
-	case words[1] == "NAMES" && (w == "UTF8MB4" || w == "UTF8"), words[1] == "CHARACTER" && w == "SET",
+	case words[1] == "NAMES", words[1] == "CHARACTER" && w == "SET", // the front knows which it can write
 		words[1] == "AUTOCOMMIT" && (w == "1" || w == "ON" || w == "TRUE"):
 		return Local
 	}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -41,7 +41,9 @@
 // Fleet is a group of servers, the list service, and the files that tell a pooler of them.
 type Fleet struct {
 	t         Host
-	mysql     bool
+	mysql     bool             // the front's wire
+	speak     func(i int) bool // whether the i-th server speaks MySQL
+	made      int
 	Ledger    *Ledger
 	Servers   []*Server
 	Discovery *Discovery
@@ -55,8 +57,13 @@
 // NewFleet starts servers of the given names on one of the wires; the first is the primary. change may alter the
 // settings.
 func NewFleet(t Host, speaksMySQL bool, change func(settings map[string]any), names ...string) *Fleet {
+	return NewMixedFleet(t, speaksMySQL, func(int) bool { return speaksMySQL }, change, names...)
+}
+
+// NewMixedFleet is NewFleet for a front of one wire before servers of either; servers tells which of them speak MySQL.
+func NewMixedFleet(t Host, front bool, servers func(i int) bool, change func(settings map[string]any), names ...string) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, mysql: speaksMySQL, Ledger: NewLedger(), phase: map[string]string{}, Hup: make(chan struct{}, 1)}
+	f := &Fleet{t: t, mysql: front, speak: servers, Ledger: NewLedger(), phase: map[string]string{}, Hup: make(chan struct{}, 1)}
 	for i, n := range names {
 		f.Servers = append(f.Servers, f.Server(n, i == 0))
 	}
@@ -76,10 +83,12 @@
 		"known":    map[string]any{"revision": 0, "complete": true, "members": f.entries()},
 		"settings": settings}
 	f.Configure("discovery", addr)
-	f.file(f.Env["PROXY_MYSQL"], map[string]any{"enabled": speaksMySQL, "listen": "127.0.0.1:0",
+	f.file(f.Env["PROXY_MYSQL"], map[string]any{"enabled": front, "listen": "127.0.0.1:0",
 		"inventory": f.inventory, "user": BackendUser, "password": BackendPassword,
 		"client": map[string]any{"user": ClientUser, "password": ClientPassword}, "heartbeat": Heartbeat, "reload_ms": 20,
-		"defaults": map[string]any{"read": map[string]any{"class": "any"}, "write": map[string]any{"class": "write"}}})
+		"postgres":  map[string]any{"heartbeat": Heartbeat},
+		"translate": map[string]any{"ids": map[string]string{"lesson": "id"}, "keys": map[string][]string{"lesson": {"pupil"}}},
+		"defaults":  map[string]any{"read": map[string]any{"class": "any"}, "write": map[string]any{"class": "write"}}})
 	f.Lists(map[string]any{"enabled": false})
 	f.List()
 	return f
@@ -87,7 +96,8 @@
 
 // Server starts one more server of the fleet's wire, which no list names yet.
 func (f *Fleet) Server(name string, primary bool) *Server {
-	s, err := NewServer(name, f.mysql, primary, f.Ledger)
+	s, err := NewServer(name, f.speak(f.made), primary, f.Ledger)
+	f.made++
 	f.check(err)
 	f.t.Cleanup(s.Down)
 	return s
@@ -175,14 +185,18 @@
 func (f *Fleet) List() {
 	f.Discovery.Change(f.entries())
 	var b strings.Builder
-	b.WriteString("name,host,port,zone,cluster,state\n")
+	b.WriteString("name,host,port,zone,cluster,state,wire\n")
 	for _, s := range f.Servers {
 		host, port, _ := net.SplitHostPort(s.Addr)
 		state := "ready"
 		if f.phase[s.Name] != "" {
 			state = "draining"
 		}
-		fmt.Fprintf(&b, "%s,%s,%s,a,0,%s\n", s.Name, host, port, state)
+		wire := ""
+		if s.mysql != f.mysql {
+			wire = map[bool]string{true: "mysql", false: "postgres"}[s.mysql]
+		}
+		fmt.Fprintf(&b, "%s,%s,%s,a,0,%s,%s\n", s.Name, host, port, state, wire)
 	}
 	next := f.inventory + ".next"
 	f.check(os.WriteFile(next, inventory.AppendSeal([]byte(b.String()), len(f.Servers), ""), 0o600))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -55,6 +55,7 @@
 	behind  time.Duration // of its position; below 0: it tells none
 	act     func(Seen) Act
 	spoil   func(Seen) []byte
+	table   Table
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
@@ -320,6 +321,10 @@
 	c.Write(pgwire.AppendWelcome(nil))
 	for {
 		m, err := r.pg()
+		if err == nil && m.Type == 'P' {
+			s.serveExtended(c, r, m)
+			return
+		}
 		if err != nil || m.Type != 'Q' {
 			return
 		}
