Translate a command when it is sent, not only when it comes; test moves between wires

Cause: a test that moves the primary from the old wire to the new one ended the pooler: a command that had come while no PostgreSQL server was listed, and waited for a primary, was sent to one untranslated.

Change: the command translates itself on demand; what can't be translated is turned down then, before anything is sent. A text that is no UTF-8 is turned down. Tests: values of 15 types in text and binary rows, parameters by the server's own types, RETURNING for LAST_INSERT_ID, errors by number, latin2 and cp1250 on either wire, prepared statements through three moves of the primary between wires, an answer that breaks off in the middle of a row.

--- a/internal/program/crossside/backend.go
+++ b/internal/program/crossside/backend.go
@@ -55,6 +55,9 @@
 // Send starts an attempt.
 func (b *Backend) Send(addr string, payload any, left time.Duration, a routing.Attempt) routing.Call {
 	cmd := payload.(*mysqlside.Command)
+	if _, err := cmd.ForPostgres(); err != nil {
+		return exchange.Ended(b.Loop, a, routing.Result{Result: rules.OK, Answer: cmd.Client.AppendError(nil, translate.AsError(err))})
+	}
 	x := &query{b: b, addr: addr, cmd: cmd, text: cmd.Other.SQL, until: b.Loop.Now() + left}
 	if !cmd.Prepared {
 		x.text = cmd.Other.Text(left)
@@ -208,7 +211,7 @@
 	}
 	params, err := translate.Params(x.cmd.Exec, long, x.cmd.Params)
 	if err != nil {
-		x.own(&translate.Error{Meaning: translate.BadValue, Text: err.Error()})
+		x.own(err)
 		return
 	}
 	values := make([][]byte, len(params))
@@ -224,18 +227,10 @@
 // own ends an exchange whose statement is wrong in itself, before it has been sent.
 func (x *query) own(err error) {
 	x.put(true)
-	x.Res.Answer = x.cmd.Client.AppendError(nil, asError(err))
+	x.Res.Answer = x.cmd.Client.AppendError(nil, translate.AsError(err))
 	x.End(rules.OK)
 }
 
-func asError(err error) *translate.Error {
-	var e *translate.Error
-	if errors.As(err, &e) {
-		return e
-	}
-	return &translate.Error{Meaning: translate.Unknown, Text: err.Error()}
-}
-
 // run sends what makes the statement run.
 func (x *query) run(values [][]byte) {
 	if x.waited && !x.sent && !x.Fits() {
@@ -459,7 +454,7 @@
 			return out
 		}
 	}
-	return x.cmd.Client.AppendError(nil, asError(err))
+	return x.cmd.Client.AppendError(nil, translate.AsError(err))
 }
 
 func (x *query) convert(r *translate.Result) error {
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -133,6 +133,22 @@
 	x.End(r)
 }
 
+// ended is an attempt that was over before anything was sent.
+type ended struct{ aborted bool }
+
+func (e *ended) Abort() { e.aborted = true }
+
+// Ended reports the end of an attempt that needs no server.
+func Ended(loop *routing.Loop, a routing.Attempt, r routing.Result) routing.Call {
+	e := &ended{}
+	loop.Post(func() {
+		if !e.aborted {
+			a.Done(r)
+		}
+	})
+	return e
+}
+
 // Probe is a probe that is started once more if its connection breaks: the next one tells whether the server is gone.
 type Probe struct{ call routing.Call }
 
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -343,11 +343,7 @@
 	}
 	out, err := x.cmd.Client.Recode(x.ans.Raw, x.cmd.Prepared)
 	if err != nil { // the statement has run: its error says why nothing is seen of it
-		var own *translate.Error
-		if !errors.As(err, &own) {
-			own = &translate.Error{Meaning: translate.Unknown, Text: err.Error()}
-		}
-		return x.cmd.Client.AppendError(nil, own)
+		return x.cmd.Client.AppendError(nil, translate.AsError(err))
 	}
 	return out
 }
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/rand"
-	"errors"
 	"fmt"
 	"time"
 
@@ -37,6 +36,21 @@
 	Client translate.Client
 	Other  *Translated    // for servers of the other wire; nil: there are none in its cluster
 	utf8   *mysql.Execute // Exec with its texts in UTF-8, where the client's are not; nil: they are
+
+	translate func() (*Translated, error)
+}
+
+// ForPostgres is the command as PostgreSQL servers get it. It may have come while none was in its cluster, and be sent, after
+// a wait for a primary, when one is: what can't be translated is turned down then, before anything is sent.
+func (c *Command) ForPostgres() (*Translated, error) {
+	if c.Other == nil {
+		other, err := c.translate()
+		if err != nil {
+			return nil, err
+		}
+		c.Other = other
+	}
+	return c.Other, nil
 }
 
 // Translated is a statement as PostgreSQL servers get it.
@@ -358,24 +372,20 @@
 }
 
 // wrong answers a statement that can't be taken anywhere. Nothing has been sent.
-func (s *session) wrong(err error) {
-	var unsupported *translate.Unsupported
-	var own *translate.Error
-	switch {
-	case errors.As(err, &unsupported):
-		own = &translate.Error{Meaning: translate.NotSupported, Text: err.Error()}
-	case !errors.As(err, &own):
-		own = &translate.Error{Meaning: translate.BadValue, Text: err.Error()}
-	}
-	s.c.Write(s.client.AppendError(nil, own))
-}
+func (s *session) wrong(err error) { s.c.Write(s.client.AppendError(nil, translate.AsError(err))) }
 
 // translated is a statement for servers of the other wire, whose comment keeps its place in what is resent.
-func (s *session) translated(text string) (*Translated, error) {
+func (s *session) translated(text string, params int) (*Translated, error) {
+	if _, err := translate.UTF8MB4.Decode([]byte(text)); err != nil {
+		return nil, err
+	}
 	st, err := translate.ToPostgres(text, s.f.cfg.Translate)
 	if err != nil {
 		return nil, err
 	}
+	if st.Params != params {
+		return nil, &translate.Error{Meaning: translate.Syntax, Text: "a parameter that is not bound"}
+	}
 	t := &Translated{Statement: st}
 	if c, err := comment.Parse(st.SQL); err == nil {
 		t.comment = &c
@@ -487,19 +497,18 @@
 // translated is turned down for the whole cluster: the same statement must not be served at one server and not at the next.
 func (s *session) fit(cmd *Command, st *statement, cluster int) (err error) {
 	cmd.Client = s.client
-	if s.f.routes.Needs(cluster).Translation {
-		switch {
-		case st == nil:
-			cmd.Other, err = s.translated(cmd.Text)
-		case st.other == nil:
-			st.other, err = s.translated(st.text)
-			fallthrough
-		default:
-			cmd.Other = st.other
+	cmd.translate = func() (*Translated, error) {
+		if st != nil && st.other != nil {
+			return st.other, nil
 		}
+		t, err := s.translated(cmd.Text, cmd.Params)
+		if st != nil {
+			st.other = t
+		}
+		return t, err
 	}
-	if err == nil && cmd.Other != nil && cmd.Other.Params != cmd.Params {
-		err = &translate.Error{Meaning: translate.Syntax, Text: "a parameter that is not bound"}
+	if s.f.routes.Needs(cluster).Translation {
+		_, err = cmd.ForPostgres()
 	}
 	if err == nil && cmd.Prepared && cmd.Params > 0 && s.client.Foreign() {
 		var e mysql.Execute
--- /dev/null
+++ b/internal/program/translate_test.go
@@ -0,0 +1,326 @@
+package program_test
+
+import (
+	"database/sql"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-sql-driver/mysql"
+	"github.com/google/go-cmp/cmp"
+
+	"threadsail/internal/program"
+	"threadsail/internal/protocol/pgwire"
+	"threadsail/internal/standin"
+)
+
+// lessons is a table on a PostgreSQL stand-in: what it is asked and with which values, and what it answers.
+type lessons struct {
+	mu    sync.Mutex
+	asked []string // statements that have run, with their values, without comments
+	types map[string][]uint32
+	rows  map[string]standin.Rows
+}
+
+func bare(text string) string {
+	text, _, _ = strings.Cut(text, " /*")
+	return text
+}
+
+func (l *lessons) Types(text string) []uint32 { return l.types[bare(text)] }
+
+func (l *lessons) Run(text string, params [][]byte) (standin.Rows, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.rows[bare(text)]
+	if ok {
+		l.asked = append(l.asked, fmt.Sprintf("%s %q", bare(text), params))
+	}
+	return r, ok
+}
+
+func (l *lessons) last() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.asked) == 0 {
+		return ""
+	}
+	return l.asked[len(l.asked)-1]
+}
+
+func fields(types ...uint32) (out []pgwire.Field) {
+	for i, t := range types {
+		out = append(out, pgwire.Field{Name: fmt.Sprint("c", i), Type: t, Modifier: -1})
+	}
+	return out
+}
+
+func texts(values ...string) (out [][]byte) {
+	for _, v := range values {
+		if v == "NULL" {
+			out = append(out, nil)
+		} else {
+			out = append(out, []byte(v))
+		}
+	}
+	return out
+}
+
+func open(t *testing.T, a program.Addrs, change func(*mysql.Config)) *sql.DB {
+	t.Helper()
+	cfg := mysql.NewConfig()
+	cfg.Net, cfg.Addr, cfg.User, cfg.Passwd = "tcp", a.MySQL, standin.ClientUser, standin.ClientPassword
+	cfg.Logger = &mysql.NopLogger{}
+	if change != nil {
+		change(cfg)
+	}
+	connector, err := mysql.NewConnector(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	db := sql.OpenDB(connector)
+	db.SetMaxOpenConns(1)
+	t.Cleanup(func() { db.Close() })
+	return db
+}
+
+func translating(t *testing.T, l *lessons) (*standin.Fleet, program.Addrs) {
+	f := standin.NewMixedFleet(t, true, func(int) bool { return false }, nil, "p")
+	f.Servers[0].Hold(l)
+	return f, pooler(t, f)
+}
+
+// A client's statements, prepared and plain, with values of every type, come to a PostgreSQL server as it understands them,
+// and its answers to the client as MySQL's.
+func TestTranslatedValues(t *testing.T) {
+	all := standin.Rows{Fields: fields(16, 17, 20, 21, 23, 25, 700, 701, 1082, 1083, 1114, 1184, 1700, 3802, 25),
+		Values: [][][]byte{texts("t", `\x00ff`, "-9223372036854775808", "-7", "42", "Őszi ünnep", "1.5", "2.25", "2026-12-01", "17:00:01",
+			"2026-12-01 17:00:00.25", "2026-12-01 16:00:00+00", "12345678901234567890.10", `{"a": 1}`, "NULL")}, Tag: "SELECT 1"}
+	want := []string{"1", "\x00\xff", "-9223372036854775808", "-7", "42", "Őszi ünnep", "1.5", "2.25", "2026-12-01", "17:00:01",
+		"2026-12-01 17:00:00.25", "2026-12-01 16:00:00", "12345678901234567890.10", `{"a": 1}`, "NULL"}
+	l := &lessons{rows: map[string]standin.Rows{
+		"SELECT * FROM lesson": all,
+		`SELECT * FROM lesson WHERE "user" = $1 LIMIT $3 OFFSET $2`: all,
+		`INSERT INTO "lesson" (a) VALUES ($1), ($2) RETURNING "id"`: {Fields: fields(20), Values: [][][]byte{texts("77"), texts("78")}, Tag: "INSERT 0 2"},
+		"UPDATE lesson SET a = $1, b = $2, c = $3, d = $4":          {Tag: "UPDATE 3"},
+		"SELECT nothing FROM lesson":                                {Fields: fields(25), Tag: "SELECT 0"},
+		"SELECT inf FROM lesson":                                    {Fields: fields(701), Values: [][][]byte{texts("Infinity")}, Tag: "SELECT 1"},
+		"SELECT dup FROM lesson":                                    {Code: "23505"},
+		"SELECT odd FROM lesson":                                    {Code: "XX001"},
+		"SELECT point FROM lesson":                                  {Fields: fields(600), Values: [][][]byte{texts("(1,2)")}, Tag: "SELECT 1"},
+	}, types: map[string][]uint32{`SELECT * FROM lesson WHERE "user" = $1 LIMIT $3 OFFSET $2`: {25, 20, 20},
+		"UPDATE lesson SET a = $1, b = $2, c = $3, d = $4": {17, 16, 1114, 20}}}
+	_, a := translating(t, l)
+	db := open(t, a, nil)
+	scan := func(rows *sql.Rows, err error) (out []string) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer rows.Close()
+		for rows.Next() {
+			values, into := make([]sql.NullString, len(want)), make([]any, len(want))
+			for i := range values {
+				into[i] = &values[i]
+			}
+			if err := rows.Scan(into...); err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range values {
+				if !v.Valid {
+					v.String = "NULL"
+				}
+				out = append(out, v.String)
+			}
+		}
+		return out
+	}
+	if d := cmp.Diff(want, scan(db.Query("SELECT * FROM lesson"))); d != "" {
+		t.Error("in text rows:", d)
+	}
+	st, err := db.Prepare("SELECT * FROM lesson WHERE user = ? LIMIT ?, ?")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := scan(st.Query("ő", 10, 5))
+	for i := range got { // the driver words the fractions of binary rows with six digits
+		got[i] = strings.Replace(strings.TrimSuffix(got[i], ".000000"), ".250000", ".25", 1)
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error("in binary rows:", d)
+	}
+	if q := l.last(); !strings.HasSuffix(q, `["ő" "10" "5"]`) {
+		t.Error("the server was asked", q)
+	}
+	exec := func(text string, args ...any) sql.Result {
+		t.Helper()
+		r, err := db.Exec(text, args...)
+		if err != nil {
+			t.Fatal(text, err)
+		}
+		return r
+	}
+	r := exec("INSERT INTO lesson (a) VALUES (?), (?)", "x", nil)
+	id, _ := r.LastInsertId()
+	if n, _ := r.RowsAffected(); n != 2 || id != 77 || !strings.HasSuffix(l.last(), `["x" ""]`) {
+		t.Errorf("%d rows, id %d, the server was asked %s", n, id, l.last())
+	}
+	r = exec("UPDATE lesson SET a = ?, b = ?, c = ?, d = ?", []byte{0, 255}, true, time.Date(2026, 12, 1, 17, 0, 0, 0, time.UTC), uint64(1<<64-1))
+	if n, _ := r.RowsAffected(); n != 3 || !strings.HasSuffix(l.last(), `["\\x00ff" "1" "2026-12-01 17:00:00" "18446744073709551615"]`) {
+		t.Errorf("%d rows, the server was asked %s", n, l.last())
+	}
+	if got := scan(db.Query("SELECT nothing FROM lesson")); len(got) > 0 {
+		t.Error("no rows are", got)
+	}
+	for text, code := range map[string]string{"SELECT inf FROM lesson": "1264", "SELECT dup FROM lesson": "1062", "SELECT point FROM lesson": "1235",
+		"SELECT a / 2 FROM lesson": "1235", "SHOW TABLES": "1235", "SELECT GROUP_CONCAT(a) FROM lesson": "1235"} {
+		before := l.last()
+		if _, err := db.Exec(text); standin.FromMySQL(err).Code != code {
+			t.Errorf("%s: %v, want %s", text, err, code)
+		}
+		if code == "1235" && !strings.Contains(text, "point") && l.last() != before {
+			t.Errorf("%s: the server was asked %s", text, l.last())
+		}
+	}
+	if r := standin.FromMySQL(func() error { _, err := db.Exec("SELECT odd FROM lesson /* d=300 */"); return err }()); !r.Refused && !r.Failed {
+		t.Errorf("an unknown error is %+v", r)
+	}
+	if err := db.Ping(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A text of 8 bits a character comes back as it was, over servers that speak UTF-8, on either wire; what is no text, or can't
+// be written for the client, is an error.
+func TestEightBitClients(t *testing.T) {
+	for _, name := range []string{"latin2", "cp1250"} {
+		t.Run(name, func(t *testing.T) {
+			l := &lessons{rows: map[string]standin.Rows{
+				"SELECT 'Bőgő és fűz'": {Fields: fields(25), Values: [][][]byte{texts("Bőgő és fűz")}, Tag: "SELECT 1"},
+				"SELECT $1":            {Fields: fields(25), Values: [][][]byte{texts("fűz")}, Tag: "SELECT 1"},
+				"SELECT 'jp'":          {Fields: fields(25), Values: [][][]byte{texts("日本")}, Tag: "SELECT 1"}}}
+			_, a := translating(t, l)
+			db := open(t, a, func(c *mysql.Config) { c.Apply(mysql.Charset(name, "")) })
+			var got string
+			if err := db.QueryRow("SELECT 'B\xf5g\xf5 \xe9s f\xfbz'").Scan(&got); err != nil || got != "B\xf5g\xf5 \xe9s f\xfbz" {
+				t.Errorf("%q, %v", got, err)
+			}
+			st, err := db.Prepare("SELECT ?")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := st.QueryRow("f\xfbz").Scan(&got); err != nil || got != "f\xfbz" || !strings.HasSuffix(l.last(), `["fűz"]`) {
+				t.Errorf("%q, %v; the server was asked %s", got, err, l.last())
+			}
+			if err := db.QueryRow("SELECT 'jp'").Scan(&got); standin.FromMySQL(err).Code != "1366" {
+				t.Errorf("日本 is %q, %v", got, err)
+			}
+		})
+	}
+	t.Run("no text", func(t *testing.T) {
+		_, a := translating(t, &lessons{})
+		if err := open(t, a, nil).QueryRow("SELECT '\xf5'").Scan(new(string)); err == nil {
+			t.Error("a sequence that is no UTF-8 passes")
+		}
+	})
+	t.Run("old wire", func(t *testing.T) { // the stand-in repeats what it was asked: it must be UTF-8, and come back as it was
+		f := standin.NewFleet(t, true, nil, "ő")
+		db := open(t, pooler(t, f), func(c *mysql.Config) { c.Apply(mysql.Charset("latin2", "")) })
+		var got string
+		if err := db.QueryRow("SELECT val FROM state WHERE uid = 'f\xfbz'").Scan(&got); err != nil || got != "from \xf5" {
+			t.Errorf("%q, %v", got, err)
+		}
+		st, err := db.Prepare("SELECT val FROM state WHERE uid = ? AND k = 'f\xfbz'")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := st.QueryRow("\xf5").Scan(&got); err != nil || got != "from \xf5" {
+			t.Errorf("%q, %v", got, err)
+		}
+		for _, seen := range f.Servers[0].Seen() {
+			if !strings.Contains(seen.Text, "fűz") {
+				t.Errorf("the server was asked %q", seen.Text)
+			}
+		}
+	})
+}
+
+// The primary moves from the old wire to the new one in the middle of a prepared statement's life, and back: for the client
+// its id and its parameters hold, and the text goes to either server as that understands it.
+func TestServerChangesItsWire(t *testing.T) {
+	f := standin.NewMixedFleet(t, true, func(i int) bool { return i != 1 }, nil, "old", "new")
+	old, next := f.Servers[0], f.Servers[1]
+	f.Servers = f.Servers[:1]
+	f.List()
+	a := pooler(t, f)
+	db := open(t, a, nil)
+	read, err := db.Prepare("SELECT val FROM state WHERE uid = ? LIMIT 0, 1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	write, err := db.Prepare("INSERT INTO state (`Uid`) VALUES (?)")
+	if err != nil {
+		t.Fatal(err)
+	}
+	through := func(name string) {
+		t.Helper()
+		for late := time.Now().Add(20 * time.Second); ; {
+			r := standin.Execute(read, "u1")
+			if served(t, r); r.Value == "from "+name {
+				break
+			}
+			if time.Now().After(late) {
+				t.Fatal("the client never comes to " + name)
+			}
+		}
+		if _, err := write.Exec("u1"); err != nil {
+			t.Error(err)
+		}
+	}
+	through("old")
+	for _, step := range []struct{ from, to *standin.Server }{{old, next}, {next, old}, {old, next}} {
+		step.from.Set(false, 0)
+		step.to.Set(true, 0)
+		f.Servers = []*standin.Server{step.to}
+		f.List()
+		through(step.to.Name)
+	}
+	for _, seen := range next.Seen() {
+		if strings.ContainsAny(seen.Text, "`?") || strings.Contains(seen.Text, "LIMIT 0, 1") {
+			t.Errorf("the new server was asked %s", seen.Text)
+		}
+	}
+	for _, seen := range old.Seen() {
+		if strings.ContainsAny(seen.Text, "$\"") {
+			t.Errorf("the old server was asked %s", seen.Text)
+		}
+	}
+}
+
+// An answer that breaks off in the middle of a row is none: a read is tried again, a write without a key has failed, and
+// nothing of it comes to the client.
+func TestTranslatedAnswerBreaksOff(t *testing.T) {
+	l := &lessons{}
+	f, a := translating(t, l)
+	db := open(t, a, nil)
+	part := pgwire.AppendValues(nil, texts("half"))
+	var spoils int
+	f.Servers[0].Spoil(func(s standin.Seen) []byte {
+		if spoils++; spoils%2 == 1 {
+			return append(pgwire.AppendFields(nil, fields(25)), part[:len(part)-2]...)
+		}
+		return nil
+	})
+	var got string
+	if err := db.QueryRow("SELECT val FROM state").Scan(&got); err != nil || got != "from p" {
+		t.Errorf("a read got %q, %v", got, err)
+	}
+	if _, err := db.Exec("UPDATE state SET a = 1"); standin.FromMySQL(err).Code != "1317" {
+		t.Errorf("a write got %v", err)
+	}
+	if n := len(f.Servers[0].Seen()); n != 3 {
+		t.Errorf("%d statements came, want 3", n)
+	}
+}
--- a/internal/translate/mysql.go
+++ b/internal/translate/mysql.go
@@ -197,7 +197,7 @@
 	Value    Value
 }
 
-var errParams = errors.New("the parameters' values do not fit their types")
+var errParams = &Error{BadValue, "the parameters' values do not fit their types"}
 
 // Params reads the values of an EXECUTE. Text and bytes can't be told apart there, as clients send both as strings: they come
 // as Text undecoded, and what the server takes decides.
--- a/internal/translate/translate.go
+++ b/internal/translate/translate.go
@@ -6,6 +6,7 @@
 package translate
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -67,6 +68,19 @@
 
 func (e *Error) Error() string { return e.Text }
 
+// AsError is what an error of this package, or another one, means to a client.
+func AsError(err error) *Error {
+	var own *Error
+	var unsupported *Unsupported
+	switch {
+	case errors.As(err, &own):
+		return own
+	case errors.As(err, &unsupported):
+		return &Error{Meaning: NotSupported, Text: err.Error()}
+	}
+	return &Error{Meaning: Unknown, Text: err.Error()}
+}
+
 // OutOfRange is the error of a value that the other side can't hold.
 func OutOfRange(column, format string, args ...any) *Error {
 	return &Error{Meaning: Range, Text: fmt.Sprintf("Out of range value for column '%s': ", column) + fmt.Sprintf(format, args...)}
