Cancel by KILL and by PostgreSQL's key; log in to servers by caching_sha2_password

Need: a client's cancel was an unknown command or a closed connection; servers since 8.4 no longer take the native method.

Change: KILL QUERY, KILL CONNECTION and COM_PROCESS_KILL from a second connection of the same user, CancelRequest with the key that each PostgreSQL client is told: what is under way is answered at once (1317, 57014), nothing else is touched. A translated statement that has begun is cancelled at its server by that connection's key, and the connection is not used again. caching_sha2_password by the fast path and by RSA.

--- /dev/null
+++ b/internal/program/cancel_test.go
@@ -0,0 +1,111 @@
+package program_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"threadsail/internal/program"
+	"threadsail/internal/standin"
+)
+
+// canceller is a client whose statements another connection can cancel.
+type canceller struct {
+	do     func(text string) standin.Result
+	cancel func() error
+	code   string // of a statement that was cancelled
+}
+
+func cancels(t *testing.T, f *standin.Fleet, a program.Addrs) canceller {
+	t.Helper()
+	if f.Wire() == "postgres" {
+		c := dial(t, a).(*standin.Postgres)
+		return canceller{c.Do, c.Cancel, "57014"}
+	}
+	db, killer := open(t, a, nil), open(t, a, nil)
+	var id int
+	// The number that the front has told this client at its login is one less than the next client's.
+	if err := db.Ping(); err != nil {
+		t.Fatal(err)
+	}
+	for id = 1; id < 100; id++ { // threads count up from 1, and this is the first one that is there
+		if _, err := killer.Exec(fmt.Sprintf("KILL QUERY %d", id)); err == nil {
+			break
+		}
+	}
+	return canceller{func(text string) standin.Result {
+		rows, err := db.Query(text)
+		if err != nil {
+			return standin.FromMySQL(err)
+		}
+		defer rows.Close()
+		var r standin.Result
+		for rows.Next() {
+			_ = rows.Scan(&r.Value)
+		}
+		return r
+	}, func() error { _, err := killer.Exec(fmt.Sprintf("KILL QUERY %d", id)); return err }, "1317"}
+}
+
+// A cancel before, during, after and twice: what is under way is answered at once and never sent again; nothing else is
+// touched. The server is as good as before, and the next statement on the connection is served.
+func TestCancel(t *testing.T) {
+	overBoth(t, nil, []string{"p"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
+		c, p := cancels(t, f, a), f.Servers[0]
+		if err := c.cancel(); err != nil { // before
+			t.Fatal(err)
+		}
+		served(t, c.do(standin.Write("k0", patience)))
+		if err := c.cancel(); err != nil { // after
+			t.Fatal(err)
+		}
+		for i := range 5 {
+			p.Do(once(standin.Hang))
+			had := len(p.Seen())
+			ended := make(chan standin.Result, 1)
+			began := time.Now()
+			go func() { ended <- c.do(standin.Write(fmt.Sprint("k1", i), 20*time.Second)) }()
+			if !p.Wait(had + 1) {
+				t.Fatal("the write never came")
+			}
+			for range 2 {
+				if err := c.cancel(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if r := <-ended; r.Code != c.code || time.Since(began) > 10*time.Second {
+				t.Errorf("a cancelled write got %+v after %v", r, time.Since(began))
+			}
+			served(t, c.do(standin.Write(fmt.Sprint("k2", i), patience)))
+			if n := len(p.Seen()) - had; n != 2 {
+				t.Errorf("%d statements came for a cancelled write and the one after it", n)
+			}
+		}
+		shows(t, a, "edge_proxy_members_unavailable 0", "edge_proxy_pending 0", `edge_proxy_downstream_requests{lane="write",result="failed"} 0`)
+	})
+}
+
+// What a translated statement has begun at a PostgreSQL server is cancelled there by the key of its connection.
+func TestCancelReachesTheServer(t *testing.T) {
+	f := standin.NewMixedFleet(t, true, func(int) bool { return false }, nil, "p")
+	a := pooler(t, f)
+	c, p := cancels(t, f, a), f.Servers[0]
+	p.Do(once(standin.Hang))
+	ended := make(chan standin.Result, 1)
+	go func() { ended <- c.do(standin.Write("k", 20*time.Second)) }()
+	if !p.Wait(1) {
+		t.Fatal("the write never came")
+	}
+	if err := c.cancel(); err != nil {
+		t.Fatal(err)
+	}
+	<-ended
+	for late := time.Now().Add(20 * time.Second); len(p.Cancels()) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(late) {
+			t.Fatal("no cancel comes")
+		}
+	}
+	if k := p.Cancels()[0]; k.Secret != 77 || k.Process == 0 {
+		t.Errorf("the key is %+v", k)
+	}
+}
--- a/internal/program/crossside/backend.go
+++ b/internal/program/crossside/backend.go
@@ -40,6 +40,7 @@
 
 // state is what is known of a connection to a server.
 type state struct {
+	key      pgwire.Key           // by which what runs on it is cancelled
 	prepared map[string]*prepared // by text
 	order    []string
 	last     int
@@ -123,6 +124,29 @@
 	return x
 }
 
+// Abort closes the connection, and asks the server to stop what it has begun: it would go on else, for nobody. The connection is
+// used no more, so that the cancel can reach no other statement.
+func (x *query) Abort() {
+	begun := x.sent && !x.probe && !x.Over() && x.st.key != (pgwire.Key{})
+	x.Exchange.Abort()
+	if !begun || x.b.Budget.Full() {
+		return
+	}
+	transport.Dial(x.b.Loop, x.b.Budget, x.addr, x.b.ConnectTimeout, func(c *transport.Conn, err error) {
+		if err == nil {
+			c.SetHandler(cancelling{})
+			c.Write(pgwire.AppendCancel(nil, x.st.key))
+			c.Finish()
+		}
+	})
+}
+
+// cancelling is a connection that carries a cancel request. No answer comes to it.
+type cancelling struct{}
+
+func (cancelling) Data(time.Duration, []byte) {}
+func (cancelling) Closed(error)               {}
+
 // Closed ends the exchange. Before the Execute's last byte has gone out nothing can have run.
 func (x *query) Closed(err error) {
 	switch {
@@ -317,6 +341,7 @@
 		x.ready()
 		return x.done(), nil
 	case 'K':
+		x.st.key, _ = pgwire.ReadKey(m.Body)
 	default:
 		return false, errOrder
 	}
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -72,21 +72,22 @@
 // Until the command itself is sent nothing can have run.
 type command struct {
 	exchange.Exchange
-	b      *Backend
-	addr   string
-	cmd    *Command
-	db     string
-	until  time.Duration
-	probe  bool
-	st     *state
-	buf    []byte
-	stage  stage
-	waited bool // for the server's word, before the command
-	sent   bool
-	over   bool // ended while the command was to be sent
-	skip   int  // packets of definitions still to come
-	stmt   mysql.PrepareOK
-	ans    *mysql.Answer
+	b         *Backend
+	addr      string
+	cmd       *Command
+	db        string
+	until     time.Duration
+	probe     bool
+	st        *state
+	buf       []byte
+	stage     stage
+	waited    bool   // for the server's word, before the command
+	challenge []byte // of the login
+	sent      bool
+	over      bool // ended while the command was to be sent
+	skip      int  // packets of definitions still to come
+	stmt      mysql.PrepareOK
+	ans       *mysql.Answer
 }
 
 func (x *command) start(a routing.Attempt) routing.Call {
@@ -170,16 +171,29 @@
 		if err != nil {
 			return false, err
 		}
+		x.challenge = g.Challenge
 		x.Conn.Write(mysql.AppendLogin(nil, seq+1, g, x.b.User, x.b.Password, ""))
 		x.stage = login // the database follows: a client that names an unknown one must not look like a lost server
 	case login:
-		if p[0] == 0xfe {
-			challenge, err := mysql.ParseSwitch(p)
+		switch p[0] {
+		case 0xfe:
+			plugin, challenge, err := mysql.ParseSwitch(p)
 			if err != nil {
 				return false, err
 			}
-			x.Conn.Write(mysql.Append(nil, seq+1, mysql.Scramble(challenge, x.b.Password)))
+			answer, err := mysql.AuthResponse(plugin, challenge, x.b.Password)
+			if err != nil {
+				return false, err
+			}
+			x.challenge = challenge
+			x.Conn.Write(mysql.Append(nil, seq+1, answer))
 			return false, nil
+		case 1:
+			answer, err := mysql.AuthMore(p, x.challenge, x.b.Password)
+			if answer != nil {
+				x.Conn.Write(mysql.Append(nil, seq+1, answer))
+			}
+			return false, err
 		}
 		if p[0] != 0 {
 			return false, errors.New("the login is not answered by OK")
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/rand"
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -86,12 +87,14 @@
 	ids      map[string]bool // of open requests
 	draining bool
 	routes   *routes.Table
+	threads  map[uint32]*session // by the number that each was told at its login
 }
 
 // Listen starts a front for the clients that a door lets in. table knows what the servers speak.
 func Listen(loop *routing.Loop, budget *transport.Budget, core *routing.Core, cfg *config.MySQL, d *door.Door,
 	table *routes.Table) (*Front, error) {
-	f := &Front{loop: loop, core: core, cfg: cfg, door: d, routes: table, sessions: map[*session]bool{}, ids: map[string]bool{}}
+	f := &Front{loop: loop, core: core, cfg: cfg, door: d, routes: table, sessions: map[*session]bool{}, ids: map[string]bool{},
+		threads: map[uint32]*session{}}
 	ln, err := transport.Listen(loop, budget, cfg.Listen, f.accept)
 	f.ln = ln
 	return f, err
@@ -129,7 +132,10 @@
 		s.finish()
 		return
 	}
-	f.lastID++
+	for f.lastID++; f.lastID == 0 || f.threads[f.lastID] != nil; f.lastID++ {
+	}
+	s.thread = f.lastID
+	f.threads[s.thread] = s
 	c.Write(mysql.AppendGreeting(nil, f.lastID, s.challenge))
 }
 
@@ -162,6 +168,7 @@
 	challenge []byte
 	guest     *door.Guest // nil: there was no room
 	switched  bool
+	thread    uint32
 	id        string
 	in        bool
 	user      string
@@ -176,6 +183,9 @@
 
 func (s *session) Closed(error) {
 	delete(s.f.sessions, s)
+	if s.f.threads[s.thread] == s {
+		delete(s.f.threads, s.thread)
+	}
 	if s.guest != nil {
 		s.guest.Leave()
 	}
@@ -319,8 +329,18 @@
 		s.send(1, mysql.OK())
 	case mysql.ComSetOption:
 		s.unsupported("several statements in one command")
+	case mysql.ComProcessKill:
+		if len(p) != 5 {
+			s.fail(mysql.ErrHandshake, "08S01", "Malformed communication packet")
+			return
+		}
+		s.kill(mysql.Kill{ID: binary.LittleEndian.Uint32(p[1:]), Connection: true})
 	case mysql.ComQuery:
 		text := string(p[1:])
+		if k, ok := mysql.ParseKill(text); ok {
+			s.kill(k)
+			return
+		}
 		scan := mysql.ScanStatement(text)
 		if !s.acceptable(scan) {
 			return
@@ -568,6 +588,33 @@
 	s.open = s.f.core.Submit(r)
 }
 
+// kill ends what another connection is about, at once, and that connection if it is to. What is not under way any more is not
+// touched: a cancel never reaches the command after the one it was meant for, as far as its client could know.
+func (s *session) kill(k mysql.Kill) {
+	other := s.f.threads[k.ID]
+	switch {
+	case other == nil || !other.in:
+		s.fail(mysql.ErrNoThread, "HY000", fmt.Sprintf("Unknown thread id: %d", k.ID))
+		return
+	case other.user != s.user:
+		s.fail(1095, "HY000", fmt.Sprintf("You are not owner of thread %d", k.ID))
+		return
+	}
+	if other != s {
+		s.send(1, mysql.OK())
+	}
+	if other.open != nil {
+		other.open.Gone() // the module ends the attempt; it may have run, and goes on at a server that has begun it
+		code, state := translate.Cancelled.MySQL(other.client.Generation)
+		other.answer(mysql.Append(nil, 1, mysql.Error(code, state, "Query execution was interrupted")))
+	} else if other == s {
+		s.fail(mysql.ErrInterrupted, "70100", "Query execution was interrupted")
+	}
+	if k.Connection {
+		other.finish()
+	}
+}
+
 // answer gives the final answer, and goes on with what has come meanwhile.
 func (s *session) answer(out []byte) {
 	if s.open == nil { // abandoned
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -3,6 +3,7 @@
 package pgside
 
 import (
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 	"threadsail/internal/protocol/comment"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/routing"
+	"threadsail/internal/translate"
 	"threadsail/internal/transport"
 	"threadsail/rules"
 )
@@ -34,12 +36,14 @@
 	sessions map[*session]bool
 	ids      map[string]bool // of open requests
 	draining bool
+	lastID   uint32
+	keys     map[pgwire.Key]*session
 }
 
 // Listen starts a front for the clients that a door lets in; listen opens its socket.
 func Listen(loop *routing.Loop, listen func(accept func(*transport.Conn)) (*transport.Listener, error), core *routing.Core,
 	d *door.Door) (*Front, error) {
-	f := &Front{loop: loop, core: core, door: d, sessions: map[*session]bool{}, ids: map[string]bool{}}
+	f := &Front{loop: loop, core: core, door: d, sessions: map[*session]bool{}, ids: map[string]bool{}, keys: map[pgwire.Key]*session{}}
 	ln, err := listen(f.accept)
 	f.ln = ln
 	return f, err
@@ -84,9 +88,10 @@
 	guest   *door.Guest // nil: there was no room
 	buf     []byte
 	started bool
-	asked   bool // a request has come
-	erred   bool // a command has met an error: alone that is no reason to stay
-	skip    bool // after an error in an extended query: until its Sync
+	key     pgwire.Key // by which the client cancels
+	asked   bool       // a request has come
+	erred   bool       // a command has met an error: alone that is no reason to stay
+	skip    bool       // after an error in an extended query: until its Sync
 	slots   []*slot
 	held    int // bytes in slots
 }
@@ -103,6 +108,7 @@
 
 func (s *session) Closed(error) {
 	delete(s.f.sessions, s)
+	delete(s.f.keys, s.key)
 	if s.guest != nil {
 		s.guest.Leave()
 	}
@@ -192,8 +198,14 @@
 			s.c.Write([]byte{'N'})
 		case code>>16 == 3:
 			s.started = true
-			s.c.Write(pgwire.AppendWelcome(nil))
-		case code == pgwire.CancelCode: // a client cancels by closing
+			s.f.lastID++
+			s.key = pgwire.Key{Process: s.f.lastID, Secret: rand.Uint32()}
+			s.f.keys[s.key] = s
+			s.c.Write(pgwire.AppendWelcome(nil, s.key))
+		case code == pgwire.CancelCode: // it gets no answer, whether the key is right or not
+			if key, ok := pgwire.ReadKey(b[8:n]); ok && s.f.keys[key] != nil {
+				s.f.keys[key].cancel()
+			}
 			s.finish()
 			return 0, false
 		default:
@@ -324,6 +336,18 @@
 	s.settle()
 }
 
+// cancel ends the command that is under way, at once: the first that has no answer yet. Without one nothing happens, so that
+// no cancel reaches a command that comes after it.
+func (s *session) cancel() {
+	for _, w := range s.slots {
+		if w.open != nil && !w.done && !w.begun() {
+			w.open.Gone() // the module ends the attempt; it may have run, and goes on at a server that has begun it
+			w.close(pgwire.AppendError(nil, "ERROR", translate.Cancelled.Postgres(), "canceling statement due to user request", ""))
+			return
+		}
+	}
+}
+
 // abandon ends a request that nobody waits for any more.
 func (w *slot) abandon() {
 	if w.relay != nil {
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -43,8 +43,10 @@
 	if !PasswordFits(challenge, l.Response, "secret") || PasswordFits(challenge, l.Response, "other") {
 		t.Error("the password check is wrong")
 	}
-	if got, err := ParseSwitch(SwitchToNative(challenge)); !bytes.Equal(got, challenge) || err != nil {
-		t.Error(got, err)
+	for plugin, p := range map[string][]byte{nativePassword: SwitchToNative(challenge), cachingSHA2: SwitchToCaching(challenge)} {
+		if name, got, err := ParseSwitch(p); !bytes.Equal(got, challenge) || name != plugin || err != nil {
+			t.Error(name, got, err)
+		}
 	}
 	for _, bad := range [][]byte{nil, {9}, {10, 'x'}, p} {
 		if _, err := ParseGreeting(bad); err == nil {
@@ -167,7 +169,10 @@
 		_, _, _, _ = Next(b, MaxAnswer)
 		_, _ = ParseGreeting(b)
 		_, _ = ParseLogin(b)
-		_, _ = ParseSwitch(b)
+		_, _, _ = ParseSwitch(b)
+		_, _ = AuthMore(b, []byte("abcdefghijklmnopqrst"), "secret")
+		_, _ = ParseDefinition(b)
+		_, _ = ParseKill(string(b))
 		_, _ = ParsePrepareOK(b)
 		_, _, _ = ParseLongData(b)
 		_, _, _, _ = ParseError(b)
--- a/internal/protocol/mysql/packet.go
+++ b/internal/protocol/mysql/packet.go
@@ -22,6 +22,7 @@
 	ComQuit            = 0x01
 	ComInitDB          = 0x02
 	ComQuery           = 0x03
+	ComProcessKill     = 0x0c
 	ComPing            = 0x0e
 	ComStmtPrepare     = 0x16
 	ComStmtExecute     = 0x17
@@ -57,6 +58,7 @@
 	ErrHandshake      = 1043
 	ErrUserConns      = 1203
 	ErrUnknown        = 1105
+	ErrNoThread       = 1094
 	ErrUnknownStmt    = 1243
 	ErrWrongArgs      = 1210
 	ErrNotSupported   = 1235
@@ -351,16 +353,17 @@
 	p = binary.LittleEndian.AppendUint32(p, MaxCommand)
 	p = append(append(p, charsetUTF8MB4), make([]byte, 23)...)
 	p = append(append(p, user...), 0)
-	response := []byte(nil)
-	if g.Plugin == nativePassword {
-		response = Scramble(g.Challenge, password)
+	plugin := g.Plugin
+	response, err := AuthResponse(plugin, g.Challenge, password)
+	if err != nil { // the server will ask for one that it takes instead
+		plugin = nativePassword
 	}
 	p = append(append(p, byte(len(response))), response...)
 	if caps&g.Capabilities&capConnectDB != 0 {
 		p = append(append(p, database...), 0)
 	}
 	if caps&g.Capabilities&capPluginAuth != 0 {
-		p = append(p, nativePassword+"\x00"...)
+		p = append(p, plugin+"\x00"...)
 	}
 	return Append(b, seq, p)
 }
@@ -371,17 +374,15 @@
 	return append(append(p, challenge...), 0)
 }
 
-// ParseSwitch reads a server's wish for another method: only the native password is known.
-func ParseSwitch(p []byte) (challenge []byte, err error) {
+// ParseSwitch reads a server's wish for another method.
+func ParseSwitch(p []byte) (plugin string, challenge []byte, err error) {
 	r := &reader{b: p}
 	if r.u8() != 0xfe {
-		return nil, errShort
-	}
-	if plugin := r.text(); r.err == nil && plugin != nativePassword {
-		return nil, fmt.Errorf("mysql: the server wants the method %.40q; only %s is supported", plugin, nativePassword)
+		return "", nil, errShort
 	}
+	plugin = r.text()
 	challenge = r.take(20)
-	return challenge, r.err
+	return plugin, challenge, r.err
 }
 
 // IsNative tells whether a login used the native password method.
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"strconv"
 	"strings"
 )
 
@@ -144,6 +145,29 @@
 	return Unsupported
 }
 
+// Kill is a client's wish to end what another connection is about, or that connection.
+type Kill struct {
+	ID         uint32
+	Connection bool
+}
+
+// ParseKill reads a KILL statement; false: it is none.
+func ParseKill(text string) (k Kill, ok bool) {
+	words := strings.Fields(strings.TrimRight(text, " \t\r\n;"))
+	if len(words) < 2 || len(words) > 3 || !strings.EqualFold(words[0], "KILL") {
+		return k, false
+	}
+	k.Connection = true
+	if len(words) == 3 {
+		if k.Connection = strings.EqualFold(words[1], "CONNECTION"); !k.Connection && !strings.EqualFold(words[1], "QUERY") {
+			return k, false
+		}
+	}
+	id, err := strconv.ParseUint(words[len(words)-1], 10, 32)
+	k.ID = uint32(id)
+	return k, err == nil
+}
+
 func isWord(c byte) bool {
 	return c == '_' || c == '$' || c == '@' || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= 0x80
 }
--- a/internal/protocol/pgwire/extended.go
+++ b/internal/protocol/pgwire/extended.go
@@ -205,9 +205,9 @@
 }
 
 // AppendCancel adds the request that cancels what the connection of a key is about.
-func AppendCancel(b []byte, process, secret uint32) []byte {
+func AppendCancel(b []byte, key Key) []byte {
 	b = append(b, 0, 0, 0, 16)
-	for _, v := range []uint32{CancelCode, process, secret} {
+	for _, v := range []uint32{CancelCode, key.Process, key.Secret} {
 		b = binary.BigEndian.AppendUint32(b, v)
 	}
 	return b
--- a/internal/protocol/pgwire/pgwire.go
+++ b/internal/protocol/pgwire/pgwire.go
@@ -219,15 +219,27 @@
 // AppendReady adds ReadyForQuery, outside any transaction.
 func AppendReady(b []byte) []byte { return Append(b, 'Z', "I") }
 
+// Key is what a client proves itself with to cancel what its connection is about.
+type Key struct{ Process, Secret uint32 }
+
+// ReadKey reads the rest of a cancel request, or a BackendKeyData.
+func ReadKey(body []byte) (k Key, ok bool) {
+	if len(body) != 8 {
+		return k, false
+	}
+	return Key{binary.BigEndian.Uint32(body), binary.BigEndian.Uint32(body[4:])}, true
+}
+
 // AppendWelcome adds a server's answer to a startup message.
-func AppendWelcome(b []byte) []byte {
+func AppendWelcome(b []byte, key Key) []byte {
 	b = Append(b, 'R', "\x00\x00\x00\x00")
 	for _, p := range [][2]string{{"server_version", "14.0"}, {"server_encoding", "UTF8"},
 		{"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"}} {
 		b = AppendParameter(b, p[0], p[1])
 	}
-	b = Append(b, 'K', "\x00\x00\x00\x00\x00\x00\x00\x00")
+	body := binary.BigEndian.AppendUint32(nil, key.Process)
+	b = Append(b, 'K', string(binary.BigEndian.AppendUint32(body, key.Secret)))
 	return AppendReady(b)
 }
 
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -63,7 +63,22 @@
 // Postgres is a client on PostgreSQL's protocol.
 type Postgres struct {
 	net.Conn
-	r *buffered
+	r   *buffered
+	Key pgwire.Key // by which it cancels
+}
+
+// Cancel asks the front, on a connection of its own, to cancel what this one is about; it waits until the front is done.
+func (p *Postgres) Cancel() error {
+	c, err := net.Dial("tcp", p.RemoteAddr().String())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if _, err := c.Write(pgwire.AppendCancel(nil, p.Key)); err != nil {
+		return err
+	}
+	_, _ = c.Read(make([]byte, 1)) // the front closes it
+	return nil
 }
 
 // DialPostgres connects; the startup message goes out with the first statement.
@@ -76,7 +91,9 @@
 	p := &Postgres{Conn: c, r: &buffered{c: c}}
 	for err == nil {
 		m, e := p.r.pg()
-		if err = e; e == nil && m.Type == 'Z' {
+		if err = e; e == nil && m.Type == 'K' {
+			p.Key, _ = pgwire.ReadKey(m.Body)
+		} else if e == nil && m.Type == 'Z' {
 			return p, nil
 		}
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -2,6 +2,8 @@
 package standin
 
 import (
+	"crypto/rand"
+	"crypto/rsa"
 	"fmt"
 	"net"
 	"strings"
@@ -56,6 +58,8 @@
 	act     func(Seen) Act
 	spoil   func(Seen) []byte
 	table   Table
+	login   Login
+	cancels []pgwire.Key
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
@@ -199,6 +203,13 @@
 	return len(s.unsent)
 }
 
+// Cancels lists the cancel requests that have come, by their keys.
+func (s *Server) Cancels() []pgwire.Key {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]pgwire.Key(nil), s.cancels...)
+}
+
 // Came counts the connections that it has ever had.
 func (s *Server) Came() int {
 	s.mu.Lock()
@@ -315,10 +326,25 @@
 func (s *Server) servePostgres(c net.Conn) {
 	_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10) // else the kernel takes long answers whole
 	r := &buffered{c: c}
-	if r.next(func(b []byte) (int, error) { _, n, err := pgwire.NextStartup(b); return n, err }) != nil {
+	code, key := uint32(0), pgwire.Key{}
+	if r.next(func(b []byte) (n int, err error) {
+		if code, n, err = pgwire.NextStartup(b); n > 8 {
+			key, _ = pgwire.ReadKey(b[8:n])
+		}
+		return n, err
+	}) != nil {
+		return
+	}
+	if code == pgwire.CancelCode {
+		s.mu.Lock()
+		s.cancels = append(s.cancels, key)
+		s.mu.Unlock()
 		return
 	}
-	c.Write(pgwire.AppendWelcome(nil))
+	s.mu.Lock()
+	key = pgwire.Key{Process: uint32(s.came), Secret: 77}
+	s.mu.Unlock()
+	c.Write(pgwire.AppendWelcome(nil, key))
 	for {
 		m, err := r.pg()
 		if err == nil && m.Type == 'P' {
@@ -370,8 +396,70 @@
 	}
 }
 
+// Login is how a MySQL stand-in has the pooler log in.
+type Login uint8
+
+// The ways: natively, as servers before 8 do; by the newer method, which knows the password already; or has to see it.
+const (
+	Native Login = iota
+	Fast
+	Full8
+)
+
+// Demand sets how the pooler must log in.
+func (s *Server) Demand(how Login) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.login = how
+}
+
+var serverKey = sync.OnceValue(func() *rsa.PrivateKey {
+	key, err := rsa.GenerateKey(rand.Reader, 2048)
+	if err != nil {
+		panic(err)
+	}
+	return key
+})
+
+// logInAnew has the pooler log in by the method of servers since 8.
+func logInAnew(c net.Conn, r *buffered, full bool) bool {
+	challenge := []byte("ABCDEFGHIJKLMNOPQRST")
+	c.Write(mysql.AppendGreeting(nil, 1, []byte("abcdefghijklmnopqrst")))
+	p, seq, err := r.my()
+	if l, bad := mysql.ParseLogin(p); err != nil || bad != nil || l.User != BackendUser {
+		return false
+	}
+	c.Write(mysql.Append(nil, seq+1, mysql.SwitchToCaching(challenge)))
+	response, seq, err := r.my()
+	fine := err == nil && mysql.CachingFits(challenge, response, BackendPassword)
+	if fine && full {
+		c.Write(mysql.Append(nil, seq+1, mysql.FullWanted()))
+		wish, at, err := r.my()
+		key, bad := mysql.PublicKey(&serverKey().PublicKey)
+		if err != nil || bad != nil || len(wish) != 1 || wish[0] != 2 {
+			return false
+		}
+		c.Write(mysql.Append(nil, at+1, key))
+		secret, at, err := r.my()
+		password, bad := mysql.DecryptPassword(serverKey(), secret, challenge)
+		fine, seq = err == nil && bad == nil && password == BackendPassword, at
+	} else if fine {
+		c.Write(mysql.Append(nil, seq+1, mysql.FastFine()))
+		seq++
+	}
+	if !fine {
+		c.Write(mysql.Append(nil, seq+1, mysql.Error(mysql.ErrAccessDenied, "28000", "Access denied")))
+		return false
+	}
+	c.Write(mysql.Append(nil, seq+1, mysql.OK()))
+	return true
+}
+
 // logIn checks the backend's password, by the challenge of the greeting and again by one of its own.
-func logIn(c net.Conn, r *buffered) bool {
+func logIn(c net.Conn, r *buffered, how Login) bool {
+	if how != Native {
+		return logInAnew(c, r, how == Full8)
+	}
 	first, second := []byte("abcdefghijklmnopqrst"), []byte("tsrqponmlkjihgfedcba")
 	c.Write(mysql.AppendGreeting(nil, 1, first))
 	p, seq, err := r.my()
@@ -392,7 +480,10 @@
 
 func (s *Server) serveMySQL(c net.Conn) {
 	r := &buffered{c: c}
-	if !logIn(c, r) {
+	s.mu.Lock()
+	how := s.login
+	s.mu.Unlock()
+	if !logIn(c, r, how) {
 		return
 	}
 	prepared := map[uint32]string{}
