--- a/cmd/threadlab/main.go
+++ b/cmd/threadlab/main.go
@@ -27,6 +27,8 @@
 type commands struct {
 	Demo    demoCmd    `cmd:"" help:"Start servers, a pooler and clients, kill the primary once, and show what came of it; it ends by itself."`
 	Rewrite rewriteCmd `cmd:"" help:"Rewrite a watched server file again and again under load, one time in five with something bad."`
+	Record  recordCmd  `cmd:"" help:"Pass one MySQL client on to a front, and write its session to a file."`
+	Replay  replayCmd  `cmd:"" help:"Play a recorded session against a front, and compare the answers field by field."`
 	Schema  schemaCmd  `cmd:"" help:"Check an operators' file against its CUE schema."`
 	Pooler  poolerCmd  `cmd:"" hidden:"" help:"Run the pooler; its front's address is the first line of its output."`
 }
@@ -184,6 +186,56 @@
 	})
 }
 
+type recordCmd struct {
+	Listen string `default:"127.0.0.1:3307" help:"Where the client connects; loopback."`
+	Front  string `required:"" placeholder:"HOST:PORT" help:"The front that it is passed on to."`
+	File   string `arg:"" help:"The file to write once the client has gone."`
+}
+
+func (c *recordCmd) Run() error {
+	r, err := lab.Record(c.Listen, c.Front)
+	if err != nil {
+		return err
+	}
+	fmt.Println("waiting for one client at", r.Addr())
+	s, err := r.Wait()
+	if err != nil {
+		return err
+	}
+	if err := s.Save(c.File); err != nil {
+		return err
+	}
+	fmt.Printf("%s: %d commands\n", c.File, len(s.Steps))
+	return nil
+}
+
+type replayCmd struct {
+	Front    string   `required:"" placeholder:"HOST:PORT" help:"The front to play it against."`
+	User     string   `help:"What the client logs in with."`
+	Password string   `env:"THREADLAB_PASSWORD" help:"Its password."`
+	Mask     []string `help:"Further fields that may differ, such as value.created_at or error.text, which is masked anyway."`
+	File     string   `arg:"" type:"existingfile" help:"A recorded session."`
+}
+
+func (c *replayCmd) Run() error {
+	s, err := lab.LoadSession(c.File)
+	if err != nil {
+		return err
+	}
+	differences, err := s.Replay(c.Front, c.User, c.Password, append(lab.DefaultMasks, c.Mask...), nil)
+	for _, d := range differences {
+		fmt.Println(d)
+	}
+	if err != nil {
+		return err
+	}
+	if len(differences) > 0 {
+		return fmt.Errorf("%d differences in %d commands", len(differences), len(s.Steps))
+	}
+	fmt.Printf("no difference in %d commands\n", len(s.Steps))
+	return nil
+}
+
 type schemaCmd struct {
 	File   string `arg:"" type:"existingfile" help:"The operators' file, JSON."`
 	Schema string `default:"deploy/membership.cue" type:"existingfile" help:"The CUE schema; its definition #File is what the file must fit."`
--- a/internal/program/translate_test.go
+++ b/internal/program/translate_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -335,3 +336,63 @@
 		})
 	}
 }
+
+// A booking write that is refused reads to an old client as untouched and safe to resend: connectors give up, resend at once,
+// or after the time told, and each way it runs once at the most. One that may have run is resent by none of them.
+func TestConnectorHabits(t *testing.T) {
+	// What connectors go by: 08 is a connection that was not made, 40001 a transaction undone; all else has maybe run.
+	resends := func(r standin.Result) bool { return r.Code == "1040" || r.Code == "1213" }
+	for name, habit := range map[string]func(standin.Result) bool{
+		"gives up":       func(standin.Result) bool { return false },
+		"at once":        resends,
+		"after the time": func(r standin.Result) bool { time.Sleep(r.After); return resends(r) },
+	} {
+		for _, pair := range pairs[1:] {
+			t.Run(name+", "+pair.name, func(t *testing.T) {
+				t.Parallel()
+				f := standin.NewMixedFleet(t, pair.mysql, pair.speak, nil, "p", "r")
+				c, p := dial(t, pooler(t, f)), f.Servers[0]
+				served(t, c.Do(standin.Write("k0", patience)))
+				try := func(key string, act func(standin.Seen) standin.Act, well func()) (ran int, first, last standin.Result) {
+					var mu sync.Mutex
+					p.Do(func(s standin.Seen) standin.Act {
+						a := act(s)
+						mu.Lock()
+						defer mu.Unlock()
+						if a == standin.Answer || a == standin.Break {
+							ran++
+						}
+						return a
+					})
+					for tries := 1; ; tries++ {
+						last = c.Do(standin.Write(key, 300*time.Millisecond))
+						if tries == 1 {
+							first = last
+							well()
+						}
+						if last.Served() || tries == 20 || !habit(last) {
+							mu.Lock()
+							defer mu.Unlock()
+							return ran, first, last
+						}
+					}
+				}
+				var full atomic.Bool
+				full.Store(true)
+				ran, first, last := try("k1", func(standin.Seen) standin.Act {
+					if full.Load() {
+						return standin.Full
+					}
+					return standin.Answer
+				}, func() { full.Store(false) })
+				if !first.Refused || name == "gives up" && ran > 0 || name != "gives up" && (!last.Served() || ran != 1) {
+					t.Errorf("refused, it ran %d times: first %+v, last %+v", ran, first, last)
+				}
+				ran, first, last = try("", once(standin.Break), func() {})
+				if !first.Failed || ran != 1 || last != first {
+					t.Errorf("broken, it ran %d times: first %+v, last %+v", ran, first, last)
+				}
+			})
+		}
+	}
+}
--- a/internal/protocol/mysql/mysql_test.go
+++ b/internal/protocol/mysql/mysql_test.go
@@ -31,7 +31,7 @@
 	challenge := []byte("abcdefghijklmnopqrst")
 	_, p, _, _ := Next(AppendGreeting(nil, 7, challenge), MaxAnswer)
 	g, err := ParseGreeting(p)
-	if d := cmp.Diff(Greeting{capabilities, challenge, nativePassword}, g); d != "" || err != nil {
+	if d := cmp.Diff(Greeting{7, capabilities, challenge, nativePassword}, g); d != "" || err != nil {
 		t.Fatal(err, d)
 	}
 	_, p, _, _ = Next(AppendLogin(nil, 1, g, "u", "secret", "lessons"), MaxCommand)
--- a/internal/protocol/mysql/packet.go
+++ b/internal/protocol/mysql/packet.go
@@ -255,6 +255,7 @@
 
 // Greeting is what a server says first.
 type Greeting struct {
+	Thread       uint32 // the connection's number
 	Capabilities uint32
 	Challenge    []byte // 20 bytes
 	Plugin       string
@@ -280,7 +281,7 @@
 		return g, fmt.Errorf("mysql: protocol version %d is not supported", v)
 	}
 	r.text()
-	r.u32()
+	g.Thread = r.u32()
 	g.Challenge = append(g.Challenge, r.take(8)...)
 	r.take(1)
 	g.Capabilities = uint32(r.u16())
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -60,6 +60,7 @@
 	table   Table
 	login   Login
 	cancels []pgwire.Key
+	value   string
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
@@ -210,6 +211,22 @@
 	return append([]pgwire.Key(nil), s.cancels...)
 }
 
+// Give sets the value that reads get, instead of the server's name.
+func (s *Server) Give(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = value
+}
+
+func (s *Server) given() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.value != "" {
+		return s.value
+	}
+	return "from " + s.Name
+}
+
 // Came counts the connections that it has ever had.
 func (s *Server) Came() int {
 	s.mu.Lock()
@@ -385,7 +402,7 @@
 		case readOnly:
 			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeReadOnly, "read-only", "")
 		default:
-			out = pgwire.AppendRow(nil, "val", "from "+s.Name, "SELECT 1")
+			out = pgwire.AppendRow(nil, "val", s.given(), "SELECT 1")
 		}
 		out = pgwire.AppendParameter(out, "recovery", map[bool]string{true: "off", false: "on"}[primary])
 		if position > 0 {
@@ -552,9 +569,9 @@
 		case readOnly:
 			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrOptionPrevents, "HY000", "--read-only"))
 		case strings.HasPrefix(text, "SELECT"):
-			out = myRow("val", "from "+s.Name, p[0] == mysql.ComStmtExecute)
+			out = myRow("val", s.given(), p[0] == mysql.ComStmtExecute)
 		default:
-			out = mysql.Append(nil, 1, mysql.OK())
+			out = mysql.Append(nil, 1, mysql.Done(1, 0, 0))
 		}
 		end()
 		c.Write(out)
