Generate the compatibility page; turn down operators that mean something else there

Cause: reading the generated page against both servers' published rules: ! binds more tightly than NOT, bit operators work on unsigned 64 bits in MySQL only, SUBSTR counts from the end below 1, and NULLs sort first in MySQL, last in PostgreSQL.

--- a/cmd/threadlab/main.go
+++ b/cmd/threadlab/main.go
@@ -22,15 +22,17 @@
 	"threadsail/internal/config"
 	"threadsail/internal/lab"
 	"threadsail/internal/program"
+	"threadsail/internal/translate"
 )
 
 type commands struct {
-	Demo    demoCmd    `cmd:"" help:"Start servers, a pooler and clients, kill the primary once, and show what came of it; it ends by itself."`
-	Rewrite rewriteCmd `cmd:"" help:"Rewrite a watched server file again and again under load, one time in five with something bad."`
-	Record  recordCmd  `cmd:"" help:"Pass one MySQL client on to a front, and write its session to a file."`
-	Replay  replayCmd  `cmd:"" help:"Play a recorded session against a front, and compare the answers field by field."`
-	Schema  schemaCmd  `cmd:"" help:"Check an operators' file against its CUE schema."`
-	Pooler  poolerCmd  `cmd:"" hidden:"" help:"Run the pooler; its front's address is the first line of its output."`
+	Demo          demoCmd          `cmd:"" help:"Start servers, a pooler and clients, kill the primary once, and show what came of it; it ends by itself."`
+	Rewrite       rewriteCmd       `cmd:"" help:"Rewrite a watched server file again and again under load, one time in five with something bad."`
+	Record        recordCmd        `cmd:"" help:"Pass one MySQL client on to a front, and write its session to a file."`
+	Replay        replayCmd        `cmd:"" help:"Play a recorded session against a front, and compare the answers field by field."`
+	Compatibility compatibilityCmd `cmd:"" help:"Write the page that says what is translated."`
+	Schema        schemaCmd        `cmd:"" help:"Check an operators' file against its CUE schema."`
+	Pooler        poolerCmd        `cmd:"" hidden:"" help:"Run the pooler; its front's address is the first line of its output."`
 }
 
 func main() {
@@ -236,6 +238,10 @@
 	return nil
 }
 
+type compatibilityCmd struct{}
+
+func (*compatibilityCmd) Run() error { return translate.WriteCompatibility(os.Stdout) }
+
 type schemaCmd struct {
 	File   string `arg:"" type:"existingfile" help:"The operators' file, JSON."`
 	Schema string `default:"deploy/membership.cue" type:"existingfile" help:"The CUE schema; its definition #File is what the file must fit."`
--- a/internal/translate/sql.go
+++ b/internal/translate/sql.go
@@ -227,7 +227,7 @@
 	"DO END FREEZE ILIKE INITIALLY ISNULL NOTNULL OFFSET ONLY OVERLAPS PLACING SESSION_USER SIMILAR SOME SYMMETRIC USER VARIADIC VERBOSE")
 
 // Functions that do the same with the same arguments.
-var sameFunctions = set("COUNT SUM MIN MAX COALESCE NULLIF UPPER LOWER ABS FLOOR CEIL CEILING TRIM LTRIM RTRIM SUBSTRING SUBSTR " +
+var sameFunctions = set("COUNT SUM MIN MAX COALESCE NULLIF UPPER LOWER ABS FLOOR CEIL CEILING TRIM LTRIM RTRIM " +
 	"CHAR_LENGTH CHARACTER_LENGTH OCTET_LENGTH REPLACE REVERSE MD5 POSITION SIGN MOD EXISTS ROW_NUMBER RANK DENSE_RANK")
 
 // Words before a parenthesis that are no functions.
@@ -486,8 +486,8 @@
 		w.put("OR")
 	case "&&":
 		w.put("AND")
-	case "!":
-		w.put("NOT")
+	case "!": // it binds more tightly than NOT does there
+		return &Unsupported{"the operator !, for which NOT with parentheses is clear"}
 	case "<=>":
 		w.put("IS NOT DISTINCT FROM")
 	case "!=":
@@ -500,8 +500,10 @@
 			return &Unsupported{"parentheses without their match"}
 		}
 		w.put(")")
-	case ",", ".", "=", "<", ">", "<=", ">=", "<>", "+", "-", "*", "%", "&", "|", "~", "<<", ">>":
+	case ",", ".", "=", "<", ">", "<=", ">=", "<>", "+", "-", "*", "%":
 		w.put(t.text)
+	case "&", "|", "~", "<<", ">>", "^":
+		return &Unsupported{"the operator " + t.text + ", which works on 64 bits without a sign here only"}
 	case "/":
 		return &Unsupported{"the operator /, whose result has another type there"}
 	case ";":
@@ -534,6 +536,8 @@
 	case t.up == "END" && w.cases > 0:
 		w.cases--
 		w.put("END")
+	case t.up == "ORDER" && w.is("BY"):
+		return w.orderBy()
 	case t.up == "LIMIT":
 		return w.limit()
 	case t.up == "OFFSET" && (before.kind == number || before.kind == mark):
@@ -666,6 +670,46 @@
 	return strings.TrimSpace(x.out.String()), err
 }
 
+// counts tells that an argument is a plain number from 1 on.
+func counts(arg []token) bool {
+	if len(arg) != 1 || arg[0].kind != number {
+		return false
+	}
+	n, err := strconv.Atoi(arg[0].text)
+	return err == nil && n > 0
+}
+
+// orderBy translates what a result is ordered by: NULL comes before all else here, and after it there.
+func (w *rewriter) orderBy() error {
+	w.at++
+	w.put("ORDER BY")
+	depth, down := w.depth, false
+	for {
+		t := w.peek(0)
+		ends := t.kind == end || w.depth == depth && (t.kind == punct && t.text == ")" ||
+			t.kind == word && (t.up == "LIMIT" || t.up == "FOR" || t.up == "LOCK" || t.up == "UNION" || t.up == "ROWS" || t.up == "RANGE" || t.up == "ON"))
+		comma := w.depth == depth && t.kind == punct && t.text == ","
+		if ends || comma {
+			if down {
+				w.put("NULLS LAST")
+			} else {
+				w.put("NULLS FIRST")
+			}
+			if down = false; ends {
+				return nil
+			}
+		}
+		if w.depth == depth && t.kind == word {
+			down = t.up == "DESC"
+		} else if !comma {
+			down = false
+		}
+		if err := w.one(); err != nil {
+			return err
+		}
+	}
+}
+
 // function translates a call. One that is not known to do the same is turned down: it might do something else there.
 func (w *rewriter) function(t token) error {
 	if sameFunctions[t.up] {
@@ -697,6 +741,8 @@
 			parts[i] = "(" + parts[i] + ")::text"
 		}
 		w.put("(" + strings.Join(parts, " || ") + ")")
+	case (t.up == "SUBSTRING" || t.up == "SUBSTR") && (n == 2 || n == 3) && counts(args[1]) && (n == 2 || counts(args[2])):
+		w.put("substring(" + strings.Join(parts, ", ") + ")") // of places below 1 the two have other views
 	case t.up == "LENGTH" && n == 1:
 		w.put("octet_length(" + parts[0] + ")")
 	case (t.up == "NOW" || t.up == "CURRENT_TIMESTAMP" || t.up == "LOCALTIME" || t.up == "LOCALTIMESTAMP") && n == 0:
