--- a/internal/config/mysql.go
+++ b/internal/config/mysql.go
@@ -44,8 +44,8 @@
 
 // Postgres is how PostgreSQL servers behind the MySQL front are reached.
 type Postgres struct {
-	User, Database string // empty: as at MySQL servers
-	Heartbeat      string // as MySQL.Heartbeat
+	User, Password, Database string // empty: as at MySQL servers
+	Heartbeat                string // as MySQL.Heartbeat
 }
 
 // LoadMySQL reads the file of the MySQL front. Without the file, or with "enabled" false, the front is off: nil.
@@ -93,6 +93,7 @@
 		ProbeTimeout: or(Milliseconds(file.ProbeTimeoutMs), defaultProbeTimeout),
 		Postgres:     file.Postgres, Translate: file.Translate}
 	m.Postgres.User = or(m.Postgres.User, m.User)
+	m.Postgres.Password = or(m.Postgres.Password, m.Password)
 	m.Postgres.Database = or(m.Postgres.Database, m.Database, "core")
 	if err := address("listen", m.Listen); err != nil {
 		return nil, err
--- a/internal/program/crossside/backend.go
+++ b/internal/program/crossside/backend.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/xdg-go/scram"
+
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/program/mysqlside"
 	"threadsail/internal/protocol"
@@ -34,8 +36,10 @@
 type Backend struct {
 	exchange.Servers
 	User, Database string
+	Password       string
 	Heartbeat      string // the probe's second query, a Unix time in milliseconds; empty: none
 	Log            func(string)
+	secrets        *scram.Client // keeps what a server's salt makes of the password: that is dear
 }
 
 // state is what is known of a connection to a server.
@@ -102,6 +106,7 @@
 	stage  stage
 	waited bool // for the server's word, before the statement
 	sent   bool
+	login  *scram.ClientConversation
 	stmt   *prepared // being described, or run
 	fields []pgwire.Field
 	cols   []translate.Column
@@ -330,9 +335,7 @@
 		}
 		return true, nil
 	case 'R':
-		if len(m.Body) != 4 || m.Body[3] != 0 {
-			return false, errors.New("the server wants a password method that is not supported")
-		}
+		return false, x.authenticate(m.Body)
 	case 'Z':
 		if !last {
 			return false, errOrder
@@ -348,6 +351,37 @@
 	return false, nil
 }
 
+// authenticate goes on with the login. The password itself is never sent.
+func (x *query) authenticate(body []byte) error {
+	kind, data, err := pgwire.Auth(body)
+	if err != nil || kind == pgwire.AuthFine {
+		if err == nil && x.login != nil && !x.login.Valid() {
+			err = errors.New("the server says yes without having shown that it knows the password")
+		}
+		return err
+	}
+	if kind == pgwire.AuthSASL {
+		if x.b.secrets == nil {
+			if x.b.secrets, err = scram.SHA256.NewClient(x.b.User, x.b.Password, ""); err != nil {
+				return err
+			}
+		}
+		x.login, data = x.b.secrets.NewConversation(), ""
+	}
+	if x.login == nil {
+		return errOrder
+	}
+	answer, err := x.login.Step(data)
+	switch {
+	case err != nil:
+	case kind == pgwire.AuthSASL:
+		x.Conn.Write(pgwire.AppendSASLFirst(nil, pgwire.ScramSHA256, answer))
+	case kind == pgwire.AuthContinue:
+		x.Conn.Write(pgwire.AppendSASL(nil, answer))
+	}
+	return err
+}
+
 // done tells that the exchange has ended within a step.
 func (x *query) done() bool { return x.Over() }
 
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -261,7 +261,7 @@
 	}
 	own := &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
 		Log: said(log)}
-	other := &crossside.Backend{Servers: servers(), User: my.Postgres.User, Database: my.Postgres.Database, Heartbeat: my.Postgres.Heartbeat,
+	other := &crossside.Backend{Servers: servers(), User: my.Postgres.User, Password: my.Postgres.Password, Database: my.Postgres.Database, Heartbeat: my.Postgres.Heartbeat,
 		Log: own.Log}
 	table := routes.NewTable(routes.MySQL)
 	backend := &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.MySQL: own, routes.Postgres: other}}
--- a/internal/program/translate_test.go
+++ b/internal/program/translate_test.go
@@ -328,9 +328,9 @@
 
 // Servers since 8 want another password method, and may have to see the password itself; a wrong one is no connection.
 func TestNewerLogin(t *testing.T) {
-	for name, how := range map[string]standin.Login{"native": standin.Native, "fast": standin.Fast, "full": standin.Full8} {
+	for name, how := range map[string]standin.Login{"native": standin.Native, "fast": standin.Fast, "full": standin.Full8, "scram": standin.Scram} {
 		t.Run(name, func(t *testing.T) {
-			f := standin.NewFleet(t, true, nil, "p")
+			f := standin.NewMixedFleet(t, true, func(int) bool { return how != standin.Scram }, nil, "p")
 			f.Servers[0].Demand(how)
 			served(t, dial(t, pooler(t, f)).Do(standin.Write("k", patience)))
 		})
--- a/internal/standin/extended.go
+++ b/internal/standin/extended.go
@@ -5,6 +5,8 @@
 	"net"
 	"strings"
 
+	"github.com/xdg-go/scram"
+
 	"threadsail/internal/protocol/pgwire"
 )
 
@@ -38,6 +40,45 @@
 
 const oidText, oidBool = 25, 16
 
+// proves has the pooler prove that it knows the password, by SCRAM.
+func proves(c net.Conn, r *buffered) bool {
+	const salt, iterations = "salt of the test", 4096
+	known, err := scram.SHA256.NewClient(BackendUser, BackendPassword, "")
+	if err != nil {
+		return false
+	}
+	kept := known.GetStoredCredentials(scram.KeyFactors{Salt: salt, Iters: iterations})
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return kept, nil })
+	if err != nil {
+		return false
+	}
+	talk := server.NewConversation()
+	c.Write(pgwire.AppendAuth(nil, pgwire.AuthSASL, pgwire.ScramSHA256+"\x00\x00"))
+	m, err := r.pg()
+	if err != nil || m.Type != 'p' {
+		return false
+	}
+	_, data, err := pgwire.SASLFirst(m.Body)
+	if err != nil {
+		return false
+	}
+	first, err := talk.Step(data)
+	if err != nil {
+		return false
+	}
+	c.Write(pgwire.AppendAuth(nil, pgwire.AuthContinue, first))
+	if m, err = r.pg(); err != nil {
+		return false
+	}
+	last, err := talk.Step(string(m.Body))
+	if err != nil || !talk.Valid() {
+		c.Write(pgwire.AppendError(nil, "FATAL", "28P01", "password authentication failed", ""))
+		return false
+	}
+	c.Write(pgwire.AppendAuth(nil, pgwire.AuthFinal, last))
+	return true
+}
+
 // params counts the parameters of a statement, $1 and on.
 func params(text string) (n int) {
 	for strings.Contains(text, fmt.Sprintf("$%d", n+1)) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -360,7 +360,11 @@
 	}
 	s.mu.Lock()
 	key = pgwire.Key{Process: uint32(s.came), Secret: 77}
+	how := s.login
 	s.mu.Unlock()
+	if how == Scram && !proves(c, r) {
+		return
+	}
 	c.Write(pgwire.AppendWelcome(nil, key))
 	for {
 		m, err := r.pg()
@@ -421,6 +425,7 @@
 	Native Login = iota
 	Fast
 	Full8
+	Scram // on PostgreSQL's wire: by SCRAM-SHA-256
 )
 
 // Demand sets how the pooler must log in.
