Speak to newer MySQL servers by their own names; one table of errors on both wires

Need: servers since 8.4 no longer know SHOW SLAVE STATUS and number errors that old clients never heard of; old command line clients ask for a table's columns by COM_FIELD_LIST.

Change: renamed statements by the version in the inventory, the columns of their answers by their old names, numbers of 3000 and more by their meaning to clients before 8.0; COM_FIELD_LIST. The MySQL backend tells outcomes by the table in translate: a check that fails is the statement's own error now, where it was taken for a failure that may have run.

Measured: an old client before an 8.4 stand-in sees the old names and 1216 for 3819; before a 5.7 one the text is as it came.

--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -7,6 +7,7 @@
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/protocol"
 	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/routes"
 	"threadsail/internal/routing"
 	"threadsail/internal/translate"
 	"threadsail/internal/transport"
@@ -26,6 +27,7 @@
 	User, Password string
 	Database       string
 	Heartbeat      string // the probe's second query; empty: none
+	Version        func(addr string) routes.Version
 	Log            func(string)
 }
 
@@ -40,13 +42,14 @@
 func (b *Backend) Send(addr string, payload any, left time.Duration, a routing.Attempt) routing.Call {
 	cmd := payload.(*Command)
 	x := &command{b: b, addr: addr, cmd: cmd, db: cmd.DB, until: b.Loop.Now() + left}
+	x.text, x.renamed = translate.ForVersion(cmd.Text, b.Version(addr))
 	return x.start(a)
 }
 
 // Probe asks a server for its role, and a replica for its position.
 func (b *Backend) Probe(addr string, done func(routing.Result)) routing.Call {
 	start := func(done func(routing.Result)) routing.Call {
-		x := &command{b: b, addr: addr, cmd: &Command{Text: roleQuery}, until: b.Loop.Now() + b.ConnectTimeout,
+		x := &command{b: b, addr: addr, cmd: &Command{Text: roleQuery}, text: roleQuery, until: b.Loop.Now() + b.ConnectTimeout,
 			probe: true}
 		return x.start(exchange.ForProbe(done))
 	}
@@ -75,6 +78,8 @@
 	b         *Backend
 	addr      string
 	cmd       *Command
+	text      string // of the command, as a server of its version knows it
+	renamed   bool   // so are columns of the answer
 	db        string
 	until     time.Duration
 	probe     bool
@@ -268,7 +273,7 @@
 		return
 	}
 	if !x.cmd.Prepared {
-		x.send(mysql.Command(mysql.ComQuery, x.cmd.query(x.until-x.b.Loop.Now())))
+		x.send(mysql.Command(mysql.ComQuery, x.query(x.until-x.b.Loop.Now())))
 		return
 	}
 	if ok, found := x.st.prepared[x.key()]; found {
@@ -277,10 +282,19 @@
 		return
 	}
 	x.stage, x.skip = prepare, 0
-	x.write(mysql.Command(mysql.ComStmtPrepare, x.cmd.Text))
+	x.write(mysql.Command(mysql.ComStmtPrepare, x.text))
 }
 
-func (x *command) key() string { return x.db + "\x00" + x.cmd.Text }
+// query is the text of a plain query, with the time that is left in its comment.
+func (x *command) query(left time.Duration) string {
+	if x.text == x.cmd.Text {
+		return x.cmd.query(left)
+	}
+	text, _ := translate.ForVersion(x.cmd.query(left), x.b.Version(x.addr))
+	return text
+}
+
+func (x *command) key() string { return x.db + "\x00" + x.text }
 
 // prepared notes a statement down, and gives the oldest one of the connection up when there are too many.
 func (x *command) prepared() {
@@ -350,12 +364,21 @@
 	return true
 }
 
-// recoded is the answer as the client reads it: as the server gave it, unless the client writes in a charset of 8 bits.
+// recoded is the answer as the client reads it: as the server gave it, unless the client writes in a charset of 8 bits, or names
+// or numbers in it are newer than the client.
 func (x *command) recoded() []byte {
-	if !x.cmd.Client.Foreign() {
-		return x.ans.Raw
+	raw := x.ans.Raw
+	if x.ans.Err != nil {
+		raw = mysql.Append(nil, 1, x.cmd.Client.OldError(x.ans.Err))
+	}
+	if !x.cmd.Client.Foreign() && !x.renamed {
+		return raw
 	}
-	out, err := x.cmd.Client.Recode(x.ans.Raw, x.cmd.Prepared)
+	rename := translate.OldColumn
+	if !x.renamed {
+		rename = nil
+	}
+	out, err := x.cmd.Client.Recode(raw, x.cmd.Prepared, rename)
 	if err != nil { // the statement has run: its error says why nothing is seen of it
 		return x.cmd.Client.AppendError(nil, translate.AsError(err))
 	}
@@ -391,15 +414,5 @@
 // outcome puts a server's error into the core's words. OK: the statement itself is wrong, or breaks a constraint,
 // wherever it runs; the client must hear that from the server.
 func outcome(code uint16, sqlState string) rules.Result {
-	switch code {
-	case mysql.ErrOptionPrevents, mysql.ErrReadOnlyMode:
-		return rules.Missed
-	case mysql.ErrConCount, mysql.ErrUserConns, mysql.ErrMaxPrepared:
-		return rules.Full
-	}
-	switch (sqlState + "  ")[:2] {
-	case "0A", "21", "22", "23", "3D", "42":
-		return rules.OK
-	}
-	return rules.Errored
+	return translate.OfMySQL(code, sqlState).Result()
 }
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"strings"
 	"time"
 
 	"threadsail/internal/config"
@@ -173,6 +174,7 @@
 	in        bool
 	user      string
 	client    translate.Client
+	fields    bool // the command under way wants its columns only
 	db        string
 	buf       []byte
 	busy      bool
@@ -329,6 +331,15 @@
 		s.send(1, mysql.OK())
 	case mysql.ComSetOption:
 		s.unsupported("several statements in one command")
+	case mysql.ComFieldList: // a table's name, and a pattern, which clients that match by themselves leave empty
+		name, pattern, _ := strings.Cut(string(p[1:]), "\x00")
+		if text, ok := s.decoded(name); ok && pattern == "" && text != "" {
+			s.fields = true
+			s.submit(at, mysql.Read, &Command{Text: "SELECT * FROM `" + strings.ReplaceAll(text, "`", "``") + "` LIMIT 0", DB: s.db}, nil)
+			s.fields = s.busy
+		} else if ok {
+			s.unsupported("a list of fields by a pattern")
+		}
 	case mysql.ComProcessKill:
 		if len(p) != 5 {
 			s.fail(mysql.ErrHandshake, "08S01", "Malformed communication packet")
@@ -621,7 +632,7 @@
 		return
 	}
 	delete(s.f.ids, s.id)
-	s.busy, s.open = false, nil
+	s.busy, s.open, s.fields = false, nil, false
 	if !s.f.sessions[s] {
 		return
 	}
@@ -640,7 +651,13 @@
 }
 
 // Serve passes on the server's answer to this statement.
-func (s *session) Serve(answer any) { s.answer(answer.([]byte)) }
+func (s *session) Serve(answer any) {
+	raw := answer.([]byte)
+	if s.fields {
+		raw = translate.FieldList(raw)
+	}
+	s.answer(raw)
+}
 
 // Refuse tells the client that nothing has run, and when to come again.
 func (s *session) Refuse(after time.Duration) {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -259,11 +259,11 @@
 	servers := func() exchange.Servers { // each wire has idle connections of its own: an address may change its wire
 		return exchange.Servers{Loop: loop, Budget: budget, Pool: newPool(cfg, loop, budget), ConnectTimeout: my.ProbeTimeout}
 	}
-	own := &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
+	table := routes.NewTable(routes.MySQL)
+	own := &mysqlside.Backend{Servers: servers(), Version: func(addr string) routes.Version { return table.At(addr).Version }, User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
 		Log: said(log)}
 	other := &crossside.Backend{Servers: servers(), User: my.Postgres.User, Password: my.Postgres.Password, Database: my.Postgres.Database, Heartbeat: my.Postgres.Heartbeat,
 		Log: own.Log}
-	table := routes.NewTable(routes.MySQL)
 	backend := &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.MySQL: own, routes.Postgres: other}}
 	src := newSource(cfg, mysqlSource(cfg, my), mysqlWire, table, loop, budget, log)
 	core, err := routing.New(loop, backend, routing.Options{Settings: src.settings(probed(cfg.Settings)), Seed: cfg.Seed + 1,
--- a/internal/program/translate_test.go
+++ b/internal/program/translate_test.go
@@ -1,8 +1,11 @@
 package program_test
 
 import (
+	"bytes"
 	"database/sql"
 	"fmt"
+	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +16,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"threadsail/internal/program"
+	"threadsail/internal/protocol/inventory"
+	wire "threadsail/internal/protocol/mysql"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/standin"
 )
@@ -396,3 +401,61 @@
 		}
 	}
 }
+
+// What newer MySQL servers have renamed reads to an old client as it did: statements, the columns of their answers, numbers of
+// errors; and old clients still get a table's columns by a command of their own.
+func TestRenamed(t *testing.T) {
+	f := standin.NewFleet(t, true, nil, "p")
+	version := func(v string) {
+		host, port, _ := net.SplitHostPort(f.Servers[0].Addr)
+		rename(t, f.Inventory(), inventory.AppendSeal(fmt.Appendf(nil, "name,host,port,version\np,%s,%s,%s\n", host, port, v), 1, ""))
+	}
+	version("8.4")
+	a := pooler(t, f)
+	c, err := standin.DialOld(a.MySQL, standin.ClientUser, standin.ClientPassword, standin.Latin2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	columns := func(command byte, body string) (names []string, last []byte) {
+		t.Helper()
+		answer, err := c.Do(wire.Command(command, body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range answer {
+			if d, err := wire.ParseDefinition(bytes.TrimSuffix(p, []byte{0xfb})); err == nil {
+				names = append(names, d.Name)
+			}
+		}
+		return names, answer[len(answer)-1]
+	}
+	for text, want := range map[string]string{"show  slave\nstatus": "Seconds_Behind_Master", "SELECT SQL_CACHE val FROM state": "val"} {
+		if names, last := columns(wire.ComQuery, text); !slices.Equal(names, []string{want}) {
+			t.Errorf("%s gives the columns %q, %q", text, names, last)
+		}
+	}
+	if names, last := columns(wire.ComFieldList, "state\x00"); !slices.Equal(names, []string{"val"}) || !wire.IsEOF(last) {
+		t.Errorf("the fields are %q, %q", names, last)
+	}
+	if _, last := columns(wire.ComFieldList, "state\x00v%"); last[0] != 0xff {
+		t.Errorf("a pattern gives %q", last)
+	}
+	for _, seen := range f.Servers[0].Seen() {
+		if strings.Contains(seen.Text, "SQL_CACHE") {
+			t.Errorf("the server was asked %s", seen.Text)
+		}
+	}
+	f.Servers[0].Do(always(standin.Check))
+	if code, state, _, _ := wire.ParseError(lastOf(columns(wire.ComQuery, "UPDATE state SET a = -1"))); code != 1216 || state != "23000" {
+		t.Errorf("a check is %d (%s) to an old client", code, state)
+	}
+	f.Servers[0].Do(nil)
+	version("5.7") // such a server knows the old name only, which the stand-in does not
+	shows(t, a, "edge_proxy_list_generation{front=\"mysql\"} 2")
+	if _, last := columns(wire.ComQuery, "SHOW SLAVE STATUS"); last[0] != 0xff {
+		t.Errorf("the old name is answered by %q", last)
+	}
+}
+
+func lastOf(_ []string, last []byte) []byte { return last }
--- a/internal/program/wires.go
+++ b/internal/program/wires.go
@@ -14,11 +14,11 @@
 }
 
 func (w *wires) Send(addr string, payload any, left time.Duration, a routing.Attempt) routing.Call {
-	return w.backends[w.table.At(addr)].Send(addr, payload, left, a)
+	return w.backends[w.table.At(addr).Wire].Send(addr, payload, left, a)
 }
 
 func (w *wires) Probe(addr string, done func(routing.Result)) routing.Call {
-	return w.backends[w.table.At(addr)].Probe(addr, done)
+	return w.backends[w.table.At(addr).Wire].Probe(addr, done)
 }
 
 func (w *wires) CloseIdle(addr string) {
--- a/internal/protocol/mysql/packet.go
+++ b/internal/protocol/mysql/packet.go
@@ -22,6 +22,7 @@
 	ComQuit            = 0x01
 	ComInitDB          = 0x02
 	ComQuery           = 0x03
+	ComFieldList       = 0x04
 	ComProcessKill     = 0x0c
 	ComPing            = 0x0e
 	ComStmtPrepare     = 0x16
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -122,16 +122,16 @@
 	}
 }
 
-// At is the wire of the server at an address; one that no list names speaks the front's own.
-func (t *Table) At(addr string) Wire {
+// At is what the server at an address speaks; one that no list names speaks the front's own.
+func (t *Table) At(addr string) Target {
 	key := t.byAddr[addr]
 	if e, ok := t.targets[key]; ok {
-		return e.Wire
+		return e.Target
 	}
 	if w, err := ParseWire(strings.TrimPrefix(key, "\x00"), t.front); err == nil {
-		return w
+		return Target{Wire: w}
 	}
-	return t.front
+	return Target{Wire: t.front}
 }
 
 // Needs tells what a request needs at a cluster. It is the same for all its servers: where one of them speaks the other wire,
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, s := range steps {
 		s.do()
-		if d := cmp.Diff(s.need, tab.Needs(1)); d != "" || tab.At("x") != s.at {
+		if d := cmp.Diff(s.need, tab.Needs(1)); d != "" || tab.At("x").Wire != s.at {
 			t.Errorf("%s: %v %s", s.name, tab.At("x"), d)
 		}
 	}
--- a/internal/standin/oldclient.go
+++ b/internal/standin/oldclient.go
@@ -100,6 +100,8 @@
 			until()
 		}
 	case first[0] == 0 || mysql.IsEOF(first):
+	case command == mysql.ComFieldList:
+		until()
 	default:
 		if until(); err == nil {
 			until()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -36,7 +36,8 @@
 	Break      // close the connection once the statement is in
 	Fault      // an error; it may have run
 	Full       // turned away
-	Wrong      // on MySQL: the statement breaks a constraint
+	Wrong      // the statement breaks a key
+	Check      // or a check that only newer MySQL servers have
 )
 
 // Seen is a statement that has reached a server whole.
@@ -571,8 +572,14 @@
 			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrConCount, "08004", "full"))
 		case act == Wrong:
 			out = mysql.Append(nil, 1, mysql.Error(1062, "23000", "Duplicate entry"))
+		case act == Check:
+			out = mysql.Append(nil, 1, mysql.Error(3819, "HY000", "Check constraint is violated"))
 		case readOnly:
 			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrOptionPrevents, "HY000", "--read-only"))
+		case strings.HasPrefix(text, "SHOW REPLICA STATUS"):
+			out = myRow("Seconds_Behind_Source", "0", false)
+		case strings.HasPrefix(text, "SHOW"):
+			out = mysql.Append(nil, 1, mysql.Error(1064, "42000", "You have an error in your SQL syntax"))
 		case strings.HasPrefix(text, "SELECT"):
 			out = myRow("val", s.given(), p[0] == mysql.ComStmtExecute)
 		default:
--- a/internal/translate/recode.go
+++ b/internal/translate/recode.go
@@ -11,8 +11,9 @@
 // be written anew too.
 func (c Client) Foreign() bool { return c.Charset.table != nil }
 
-// Recode writes a server's whole answer to a QUERY, or an EXECUTE (binary), anew in the client's charset.
-func (c Client) Recode(raw []byte, inBinary bool) ([]byte, error) {
+// Recode writes a server's whole answer to a QUERY, or an EXECUTE (binary), anew in the client's charset. rename gives columns the
+// names that the client knows; nil: they keep theirs.
+func (c Client) Recode(raw []byte, inBinary bool, rename func(string) string) ([]byte, error) {
 	var packets [][]byte
 	for len(raw) > 0 {
 		_, p, n, err := mysql.Next(raw, mysql.MaxAnswer)
@@ -45,7 +46,11 @@
 		if err != nil {
 			return nil, err
 		}
-		r.Columns = append(r.Columns, ColumnOf(d))
+		col := ColumnOf(d)
+		if rename != nil {
+			col.Name = rename(col.Name)
+		}
+		r.Columns = append(r.Columns, col)
 	}
 	for _, p := range packets[n+2 : len(packets)-1] {
 		row, err := Row(r.Columns, p, inBinary, UTF8MB4)
