Take PostgreSQL clients to MySQL servers: every front reaches every back end

Need: the issue asks for any front at any back end; the PostgreSQL front still reached its own wire only.

MySQL has no RETURNING: it is answered from the statement where the operators say that a table's column is stored as written, and turned down with 0A000 else.

--- a/deploy/membership.cue
+++ b/deploy/membership.cue
@@ -8,6 +8,15 @@
 	postgres?: #Source
 	mysql?:    #Source
 
+	// How MySQL servers that the PostgreSQL front's file names are reached; echo: by table, columns stored just as written.
+	mysql_servers?: {
+		user?:      string
+		password?:  string
+		database?:  string
+		heartbeat?: string
+		echo?: [string]: [...string]
+	}
+
 	// The folder where good generations are kept; empty: none.
 	state?: string
 
--- a/internal/config/lists.go
+++ b/internal/config/lists.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"threadsail/internal/membership"
+	"threadsail/internal/translate"
 )
 
 // ListsFile is where the file of the server lists lies unless PROXY_MEMBERSHIP names another.
@@ -21,6 +22,14 @@
 	State           string        // the folder where good generations are kept; empty: none
 	Poll            time.Duration // how often a file is looked at without being told
 	Policy          membership.Policy
+	MySQLServers    MySQLServers
+}
+
+// MySQLServers is how MySQL servers that the PostgreSQL front's file names are reached.
+type MySQLServers struct {
+	User, Password, Database string
+	Heartbeat                string         // as MySQL.Heartbeat
+	Echo                     translate.Echo // what RETURNING can be answered from
 }
 
 // ListSource is where a front has its list from: a file, or a list service. Empty both: PROXY_CONFIG's discovery for
@@ -60,7 +69,8 @@
 		HoldMs          *float64 `json:"hold_ms"`
 		HoldShare       *float64 `json:"hold_share"`
 		Keep            *int
-		PollMs          *float64 `json:"poll_ms"`
+		PollMs          *float64     `json:"poll_ms"`
+		MySQLServers    MySQLServers `json:"mysql_servers"`
 	}
 	dec := json.NewDecoder(strings.NewReader(string(text)))
 	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
@@ -74,7 +84,7 @@
 	if !file.Enabled {
 		return l, nil
 	}
-	l.Postgres, l.MySQL, l.State = file.Postgres, file.MySQL, file.State
+	l.Postgres, l.MySQL, l.State, l.MySQLServers = file.Postgres, file.MySQL, file.State, file.MySQLServers
 	for key, s := range map[string]ListSource{"postgres": l.Postgres, "mysql": l.MySQL} {
 		if s.File != "" && s.Discovery != "" {
 			return nil, fmt.Errorf("%s: file and discovery are both set", key)
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -38,12 +38,14 @@
 	draining bool
 	lastID   uint32
 	keys     map[pgwire.Key]*session
+	fit      func(text string, group int) error
 }
 
-// Listen starts a front for the clients that a door lets in; listen opens its socket.
+// Listen starts a front for the clients that a door lets in; listen opens its socket, and fit tells why a statement can't be taken
+// by all servers of a group.
 func Listen(loop *routing.Loop, listen func(accept func(*transport.Conn)) (*transport.Listener, error), core *routing.Core,
-	d *door.Door) (*Front, error) {
-	f := &Front{loop: loop, core: core, door: d, sessions: map[*session]bool{}, ids: map[string]bool{}, keys: map[pgwire.Key]*session{}}
+	d *door.Door, fit func(text string, group int) error) (*Front, error) {
+	f := &Front{loop: loop, core: core, door: d, fit: fit, sessions: map[*session]bool{}, ids: map[string]bool{}, keys: map[pgwire.Key]*session{}}
 	ln, err := listen(f.accept)
 	f.ln = ln
 	return f, err
@@ -295,6 +297,11 @@
 		s.protocolError("comment: id is that of an open request")
 		return
 	}
+	if err := s.f.fit(text, c.Group); err != nil {
+		own := translate.AsError(err)
+		s.answer(pgwire.AppendError(nil, "ERROR", own.Meaning.Postgres(), own.Text, ""), true)
+		return
+	}
 	info := s.f.core.ClassInfo(class)
 	if c.Patience == 0 {
 		c.Patience = info.Deadline
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -84,6 +84,8 @@
 }{
 	{"postgres", false, func(int) bool { return false }},
 	{"mysql", true, func(int) bool { return true }},
+	{"postgres to mysql", false, func(int) bool { return true }},
+	{"postgres to new and old", false, func(i int) bool { return i > 0 }},
 	{"mysql to postgres", true, func(int) bool { return false }},
 	{"mysql to new and old", true, func(i int) bool { return i > 0 }}, // a migration: the primary is new already
 	{"mysql to old and new", true, func(i int) bool { return i == 0 }},
@@ -93,6 +95,7 @@
 func overBoth(t *testing.T, change func(map[string]any), names []string, test func(*testing.T, *standin.Fleet, program.Addrs)) {
 	for _, pair := range pairs {
 		t.Run(pair.name, func(t *testing.T) {
+			t.Parallel() // they mostly wait
 			f := standin.NewMixedFleet(t, pair.mysql, pair.speak, change, names...)
 			test(t, f, pooler(t, f))
 			if n := f.Ledger.Overlaps(); n > 0 {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -22,6 +22,7 @@
 	"threadsail/internal/program/pgside"
 	"threadsail/internal/routes"
 	"threadsail/internal/routing"
+	"threadsail/internal/translate"
 	"threadsail/internal/transport"
 	"threadsail/rules"
 )
@@ -212,9 +213,27 @@
 	log = log.With().Str("front", "postgres").Logger()
 	loop := routing.NewLoop()
 	d, in, budget := newDoor(cfg, loop, sockets)
-	backend := &pgside.Backend{Reports: cfg.Reports, Servers: exchange.Servers{Loop: loop, Budget: budget,
-		Pool: newPool(cfg, loop, budget), ConnectTimeout: cfg.ConnectTimeout}}
-	src := newSource(cfg, postgresSource(cfg), postgresWire, routes.NewTable(routes.Postgres), loop, budget, log)
+	servers := func() exchange.Servers {
+		return exchange.Servers{Loop: loop, Budget: budget, Pool: newPool(cfg, loop, budget), ConnectTimeout: cfg.ConnectTimeout}
+	}
+	own := &pgside.Backend{Reports: cfg.Reports, Servers: servers()}
+	var backend routing.Backend = own
+	table := routes.NewTable(routes.Postgres)
+	fit := func(string, int) error { return nil }
+	src := newSource(cfg, postgresSource(cfg), postgresWire, table, loop, budget, log)
+	if src.keeper != nil { // only a file can name servers of the other wire
+		my := cfg.Lists.MySQLServers
+		backend = &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.Postgres: own, routes.MySQL: &crossside.Back{Echo: my.Echo,
+			Backend: &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
+				Version: func(addr string) routes.Version { return table.At(addr).Version }, Log: said(log)}}}}
+		fit = func(text string, group int) error {
+			if !table.Needs(group).Translation {
+				return nil
+			}
+			_, err := translate.ToMySQL(text, my.Echo)
+			return err
+		}
+	}
 	core, err := routing.New(loop, backend, routing.Options{Settings: src.settings(cfg.Settings), Seed: cfg.Seed,
 		MaxOpen: cfg.MaxOpen, ProbeTimeout: cfg.ConnectTimeout, Watch: src.watch, Log: said(log)})
 	if err != nil {
@@ -228,13 +247,13 @@
 			return transport.Inherit(loop, in, cfg.Inherited, accept)
 		}
 		return transport.Listen(loop, in, cfg.Listen, accept)
-	}, core, d)
+	}, core, d, fit)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	retune := func(cfg *config.Config) {
-		backend.Reports, backend.ConnectTimeout = cfg.Reports, cfg.ConnectTimeout
-		backend.Pool.Rest(idleFor(cfg))
+		own.Reports, own.ConnectTimeout = cfg.Reports, cfg.ConnectTimeout
+		own.Pool.Rest(idleFor(cfg))
 		if err := core.Retune(src.settings(cfg.Settings), cfg.MaxOpen, cfg.ConnectTimeout); err != nil {
 			log.Error().Err(err).Msg("reload")
 		}
--- a/internal/program/spoilt_test.go
+++ b/internal/program/spoilt_test.go
@@ -99,7 +99,7 @@
 func TestMoreBehindAnAnswer(t *testing.T) {
 	overBoth(t, nil, []string{"p"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
 		c := dial(t, a)
-		if _, ok := c.(*standin.Postgres); !ok {
+		if _, ok := c.(*standin.Postgres); !ok || f.Servers[0].SpeaksMySQL() {
 			t.Skip("the rows of the MySQL stand-in are made elsewhere")
 		}
 		f.Servers[0].Spoil(func(s standin.Seen) []byte {
--- a/internal/program/translate_test.go
+++ b/internal/program/translate_test.go
@@ -352,7 +352,10 @@
 		"at once":        resends,
 		"after the time": func(r standin.Result) bool { time.Sleep(r.After); return resends(r) },
 	} {
-		for _, pair := range pairs[1:] {
+		for _, pair := range pairs {
+			if !pair.mysql {
+				continue
+			}
 			t.Run(name+", "+pair.name, func(t *testing.T) {
 				t.Parallel()
 				f := standin.NewMixedFleet(t, pair.mysql, pair.speak, nil, "p", "r")
--- a/internal/protocol/mysql/result.go
+++ b/internal/protocol/mysql/result.go
@@ -128,3 +128,11 @@
 	b := binary.LittleEndian.AppendUint16([]byte{0xfe}, warnings)
 	return binary.LittleEndian.AppendUint16(b, statusAutocommit)
 }
+
+// Warnings counts those of an EOF packet.
+func Warnings(eof []byte) uint16 {
+	if !IsEOF(eof) || len(eof) < 3 {
+		return 0
+	}
+	return binary.LittleEndian.Uint16(eof[1:])
+}
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -40,7 +40,7 @@
 			from := i
 			i = skipQuoted(text, i)
 			if len(words) == 2 && words[1] == "NAMES" || len(words) == 3 && words[1] == "CHARACTER" {
-				words = append(words, strings.ToUpper(strings.Trim(text[from:i], "'\"")))
+				words = append(words, strings.ToUpper(strings.Trim(text[from:i], "'\"`")))
 			}
 			s.Multi = s.Multi || ended
 			continue
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"threadsail/internal/protocol/inventory"
@@ -90,7 +91,9 @@
 		"translate": map[string]any{"ids": map[string]string{"lesson": "id"}, "keys": map[string][]string{"lesson": {"pupil"}}},
 		"defaults":  map[string]any{"read": map[string]any{"class": "any"}, "write": map[string]any{"class": "write"}}})
 	f.Lists(map[string]any{"enabled": false})
-	f.List()
+	if f.List(); !front && slices.ContainsFunc(f.Servers, func(s *Server) bool { return s.mysql }) {
+		f.FromFile(nil) // the list service knows no wires
+	}
 	return f
 }
 
@@ -116,7 +119,9 @@
 
 // FromFile has the front of the fleet's wire take its servers from the inventory, with further keys of the operators' file.
 func (f *Fleet) FromFile(keys map[string]any) {
-	file := map[string]any{"enabled": true, f.Wire(): map[string]any{"file": f.inventory}, "poll_ms": 1000}
+	file := map[string]any{"enabled": true, f.Wire(): map[string]any{"file": f.inventory}, "poll_ms": 1000,
+		"mysql_servers": map[string]any{"user": BackendUser, "password": BackendPassword, "heartbeat": Heartbeat,
+			"echo": map[string]any{"state": []string{"val"}}}}
 	for k, v := range keys {
 		file[k] = v
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -123,6 +123,9 @@
 	return s, s.Up()
 }
 
+// SpeaksMySQL tells its wire.
+func (s *Server) SpeaksMySQL() bool { return s.mysql }
+
 // Up listens, again where it did before.
 func (s *Server) Up() error {
 	addr := s.Addr
--- a/internal/translate/recode.go
+++ b/internal/translate/recode.go
@@ -1,7 +1,6 @@
 package translate
 
 import (
-	"encoding/binary"
 	"errors"
 
 	"threadsail/internal/protocol/mysql"
@@ -14,50 +13,25 @@
 // Recode writes a server's whole answer to a QUERY, or an EXECUTE (binary), anew in the client's charset. rename gives columns the
 // names that the client knows; nil: they keep theirs.
 func (c Client) Recode(raw []byte, inBinary bool, rename func(string) string) ([]byte, error) {
-	var packets [][]byte
-	for len(raw) > 0 {
-		_, p, n, err := mysql.Next(raw, mysql.MaxAnswer)
-		if err != nil || n == 0 || len(p) == 0 {
-			return nil, errors.Join(err, errRecode)
+	if _, p, n, err := mysql.Next(raw, mysql.MaxAnswer); err == nil && n == len(raw) && len(p) > 0 { // an OK or an error
+		code, state, text, ok := mysql.ParseError(p)
+		if !ok {
+			return raw, nil
 		}
-		packets, raw = append(packets, p), raw[n:]
-	}
-	if len(packets) == 1 {
-		if code, state, text, ok := mysql.ParseError(packets[0]); ok {
-			words, err := c.Charset.Encode([]byte(text))
-			if err != nil {
-				words = []byte(OfMySQL(code, state).String())
-			}
-			return mysql.Append(nil, 1, mysql.Error(code, state, string(words))), nil
+		words, err := c.Charset.Encode([]byte(text))
+		if err != nil {
+			words = []byte(OfMySQL(code, state).String())
 		}
-		return mysql.Append(nil, 1, packets[0]), nil
-	}
-	n, _, ok := mysql.CutCount(packets[0])
-	if !ok || len(packets) < int(n)+3 {
-		return nil, errRecode
+		return mysql.Append(nil, 1, mysql.Error(code, state, string(words))), nil
 	}
-	last := packets[len(packets)-1]
-	r := &Result{}
-	if len(last) >= 3 {
-		r.Warnings = binary.LittleEndian.Uint16(last[1:])
+	r, _, err := ReadAnswer(raw, inBinary)
+	if err != nil {
+		return nil, err
 	}
-	for _, p := range packets[1 : n+1] {
-		d, err := mysql.ParseDefinition(p)
-		if err != nil {
-			return nil, err
-		}
-		col := ColumnOf(d)
+	for i := range r.Columns {
 		if rename != nil {
-			col.Name = rename(col.Name)
-		}
-		r.Columns = append(r.Columns, col)
-	}
-	for _, p := range packets[n+2 : len(packets)-1] {
-		row, err := Row(r.Columns, p, inBinary, UTF8MB4)
-		if err != nil {
-			return nil, err
+			r.Columns[i].Name = rename(r.Columns[i].Name)
 		}
-		r.Rows = append(r.Rows, row)
 	}
 	return c.Append(nil, r, inBinary)
 }
