--- a/internal/program/crossside/backend.go
+++ b/internal/program/crossside/backend.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/xdg-go/scram"
-
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/program/mysqlside"
 	"threadsail/internal/protocol"
@@ -39,7 +37,7 @@
 	Password       string
 	Heartbeat      string // the probe's second query, a Unix time in milliseconds; empty: none
 	Log            func(string)
-	secrets        *scram.Client // keeps what a server's salt makes of the password: that is dear
+	secrets        *pgwire.Secrets
 }
 
 // state is what is known of a connection to a server.
@@ -106,7 +104,7 @@
 	stage  stage
 	waited bool // for the server's word, before the statement
 	sent   bool
-	login  *scram.ClientConversation
+	login  *pgwire.Talk
 	stmt   *prepared // being described, or run
 	fields []pgwire.Field
 	cols   []translate.Column
@@ -354,30 +352,28 @@
 // authenticate goes on with the login. The password itself is never sent.
 func (x *query) authenticate(body []byte) error {
 	kind, data, err := pgwire.Auth(body)
-	if err != nil || kind == pgwire.AuthFine {
-		if err == nil && x.login != nil && !x.login.Valid() {
+	switch {
+	case err != nil:
+	case kind == pgwire.AuthFine:
+		if x.login != nil && !x.login.Valid {
 			err = errors.New("the server says yes without having shown that it knows the password")
 		}
-		return err
-	}
-	if kind == pgwire.AuthSASL {
+	case kind == pgwire.AuthSASL:
 		if x.b.secrets == nil {
-			if x.b.secrets, err = scram.SHA256.NewClient(x.b.User, x.b.Password, ""); err != nil {
+			if x.b.secrets, err = pgwire.NewSecrets(x.b.Password); err != nil {
 				return err
 			}
 		}
-		x.login, data = x.b.secrets.NewConversation(), ""
-	}
-	if x.login == nil {
-		return errOrder
-	}
-	answer, err := x.login.Step(data)
-	switch {
-	case err != nil:
-	case kind == pgwire.AuthSASL:
-		x.Conn.Write(pgwire.AppendSASLFirst(nil, pgwire.ScramSHA256, answer))
+		x.login, data = x.b.secrets.Talk()
+		x.Conn.Write(pgwire.AppendSASLFirst(nil, pgwire.ScramSHA256, data))
+	case x.login == nil:
+		err = errOrder
 	case kind == pgwire.AuthContinue:
-		x.Conn.Write(pgwire.AppendSASL(nil, answer))
+		if data, err = x.login.Answer(data); err == nil {
+			x.Conn.Write(pgwire.AppendSASL(nil, data))
+		}
+	default:
+		err = x.login.Final(data)
 	}
 	return err
 }
--- a/internal/protocol/mysql/auth.go
+++ b/internal/protocol/mysql/auth.go
@@ -6,10 +6,11 @@
 	"crypto/sha1"
 	"crypto/sha256"
 	"crypto/subtle"
-	"crypto/x509"
+	"encoding/asn1"
 	"encoding/pem"
 	"errors"
 	"fmt"
+	"math/big"
 )
 
 // cachingSHA2 is the password method of servers since 8.0, and the only one of its kind that those since 9.0 have.
@@ -76,18 +77,35 @@
 	if block == nil {
 		return nil, errors.New("mysql: the server's key is no PEM")
 	}
-	public, err := x509.ParsePKIXPublicKey(block.Bytes)
-	if err != nil {
+	// SubjectPublicKeyInfo, as RFC 5280 has it, around RFC 8017's RSAPublicKey. crypto/x509 reads it too, and would cost each
+	// pooler a megabyte for good.
+	var info struct {
+		Algorithm struct {
+			ID         asn1.ObjectIdentifier
+			Parameters asn1.RawValue `asn1:"optional"`
+		}
+		Key asn1.BitString
+	}
+	var public struct {
+		N *big.Int
+		E int
+	}
+	if _, err := asn1.Unmarshal(block.Bytes, &info); err != nil {
 		return nil, fmt.Errorf("mysql: the server's key: %w", err)
 	}
-	rsaKey, ok := public.(*rsa.PublicKey)
-	if !ok || len(challenge) == 0 {
-		return nil, errors.New("mysql: the server's key is not one of RSA")
+	if _, err := asn1.Unmarshal(info.Key.RightAlign(), &public); err != nil || !info.Algorithm.ID.Equal(rsaEncryption) ||
+		public.N.Sign() <= 0 || public.N.BitLen() > maxKeyBits || len(challenge) == 0 {
+		return nil, errors.New("mysql: the server's key is not one of RSA of a usual size")
 	}
-	return rsa.EncryptOAEP(sha1.New(), rand.Reader, rsaKey, masked([]byte(password+"\x00"), challenge), nil)
+	return rsa.EncryptOAEP(sha1.New(), rand.Reader, &rsa.PublicKey{N: public.N, E: public.E}, Masked([]byte(password+"\x00"), challenge), nil)
 }
 
-func masked(text, challenge []byte) []byte {
+var rsaEncryption = asn1.ObjectIdentifier{1, 2, 840, 113549, 1, 1, 1}
+
+const maxKeyBits = 8192 // a larger one only costs time
+
+// Masked is a text with the challenge laid over it, or taken off again.
+func Masked(text, challenge []byte) []byte {
 	out := make([]byte, len(text))
 	for i := range text {
 		out[i] = text[i] ^ challenge[i%len(challenge)]
@@ -108,22 +126,3 @@
 
 // FullWanted tells a client that the server must see the password.
 func FullWanted() []byte { return []byte{authMore, fullWanted} }
-
-// PublicKey is the payload of a server's key, for a client that has asked for it.
-func PublicKey(key *rsa.PublicKey) ([]byte, error) {
-	der, err := x509.MarshalPKIXPublicKey(key)
-	if err != nil {
-		return nil, err
-	}
-	return append([]byte{authMore}, pem.EncodeToMemory(&pem.Block{Type: "PUBLIC KEY", Bytes: der})...), nil
-}
-
-// DecryptPassword reads what a client has encrypted.
-func DecryptPassword(key *rsa.PrivateKey, payload, challenge []byte) (string, error) {
-	text, err := rsa.DecryptOAEP(sha1.New(), nil, key, payload, nil)
-	if err != nil || len(text) == 0 {
-		return "", errors.Join(err, errShort)
-	}
-	text = masked(text, challenge)
-	return string(text[:len(text)-1]), nil
-}
--- a/internal/protocol/pgwire/extended_test.go
+++ b/internal/protocol/pgwire/extended_test.go
@@ -74,6 +74,33 @@
 	}
 }
 
+// A server that is not sound, or does not know the password, is not believed. (The stand-in's library takes the real login.)
+func TestScram(t *testing.T) {
+	secrets, err := NewSecrets("secret")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, data := range []string{"", "r=x,s=c2FsdA==,i=4096", "s=c2FsdA==,r=NONCEx,i=4096", "r=NONCE,s=c2FsdA==,i=4096", "r=NONCEx,s=,i=4096",
+		"r=NONCEx,s=c2FsdA==,i=0", "r=NONCEx,s=c2FsdA==,i=99999999", "r=NONCEx,s=?,i=4096"} {
+		talk, _ := secrets.Talk()
+		if got, err := talk.Answer(strings.Replace(data, "NONCE", talk.nonce, 1)); err == nil {
+			t.Errorf("%s is answered by %s", data, got)
+		}
+	}
+	talk, _ := secrets.Talk()
+	if _, err := talk.Answer("r=" + talk.nonce + "x,s=c2FsdA==,i=4096"); err != nil {
+		t.Fatal(err)
+	}
+	for _, data := range []string{"", "v=", "v=AAAA", "e=other-error"} {
+		if err := talk.Final(data); err == nil || talk.Valid {
+			t.Errorf("%q passes for a proof", data)
+		}
+	}
+	if _, err := NewSecrets("jelszó"); err == nil {
+		t.Error("a password beyond ASCII passes")
+	}
+}
+
 func FuzzExtended(f *testing.F) {
 	f.Add(AppendFields(nil, []Field{{"a", 25, -1}})[5:])
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -84,12 +84,15 @@
 		"known":    map[string]any{"revision": 0, "complete": true, "members": f.entries()},
 		"settings": settings}
 	f.Configure("discovery", addr)
-	f.file(f.Env["PROXY_MYSQL"], map[string]any{"enabled": front, "listen": "127.0.0.1:0",
+	my := map[string]any{"enabled": front, "listen": "127.0.0.1:0",
 		"inventory": f.inventory, "user": BackendUser, "password": BackendPassword,
 		"client": map[string]any{"user": ClientUser, "password": ClientPassword}, "heartbeat": Heartbeat, "reload_ms": 20,
-		"postgres":  map[string]any{"heartbeat": Heartbeat},
-		"translate": map[string]any{"ids": map[string]string{"lesson": "id"}, "keys": map[string][]string{"lesson": {"pupil"}}},
-		"defaults":  map[string]any{"read": map[string]any{"class": "any"}, "write": map[string]any{"class": "write"}}})
+		"defaults": map[string]any{"read": map[string]any{"class": "any"}, "write": map[string]any{"class": "write"}}}
+	if slices.ContainsFunc(f.Servers, func(s *Server) bool { return s.mysql != front }) { // builds before translation know no such key
+		my["postgres"] = map[string]any{"heartbeat": Heartbeat}
+		my["translate"] = map[string]any{"ids": map[string]string{"lesson": "id"}, "keys": map[string][]string{"lesson": {"pupil"}}}
+	}
+	f.file(f.Env["PROXY_MYSQL"], my)
 	f.Lists(map[string]any{"enabled": false})
 	if f.List(); !front && slices.ContainsFunc(f.Servers, func(s *Server) bool { return s.mysql }) {
 		f.FromFile(nil) // the list service knows no wires
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,6 +4,9 @@
 import (
 	"crypto/rand"
 	"crypto/rsa"
+	"crypto/sha1"
+	"crypto/x509"
+	"encoding/pem"
 	"fmt"
 	"net"
 	"strings"
@@ -461,14 +464,15 @@
 	if fine && full {
 		c.Write(mysql.Append(nil, seq+1, mysql.FullWanted()))
 		wish, at, err := r.my()
-		key, bad := mysql.PublicKey(&serverKey().PublicKey)
+		der, bad := x509.MarshalPKIXPublicKey(&serverKey().PublicKey)
 		if err != nil || bad != nil || len(wish) != 1 || wish[0] != 2 {
 			return false
 		}
-		c.Write(mysql.Append(nil, at+1, key))
+		key := pem.EncodeToMemory(&pem.Block{Type: "PUBLIC KEY", Bytes: der})
+		c.Write(mysql.Append(nil, at+1, append([]byte{1}, key...)))
 		secret, at, err := r.my()
-		password, bad := mysql.DecryptPassword(serverKey(), secret, challenge)
-		fine, seq = err == nil && bad == nil && password == BackendPassword, at
+		password, bad := rsa.DecryptOAEP(sha1.New(), nil, serverKey(), secret, nil)
+		fine, seq = err == nil && bad == nil && string(mysql.Masked(password, challenge)) == BackendPassword+"\x00", at
 	} else if fine {
 		c.Write(mysql.Append(nil, seq+1, mysql.FastFine()))
 		seq++
