Let the benchmark's fleet write only the keys that earlier builds know

Cause: the stand-in fleet wrote the new keys and the wire column for every pooler, so the comparison with the build before could not start.

Change: both are written for mixed fleets only.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -193,18 +193,23 @@
 func (f *Fleet) List() {
 	f.Discovery.Change(f.entries())
 	var b strings.Builder
-	b.WriteString("name,host,port,zone,cluster,state,wire\n")
+	b.WriteString("name,host,port,zone,cluster,state")
+	mixed := slices.ContainsFunc(f.Servers, func(s *Server) bool { return s.mysql != f.mysql })
+	if mixed { // builds before translation know no such column
+		b.WriteString(",wire")
+	}
+	b.WriteString("\n")
 	for _, s := range f.Servers {
 		host, port, _ := net.SplitHostPort(s.Addr)
 		state := "ready"
 		if f.phase[s.Name] != "" {
 			state = "draining"
 		}
-		wire := ""
-		if s.mysql != f.mysql {
-			wire = map[bool]string{true: "mysql", false: "postgres"}[s.mysql]
+		fmt.Fprintf(&b, "%s,%s,%s,a,0,%s", s.Name, host, port, state)
+		if mixed {
+			b.WriteString("," + map[bool]string{true: "mysql", false: "postgres"}[s.mysql])
 		}
-		fmt.Fprintf(&b, "%s,%s,%s,a,0,%s,%s\n", s.Name, host, port, state, wire)
+		b.WriteString("\n")
 	}
 	next := f.inventory + ".next"
 	f.check(os.WriteFile(next, inventory.AppendSeal([]byte(b.String()), len(f.Servers), ""), 0o600))
