Let a client's own cancel move no measure of its server; take harmless sql_modes

Need: a cancel is to count as no failure and move neither health nor retries, but a cancelled attempt still raised the server's slowness by how long it had been out. Old clients set modes that servers have removed, and call PASSWORD().

Change: Gone marks the request, and its attempt's end enters no measure. SET sql_mode is taken where its modes are removed or stand anyway, and turned down by the mode's name else; PASSWORD() becomes the digest it gave, for servers since 8. The compatibility page has MySQL's types for PostgreSQL clients too.

--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -352,6 +352,13 @@
 			s.kill(k)
 			return
 		}
+		if sets, err := translate.SetsMode(text); err != nil {
+			s.wrong(err)
+			return
+		} else if sets {
+			s.send(1, mysql.OK())
+			return
+		}
 		scan := mysql.ScanStatement(text)
 		if !s.acceptable(scan) {
 			return
--- a/internal/translate/compatibility.go
+++ b/internal/translate/compatibility.go
@@ -54,7 +54,25 @@
 	}
 	line("\nWhat does not fit is error 1264 or 1366, never another value. Other types are error 1235 by their number. Parameters go by the type that " +
 		"the server tells of each: bytes for bytea, 0 and 1 for boolean, zero dates are error 1292, unsigned 64 bits are left to the server's own range.\n")
-	line("## Charsets of clients\n")
+	line("## MySQL servers' types for PostgreSQL clients\n")
+	line("| MySQL | PostgreSQL | what does not fit |\n| --- | --- | --- |")
+	for _, c := range []Column{{Kind: Int8}, {Kind: Int16}, {Kind: Int16, Unsigned: true}, {Kind: Int32}, {Kind: Int32, Unsigned: true}, {Kind: Int64},
+		{Kind: Int64, Unsigned: true}, {Kind: Year}, {Kind: Float32}, {Kind: Float64}, {Kind: Decimal}, {Kind: Date}, {Kind: Time}, {Kind: DateTime},
+		{Kind: Stamp}, {Kind: Bit}, {Kind: JSON}, {Kind: Bytes}, {Kind: Text}} {
+		name := strings.TrimSuffix(strings.Split(kinds[c.Kind], ";")[0], " (UTC)")
+		if c.Unsigned {
+			name += " UNSIGNED"
+		}
+		lost := "none"
+		switch c.Kind {
+		case Date, DateTime, Stamp:
+			lost = "zero dates: 22003"
+		case Text, JSON:
+			lost = "the character \\0: 22P05"
+		}
+		line("| %s | %s | %s |", name, postgresTypes[cmp.Or(postgresType(c), oidText)].name, lost)
+	}
+	line("\n## Charsets of clients\n")
 	for _, c := range charsets {
 		line("- `%s` (collation %d)", c.Name, c.ID)
 	}
--- a/internal/translate/value_test.go
+++ b/internal/translate/value_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/routes"
 )
 
 // drawValue makes a value of a kind, often one at the edge of what it holds.
@@ -224,3 +226,41 @@
 		}
 	})
 }
+
+// Modes that servers have removed, or stand in, are taken; one that changes what statements mean is named.
+func TestModes(t *testing.T) {
+	for text, want := range map[string]string{
+		"SET sql_mode=''": "", "set session sql_mode = 'NO_AUTO_CREATE_USER, strict_trans_tables';": "", "SET @@SESSION.sql_mode := \"TRADITIONAL\"": "",
+		"SET sql_mode='ANSI_QUOTES'": "ANSI_QUOTES", "SET sql_mode='STRICT_TRANS_TABLES,PIPES_AS_CONCAT'": "PIPES_AS_CONCAT",
+	} {
+		sets, err := SetsMode(text)
+		if !sets || want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%s: %v, %v", text, sets, err)
+		}
+	}
+	for _, text := range []string{"SET sql_mode=@old", "SET sql_mode=CONCAT(@@sql_mode,',X')", "SELECT 'SET sql_mode=1'", "SET GLOBAL sql_mode=''"} {
+		if sets, _ := SetsMode(text); sets {
+			t.Errorf("%s passes for a plain one", text)
+		}
+	}
+}
+
+func TestForVersion(t *testing.T) {
+	digest := "CONCAT('*', UPPER(SHA1(UNHEX(SHA1"
+	for _, c := range []struct {
+		text, want string
+		major      int
+	}{
+		{"SELECT PASSWORD('a)\\'b') /* PASSWORD(x) */", "SELECT " + digest + "('a)\\'b'))))) /* PASSWORD(x) */", 8},
+		{"UPDATE u SET p = password(?), q = Password((1))", "UPDATE u SET p = " + digest + "(?))))), q = " + digest + "((1))))))", 9},
+		{"SELECT PASSWORD('a')", "SELECT PASSWORD('a')", 5},
+		{"SELECT 'PASSWORD(1)', u.password, old_password('x'), a.PASSWORD(1)", "SELECT 'PASSWORD(1)', u.password, old_password('x'), a.PASSWORD(1)", 8},
+		{"SELECT PASSWORD('a'", "SELECT PASSWORD('a'", 8},
+		{"SELECT SQL_CACHED FROM t", "SELECT SQL_CACHED FROM t", 8},
+		{"SHOW MASTER STATUS", "SHOW MASTER STATUS", 8},
+	} {
+		if got, _ := ForVersion(c.text, routes.Version{Major: c.major}); got != c.want {
+			t.Errorf("%s for %d is %s, want %s", c.text, c.major, got, c.want)
+		}
+	}
+}
--- a/internal/translate/versions.go
+++ b/internal/translate/versions.go
@@ -22,6 +22,9 @@
 // ForVersion is a MySQL statement as a server of a version knows it. back tells that the columns of its answer have other names
 // there too, which OldColumn gives back.
 func ForVersion(text string, v routes.Version) (out string, back bool) {
+	if v.Major >= 8 && mayCall(text) {
+		text = withoutPassword(text)
+	}
 	if len(text) == 0 || text[0]|0x20 != 's' {
 		return text, false
 	}
@@ -36,6 +39,21 @@
 	return text, false
 }
 
+// mayCall is a quick look for PASSWORD, on the way of every statement.
+func mayCall(text string) bool {
+	for i := strings.IndexByte(text, '('); i >= 0; {
+		if i >= 8 && strings.EqualFold(text[i-8:i], "PASSWORD") {
+			return true
+		}
+		next := strings.IndexByte(text[i+1:], '(')
+		if next < 0 {
+			return false
+		}
+		i += 1 + next
+	}
+	return false
+}
+
 // cutWords takes words off the front of a statement, however they are parted and written.
 func cutWords(text, words string) (rest string, ok bool) {
 	for w := range strings.FieldsSeq(words) {
--- a/rules/members_test.go
+++ b/rules/members_test.go
@@ -117,3 +117,21 @@
 		})
 	}
 }
+
+// A client that cancels its request, or leaves, says nothing of the server: neither its speed nor its failures move, and no
+// retry is spent, however long the attempt was out.
+func TestClientsCancelSaysNothing(t *testing.T) {
+	f := withPrimary(t, nil)
+	f.request(2, cKeyed)
+	f.want("attempt 2 1")
+	s := f.r.stores[1]
+	slow, all, fails, retry, mean := s.slow, f.r.slow, s.fails, f.r.retry, f.r.mean[cKeyed]
+	f.until(f.now + 1200*ms)
+	f.report(1, true, f.now)
+	f.r.Gone(f.now, 2)
+	f.want("cancel 2 0")
+	f.outcome(2, 0, Cancelled, RoleUnknown)
+	if s.slow != slow || f.r.slow != all || s.fails != fails || f.r.retry != retry || f.r.mean[cKeyed] != mean || s.lost {
+		t.Errorf("slowness %v and %v, failures %v, retries %v, mean %v", s.slow, f.r.slow, s.fails, f.r.retry, f.r.mean[cKeyed])
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -869,7 +869,9 @@
 	}
 	switch o.Result {
 	case TimedOut, Cancelled:
-		r.took(s, a, false)
+		if !a.req.gone { // a client's own cancel says nothing of the store
+			r.took(s, a, false)
+		}
 	case OK, Missed:
 		r.reached(s)
 		s.heard, s.silent = r.now, false
@@ -991,7 +993,7 @@
 func (r *Router) Gone(now time.Duration, id uint32) {
 	r.tick(now)
 	if q := r.reqs[id]; q != nil {
-		q.ended = true
+		q.ended, q.gone = true, true
 		for i, a := range q.tries {
 			if !a.done && r.set.MayCancel {
 				r.act.Cancel(id, i) // nobody waits for it: it must not stand in a queue
--- a/rules/state.go
+++ b/rules/state.go
@@ -31,6 +31,7 @@
 	live                       int
 	risk                       *attempt // first attempt that may have run
 	held, ended                bool
+	gone                       bool // its client has left, or cancelled it
 	reached                    bool // an attempt has reached a store
 	stale, soon                bool // some replica lacks only the position for it; and will soon have it
 }
