Leave values that were sent ahead out when texts are recoded

Cause: read over before the landing: a client of 8 bits that sends a parameter by SEND_LONG_DATA had the values behind it read from the wrong place, and was turned down.

Change: such parameters are skipped, and values that are left over are an error.

--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -550,7 +550,7 @@
 	}
 	if err == nil && cmd.Prepared && cmd.Params > 0 && s.client.Foreign() {
 		var e mysql.Execute
-		e, err = s.client.RecodeParams(cmd.Exec, cmd.Params)
+		e, err = s.client.RecodeParams(cmd.Exec, cmd.Params, cmd.Long)
 		cmd.utf8 = &e
 	}
 	return err
--- a/internal/translate/recode.go
+++ b/internal/translate/recode.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"threadsail/internal/protocol/mysql"
 )
@@ -38,11 +39,13 @@
 
 var errRecode = errors.New("translate: an answer that can't be written in the client's charset")
 
-// RecodeParams writes the texts among the values of an EXECUTE anew in UTF-8. What is bound as a blob stays as it is.
-func (c Client) RecodeParams(e mysql.Execute, params int) (mysql.Execute, error) {
+// RecodeParams writes the texts among the values of an EXECUTE anew in UTF-8. What is bound as a blob stays as it is, and so does
+// what was sent ahead, long, of which no value stands here.
+func (c Client) RecodeParams(e mysql.Execute, params int, long []mysql.LongData) (mysql.Execute, error) {
 	rest, out := e.Values, []byte(nil)
 	for i := range params {
-		if e.Nulls[i/8]&(1<<(i%8)) != 0 {
+		ahead := func(d mysql.LongData) bool { return int(d.Param) == i }
+		if e.Nulls[i/8]&(1<<(i%8)) != 0 || slices.ContainsFunc(long, ahead) {
 			continue
 		}
 		t, unsigned := e.Types[2*i], e.Types[2*i+1]&0x80 != 0
@@ -61,6 +64,9 @@
 		}
 		rest = behind
 	}
+	if len(rest) > 0 {
+		return e, errParams
+	}
 	e.Values = out
 	return e, nil
 }
--- a/internal/translate/value_test.go
+++ b/internal/translate/value_test.go
@@ -264,3 +264,17 @@
 		}
 	}
 }
+
+// A text among bound values is written anew; a blob, a number, and what was sent ahead are not.
+func TestRecodeParams(t *testing.T) {
+	latin2, _ := CharsetNamed("latin2")
+	types := []byte{mysql.TypeVarString, 0, mysql.TypeBlob, 0, mysql.TypeString, 0, mysql.TypeTiny, 0}
+	e := mysql.Execute{Nulls: []byte{0}, Types: types, Values: []byte("\x01\xf5\x01\xf5\x07")}
+	got, err := Client{Charset: latin2}.RecodeParams(e, 4, []mysql.LongData{{Param: 2, Data: []byte("\xf5")}})
+	if err != nil || string(got.Values) != "\x02ő\x01\xf5\x07" {
+		t.Errorf("%q, %v", got.Values, err)
+	}
+	if _, err := (Client{Charset: latin2}).RecodeParams(e, 4, nil); err == nil {
+		t.Error("a value that is missing passes")
+	}
+}
