Hand a new list to the loop before it is kept; end lost exchanges in one place

Cause: read over before the landing: a generation was written to disk first, so a slow or hanging disk would have kept the loop on the old list past the 2 s that a removed server may be sent work; two backends said the same of a closed connection.

Change: the difference is posted first, then kept; exchange.Lost; a line of the file watch that did nothing is gone.

--- a/internal/program/crossside/backend.go
+++ b/internal/program/crossside/backend.go
@@ -151,16 +151,7 @@
 func (cancelling) Closed(error)               {}
 
 // Closed ends the exchange. Before the Execute's last byte has gone out nothing can have run.
-func (x *query) Closed(err error) {
-	switch {
-	case !x.sent || !x.Conn.Written():
-		x.Break(rules.NoConnect)
-	case errors.Is(err, transport.ErrFlood):
-		x.broken(err)
-	default:
-		x.Break(rules.Reset)
-	}
-}
+func (x *query) Closed(err error) { x.Lost(err, x.sent, x.broken) }
 
 // broken ends an exchange whose answer can't be used: it may have run, whatever stands in it.
 func (x *query) broken(err error) {
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -149,6 +149,19 @@
 	return e
 }
 
+// Lost ends an exchange whose connection has closed. sent: its request was given to Write; before its last byte has gone out
+// nothing can have run. A server that sent more than it was asked for has spoilt its answer.
+func (x *Exchange) Lost(err error, sent bool, spoilt func(error)) {
+	switch {
+	case !sent || !x.Conn.Written():
+		x.Break(rules.NoConnect)
+	case errors.Is(err, transport.ErrFlood):
+		spoilt(err)
+	default:
+		x.Break(rules.Reset)
+	}
+}
+
 // Probe is a probe that is started once more if its connection breaks: the next one tells whether the server is gone.
 type Probe struct{ call routing.Call }
 
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -295,8 +295,7 @@
 	if d.Verdict == membership.Idle {
 		return
 	}
-	k.note(d)
-	if d.Verdict == membership.Taken {
+	if d.Verdict == membership.Taken { // before it is kept: a slow disk must not keep the loop on the old list
 		listed, gone := d.Diff.Listed(), d.Diff.Gone()
 		list := k.members(listed, gone)
 		k.loop.Post(func() {
@@ -304,6 +303,7 @@
 			k.core.List(rules.ListDelta, list)
 		})
 	}
+	k.note(d)
 }
 
 // note tells operators of a decision, and keeps a generation that has come into force.
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -10,7 +10,6 @@
 	"threadsail/internal/routes"
 	"threadsail/internal/routing"
 	"threadsail/internal/translate"
-	"threadsail/internal/transport"
 	"threadsail/rules"
 )
 
@@ -107,16 +106,7 @@
 }
 
 // Closed ends the exchange. Before the command's last byte has gone out nothing can have run.
-func (x *command) Closed(err error) {
-	switch {
-	case !x.sent || !x.Conn.Written():
-		x.Break(rules.NoConnect)
-	case errors.Is(err, transport.ErrFlood):
-		x.broken(err)
-	default:
-		x.Break(rules.Reset)
-	}
-}
+func (x *command) Closed(err error) { x.Lost(err, x.sent, x.broken) }
 
 // drop ends an exchange on a connection that is of no more use.
 func (x *command) drop(r rules.Result) {
--- a/internal/watchfile/watchfile.go
+++ b/internal/watchfile/watchfile.go
@@ -5,7 +5,6 @@
 package watchfile
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -199,11 +198,8 @@
 	if again := Read(w.opt.Path, w.opt.Max); !same(s, again) {
 		return false
 	}
-	if w.last = s; errors.Is(s.Err, os.ErrNotExist) {
-		w.last.Text = nil
-	}
+	w.last = State{Content: s.Content, Err: s.Err} // the hash is enough to compare
 	w.follow()
 	w.deliver(s)
-	w.last.Text = nil // the caller has it; the hash is enough to compare
 	return true
 }
