Ask one replica for its position for a held read in a large fleet; log a ledger

Eighty fronts that each ask four replicas of every group every 2 s ask more than the reads themselves. Ruled out: pings, 16% of all.

Change: a front of a large fleet asks one replica for a read that finds none fresh enough, the next one if that stays silent, and one that was too far behind no sooner than the next round. Small fleets are as before.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -86,7 +86,7 @@
 func (r *Router) ping(g *group) {
 	if g.pinging = g.primary != nil && r.set.MayProbe && (!r.large || r.now < g.usedAt+r.pingGap); g.pinging {
 		if !r.large || r.now >= g.primary.claimAt+r.pingGap {
-			r.act.Probe(g.primary.Store)
+			r.probe(g.primary, "ping")
 		}
 		r.after(r.pingGap, func() { r.ping(g) })
 	}
@@ -172,7 +172,7 @@
 		if s.listed && !s.inRound {
 			s.inRound = true
 			g.roundOut++
-			r.act.Probe(s.Store)
+			r.probe(s, "round")
 		}
 	}
 	if g.roundOut == 0 {
@@ -338,14 +338,12 @@
 	for _, q := range g.held {
 		soon, stale = soon || q.soon, stale || q.stale
 	}
-	if r.set.MayProbe && (!r.large || r.set.Behind == BehindAnswers) && (soon || stale && r.now >= g.refreshAt) {
+	if r.set.MayProbe && !r.large && (soon || stale && r.now >= g.refreshAt) {
 		g.refreshAt = r.now + roundSeen // replicas far behind are asked as seldom as rounds are held
 		for i := range g.members {
 			s := g.members[(g.cursor+g.asked+i)%len(g.members)]
 			if s != g.primary && s.listed && !s.lost && s.State == Ready && !s.inRound {
-				if r.act.Probe(s.Store); r.large {
-					break // the others at the next turn: most reads need one replica only
-				}
+				r.probe(s, "refresh")
 			}
 		}
 		g.asked++
@@ -468,7 +466,7 @@
 // that holds least for its speed, ties by turn.
 func (r *Router) replicaFor(q *request) *store {
 	g := q.g
-	var best, trial *store
+	var best, trial, ask *store
 	q.stale = false
 	soon, holdFor := false, time.Duration(holdShare*float64(q.c.Aim)) // soon: a replica is about to qualify
 	cost, turns := math.Inf(1), 0.0
@@ -479,17 +477,17 @@
 			continue
 		}
 		if !r.fresh(q, s) {
-			if q.stale = true; r.large && r.set.MayProbe && r.now >= max(s.posAt, s.askedAt)+positionOld {
-				s.askedAt = r.now // else a replica that has caught up is left out for long
-				r.act.Probe(s.Store)
-			}
+			q.stale = true
 			soon = soon || !s.lost && r.behind(q, s) <= holdFor
+			if r.large && r.set.MayProbe && !s.lost && ask == nil && r.now >= s.askedAt+r.askGap(q, s) {
+				ask = s
+			}
 			continue
 		}
 		if s.lost {
 			if due := q.tries == nil && r.now >= s.trialAt; due && s.unreach && r.set.MayProbe {
 				s.trialAt = r.now + trialMost // it must answer a probe before a request is tried there
-				r.act.Probe(s.Store)
+				r.probe(s, "trial")
 			} else if due && trial == nil {
 				trial = s
 			}
@@ -511,6 +509,9 @@
 	}
 	if best != nil {
 		best.credit -= turns
+	} else if ask != nil { // one is enough: asked of all by each front, it is more than the reads themselves
+		ask.askedAt = r.now
+		r.probe(ask, "position")
 	}
 	if best = cmp.Or(trial, best); best == nil && (!soon && g.primary != nil || r.now-q.arrived >= holdFor) {
 		best = r.fallback(q)
@@ -568,6 +569,15 @@
 	return r.set.Behind != BehindAnswers && (s.posAt == 0 && s.coldSince == 0 || r.behind(q, s) <= 0)
 }
 
+// askGap is how long a front of a large fleet waits before it asks a replica for its position again: as
+// long as between rounds where it was too far behind or has not answered yet.
+func (r *Router) askGap(q *request, s *store) time.Duration {
+	if r.behind(q, s) > 0 || s.askedAt > s.posAt {
+		return roundSeen
+	}
+	return refreshGap
+}
+
 func (r *Router) needs(q *request) time.Duration {
 	if c := q.c; c.Need == NeedBounded {
 		return r.now - c.Bound
@@ -974,6 +984,7 @@
 		return
 	}
 	q.ended = true
+	r.account(q)
 	c := q.c
 	if q.risk == nil && q.live == 0 || c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll {
 		away := time.Duration(0)
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -279,13 +279,35 @@
 	}
 }
 
-// A large fleet's front asks one replica for its position at a time while a read is held for one.
+// A large fleet's front asks one replica for its position at a time while reads are held for one, the next where that
+// stays silent, and one that was too far behind as seldom as rounds are held.
 func TestOnePositionAtATime(t *testing.T) {
 	for _, c := range []struct{ fronts, probes int }{{2, 2}, {400, 1}} {
 		f := withPrimary(t, fleet(c.fronts))
-		f.r.Request(f.now, Request{ID: 2, Class: cSession, Group: 7, Patience: time.Second, WroteAgo: ms})
+		f.until(start + 5*time.Second) // all that was known is old
+		f.probed = nil
+		f.request(2, cBounded)
 		if n := f.probes(2) + f.probes(3); n != c.probes {
 			t.Errorf("%d fronts: %d replicas asked at once, want %d", c.fronts, n, c.probes)
 		}
 	}
+	f := withPrimary(t, fleet(400))
+	f.until(start + 5*time.Second)
+	f.probed = nil
+	f.r.Request(f.now, Request{ID: 2, Class: cBounded, Group: 7, Patience: time.Second})
+	f.until(f.now + 2*refreshGap)
+	if f.probes(2) != 1 || f.probes(3) != 1 {
+		t.Fatalf("asked %v, want each replica once", f.probed)
+	}
+	f.report(2, false, f.now-3*time.Second)
+	f.report(3, false, f.now)
+	f.want("attempt 2 3")
+	f.outcome(2, 0, OK, RoleReplica)
+	f.r.leave(f.r.stores[3], Draining)
+	for id := uint32(3); id < 6; id++ {
+		f.r.Request(f.now, Request{ID: id, Class: cBounded, Group: 7, Patience: time.Second})
+	}
+	if f.until(f.now + 200*ms); f.probes(2) != 1 {
+		t.Fatalf("asked %v, want the replica that lags left alone at first", f.probed)
+	}
 }
--- a/rules/state.go
+++ b/rules/state.go
@@ -167,6 +167,7 @@
 	order   []*store      // all stores, in the order of their first listing
 	load    float64       // own work per warm store, as cores kept busy
 	loadAt  time.Duration
+	ledger  ledger
 }
 
 // New returns a Router that knows nothing but its settings.
