Keep each front of a large fleet to one replica a group, and share the ping among all

Change: a front of a large fleet prefers replicas in a ring from its own number on: each is the home of as many fronts, and what it can't take goes to both neighbours; each step away costs half a request. No common replica for reads of any member there. All fronts of a large fleet ping a primary together as often as one alone (10 a second, not 50). Fleets of up to five are as before.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -11,7 +11,7 @@
 // Settings puts the facts into the module's words, for the pooler and for the simulator's adapter.
 func Settings(f *Facts) (rules.Settings, error) {
 	s := rules.Settings{
-		Balancers: f.Balancers, Zone: f.Zone, Asks: f.Discovery == "ask", Tick: Milliseconds(f.TickMs),
+		Balancers: f.Balancers, Me: f.Me, Zone: f.Zone, Asks: f.Discovery == "ask", Tick: Milliseconds(f.TickMs),
 		BehindWait: Milliseconds(f.FamilyInfo.WaitMs), BaseTime: Milliseconds(f.FamilyInfo.BaseTimeMs),
 		Remembered: f.FamilyInfo.Tokens == "kept",
 		MayProbe:   f.Caps.Probing, MayCancel: f.Caps.MayCancel, SecondCopies: f.Caps.SecondCopies,
--- a/rules/api.go
+++ b/rules/api.go
@@ -79,6 +79,7 @@
 // Settings is what a front is told at its start. A zero limit means none.
 type Settings struct {
 	Balancers int // fronts in this tier, this one included; 0 counts as 1
+	Me        int // this front's number among them, from 0
 	Zone      int
 	Classes   []Class
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -12,7 +12,7 @@
 
 	// The record and its rounds, as the design has them.
 	pingEvery   = 100 * ms    // steady ping of the recorded primary
-	pingsBorne  = 50          // a second, at one primary from all fronts: some 1% of a small host
+	smallFleet  = 5           // fronts whose pings at 100 ms each take a primary 1% of its time at most
 	heardFresh  = time.Second // an answer on the request path outweighs failed probes this long
 	resumeAfter = 10 * ms     // from finding a primary to its first ping
 	roundSeen   = 500 * ms    // to the next round when some member answered
@@ -60,6 +60,7 @@
 	slowAllStep   = 0.1              // and in that of all stores together
 	slowForgets   = 8 * time.Second  // slowness halves its excess in this time, so that a store is tried again
 	meanStep      = 0.03             // weight of one answer in a class's mean answer time
+	awayCost      = 0.5              // of one request, for each replica that a front of a large fleet prefers
 	farCost       = 0.3              // of one request: crossing zones costs a little time and money
 	scarceFor     = 10 * time.Second // after a refused connection: none is kept idle
 	retryShare    = 0.2              // further tries of safe requests, as a share of requests
@@ -77,12 +78,10 @@
 	goneFor       = time.Minute // after which a store that has left the list is forgotten
 )
 
-func (r *Router) windowAt() float64 { return max(windowFirst/float64(r.set.Balancers), r.least) }
-
 // ---- The record and its ping ----
 
-// ping is every 100 ms while the fleet's pings of one primary stay within pingsBorne. A larger fleet shares
-// that: later pings, none where an answer has said the same since, and only for groups in use.
+// ping is every 100 ms. All fronts of a large fleet together ping as often as one alone would, and only
+// groups in use, where no answer has said the same since.
 func (r *Router) ping(g *group) {
 	if g.pinging = g.primary != nil && r.set.MayProbe && (!r.large || r.now < g.usedAt+r.pingGap); g.pinging {
 		if !r.large || r.now >= g.primary.claimAt+r.pingGap {
@@ -463,23 +462,31 @@
 // ---- Other reads ----
 
 // replicaFor gives a read to the replica whose turn it is: of those fresh enough and healthy the one
-// that holds least for its speed, ties by turn.
+// that holds least for its speed, ties by turn. A front of a large fleet, which sees few requests, keeps to
+// one replica of a group while that is not busy: it has fewer connections, and knows that one better.
 func (r *Router) replicaFor(q *request) *store {
 	g := q.g
 	var best, trial, ask *store
 	q.stale = false
 	soon, holdFor := false, time.Duration(holdShare*float64(q.c.Aim)) // soon: a replica is about to qualify
 	cost, turns := math.Inf(1), 0.0
-	spare := r.spare(g)
-	for i := range g.members {
-		s := g.members[(g.cursor+i)%len(g.members)]
+	spare, members, at, away := r.spare(g), g.members, g.cursor, 0.0
+	if r.large {
+		members, at, away = r.replicas(g), 0, awayCost
+	}
+	for i := range members {
+		s := members[(at+i)%len(members)]
 		if s == g.primary || s.Weight == NoReads || !r.usable(q, s) {
 			continue
 		}
 		if !r.fresh(q, s) {
 			q.stale = true
 			soon = soon || !s.lost && r.behind(q, s) <= holdFor
-			if r.large && r.set.MayProbe && !s.lost && ask == nil && r.now >= s.askedAt+r.askGap(q, s) {
+			wait := refreshGap
+			if r.behind(q, s) > 0 || s.askedAt > s.posAt { // was too far behind, or has not answered yet
+				wait = roundSeen
+			}
+			if r.large && r.set.MayProbe && !s.lost && ask == nil && r.now >= s.askedAt+wait {
 				ask = s
 			}
 			continue
@@ -497,7 +504,7 @@
 		if spare != nil && (s == spare) != (q.c.Need == NeedAny) {
 			share /= spareFresh
 		}
-		c := r.cost(s) / share
+		c := r.cost(s)/share + away*float64(i)
 		if g.weighed { // smooth turns; a store that is cold or jammed has fewer
 			w := float64(max(s.Weight, 1)) * share * r.warmth(s) / max(r.slowness(s)/jamRatio, 1)
 			s.credit, turns = s.credit+w, turns+w
@@ -526,7 +533,7 @@
 // spare is the replica that takes the reads any member may answer, the same at all fronts, while replicas
 // fall behind: no front knows where the long reads of others are that keep a replica from applying.
 func (r *Router) spare(g *group) (first *store) {
-	if r.lagAt == 0 || r.now > r.lagAt+lagMemory {
+	if r.lagAt == 0 || r.now > r.lagAt+lagMemory || r.large {
 		return nil
 	}
 	for _, s := range g.members {
@@ -569,15 +576,6 @@
 	return r.set.Behind != BehindAnswers && (s.posAt == 0 && s.coldSince == 0 || r.behind(q, s) <= 0)
 }
 
-// askGap is how long a front of a large fleet waits before it asks a replica for its position again: as
-// long as between rounds where it was too far behind or has not answered yet.
-func (r *Router) askGap(q *request, s *store) time.Duration {
-	if r.behind(q, s) > 0 || s.askedAt > s.posAt {
-		return roundSeen
-	}
-	return refreshGap
-}
-
 func (r *Router) needs(q *request) time.Duration {
 	if c := q.c; c.Need == NeedBounded {
 		return r.now - c.Bound
@@ -695,8 +693,7 @@
 	}
 }
 
-// reached notes that a store answered: after a while out of reach it may have restarted and counts as cold.
-// A connection that broke between two answers is no restart.
+// reached notes an answer: after a while out of reach, longer than a break, a store may have restarted cold.
 func (r *Router) reached(s *store) {
 	if s.unreach && r.now >= s.reachedAt+outOfReach {
 		r.chill(s, r.now)
@@ -933,7 +930,7 @@
 	r.fails += failsStep * (1 - r.fails)
 }
 
-// took enters how long an attempt lasted; one that was not waited out tells only that it took longer.
+// took enters how long an attempt lasted, or at least, if it was not waited out.
 func (r *Router) took(s *store, a *attempt, answered bool) time.Duration {
 	took := r.now - a.sent
 	ratio := min(float64(took)/float64(r.base[a.req.class].time), 20)
--- a/rules/state.go
+++ b/rules/state.go
@@ -167,6 +167,7 @@
 	order   []*store      // all stores, in the order of their first listing
 	load    float64       // own work per warm store, as cores kept busy
 	loadAt  time.Duration
+	scratch []*store
 	ledger  ledger
 }
 
@@ -204,8 +205,10 @@
 	set.Classes = append(slices.Clip(old), set.Classes[len(old):]...) // the old ones stay where requests point to them
 	r.set = set
 	r.least = min(windowLeast/float64(set.Balancers), 1)
-	r.pingGap = max(pingEvery, time.Duration(set.Balancers)*time.Second/pingsBorne)
-	r.large = r.pingGap > pingEvery
+	r.pingGap, r.large = pingEvery, set.Balancers > smallFleet
+	if r.large {
+		r.pingGap *= time.Duration(set.Balancers)
+	}
 	for i := len(old); i < len(set.Classes); i++ {
 		c, guess := &set.Classes[i], set.Classes[i].Aim/baseGuess
 		if c.Aim == 0 { // none: full worth up to the deadline
@@ -365,7 +368,7 @@
 
 // add makes a store known, join and part put it into its group and take it out again.
 func (r *Router) add(m Member) *store {
-	s := &store{Member: m, slow: 1, window: r.windowAt()}
+	s := &store{Member: m, slow: 1, window: max(windowFirst/float64(r.set.Balancers), r.least)}
 	r.stores[m.Store] = s
 	r.order = append(r.order, s)
 	r.join(s)
@@ -391,6 +394,27 @@
 	}
 }
 
+// replicas are the members that are listed as ready and not the recorded primary, from this front's home on: each is the
+// home of as many fronts, and its neighbours on both sides come next at as many. They hold until the next call.
+func (r *Router) replicas(g *group) []*store {
+	ready := r.scratch[:0]
+	for _, s := range g.members {
+		if s != g.primary && s.State == Ready {
+			ready = append(ready, s)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *store) int { return cmp.Compare(a.Store, b.Store) })
+	if n := len(ready); n > 1 {
+		home := r.set.Me % n
+		ready = append(ready, ready[:home]...)
+		if r.scratch = ready; r.set.Me/n%2 == 1 {
+			slices.Reverse(ready[home+1:])
+		}
+		ready = ready[home:]
+	}
+	return ready
+}
+
 // weigh finds out whether the members of a group differ in weight: where they do not, the least busy one is next.
 func (g *group) weigh() {
 	g.weighed = slices.ContainsFunc(g.members, func(s *store) bool { return max(s.Weight, 1) != max(g.members[0].Weight, 1) })
--- a/rules/validate.go
+++ b/rules/validate.go
@@ -10,7 +10,7 @@
 	numbers := []struct {
 		field string
 		value int
-	}{{"Balancers", s.Balancers}, {"Zone", s.Zone}, {"MaxAttempts", s.MaxAttempts}}
+	}{{"Balancers", s.Balancers}, {"Me", s.Me}, {"Zone", s.Zone}, {"MaxAttempts", s.MaxAttempts}}
 	for _, n := range numbers {
 		if n.value < 0 {
 			return fmt.Errorf("settings: %s is %d, below 0", n.field, n.value)
