Begin with the list's primary in a large fleet instead of a round by every front

Change: where the list names a primary it stands as the record until an answer, a miss or a failure tells better; that leads to a round as ever. A listed word counts as some seconds old, so any later claim or denial outweighs it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -245,8 +245,9 @@
 	r.aim(q, in.Patience)
 	r.retry = min(r.retry+retryShare, retryBurst)
 	if !g.needed && (!r.large || q.c.Need == NeedFresh || q.c.Need == NeedWrite) {
-		g.needed = true // from its first request on, in a large fleet from the first for its primary
-		r.round(g)
+		if g.needed = true; !r.large || g.primary == nil { // the list may have named one
+			r.round(g)
+		}
 	}
 	r.after(max(in.Patience-endMargin-r.set.Tick, 0), func() {
 		if q.live == 0 { // else the last attempt's time-out is still to come, and ends it in time
@@ -802,6 +803,11 @@
 	s.Member, s.stopAt = m, 0
 	g := r.group(s.Group)
 	g.left = g.left && g.primary != s
+	if p := g.primary; r.large && m.Primary && s.role == RoleUnknown && g.lostAt == 0 &&
+		(p == nil || p.role == RoleUnknown) {
+		// Rounds by all at a start are a storm: the list's word, some seconds old, stands until an answer.
+		g.primary, s.claimAt = s, max(s.claimAt, r.now-outage)
+	}
 	g.weigh()
 	if m.Started > 0 {
 		r.chill(s, m.Started)
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -346,3 +346,33 @@
 		t.Error(d)
 	}
 }
+
+// A hundred fronts that start at once probe nobody where the list names a primary: their first writes go there, and only
+// those that learn better ask the others.
+func TestStartWithoutRounds(t *testing.T) {
+	for _, c := range []struct {
+		fronts, probes int
+		listed         uint32
+	}{{2, 3, 1}, {100, 0, 1}, {100, 3, 0}} {
+		f := &fake{t: t, now: start, sends: map[uint32][]uint32{}}
+		set := testSettings()
+		set.Balancers = c.fronts
+		f.r, _ = New(set, 1, f)
+		f.r.List(f.now, ListCached, listed(3, 0))
+		f.r.List(f.now, ListFull, listed(3, c.listed))
+		f.request(2, cKeyed)
+		if len(f.probed) != c.probes {
+			t.Errorf("%+v: probed %v", c, f.probed)
+		}
+		if c.probes > 0 {
+			continue
+		}
+		f.want("attempt 2 1")
+		f.outcome(2, 0, Missed, RoleReplica)
+		if len(f.probed) != 3 {
+			t.Fatalf("probed %v after a miss, want a round", f.probed)
+		}
+		f.report(3, true, f.now)
+		f.want("attempt 2 3")
+	}
+}
