Let cold replicas relieve slow homes in a large fleet

What the fleet may send a cold server is split in eighty, but only those fronts used their share whose home it was, and cost() divided by the warmth, so that they did not either. Ruled out: sending cold servers too much.

Change: in a large fleet a cold replica costs what it holds, wherever it stands in the ring: each front uses its share of the budget as soon as its home is slow or busy. The budget bounds the sum as before.

Held replicas' positions are asked for in one order now in small fleets, which saves a counter.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// lose drops a store from the record, if it stands there, and looks for the primary at once.
+// lose drops a store from the record, if it stands there, and starts a round.
 func (r *Router) lose(s *store, why string) bool {
 	g := r.group(s.Group)
 	if g.primary != s {
@@ -340,13 +340,11 @@
 	}
 	if r.set.MayProbe && !r.large && (soon || stale && r.now >= g.refreshAt) {
 		g.refreshAt = r.now + roundSeen // replicas far behind are asked as seldom as rounds are held
-		for i := range g.members {
-			s := g.members[(g.cursor+g.asked+i)%len(g.members)]
+		for _, s := range g.members {
 			if s != g.primary && s.listed && !s.lost && s.State == Ready && !s.inRound {
 				r.probe(s, "refresh")
 			}
 		}
-		g.asked++
 	}
 	g.watching = true
 	r.after(refreshGap, func() {
@@ -505,7 +503,10 @@
 		if spare != nil && (s == spare) != (q.c.Need == NeedAny) {
 			share /= spareFresh
 		}
-		c := r.cost(s)/share + away*float64(i)
+		c := r.cost(s) / share
+		if s.coldSince == 0 { // what cold ones may be sent is to come from all fronts
+			c += away * float64(i)
+		}
 		if g.weighed { // smooth turns; a store that is cold or jammed has fewer
 			w := float64(max(s.Weight, 1)) * share * r.warmth(s) / max(r.slowness(s)/jamRatio, 1)
 			s.credit, turns = s.credit+w, turns+w
@@ -552,8 +553,8 @@
 	return s.State == Ready && !again && r.mayTry(q, s) && r.room(s, q.class)
 }
 
-// fallback is the bounded way out when no replica has qualified for a share of the aim, or none soon will:
-// the primary, else a fresh enough replica that has lost its turn (if all look bad, keep serving).
+// fallback is the bounded way out when no replica has qualified for a share of the aim, or none soon
+// will: the primary, else a fresh enough replica that has lost its turn.
 func (r *Router) fallback(q *request) *store {
 	if p := q.g.primary; p != nil && r.usable(q, p) && (!r.large || max(r.slowness(p), r.slow) <= jamRatio) {
 		return p
@@ -594,8 +595,10 @@
 	if s.busyAt > 0 && r.now-s.busyAt < time.Second {
 		c *= 1 + s.busy
 	}
-	c /= r.warmth(s)
-	if s.Zone != r.set.Zone && !r.large {
+	if r.large { // where a cold store's share for each front is so small that it bears them all
+		return c
+	}
+	if c /= r.warmth(s); s.Zone != r.set.Zone {
 		c += farCost
 	}
 	return c
@@ -684,11 +687,9 @@
 		if q.ended || q.c.Effect != Safe || q.live > 1 || r.retry < 1 {
 			continue
 		}
-		if r.set.SecondCopies {
-			if r.place(q) {
-				r.retry--
-			}
-		} else if r.set.MayCancel {
+		if r.set.SecondCopies && r.place(q) {
+			r.retry--
+		} else if !r.set.SecondCopies && r.set.MayCancel {
 			r.act.Cancel(q.id, indexOf(q, a))
 		}
 	}
@@ -720,7 +721,7 @@
 	return f + (1-f)*float64(r.now-s.coldSince)/float64(r.set.ColdFor)
 }
 
-// coldRoom keeps this front inside its fair share of what a cold store may be sent.
+// coldRoom keeps a front inside its share of what a cold store may be sent.
 func (r *Router) coldRoom(s *store, class int) bool {
 	w := r.warmth(s)
 	if s.coldSince == 0 {
@@ -734,12 +735,11 @@
 }
 
 func (r *Router) spend(s *store, class int) {
-	work := float64(r.mean[class])
-	if s.coldSince > 0 {
+	if work := float64(r.mean[class]); s.coldSince > 0 {
 		s.budget -= work
-		return
+	} else {
+		r.worked(work)
 	}
-	r.worked(work)
 }
 
 // ---- The list ----
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -376,3 +376,33 @@
 		f.want("attempt 2 3")
 	}
 }
+
+// A cold replica is sent a front's share of what it can bear as soon as the front's home is slow, wherever it stands in the
+// ring, and no more than that; an idle home keeps its reads.
+func TestColdStoreRelievesASlowHome(t *testing.T) {
+	for _, slow := range []float64{1, 3} {
+		f := newFront(t, fleet(80))
+		list := listed(5, 1)
+		list[4].Started = f.now
+		f.r.List(f.now, ListFull, list)
+		f.until(f.now + 5*time.Second) // its budget fills
+		cold := 0
+		for id := uint32(10); id < 30; id++ {
+			for _, s := range f.r.order[:4] {
+				s.slow, s.slowAt, s.window = slow, f.now, 1
+			}
+			f.request(id, cAny)
+			if f.sends[id][0] == 5 {
+				cold++
+			}
+			f.outcome(id, 0, OK, RoleReplica)
+		}
+		want := 0
+		if slow > 1 {
+			want = 1
+		}
+		if cold != want {
+			t.Errorf("slowness %v: %d of 20 reads at once to the cold replica, want %d", slow, cold, want)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -95,7 +95,6 @@
 	held      []*request
 	watching  bool
 	refreshAt time.Duration
-	asked     int
 	dark      bool          // rounds have found no primary
 	lostAt    time.Duration // when the last primary was lost
 	expect    time.Duration // how long a group is without one then, more or less
