Let fronts rest by how long attempts take in a jam, reads only, and count no silence

The window was to bound the sum, but gauge() doubled a window of 0.1 at each good answer of a calm, where it is never used up, so none was in force when the jam came; and the rest in room() was counted by the undisturbed time, so that attempts that took four times as long were four times as many.

Change: a window of less than one grows only while rests are in force, by as much as one bad answer cuts; the rest follows the time of the store's last attempt; writes do not rest; an attempt that was not answered counts in the slowness of all only if its store has answered lately.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -39,7 +39,7 @@
 	silentAfter   = 10.0     // mean answer times waited without a word: rarely by chance, heavy tails included
 	leastSilence  = 150 * ms // shorter pauses are no silence
 	windowFirst   = 8.0      // attempts that a store may hold of all fronts together until its answers tell more
-	windowLeast   = 6.0      // and of these at least; under one for a front is a rest between attempts
+	windowLeast   = 6.0      // and of these at least; under one is a rest between a front's reads in a jam
 	jamRatio      = 1.3      // undisturbed answer times at which a queue costs more than it hides
 	jamCut        = 0.85     // window kept at such an answer, at most once per cutGap
 	cutGap        = 100 * ms
@@ -296,8 +296,7 @@
 	r.watchHeld(q.g)
 }
 
-// hopeless tells whether a wait for a primary will hardly end in time: it ends at half the patience, while
-// the client has time to come again.
+// hopeless tells whether a wait for a primary will hardly end in time; it is given up at half the patience.
 func (r *Router) hopeless(q *request) bool {
 	g := q.g
 	if g.primary != nil || !g.dark {
@@ -617,8 +616,8 @@
 // and not in the store's queue, whatever made the store slow: overload, a neighbour, a cold start, a jam.
 func (r *Router) room(s *store, class int) bool {
 	rest := time.Duration(0)
-	if s.window < 1 && max(r.slowness(s), r.slow) > jamRatio { // none while answers come in good time
-		rest = time.Duration((1/s.window - 1) * float64(r.base[class].time))
+	if s.window < 1 && max(r.slowness(s), r.slow) > jamRatio && r.set.Classes[class].Need != NeedWrite {
+		rest = time.Duration((1/s.window - 1) * float64(s.took))
 	}
 	held := s.out
 	for s.lost && len(held) > 0 && held[0].sent < s.lostAt {
@@ -635,7 +634,9 @@
 		if r.now >= s.cutAt+cutGap {
 			s.window, s.cutAt = max(s.window*jamCut, r.least), r.now
 		}
-	case float64(len(s.out)+1) >= s.window:
+	case s.window < 1 && r.slow > jamRatio: // only then has it been in force
+		s.window = min(s.window/jamCut, 1)
+	case s.window >= 1 && float64(len(s.out)+1) >= s.window:
 		s.window += min(1/s.window, s.window)
 	}
 }
@@ -943,10 +944,10 @@
 	if answered || ratio > r.slowness(s) {
 		s.slow = r.slowness(s)*(1-slowStep) + slowStep*ratio
 	}
-	if answered || ratio > r.slow {
+	if answered || ratio > r.slow && r.now < s.heard+heardFresh { // silence is no jam
 		r.slow += slowAllStep * (ratio - r.slow)
 	}
-	s.slowAt = r.now
+	s.slowAt, s.took = r.now, took
 	r.gauge(s)
 	m := &r.mean[a.req.class]
 	*m = max(*m+time.Duration(meanStep*float64(min(took, 8**m)-*m)), ms)
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -406,3 +406,62 @@
 		}
 	}
 }
+
+// In a jam a front whose share of a window is less than one attempt rests between reads as long as that share asks for:
+// by how long the last one took, so that the sum over all fronts is the window however slow the store. Writes, which
+// have nowhere else to go, do not rest, nor does anybody while answers come in good time.
+func TestRestsInAJam(t *testing.T) {
+	for _, c := range []struct {
+		slow        float64
+		class       int
+		first, next time.Duration // the store has held an attempt so long, and may be sent the next one so much later
+	}{{1, cBounded, 200 * ms, 0}, {3, cBounded, 100 * ms, 900 * ms}, {3, cBounded, 300 * ms, 2700 * ms}, {3, cUnsafe, 200 * ms, 0}} {
+		f := withPrimary(t, fleet(80))
+		f.r.slow = c.slow
+		f.request(2, cAny)
+		s := f.r.stores[f.sends[2][0]]
+		f.until(f.now + c.first)
+		f.outcome(2, 0, OK, RoleReplica)
+		s.window, s.slow, f.r.slow = 0.1, 1, c.slow
+		for _, wait := range []time.Duration{c.next - 10*ms, c.next} {
+			f.r.tick(s.ended + wait)
+			if got, want := f.r.room(s, c.class), wait >= c.next || c.next == 0; got != want {
+				t.Errorf("%+v: room after %v is %v", c, wait, got)
+			}
+		}
+	}
+}
+
+// Windows of less than one attempt grow only where they were in force; one good answer after another in a calm says
+// nothing about a jam.
+func TestSharedWindowKeepsInACalm(t *testing.T) {
+	for _, slow := range []float64{1, 2} {
+		f := withPrimary(t, fleet(80))
+		for id := uint32(2); id < 12; id++ {
+			f.request(id, cFresh)
+			f.until(f.now + 20*ms)
+			f.r.slow = slow
+			f.outcome(id, 0, OK, RolePrimary)
+		}
+		if w := f.r.stores[1].window; (w > 0.1) != (slow > jamRatio) {
+			t.Errorf("slowness %v: window %v after ten good answers, from 0.1", slow, w)
+		}
+	}
+}
+
+// Attempts that wait at a store which says nothing count against that store, and make no jam of the others.
+func TestSilenceIsNoJam(t *testing.T) {
+	for _, heard := range []time.Duration{200 * ms, 5 * time.Second} {
+		f := withPrimary(t, fleet(80))
+		f.until(start + 10*time.Second)
+		s := f.r.stores[2]
+		f.r.tick(f.now)
+		s.heard = f.now - heard
+		for range 20 {
+			f.r.took(s, &attempt{s: s, sent: f.now - 500*ms, req: &request{}}, false)
+		}
+		if jam := f.r.slow > jamRatio; jam != (heard < heardFresh) || s.slow < 2 {
+			t.Errorf("heard %v ago: slowness of all %.1f, of the store %.1f", heard, f.r.slow, s.slow)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -72,6 +72,7 @@
 	unreach   bool
 	scarceAt  time.Duration // it last refused connections again and again
 	reachedAt time.Duration // last answer to a request or a probe
+	took      time.Duration // its last attempt
 	window    float64
 	cutAt     time.Duration
 	pausedTo  time.Duration
