Spread the list calls of a large fleet over what the list service can bear

All fronts asked at once, waited 2 s, and asked again together after 0.5, 1, 2 and 4 s: askIn() had no spread, and the calls that had been given up kept the service busy for nobody.

Change: a front of a large fleet makes its first call at a random moment of half of 80 ms times the fleet's size, a repeat after half to all of that (or of the backoff, where that is longer; never above mustAskInMs). Repeats of small fleets are spread too.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -75,6 +75,7 @@
 	// List.
 	askAgainFirst = 500 * ms
 	askAgainMost  = 4 * time.Second
+	listGap       = 80 * ms     // between two fronts' calls: a list service bore some ten a second from 80
 	goneFor       = time.Minute // after which a store that has left the list is forgotten
 )
 
@@ -91,8 +92,7 @@
 	}
 }
 
-// claim and deny weigh role evidence by its as-of time: the latest wins. Guards against a deposed primary
-// that returns from a hang and against reports that were under way during a change.
+// claim and deny weigh role evidence by its as-of time: the latest wins, whatever was under way meanwhile.
 func (r *Router) claim(s *store, asOf time.Duration) {
 	s.claimAt = max(s.claimAt, asOf)
 	if asOf < s.roleAt && s.role != RolePrimary {
@@ -531,8 +531,8 @@
 	return best
 }
 
-// spare is the replica that takes the reads any member may answer, the same at all fronts, while replicas
-// fall behind: no front knows where the long reads of others are that keep a replica from applying.
+// spare is the replica that takes the reads any member may answer, the same at all fronts of a small fleet,
+// while replicas fall behind: no front knows where the long reads of others keep one from applying.
 func (r *Router) spare(g *group) (first *store) {
 	if r.lagAt == 0 || r.now > r.lagAt+lagMemory || r.large {
 		return nil
@@ -749,7 +749,7 @@
 func (r *Router) List(now time.Duration, kind ListKind, entries []Member) {
 	r.tick(now)
 	if kind == ListFailed { // keep the old list and ask again, ever later, but within the time allowed
-		r.askIn(r.askWait)
+		r.askIn(time.Duration((1 + r.random()) / 2 * float64(max(r.askWait, r.askSpan))))
 		r.askWait = min(2*r.askWait, askAgainMost)
 		if r.set.MustAsk > 0 {
 			r.askWait = min(r.askWait, r.set.MustAsk/2)
@@ -769,7 +769,7 @@
 		}
 	}
 	if kind == ListCached {
-		r.askIn(0)
+		r.askIn(time.Duration(r.random() * float64(r.askSpan/2)))
 	} else {
 		r.askWait = askAgainFirst
 	}
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -465,3 +467,41 @@
 		}
 	}
 }
+
+// Eighty fronts that start at once, and whose calls of the list service all fail after 2 s: what the service gets in any second
+// is near what it can bear, and each front is back in time. A small fleet asks at once.
+func TestListCallsAreSpread(t *testing.T) {
+	seeds := rand.New(rand.NewPCG(1, 2))
+	for _, c := range []struct{ fronts, inASecond int }{{1, 1}, {80, 36}} { // twice the even rate for first calls, half as many more by chance
+		var calls []time.Duration
+		for me := range c.fronts {
+			f := &fake{t: t, now: start, sends: map[uint32][]uint32{}}
+			set := testSettings()
+			set.Balancers, set.Me, set.Asks, set.MustAsk = c.fronts, me, true, 10*time.Second
+			f.r, _ = New(set, seeds.Uint64(), f)
+			f.r.List(f.now, ListCached, listed(3, 1))
+			called := start - 10*time.Second
+			for f.now < start+20*time.Second {
+				f.did = nil
+				f.until(f.now + 10*ms)
+				if f.has("watch") {
+					if f.now > called+20*time.Second {
+						t.Fatalf("front %d: no call for %v", me, f.now-called)
+					}
+					calls, called = append(calls, f.now), f.now
+					f.until(f.now + 2*time.Second)
+					f.r.List(f.now, ListFailed, nil)
+				}
+			}
+		}
+		slices.Sort(calls)
+		most := 0
+		for i, at := range calls {
+			n, _ := slices.BinarySearch(calls, at+time.Second)
+			most = max(most, n-i)
+		}
+		if most > c.inASecond {
+			t.Errorf("%d fronts: %d calls in a second, want %d at most", c.fronts, most, c.inASecond)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -154,10 +154,11 @@
 	least   float64       // least window of a store
 	lagAt   time.Duration // a replica last showed itself far behind
 	pingGap time.Duration
-	large   bool    // the fleet is too large to ping every 100 ms
-	usual   []usual // per class
-	slow    float64 // as a store's, of all together
-	fails   float64 // share of recent attempts failing at all stores
+	askSpan time.Duration // over which the fronts of a large fleet spread their calls of the list service
+	large   bool          // the fleet is too large to ping every 100 ms
+	usual   []usual       // per class
+	slow    float64       // as a store's, of all together
+	fails   float64       // share of recent attempts failing at all stores
 	retry   float64
 	askWait time.Duration
 	asking  bool
@@ -208,6 +209,10 @@
 	r.pingGap, r.large = pingEvery, set.Balancers > smallFleet
 	if r.large {
 		r.pingGap *= time.Duration(set.Balancers)
+		r.askSpan = listGap * time.Duration(set.Balancers)
+		if set.MustAsk > 0 {
+			r.askSpan = min(r.askSpan, set.MustAsk)
+		}
 	}
 	for i := len(old); i < len(set.Classes); i++ {
 		c, guess := &set.Classes[i], set.Classes[i].Aim/baseGuess
