Let a primary in good time take reads in a jam of its replicas

Cause: on join+vast primaries answered writes in 70 ms while their replicas jammed, and fallback() turned reads away from them as soon as answers were slow anywhere (the slowness of all).

Change: in a large fleet only the primary's own slowness counts. Reads still go there only when no replica has room.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -555,7 +555,7 @@
 // fallback is the bounded way out when no replica has qualified for a share of the aim, or none soon
 // will: the primary, else a fresh enough replica that has lost its turn.
 func (r *Router) fallback(q *request) *store {
-	if p := q.g.primary; p != nil && r.usable(q, p) && (!r.large || max(r.slowness(p), r.slow) <= jamRatio) {
+	if p := q.g.primary; p != nil && r.usable(q, p) && (!r.large || r.slowness(p) <= jamRatio) {
 		return p
 	}
 	var best *store
