--- a/rules/rules.go
+++ b/rules/rules.go
@@ -749,7 +749,7 @@
 func (r *Router) List(now time.Duration, kind ListKind, entries []Member) {
 	r.tick(now)
 	if kind == ListFailed { // keep the old list and ask again, ever later, but within the time allowed
-		r.askIn(time.Duration((1 + r.random()) / 2 * float64(max(r.askWait, r.askSpan))))
+		r.askIn(r.spread(max(r.askWait, r.askSpan)))
 		r.askWait = min(2*r.askWait, askAgainMost)
 		if r.set.MustAsk > 0 {
 			r.askWait = min(r.askWait, r.set.MustAsk/2)
@@ -769,7 +769,7 @@
 		}
 	}
 	if kind == ListCached {
-		r.askIn(time.Duration(r.random() * float64(r.askSpan/2)))
+		r.askIn(r.askSpan - r.spread(r.askSpan))
 	} else {
 		r.askWait = askAgainFirst
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -464,6 +464,14 @@
 	r.load += work / float64(loadMemory) / float64(max(len(r.stores), 1))
 }
 
+// spread is a wait that the fronts of a large fleet do not all end together: half to all of it.
+func (r *Router) spread(d time.Duration) time.Duration {
+	if r.large {
+		d -= time.Duration(r.random() * float64(d/2))
+	}
+	return d
+}
+
 // random is the next number of the instance's seed, from 0 to 1.
 func (r *Router) random() float64 {
 	r.rng = r.rng*6364136223846793005 + 1442695040888963407
