Add a relay that puts faults on links, and a schedule of faults for the fleet laboratory

Need: faults between processes, and a schedule of them. internal/relay passes a TCP link late, not at all, one way only or with resets; internal/faults sorts steps, adds the end of each fault of some length and checks them against the fleet's size.

--- /dev/null
+++ b/internal/faults/faults.go
@@ -0,0 +1,167 @@
+// Package faults is the fleet laboratory's schedule: which fault is put on which processes and links when, and when it is
+// taken off again. It does no I/O and reads no clock: the laboratory asks it what is due at a time it has measured.
+package faults
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Act is what a step does.
+type Act string
+
+// The acts. Those on poolers are signals and restarts; those on links between poolers and servers are faults of the
+// relay; those on servers are the stand-ins' own.
+const (
+	Kill    Act = "kill"    // SIGKILL the poolers; For: restarted after it
+	Stop    Act = "stop"    // SIGSTOP, a holder that stalls; For: SIGCONT after it
+	Cont    Act = "cont"    // SIGCONT
+	Term    Act = "term"    // SIGTERM, as a roll does; For: restarted after it
+	Restart Act = "restart" // start again those that have ended
+	Hup     Act = "hup"     // SIGHUP: read the configuration again
+	Cut     Act = "cut"     // links from the poolers to the servers drop all: a partition; For: healed after it
+	OneWay  Act = "oneway"  // links pass requests and drop answers; For: healed after it
+	Delay   Act = "delay"   // links hold each piece back by Delay, up to Jitter more; For: healed after it
+	Reset   Act = "reset"   // links reset what is open and what comes; For: healed after it
+	Heal    Act = "heal"    // links pass all again
+	Down    Act = "down"    // servers refuse and break their connections; For: up after it
+	Up      Act = "up"      // servers listen again
+	Promote Act = "promote" // the one server named becomes primary, all others replicas
+)
+
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote}
+
+// undo is the step that ends a fault of some length.
+var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up}
+
+// Step is one act at one time, on sets of poolers and servers, each by its index from 0.
+type Step struct {
+	At            time.Duration // from the start of the run
+	Act           Act
+	Poolers       []int
+	Servers       []int
+	For           time.Duration // how long the fault lasts; 0: until another step ends it
+	Delay, Jitter time.Duration // of Delay
+}
+
+// Plan is the sorted list of steps, the ends of faults with a length among them.
+type Plan struct {
+	steps []Step
+	next  int
+}
+
+// New checks steps against the sizes of the fleet, adds the step that ends each fault of some length, and sorts them by
+// time, steps of one time in the order given. The error names the step by its index and what is wrong with it.
+func New(steps []Step, poolers, servers int) (*Plan, error) {
+	var all []Step
+	for i, s := range steps {
+		if err := s.check(poolers, servers); err != nil {
+			return nil, fmt.Errorf("steps[%d].%w", i, err)
+		}
+		all = append(all, s)
+		if s.For > 0 {
+			all = append(all, Step{At: s.At + s.For, Act: undo[s.Act], Poolers: s.Poolers, Servers: s.Servers})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Step) int { return int(a.At - b.At) })
+	return &Plan{steps: all}, nil
+}
+
+func (s Step) check(poolers, servers int) error {
+	if !slices.Contains(acts, s.Act) {
+		return fmt.Errorf("act: %q is none of %v", s.Act, acts)
+	}
+	if s.At < 0 || s.For < 0 || s.Delay < 0 || s.Jitter < 0 {
+		return fmt.Errorf("at_ms: times are not below 0")
+	}
+	if _, ok := undo[s.Act]; s.For > 0 && !ok {
+		return fmt.Errorf("for_ms: %s lasts no time", s.Act)
+	}
+	onLinks := s.Act == Cut || s.Act == OneWay || s.Act == Delay || s.Act == Reset || s.Act == Heal
+	onServers := s.Act == Down || s.Act == Up || s.Act == Promote
+	switch {
+	case (onLinks || !onServers) && len(s.Poolers) == 0:
+		return fmt.Errorf("poolers: %s needs some", s.Act)
+	case (onLinks || onServers) && len(s.Servers) == 0:
+		return fmt.Errorf("servers: %s needs some", s.Act)
+	case s.Act == Promote && len(s.Servers) != 1:
+		return fmt.Errorf("servers: promote takes one")
+	}
+	for _, p := range s.Poolers {
+		if p < 0 || p >= poolers {
+			return fmt.Errorf("poolers: %d is not below %d", p, poolers)
+		}
+	}
+	for _, v := range s.Servers {
+		if v < 0 || v >= servers {
+			return fmt.Errorf("servers: %d is not below %d", v, servers)
+		}
+	}
+	return nil
+}
+
+// Due takes off the steps whose time has come by elapsed, in order.
+func (p *Plan) Due(elapsed time.Duration) []Step {
+	from := p.next
+	for p.next < len(p.steps) && p.steps[p.next].At <= elapsed {
+		p.next++
+	}
+	return p.steps[from:p.next]
+}
+
+// Next is the time of the next step, and whether there is one.
+func (p *Plan) Next() (time.Duration, bool) {
+	if p.next == len(p.steps) {
+		return 0, false
+	}
+	return p.steps[p.next].At, true
+}
+
+// Pick reads a set of indices below n: "all", a share such as "70%" drawn by rng, or a list of indices and ranges such as
+// "0-3,7". The error says what is wrong with spec.
+func Pick(spec string, n int, rng *rand.Rand) ([]int, error) {
+	spec = strings.TrimSpace(spec)
+	switch {
+	case spec == "":
+		return nil, nil
+	case spec == "all":
+		return count(0, n), nil
+	case strings.HasSuffix(spec, "%"):
+		share, err := strconv.ParseFloat(strings.TrimSuffix(spec, "%"), 64)
+		if err != nil || share <= 0 || share > 100 {
+			return nil, fmt.Errorf("%q is no share from 0 to 100%%", spec)
+		}
+		all := count(0, n)
+		rng.Shuffle(n, func(i, j int) { all[i], all[j] = all[j], all[i] })
+		picked := all[:max(1, int(float64(n)*share/100+0.5))]
+		slices.Sort(picked)
+		return picked, nil
+	}
+	var out []int
+	for part := range strings.SplitSeq(spec, ",") {
+		first, last, isRange := strings.Cut(strings.TrimSpace(part), "-")
+		a, err := strconv.Atoi(first)
+		b := a
+		if err == nil && isRange {
+			b, err = strconv.Atoi(last)
+		}
+		if err != nil || a < 0 || b < a || b >= n {
+			return nil, fmt.Errorf("%q: %q names no indices below %d", spec, part, n)
+		}
+		out = append(out, count(a, b+1)...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out), nil
+}
+
+func count(from, to int) []int {
+	out := make([]int, 0, to-from)
+	for i := from; i < to; i++ {
+		out = append(out, i)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// echo is a target that sends each line back.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if _, err := c.Write([]byte(line)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func link(t *testing.T) *Link {
+	t.Helper()
+	l, err := Listen(echo(t), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return l
+}
+
+// ask sends a line and reads the answer within a while; the error is the connection's.
+func ask(c net.Conn, within time.Duration) (string, error) {
+	_ = c.SetDeadline(time.Now().Add(within))
+	if _, err := c.Write([]byte("hello\n")); err != nil {
+		return "", err
+	}
+	return bufio.NewReader(c).ReadString('\n')
+}
+
+func dial(t *testing.T, l *Link) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func TestPasses(t *testing.T) {
+	l := link(t)
+	got, err := ask(dial(t, l), 5*time.Second)
+	if err != nil || got != "hello\n" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	if l.Accepted() != 1 {
+		t.Errorf("accepted %d, want 1", l.Accepted())
+	}
+}
+
+// A delay holds each answer back by at least its length: the test asks for no upper bound, which a busy machine may pass.
+func TestDelays(t *testing.T) {
+	l := link(t)
+	l.Set(Fault{Delay: 50 * time.Millisecond, Jitter: 10 * time.Millisecond})
+	c := dial(t, l)
+	began := time.Now()
+	if _, err := ask(c, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took < 100*time.Millisecond { // both ways
+		t.Errorf("answered in %v, want 100 ms at least", took)
+	}
+}
+
+// A black hole takes the request and answers nothing, on open and new connections alike; once healed, new ones pass.
+func TestDrops(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		l := link(t)
+		open := dial(t, l)
+		if _, err := ask(open, 5*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		l.Set(Fault{Drop: true, OneWay: oneWay})
+		for _, c := range []net.Conn{open, dial(t, l)} {
+			var timeout net.Error
+			if got, err := ask(c, 100*time.Millisecond); !errors.As(err, &timeout) || !timeout.Timeout() {
+				t.Errorf("one way %v: %q, %v, want a time-out", oneWay, got, err)
+			}
+		}
+		l.Set(Fault{})
+		if _, err := ask(dial(t, l), 5*time.Second); err != nil {
+			t.Errorf("healed: %v", err)
+		}
+	}
+}
+
+// A refusing link resets what is open and what comes.
+func TestRefuses(t *testing.T) {
+	l := link(t)
+	open := dial(t, l)
+	if _, err := ask(open, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	l.Set(Fault{Refuse: true})
+	for _, c := range []net.Conn{open, dial(t, l)} {
+		if _, err := ask(c, 5*time.Second); !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+			t.Errorf("%v, want a reset", err)
+		}
+	}
+}
