--- /dev/null
+++ b/internal/config/scenario.go
@@ -0,0 +1,165 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"threadsail/internal/faults"
+)
+
+// Scenario is an experiment of the fleet laboratory: its size, its load and its faults.
+type Scenario struct {
+	Poolers, Servers int           // processes of the pooler, stand-in servers (the first is primary)
+	Length           time.Duration // of the run
+	Seed             uint64        // draws shares of poolers and the clients' choices
+	Clients          int           // a pooler, each with one request at a time
+	Rest             time.Duration // between a client's answer and its next request
+	Writes           float64       // share of the requests that are keyed writes
+	Patience         time.Duration // a request's deadline
+	Plan             *faults.Plan
+}
+
+// Most a scenario may ask for on one machine; the laboratory's design note tells how they were found.
+const (
+	mostPoolers = 400
+	mostServers = 120
+	mostLength  = 10 * time.Minute
+)
+
+// LoadScenario reads a scenario file. An error names the file, the line and the key.
+func LoadScenario(path string) (Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Scenario{}, err
+	}
+	s, offset, err := parseScenario(text)
+	if err != nil {
+		return Scenario{}, fmt.Errorf("%s:%d: %w", path, 1+bytes.Count(text[:min(offset, int64(len(text)))], []byte("\n")), err)
+	}
+	return s, nil
+}
+
+type scenarioStep struct {
+	AtMs     float64 `json:"at_ms"`
+	Act      string  `json:"act"`
+	Poolers  string  `json:"poolers"`
+	Servers  string  `json:"servers"`
+	ForMs    float64 `json:"for_ms"`
+	DelayMs  float64 `json:"delay_ms"`
+	JitterMs float64 `json:"jitter_ms"`
+}
+
+// parseScenario returns the scenario, or an error with the offset in text of what it is about.
+func parseScenario(text []byte) (Scenario, int64, error) {
+	var file struct {
+		Poolers, Servers, Clients int
+		LengthMs                  float64 `json:"length_ms"`
+		Seed                      uint64
+		RestMs                    float64 `json:"rest_ms"`
+		Writes                    float64
+		PatienceMs                float64 `json:"patience_ms"`
+		Steps                     []json.RawMessage
+	}
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&file); err != nil {
+		var syntax *json.SyntaxError
+		var typed *json.UnmarshalTypeError
+		switch {
+		case errors.As(err, &syntax):
+			return Scenario{}, syntax.Offset, err
+		case errors.As(err, &typed):
+			return Scenario{}, typed.Offset, jsonError(err)
+		}
+		return Scenario{}, dec.InputOffset(), err
+	}
+	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Length: ms(file.LengthMs), Seed: file.Seed,
+		Clients: or(file.Clients, 1), Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000))}
+	switch {
+	case s.Poolers < 1 || s.Poolers > mostPoolers:
+		return s, 0, fmt.Errorf("poolers: %d is not from 1 to %d", s.Poolers, mostPoolers)
+	case s.Servers < 1 || s.Servers > mostServers:
+		return s, 0, fmt.Errorf("servers: %d is not from 1 to %d", s.Servers, mostServers)
+	case s.Length <= 0 || s.Length > mostLength:
+		return s, 0, fmt.Errorf("length_ms: %v is not above 0 and within %v", s.Length, mostLength)
+	case s.Clients < 1 || s.Clients > 16:
+		return s, 0, fmt.Errorf("clients: %d is not from 1 to 16", s.Clients)
+	case s.Writes < 0 || s.Writes > 1:
+		return s, 0, fmt.Errorf("writes: %v is no share from 0 to 1", s.Writes)
+	case s.Rest < time.Millisecond || s.Patience < 10*time.Millisecond:
+		return s, 0, errors.New("rest_ms: under 1, or patience_ms under 10")
+	}
+	at := stepOffsets(text)
+	at = append(at, make([]int64, max(0, len(file.Steps)-len(at)))...)
+	rng := rand.New(rand.NewPCG(s.Seed, 0xfa17))
+	steps := make([]faults.Step, 0, len(file.Steps))
+	for i, raw := range file.Steps {
+		var st scenarioStep
+		one := json.NewDecoder(bytes.NewReader(raw))
+		one.DisallowUnknownFields()
+		if err := one.Decode(&st); err != nil {
+			return s, at[i], fmt.Errorf("steps[%d]: %w", i, jsonError(err))
+		}
+		poolers, err := faults.Pick(st.Poolers, s.Poolers, rng)
+		if err != nil {
+			return s, at[i], fmt.Errorf("steps[%d].poolers: %w", i, err)
+		}
+		servers, err := faults.Pick(st.Servers, s.Servers, rng)
+		if err != nil {
+			return s, at[i], fmt.Errorf("steps[%d].servers: %w", i, err)
+		}
+		steps = append(steps, faults.Step{At: ms(st.AtMs), Act: faults.Act(st.Act), Poolers: poolers, Servers: servers,
+			For: ms(st.ForMs), Delay: ms(st.DelayMs), Jitter: ms(st.JitterMs)})
+		if steps[i].At > s.Length {
+			return s, at[i], fmt.Errorf("steps[%d].at_ms: after the end of the run", i)
+		}
+	}
+	plan, err := faults.New(steps, s.Poolers, s.Servers)
+	if err != nil {
+		var i int
+		if _, _ = fmt.Sscanf(err.Error(), "steps[%d]", &i); i < 0 || i >= len(at) {
+			i = 0
+		}
+		return s, at[i], err
+	}
+	s.Plan = plan
+	return s, 0, nil
+}
+
+// stepOffsets finds where each element of the top object's "steps" begins, in a text that is known to be JSON.
+func stepOffsets(text []byte) []int64 {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	var out []int64
+	if t, _ := dec.Token(); t != json.Delim('{') {
+		return nil
+	}
+	for dec.More() {
+		k, _ := dec.Token()
+		if k != "steps" {
+			var skip json.RawMessage
+			_ = dec.Decode(&skip)
+			continue
+		}
+		if t, _ := dec.Token(); t != json.Delim('[') {
+			return nil
+		}
+		for dec.More() {
+			// The offset after the last token read ends before the element's own spaces and comma.
+			start := dec.InputOffset()
+			for start < int64(len(text)) && bytes.IndexByte([]byte(" \t\r\n,"), text[start]) >= 0 {
+				start++
+			}
+			out = append(out, start)
+			var skip json.RawMessage
+			_ = dec.Decode(&skip)
+		}
+		return out
+	}
+	return out
+}
