--- /dev/null
+++ b/cmd/threadsail/fleet_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"threadsail/internal/config"
+	"threadsail/internal/judge"
+	"threadsail/internal/lab"
+)
+
+// Twelve processes of the pooler before three servers: four are cut off from the primary, one is killed and started
+// again, one stalls, the links of four others are slow, and the primary hands over to a replica. Every request of a
+// pooler that was up must have its one final answer in time, and no attempt may overlap another of the same request.
+// Timings are not judged.
+func TestFleetUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts twelve processes")
+	}
+	path := filepath.Join(t.TempDir(), "scenario.json")
+	scenario := `{"poolers": 12, "servers": 3, "length_ms": 12000, "seed": 7, "clients": 2, "rest_ms": 40, "writes": 0.3,
+	  "patience_ms": 1500, "steps": [
+		{"at_ms": 1500, "act": "cut", "poolers": "0-3", "servers": "0", "for_ms": 3000},
+		{"at_ms": 2500, "act": "kill", "poolers": "5", "for_ms": 2000},
+		{"at_ms": 3000, "act": "stop", "poolers": "7", "for_ms": 1500},
+		{"at_ms": 5000, "act": "delay", "poolers": "8-11", "servers": "all", "delay_ms": 20, "jitter_ms": 20, "for_ms": 2000},
+		{"at_ms": 6000, "act": "reset", "poolers": "4,6", "servers": "1", "for_ms": 1000},
+		{"at_ms": 8000, "act": "promote", "servers": "1"}]}`
+	if err := os.WriteFile(path, []byte(scenario), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := config.LoadScenario(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var logs bytes.Buffer
+	rep := lab.Fleet{Scenario: s, Logs: &logs, Command: func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0], "serve")
+		cmd.Env = append(os.Environ(), "THREADSAIL_TEST_RUN=1")
+		return cmd
+	}, Progress: func(line string) { t.Log(line) }}.Run(t)
+	var table strings.Builder
+	rep.Table(&table)
+	t.Log("\n" + table.String())
+	for _, b := range rep.Broken {
+		t.Error(b)
+	}
+	if rep.Starts != 13 {
+		t.Errorf("%d starts, want 13", rep.Starts)
+	}
+	var back time.Time // when the killed pooler was up again
+	for _, o := range rep.Outages {
+		if o.Pooler == 5 {
+			back = o.To
+		}
+	}
+	served := 0
+	for _, q := range rep.Requests {
+		if q.Pooler == 5 && q.Outcome == judge.Served && q.Began.After(back) {
+			served++
+		}
+	}
+	if back.IsZero() || served == 0 {
+		t.Errorf("the killed pooler served %d after its restart at %v", served, back)
+	}
+	if strings.Count(logs.String(), `"pooler":5,`) == 0 {
+		t.Error("no log of the restarted pooler")
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,473 @@
+package lab
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"threadsail/internal/config"
+	"threadsail/internal/faults"
+	"threadsail/internal/judge"
+	"threadsail/internal/relay"
+	"threadsail/internal/standin"
+)
+
+// Fleet is an experiment on many processes of the pooler among stand-in servers, with a relay on each link between a
+// pooler and a server and the scenario's faults put on links and processes. Clients speak PostgreSQL's wire.
+type Fleet struct {
+	Scenario config.Scenario
+	Command  func() *exec.Cmd // a new process of the pooler, which the experiment gives its environment
+	Logs     io.Writer        // where the poolers' log lines go, each with "pooler" put first; nil: nowhere
+	Progress func(line string)
+}
+
+// FleetReport is what came of it, by what clients, relays and stand-ins recorded.
+type FleetReport struct {
+	judge.Verdict
+	Poolers, Servers int
+	Seconds          []Counts // by the second in which requests ended
+	P50, P99         time.Duration
+	Connections      [3]float64 // new connections a server over the run: least, mean, most
+	ListCalls        int        // watches opened at the list services, all poolers
+	Starts           int        // pooler processes started, restarts among them
+	Requests         []judge.Request
+	Outages          []judge.Outage
+}
+
+// pooler is one process of the pooler, and the times it could not answer.
+type pooler struct {
+	i   int
+	env map[string]string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	addr    string
+	outages []judge.Outage
+}
+
+// up is the address of its front, or "" while it is out.
+func (p *pooler) up() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.outages); n > 0 && p.outages[n-1].To.IsZero() {
+		return ""
+	}
+	return p.addr
+}
+
+func (p *pooler) goOut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.outages); n == 0 || !p.outages[n-1].To.IsZero() {
+		p.outages = append(p.outages, judge.Outage{Pooler: p.i, From: time.Now()})
+	}
+}
+
+func (p *pooler) comeBack() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.outages); n > 0 && p.outages[n-1].To.IsZero() {
+		p.outages[n-1].To = time.Now()
+	}
+}
+
+// fleetRun is the state of one run.
+type fleetRun struct {
+	Fleet
+	h       standin.Host
+	servers *standin.Fleet
+	poolers []*pooler
+	relays  [][]*relay.Link // by pooler, then server
+	lists   []*standin.Discovery
+	logs    sync.Mutex
+	starts  int
+	began   time.Time
+	errs    []string // of starts, which fail the run on its own goroutine
+
+	mu       sync.Mutex
+	requests []judge.Request
+	took     *hdrhistogram.Histogram
+}
+
+// Run plays the scenario and judges it. It fails h if a pooler does not start.
+func (f Fleet) Run(h standin.Host) FleetReport {
+	s := f.Scenario
+	r := &fleetRun{Fleet: f, h: h, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	names := make([]string, s.Servers)
+	for i := range names {
+		names[i] = fmt.Sprintf("db%d", i+1)
+	}
+	r.servers = standin.NewFleet(h, false, func(settings map[string]any) { settings["balancers"] = s.Poolers }, names...)
+	for i := range s.Poolers {
+		links := make([]*relay.Link, s.Servers)
+		for j, server := range r.servers.Servers {
+			link, err := relay.Listen(server.Addr, s.Seed^uint64(i<<16|j))
+			if err != nil {
+				h.Fatal(err)
+			}
+			h.Cleanup(link.Close)
+			links[j] = link
+		}
+		r.relays = append(r.relays, links)
+		env, list := r.servers.Member(fmt.Sprintf("n%d", i+1), fmt.Sprintf("%016x", rand.New(rand.NewPCG(s.Seed, uint64(i))).Uint64()),
+			func(server *standin.Server) string { return links[indexOf(r.servers.Servers, server)].Addr() })
+		r.lists = append(r.lists, list)
+		r.poolers = append(r.poolers, &pooler{i: i, env: env})
+	}
+	h.Cleanup(r.endAll)
+	r.began = time.Now()
+	r.each(r.poolers, func(p *pooler) { r.start(p) })
+	r.failed()
+	r.say("%d poolers up before %d servers", s.Poolers, s.Servers)
+
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for _, p := range r.poolers {
+		for c := range s.Clients {
+			rng := rand.New(rand.NewPCG(s.Seed, uint64(p.i<<8|c)))
+			clients.Go(func() { r.client(p, rng, stop) })
+		}
+	}
+	r.began = time.Now()
+	tick := time.NewTicker(10 * time.Millisecond)
+	for elapsed := time.Duration(0); elapsed < s.Length; elapsed = time.Since(r.began) {
+		for _, step := range s.Plan.Due(elapsed) {
+			r.act(step)
+		}
+		r.failed()
+		<-tick.C
+	}
+	tick.Stop()
+	close(stop)
+	clients.Wait()
+	return r.report()
+}
+
+func indexOf(servers []*standin.Server, s *standin.Server) int {
+	for i, x := range servers {
+		if x == s {
+			return i
+		}
+	}
+	return -1
+}
+
+func (r *fleetRun) say(format string, args ...any) {
+	if r.Progress != nil {
+		r.Progress(fmt.Sprintf("%6.1f s  %s", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...)))
+	}
+}
+
+// start starts p's process and waits until its front listens, as its log says.
+func (r *fleetRun) start(p *pooler) {
+	cmd := r.Command()
+	for k, v := range p.env {
+		cmd.Env = append(cmd.Env, k+"="+v)
+	}
+	out, err := cmd.StderrPipe()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		r.fail(fmt.Sprintf("pooler %d: %v", p.i, err))
+		return
+	}
+	exited := make(chan struct{})
+	lines := bufio.NewScanner(out)
+	lines.Buffer(make([]byte, 64<<10), 1<<20)
+	addr := ""
+	var seen strings.Builder
+	for addr == "" && lines.Scan() {
+		line := lines.Text()
+		r.log(p.i, line)
+		if seen.Len() < 4096 {
+			seen.WriteString(line + "\n")
+		}
+		if _, rest, ok := strings.Cut(line, `"addr":"`); ok && strings.Contains(line, `"front":"postgres"`) {
+			addr, _, _ = strings.Cut(rest, `"`)
+		}
+	}
+	go func() {
+		for lines.Scan() { // the pooler must never wait for its reader
+			r.log(p.i, lines.Text())
+		}
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	if addr == "" {
+		<-exited
+		r.fail(fmt.Sprintf("pooler %d does not serve: %s", p.i, seen.String()))
+		return
+	}
+	p.mu.Lock()
+	p.cmd, p.exited, p.addr = cmd, exited, addr
+	p.mu.Unlock()
+	r.mu.Lock()
+	r.starts++
+	r.mu.Unlock()
+	p.comeBack()
+}
+
+func (r *fleetRun) fail(err string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.errs = append(r.errs, err)
+}
+
+// failed fails the run on its own goroutine if a start has failed.
+func (r *fleetRun) failed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.errs) > 0 {
+		r.h.Fatal(strings.Join(r.errs, "; "))
+	}
+}
+
+// each does something to each of the poolers at once, and waits until all is done.
+func (r *fleetRun) each(poolers []*pooler, do func(p *pooler)) {
+	var wg sync.WaitGroup
+	for _, p := range poolers {
+		wg.Go(func() { do(p) })
+	}
+	wg.Wait()
+}
+
+func (r *fleetRun) log(i int, line string) {
+	if r.Logs == nil {
+		return
+	}
+	r.logs.Lock()
+	defer r.logs.Unlock()
+	if strings.HasPrefix(line, "{") {
+		fmt.Fprintf(r.Logs, "{\"pooler\":%d,%s\n", i, line[1:])
+	} else {
+		fmt.Fprintf(r.Logs, "{\"pooler\":%d,\"text\":%q}\n", i, line)
+	}
+}
+
+// signal sends sig to p's process, if it runs.
+func (p *pooler) signal(sig syscall.Signal) (exited chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(sig)
+	}
+	return p.exited
+}
+
+// endAll ends every process, and lets stopped ones go on first so that they can end.
+func (r *fleetRun) endAll() {
+	for _, p := range r.poolers {
+		p.signal(syscall.SIGCONT)
+		if exited := p.signal(syscall.SIGKILL); exited != nil {
+			<-exited
+		}
+	}
+}
+
+// act carries out one step of the plan.
+func (r *fleetRun) act(step faults.Step) {
+	r.say("%s poolers %v servers %v", step.Act, step.Poolers, step.Servers)
+	links := func(fault relay.Fault) {
+		for _, p := range step.Poolers {
+			for _, s := range step.Servers {
+				r.relays[p][s].Set(fault)
+			}
+		}
+	}
+	var some []*pooler
+	for _, i := range step.Poolers {
+		some = append(some, r.poolers[i])
+	}
+	each := func(do func(p *pooler)) { r.each(some, do) }
+	switch step.Act {
+	case faults.Kill, faults.Term:
+		sig := map[faults.Act]syscall.Signal{faults.Kill: syscall.SIGKILL, faults.Term: syscall.SIGTERM}[step.Act]
+		each(func(p *pooler) {
+			p.goOut()
+			if exited := p.signal(sig); exited != nil {
+				<-exited
+			}
+		})
+	case faults.Stop:
+		each(func(p *pooler) { p.goOut(); p.signal(syscall.SIGSTOP) })
+	case faults.Cont:
+		each(func(p *pooler) { p.signal(syscall.SIGCONT); p.comeBack() })
+	case faults.Restart:
+		each(func(p *pooler) {
+			if p.up() == "" {
+				r.start(p)
+			}
+		})
+	case faults.Hup:
+		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
+	case faults.Cut:
+		links(relay.Fault{Drop: true})
+	case faults.OneWay:
+		links(relay.Fault{Drop: true, OneWay: true})
+	case faults.Delay:
+		links(relay.Fault{Delay: step.Delay, Jitter: step.Jitter})
+	case faults.Reset:
+		links(relay.Fault{Refuse: true})
+	case faults.Heal:
+		links(relay.Fault{})
+	case faults.Down:
+		for _, s := range step.Servers {
+			r.servers.Servers[s].Down()
+		}
+	case faults.Up:
+		for _, s := range step.Servers {
+			if err := r.servers.Servers[s].Up(); err != nil {
+				r.fail(err.Error())
+			}
+		}
+	case faults.Promote:
+		for i, s := range r.servers.Servers {
+			s.Set(i == step.Servers[0], 0)
+		}
+	}
+}
+
+// client asks p again and again, one request at a time, until stop; each request is recorded with its outcome.
+func (r *fleetRun) client(p *pooler, rng *rand.Rand, stop <-chan struct{}) {
+	s := r.Scenario
+	var c *standin.Postgres
+	defer func() {
+		if c != nil {
+			_ = c.Close()
+		}
+	}()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(s.Rest/2 + time.Duration(rng.Int64N(int64(s.Rest)))):
+		}
+		addr := p.up()
+		if addr == "" {
+			if c != nil {
+				_ = c.Close()
+				c = nil
+			}
+			continue
+		}
+		q := judge.Request{Pooler: p.i, Began: time.Now(), Write: rng.Float64() < s.Writes}
+		if c == nil {
+			var err error
+			if c, err = standin.DialPostgres(addr); err != nil {
+				q.Ended, q.Outcome, q.Cause = time.Now(), judge.Broken, "connect: "+err.Error()
+				r.note(q, 0)
+				c = nil
+				continue
+			}
+		}
+		text := standin.Read("any", s.Patience)
+		if q.Keyed = q.Write; q.Write {
+			text = standin.Write(fmt.Sprintf("%016x", rng.Uint64()), s.Patience)
+		}
+		_ = c.SetDeadline(time.Now().Add(s.Patience + lateBy))
+		began := time.Now()
+		res := c.Do(text)
+		q.Ended = time.Now()
+		switch {
+		case res.Err != nil:
+			q.Outcome, q.Cause = judge.Broken, res.Err.Error()
+			if strings.Contains(q.Cause, "timeout") {
+				q.Outcome, q.Cause = judge.Silent, "no answer in time"
+			}
+		case q.Ended.Sub(began) > s.Patience+lateBy:
+			q.Outcome, q.Cause = judge.Silent, "answered late"
+		case res.Refused:
+			q.Outcome = judge.Refused
+		case res.Failed:
+			q.Outcome, q.Cause = judge.Failed, "code "+res.Code
+		}
+		r.note(q, q.Ended.Sub(began))
+		if res.Err != nil {
+			_ = c.Close()
+			c = nil
+		}
+	}
+}
+
+func (r *fleetRun) note(q judge.Request, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests = append(r.requests, q)
+	if q.Outcome == judge.Served {
+		_ = r.took.RecordValue(max(took.Microseconds(), 1))
+	}
+}
+
+func (r *fleetRun) report() FleetReport {
+	var outages []judge.Outage
+	for _, p := range r.poolers {
+		p.mu.Lock()
+		outages = append(outages, p.outages...)
+		p.mu.Unlock()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rep := FleetReport{Verdict: judge.Judge(r.requests, outages, r.servers.Ledger.Overlaps()), Poolers: len(r.poolers),
+		Servers: len(r.servers.Servers), P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
+		P99: time.Duration(r.took.ValueAtQuantile(99)) * time.Microsecond, Starts: r.starts,
+		Requests: r.requests, Outages: outages}
+	for _, q := range r.requests {
+		sec := int(q.Ended.Sub(r.began) / time.Second)
+		if sec < 0 {
+			continue
+		}
+		for len(rep.Seconds) <= sec {
+			rep.Seconds = append(rep.Seconds, Counts{})
+		}
+		switch c := &rep.Seconds[sec]; {
+		case q.Outcome == judge.Served:
+			c.Served++
+		case q.Outcome == judge.Refused:
+			c.Refused++
+		case q.Outcome == judge.Failed:
+			c.Failed++
+		case !q.WhileFaulting:
+			c.Lost++
+		}
+	}
+	least, most, sum := -1, 0, 0
+	for _, s := range r.servers.Servers {
+		n := s.Came()
+		if least < 0 || n < least {
+			least = n
+		}
+		most, sum = max(most, n), sum+n
+	}
+	rep.Connections = [3]float64{float64(least), float64(sum) / float64(len(r.servers.Servers)), float64(most)}
+	for _, l := range r.lists {
+		rep.ListCalls += l.Watches()
+	}
+	return rep
+}
+
+// Table writes the report for a person.
+func (rep FleetReport) Table(out io.Writer) {
+	fmt.Fprintf(out, "%d poolers (%d starts), %d servers\n", rep.Poolers, rep.Starts, rep.Servers)
+	fmt.Fprintf(out, "served %d, refused %d, failed %d, lost %d, excused by an outage of their pooler %d; overlapping attempts %d\n",
+		rep.Served, rep.Refused, rep.Failed, rep.Lost, rep.Excused, rep.Overlaps)
+	fmt.Fprintf(out, "served in %v at the median, %v at the 99th percentile\n", rep.P50, rep.P99)
+	fmt.Fprintf(out, "new connections a server: least %.0f, mean %.1f, most %.0f; list calls %d\n",
+		rep.Connections[0], rep.Connections[1], rep.Connections[2], rep.ListCalls)
+	fmt.Fprintln(out, "second  served refused failed lost")
+	for i, c := range rep.Seconds {
+		fmt.Fprintf(out, "%6d  %6d %7d %6d %4d\n", i, c.Served, c.Refused, c.Failed, c.Lost)
+	}
+	for _, b := range rep.Broken {
+		fmt.Fprintln(out, "BROKEN:", b)
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -215,3 +216,28 @@
 	f.check(os.WriteFile(next, inventory.AppendSeal([]byte(b.String()), len(f.Servers), ""), 0o600))
 	f.check(os.Rename(next, f.inventory))
 }
+
+// Member writes the files of one more pooler of the fleet, with a name and a seed of its own and a list service of its own
+// that names each server at the address that via gives, a relay say. It returns that pooler's environment and its list
+// service.
+func (f *Fleet) Member(name, seed string, via func(*Server) string) (map[string]string, *Discovery) {
+	f.t.Helper()
+	var entries []Entry
+	for _, e := range f.entries() {
+		for _, s := range f.Servers {
+			if s.Name == e.ID {
+				e.HostPort = via(s)
+			}
+		}
+		entries = append(entries, e)
+	}
+	d := NewDiscovery(entries)
+	f.t.Cleanup(d.CloseClientConnections)
+	config := maps.Clone(f.config)
+	config["name"], config["seed"], config["discovery"] = name, seed, strings.TrimPrefix(d.URL, "http://")
+	config["known"] = map[string]any{"revision": 0, "complete": true, "members": entries}
+	env := maps.Clone(f.Env)
+	env["PROXY_CONFIG"] = filepath.Join(f.t.TempDir(), "config.json")
+	f.file(env["PROXY_CONFIG"], config)
+	return env, d
+}
