--- /dev/null
+++ b/cmd/threadlab/fleet.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"embed"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"threadsail/internal/config"
+	"threadsail/internal/lab"
+)
+
+//go:embed scenarios/*.json
+var scenarios embed.FS
+
+type fleetCmd struct {
+	Scenario string `arg:"" help:"A shipped scenario (calm, roll, herd, zone, split, join) or a scenario file."`
+	Poolers  int    `help:"Play it with so many poolers instead; steps that name poolers by index must fit them."`
+	Binary   string `default:"bin/threadsail" help:"The pooler to run; if it is missing, this program's own."`
+	JSON     string `help:"Write the report as JSON to this file."`
+	Logs     string `help:"Write the poolers' logs to this file, one JSON line each with the pooler's index."`
+}
+
+func (c *fleetCmd) Run() error {
+	name, text := c.Scenario, []byte(nil)
+	if shipped, err := scenarios.ReadFile("scenarios/" + c.Scenario + ".json"); err == nil {
+		name, text = "scenarios/"+c.Scenario+".json", shipped
+	} else if text, err = os.ReadFile(c.Scenario); err != nil {
+		return err
+	}
+	if c.Poolers > 0 {
+		var raw map[string]any
+		if err := json.Unmarshal(text, &raw); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		raw["poolers"] = c.Poolers
+		text, _ = json.Marshal(raw)
+	}
+	s, err := config.ParseScenario(name, text)
+	if err != nil {
+		return err
+	}
+	command := func() *exec.Cmd { return exec.Command(c.Binary, "serve") }
+	if _, err := os.Stat(c.Binary); err != nil {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		command = func() *exec.Cmd { return exec.Command(self, "pooler", "--wire", "postgres") }
+	}
+	var logs *os.File
+	if c.Logs != "" {
+		if logs, err = os.Create(c.Logs); err != nil {
+			return err
+		}
+		defer logs.Close()
+	}
+	return run(func(b *bench) {
+		f := lab.Fleet{Scenario: s, Command: func() *exec.Cmd {
+			cmd := command()
+			cmd.Env = os.Environ()
+			return cmd
+		}, Progress: func(line string) { fmt.Println(line) }}
+		if logs != nil {
+			f.Logs = logs
+		}
+		rep := f.Run(b)
+		fmt.Println()
+		rep.Table(os.Stdout)
+		if c.JSON != "" {
+			rep.Requests = nil // the figures, not every request
+			text, err := json.MarshalIndent(rep, "", "  ")
+			if err == nil {
+				err = os.WriteFile(filepath.Clean(c.JSON), append(text, '\n'), 0o644)
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+		}
+		if len(rep.Broken) > 0 {
+			b.Fatal("a promise was broken: " + strings.Join(rep.Broken, "; "))
+		}
+	})
+}
--- a/cmd/threadlab/main.go
+++ b/cmd/threadlab/main.go
@@ -32,6 +32,7 @@
 	Replay        replayCmd        `cmd:"" help:"Play a recorded session against a front, and compare the answers field by field."`
 	Compatibility compatibilityCmd `cmd:"" help:"Write the page that says what is translated."`
 	Schema        schemaCmd        `cmd:"" help:"Check an operators' file against its CUE schema."`
+	Fleet         fleetCmd         `cmd:"" help:"Start many poolers among stand-in servers, put a scenario's faults between them, and judge what came of it."`
 	Pooler        poolerCmd        `cmd:"" hidden:"" help:"Run the pooler; its front's address is the first line of its output."`
 }
 
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -18,6 +18,8 @@
 	Length           time.Duration // of the run
 	Seed             uint64        // draws shares of poolers and the clients' choices
 	Clients          int           // a pooler, each with one request at a time
+	Hot              []int         // poolers that have HotClients instead: traffic is uneven
+	HotClients       int
 	Rest             time.Duration // between a client's answer and its next request
 	Writes           float64       // share of the requests that are keyed writes
 	Patience         time.Duration // a request's deadline
@@ -37,9 +39,14 @@
 	if err != nil {
 		return Scenario{}, err
 	}
+	return ParseScenario(path, text)
+}
+
+// ParseScenario reads the text of a scenario; name stands for its file in errors.
+func ParseScenario(name string, text []byte) (Scenario, error) {
 	s, offset, err := parseScenario(text)
 	if err != nil {
-		return Scenario{}, fmt.Errorf("%s:%d: %w", path, 1+bytes.Count(text[:min(offset, int64(len(text)))], []byte("\n")), err)
+		return Scenario{}, fmt.Errorf("%s:%d: %w", name, 1+bytes.Count(text[:min(offset, int64(len(text)))], []byte("\n")), err)
 	}
 	return s, nil
 }
@@ -58,6 +65,8 @@
 func parseScenario(text []byte) (Scenario, int64, error) {
 	var file struct {
 		Poolers, Servers, Clients int
+		Hot                       string
+		HotClients                int `json:"hot_clients"`
 		LengthMs                  float64 `json:"length_ms"`
 		Seed                      uint64
 		RestMs                    float64 `json:"rest_ms"`
@@ -95,9 +104,16 @@
 	case s.Rest < time.Millisecond || s.Patience < 10*time.Millisecond:
 		return s, 0, errors.New("rest_ms: under 1, or patience_ms under 10")
 	}
+	rng := rand.New(rand.NewPCG(s.Seed, 0xfa17))
+	hot, err := faults.Pick(file.Hot, s.Poolers, rng)
+	if s.Hot, s.HotClients = hot, or(file.HotClients, s.Clients); err != nil {
+		return s, 0, fmt.Errorf("hot: %w", err)
+	}
+	if s.HotClients < 1 || s.HotClients > 64 {
+		return s, 0, fmt.Errorf("hot_clients: %d is not from 1 to 64", s.HotClients)
+	}
 	at := stepOffsets(text)
 	at = append(at, make([]int64, max(0, len(file.Steps)-len(at)))...)
-	rng := rand.New(rand.NewPCG(s.Seed, 0xfa17))
 	steps := make([]faults.Step, 0, len(file.Steps))
 	for i, raw := range file.Steps {
 		var st scenarioStep
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,6 +37,8 @@
 	Seconds          []Counts // by the second in which requests ended
 	P50, P99         time.Duration
 	Connections      [3]float64 // new connections a server over the run: least, mean, most
+	Worst100ms       [2]float64 // new connections at one server in its worst 100 ms: mean over servers, most
+	WorstSecond      [2]float64 // the same in its worst second
 	ListCalls        int        // watches opened at the list services, all poolers
 	Starts           int        // pooler processes started, restarts among them
 	Requests         []judge.Request
@@ -130,11 +133,15 @@
 	r.say("%d poolers up before %d servers", s.Poolers, s.Servers)
 
 	stop := make(chan struct{})
-	var clients sync.WaitGroup
+	var running sync.WaitGroup
 	for _, p := range r.poolers {
-		for c := range s.Clients {
+		clients := s.Clients
+		if slices.Contains(s.Hot, p.i) {
+			clients = s.HotClients
+		}
+		for c := range clients {
 			rng := rand.New(rand.NewPCG(s.Seed, uint64(p.i<<8|c)))
-			clients.Go(func() { r.client(p, rng, stop) })
+			running.Go(func() { r.client(p, rng, stop) })
 		}
 	}
 	r.began = time.Now()
@@ -148,7 +155,7 @@
 	}
 	tick.Stop()
 	close(stop)
-	clients.Wait()
+	running.Wait()
 	return r.report()
 }
 
@@ -452,9 +459,34 @@
 	for _, l := range r.lists {
 		rep.ListCalls += l.Watches()
 	}
+	for j := range r.servers.Servers {
+		var at []time.Time
+		for i := range r.relays {
+			at = append(at, r.relays[i][j].AcceptedAt()...)
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		for k, span := range []time.Duration{100 * time.Millisecond, time.Second} {
+			n := float64(worst(at, span))
+			worstOf := [...]*[2]float64{&rep.Worst100ms, &rep.WorstSecond}[k]
+			worstOf[0] += n / float64(len(r.servers.Servers))
+			worstOf[1] = max(worstOf[1], n)
+		}
+	}
 	return rep
 }
 
+// worst is the most of the sorted times within any span.
+func worst(at []time.Time, span time.Duration) (most int) {
+	from := 0
+	for to := range at {
+		for at[to].Sub(at[from]) >= span {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
 // Table writes the report for a person.
 func (rep FleetReport) Table(out io.Writer) {
 	fmt.Fprintf(out, "%d poolers (%d starts), %d servers\n", rep.Poolers, rep.Starts, rep.Servers)
@@ -463,6 +495,8 @@
 	fmt.Fprintf(out, "served in %v at the median, %v at the 99th percentile\n", rep.P50, rep.P99)
 	fmt.Fprintf(out, "new connections a server: least %.0f, mean %.1f, most %.0f; list calls %d\n",
 		rep.Connections[0], rep.Connections[1], rep.Connections[2], rep.ListCalls)
+	fmt.Fprintf(out, "new connections at one server in its worst 100 ms: %.1f on the mean, %.0f at most; in its worst second %.1f, %.0f\n",
+		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
 	fmt.Fprintln(out, "second  served refused failed lost")
 	for i, c := range rep.Seconds {
 		fmt.Fprintf(out, "%6d  %6d %7d %6d %4d\n", i, c.Served, c.Refused, c.Failed, c.Lost)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,6 +7,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -33,7 +34,7 @@
 	fault    Fault
 	rng      *rand.Rand
 	open     map[*pair]struct{}
-	accepted int
+	accepted []time.Time
 	closed   bool
 	done     sync.WaitGroup
 }
@@ -81,7 +82,14 @@
 func (l *Link) Accepted() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.accepted
+	return len(l.accepted)
+}
+
+// AcceptedAt is when each of those came, in order.
+func (l *Link) AcceptedAt() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.accepted)
 }
 
 // Close stops listening, resets what is open and waits until its goroutines have ended.
@@ -105,7 +113,7 @@
 			return
 		}
 		l.mu.Lock()
-		l.accepted++
+		l.accepted = append(l.accepted, time.Now())
 		refuse, closed := l.fault.Refuse, l.closed
 		l.mu.Unlock()
 		if refuse || closed {
