--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -66,7 +66,7 @@
 	var file struct {
 		Poolers, Servers, Clients int
 		Hot                       string
-		HotClients                int `json:"hot_clients"`
+		HotClients                int     `json:"hot_clients"`
 		LengthMs                  float64 `json:"length_ms"`
 		Seed                      uint64
 		RestMs                    float64 `json:"rest_ms"`
