Test reads by weights with fewer clients than a server's window

The weights are not at fault; the test asked for them under a load where windows decide. It now runs four clients.

--- a/internal/program/lists_test.go
+++ b/internal/program/lists_test.go
@@ -86,7 +86,9 @@
 // Reads by turns follow the weights of the file; the one of weight 0 gets none.
 func TestReadsByWeights(t *testing.T) {
 	overFiles(t, nil, []string{"p", "r1", "r2", "r3", "r4"}, func(t *testing.T, f *standin.Fleet) {
-		const reads, clients = 20000, 8
+		// Fewer clients than the least window of a server (windowLeast, 6 attempts): with 8, the replica of weight 5 holds
+		// more than its window at times and rightly gives turns away, and the shares stray by 6 to 16%.
+		const reads, clients = 20000, 4
 		weights := []int{1, 1, 2, 5, 0}
 		text := columns
 		for i, s := range f.Servers {
