--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -159,6 +159,14 @@
 	return r.report()
 }
 
+// some names a set of indices for a person: a short one whole, a long one by its size.
+func some(set []int) string {
+	if len(set) > 12 {
+		return fmt.Sprintf("%d of them", len(set))
+	}
+	return fmt.Sprint(set)
+}
+
 func indexOf(servers []*standin.Server, s *standin.Server) int {
 	for i, x := range servers {
 		if x == s {
@@ -283,7 +291,7 @@
 
 // act carries out one step of the plan.
 func (r *fleetRun) act(step faults.Step) {
-	r.say("%s poolers %v servers %v", step.Act, step.Poolers, step.Servers)
+	r.say("%s, poolers %s, servers %s", step.Act, some(step.Poolers), some(step.Servers))
 	links := func(fault relay.Fault) {
 		for _, p := range step.Poolers {
 			for _, s := range step.Servers {
