Count open connections, probes and sends to returning servers in the fleet report

The issue asks for connections a server (least, mean, most), probes and sends to cold servers; the report had only new connections. Relays now tell what is open, sampled each second; stand-ins count the health they were asked for; requests at a server in its first second after it came up are counted.

--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -122,7 +123,7 @@
 }
 
 // Pick reads a set of indices below n: "all", a share such as "70%" drawn by rng, or a list of indices and ranges such as
-// "0-3,7". The error says what is wrong with spec.
+// "0-3,7" or, by shares of n, "10%-20%". The error says what is wrong with spec.
 func Pick(spec string, n int, rng *rand.Rand) ([]int, error) {
 	spec = strings.TrimSpace(spec)
 	switch {
@@ -130,7 +131,7 @@
 		return nil, nil
 	case spec == "all":
 		return count(0, n), nil
-	case strings.HasSuffix(spec, "%"):
+	case strings.HasSuffix(spec, "%") && !strings.Contains(spec, "-"):
 		share, err := strconv.ParseFloat(strings.TrimSuffix(spec, "%"), 64)
 		if err != nil || share <= 0 || share > 100 {
 			return nil, fmt.Errorf("%q is no share from 0 to 100%%", spec)
@@ -149,6 +150,9 @@
 		if err == nil && isRange {
 			b, err = strconv.Atoi(last)
 		}
+		if from, to, ok := shares(first, last); isRange && ok { // "10%-20%": the second tenth, whatever n is
+			a, b, err = int(math.Round(from*float64(n)/100)), int(math.Round(to*float64(n)/100))-1, nil
+		}
 		if err != nil || a < 0 || b < a || b >= n {
 			return nil, fmt.Errorf("%q: %q names no indices below %d", spec, part, n)
 		}
@@ -158,6 +162,16 @@
 	return slices.Compact(out), nil
 }
 
+// shares reads a range of shares such as "10%" and "20%".
+func shares(first, last string) (from, to float64, ok bool) {
+	if !strings.HasSuffix(first, "%") || !strings.HasSuffix(last, "%") {
+		return 0, 0, false
+	}
+	from, err1 := strconv.ParseFloat(strings.TrimSuffix(first, "%"), 64)
+	to, err2 := strconv.ParseFloat(strings.TrimSuffix(last, "%"), 64)
+	return from, to, err1 == nil && err2 == nil && from >= 0 && from < to && to <= 100
+}
+
 func count(from, to int) []int {
 	out := make([]int, 0, to-from)
 	for i := from; i < to; i++ {
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -54,7 +54,7 @@
 
 func TestPick(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	for spec, want := range map[string][]int{"all": {0, 1, 2, 3}, "0-1,3": {0, 1, 3}, "2,2": {2}, "": nil} {
+	for spec, want := range map[string][]int{"all": {0, 1, 2, 3}, "0-1,3": {0, 1, 3}, "2,2": {2}, "": nil, "25%-50%": {1}, "0%-100%": {0, 1, 2, 3}} {
 		got, err := Pick(spec, 4, rng)
 		if err != nil || !cmp.Equal(got, want) {
 			t.Errorf("%q: %v, %v, want %v", spec, got, err, want)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -37,6 +37,10 @@
 	Seconds          []Counts // by the second in which requests ended
 	P50, P99         time.Duration
 	Connections      [3]float64 // new connections a server over the run: least, mean, most
+	Open             [3]float64 // connections open at a server, its mean over the run's seconds: least, mean, most
+	OpenMost         int        // connections open at one server at any sampled second
+	Probes           int        // health asked for at servers, all servers
+	Cold             int        // requests' statements at servers in the first second after they came up again
 	Worst100ms       [2]float64 // new connections at one server in its worst 100 ms: mean over servers, most
 	WorstSecond      [2]float64 // the same in its worst second
 	ListCalls        int        // watches opened at the list services, all poolers
@@ -95,12 +99,21 @@
 	starts  int
 	began   time.Time
 	errs    []string // of starts, which fail the run on its own goroutine
+	open    []int    // connections open at each server, summed over the samples
+	samples int
+	ups     []up
 
 	mu       sync.Mutex
 	requests []judge.Request
 	took     *hdrhistogram.Histogram
 }
 
+// up is a server that came up again.
+type up struct {
+	server int
+	at     time.Time
+}
+
 // Run plays the scenario and judges it. It fails h if a pooler does not start.
 func (f Fleet) Run(h standin.Host) FleetReport {
 	s := f.Scenario
@@ -146,11 +159,16 @@
 	}
 	r.began = time.Now()
 	tick := time.NewTicker(10 * time.Millisecond)
-	for elapsed := time.Duration(0); elapsed < s.Length; elapsed = time.Since(r.began) {
+	r.open = make([]int, s.Servers)
+	for elapsed, sampled := time.Duration(0), time.Duration(0); elapsed < s.Length; elapsed = time.Since(r.began) {
 		for _, step := range s.Plan.Due(elapsed) {
 			r.act(step)
 		}
 		r.failed()
+		if elapsed-sampled >= time.Second {
+			sampled = elapsed
+			r.sample()
+		}
 		<-tick.C
 	}
 	tick.Stop()
@@ -176,6 +194,16 @@
 	return -1
 }
 
+// sample counts the connections open at each server, through all relays.
+func (r *fleetRun) sample() {
+	r.samples++
+	for i := range r.relays {
+		for j, link := range r.relays[i] {
+			r.open[j] += link.Open()
+		}
+	}
+}
+
 func (r *fleetRun) say(format string, args ...any) {
 	if r.Progress != nil {
 		r.Progress(fmt.Sprintf("%6.1f s  %s", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...)))
@@ -344,6 +372,7 @@
 			if err := r.servers.Servers[s].Up(); err != nil {
 				r.fail(err.Error())
 			}
+			r.ups = append(r.ups, up{s, time.Now()})
 		}
 	case faults.Promote:
 		for i, s := range r.servers.Servers {
@@ -455,6 +484,23 @@
 			c.Lost++
 		}
 	}
+	rep.Open = [3]float64{-1, 0, 0}
+	for j, s := range r.servers.Servers {
+		mean := float64(r.open[j]) / float64(max(r.samples, 1))
+		if rep.Open[0] < 0 || mean < rep.Open[0] {
+			rep.Open[0] = mean
+		}
+		rep.Open[1] += mean / float64(len(r.servers.Servers))
+		rep.Open[2] = max(rep.Open[2], mean)
+		rep.Probes += s.Probes()
+		for _, seen := range s.Seen() {
+			for _, u := range r.ups {
+				if u.server == j && !seen.At.Before(u.at) && seen.At.Sub(u.at) < time.Second {
+					rep.Cold++
+				}
+			}
+		}
+	}
 	least, most, sum := -1, 0, 0
 	for _, s := range r.servers.Servers {
 		n := s.Came()
@@ -503,6 +549,9 @@
 	fmt.Fprintf(out, "served in %v at the median, %v at the 99th percentile\n", rep.P50, rep.P99)
 	fmt.Fprintf(out, "new connections a server: least %.0f, mean %.1f, most %.0f; list calls %d\n",
 		rep.Connections[0], rep.Connections[1], rep.Connections[2], rep.ListCalls)
+	fmt.Fprintf(out, "connections open at a server, its mean over the seconds: least %.1f, mean %.1f, most %.1f\n",
+		rep.Open[0], rep.Open[1], rep.Open[2])
+	fmt.Fprintf(out, "probes %d; requests at servers in their first second back %d\n", rep.Probes, rep.Cold)
 	fmt.Fprintf(out, "new connections at one server in its worst 100 ms: %.1f on the mean, %.0f at most; in its worst second %.1f, %.0f\n",
 		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
 	fmt.Fprintln(out, "second  served refused failed lost")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,13 @@
 	return len(l.accepted)
 }
 
+// Open counts the connections passed through the link that are open now.
+func (l *Link) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 // AcceptedAt is when each of those came, in order.
 func (l *Link) AcceptedAt() []time.Time {
 	l.mu.Lock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -69,6 +69,7 @@
 	ledger  *Ledger
 	conns   map[net.Conn]bool
 	came    int           // connections, ever
+	probes  int           // health asked for, ever
 	changed chan struct{} // closed at the next statement
 	unsent  map[net.Conn]bool
 }
@@ -234,6 +235,13 @@
 	return "from " + s.Name
 }
 
+// Probes counts how often it has been asked for its health.
+func (s *Server) Probes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.probes
+}
+
 // Came counts the connections that it has ever had.
 func (s *Server) Came() int {
 	s.mu.Lock()
@@ -385,6 +393,9 @@
 		text, _ := pgwire.Text(m.Body)
 		primary, position := s.state()
 		if text == "SHOW health" {
+			s.mu.Lock()
+			s.probes++
+			s.mu.Unlock()
 			x1 := map[bool]int{true: 1}[primary]
 			c.Write(pgwire.AppendReady(pgwire.AppendRow(nil, "health",
 				fmt.Sprintf("x0=%.3f,x1=%d,waiting=0", float64(position)/1000, x1), "SHOW")))
