--- a/cmd/threadlab/fleet.go
+++ b/cmd/threadlab/fleet.go
@@ -22,6 +22,7 @@
 	Binary   string `default:"bin/threadsail" help:"The pooler to run; if it is missing, this program's own."`
 	JSON     string `help:"Write the report as JSON to this file."`
 	Logs     string `help:"Write the poolers' logs to this file, one JSON line each with the pooler's index."`
+	Plot     string `help:"Draw requests and new connections by the second into this PNG file."`
 }
 
 func (c *fleetCmd) Run() error {
@@ -80,6 +81,11 @@
 				b.Fatal(err)
 			}
 		}
+		if c.Plot != "" {
+			if err := drawFleet(rep, fmt.Sprintf("%s: %d poolers, %d servers", c.Scenario, rep.Poolers, rep.Servers), c.Plot); err != nil {
+				b.Fatal(err)
+			}
+		}
 		if len(rep.Broken) > 0 {
 			b.Fatal("a promise was broken: " + strings.Join(rep.Broken, "; "))
 		}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -35,6 +35,7 @@
 	judge.Verdict
 	Poolers, Servers int
 	Seconds          []Counts // by the second in which requests ended
+	NewBySecond      []int    // new connections at all servers, by the second
 	P50, P99         time.Duration
 	Connections      [3]float64 // new connections a server over the run: least, mean, most
 	Open             [3]float64 // connections open at a server, its mean over the run's seconds: least, mean, most
@@ -519,6 +520,14 @@
 			at = append(at, r.relays[i][j].AcceptedAt()...)
 		}
 		slices.SortFunc(at, time.Time.Compare)
+		for _, t := range at {
+			if sec := int(t.Sub(r.began) / time.Second); sec >= 0 {
+				for len(rep.NewBySecond) <= sec {
+					rep.NewBySecond = append(rep.NewBySecond, 0)
+				}
+				rep.NewBySecond[sec]++
+			}
+		}
 		for k, span := range []time.Duration{100 * time.Millisecond, time.Second} {
 			n := float64(worst(at, span))
 			worstOf := [...]*[2]float64{&rep.Worst100ms, &rep.WorstSecond}[k]
