--- a/cmd/threadlab/plot.go
+++ b/cmd/threadlab/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -30,7 +31,7 @@
 			return at(rep.NewBySecond, i, func(n int) int { return n })
 		}},
 	}
-	seconds := max(len(rep.Seconds), len(rep.NewBySecond))
+	seconds := int(rep.Length / time.Second) // the one after holds only the answers of the last requests
 	for _, s := range series {
 		var xy plotter.XYs
 		for i := range seconds {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -34,6 +34,7 @@
 type FleetReport struct {
 	judge.Verdict
 	Poolers, Servers int
+	Length           time.Duration
 	Seconds          []Counts // by the second in which requests ended
 	NewBySecond      []int    // new connections at all servers, by the second
 	P50, P99         time.Duration
@@ -463,7 +464,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rep := FleetReport{Verdict: judge.Judge(r.requests, outages, r.servers.Ledger.Overlaps()), Poolers: len(r.poolers),
-		Servers: len(r.servers.Servers), P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
+		Servers: len(r.servers.Servers), Length: r.Scenario.Length, P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
 		P99: time.Duration(r.took.ValueAtQuantile(99)) * time.Microsecond, Starts: r.starts,
 		Requests: r.requests, Outages: outages}
 	for _, q := range r.requests {
