--- a/cmd/threadlab/fleet.go
+++ b/cmd/threadlab/fleet.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"threadsail/internal/config"
 	"threadsail/internal/lab"
@@ -59,8 +61,17 @@
 		}
 		defer logs.Close()
 	}
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	go func() {
+		if _, ok := <-signals; ok {
+			close(stop)
+		}
+	}()
 	return run(func(b *bench) {
-		f := lab.Fleet{Scenario: s, Command: func() *exec.Cmd {
+		f := lab.Fleet{Scenario: s, Stop: stop, Command: func() *exec.Cmd {
 			cmd := command()
 			cmd.Env = os.Environ()
 			return cmd
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -64,15 +64,16 @@
 // parseScenario returns the scenario, or an error with the offset in text of what it is about.
 func parseScenario(text []byte) (Scenario, int64, error) {
 	var file struct {
-		Poolers, Servers, Clients int
-		Hot                       string
-		HotClients                int     `json:"hot_clients"`
-		LengthMs                  float64 `json:"length_ms"`
-		Seed                      uint64
-		RestMs                    float64 `json:"rest_ms"`
-		Writes                    float64
-		PatienceMs                float64 `json:"patience_ms"`
-		Steps                     []json.RawMessage
+		Poolers, Servers int
+		Clients          *int // 0: idle poolers
+		Hot              string
+		HotClients       int     `json:"hot_clients"`
+		LengthMs         float64 `json:"length_ms"`
+		Seed             uint64
+		RestMs           float64 `json:"rest_ms"`
+		Writes           float64
+		PatienceMs       float64 `json:"patience_ms"`
+		Steps            []json.RawMessage
 	}
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
@@ -89,7 +90,10 @@
 	}
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Length: ms(file.LengthMs), Seed: file.Seed,
-		Clients: or(file.Clients, 1), Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000))}
+		Clients: 1, Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000))}
+	if file.Clients != nil {
+		s.Clients = *file.Clients
+	}
 	switch {
 	case s.Poolers < 1 || s.Poolers > mostPoolers:
 		return s, 0, fmt.Errorf("poolers: %d is not from 1 to %d", s.Poolers, mostPoolers)
@@ -97,8 +101,8 @@
 		return s, 0, fmt.Errorf("servers: %d is not from 1 to %d", s.Servers, mostServers)
 	case s.Length <= 0 || s.Length > mostLength:
 		return s, 0, fmt.Errorf("length_ms: %v is not above 0 and within %v", s.Length, mostLength)
-	case s.Clients < 1 || s.Clients > 16:
-		return s, 0, fmt.Errorf("clients: %d is not from 1 to 16", s.Clients)
+	case s.Clients < 0 || s.Clients > 16:
+		return s, 0, fmt.Errorf("clients: %d is not from 0 to 16", s.Clients)
 	case s.Writes < 0 || s.Writes > 1:
 		return s, 0, fmt.Errorf("writes: %v is no share from 0 to 1", s.Writes)
 	case s.Rest < time.Millisecond || s.Patience < 10*time.Millisecond:
@@ -109,8 +113,8 @@
 	if s.Hot, s.HotClients = hot, or(file.HotClients, s.Clients); err != nil {
 		return s, 0, fmt.Errorf("hot: %w", err)
 	}
-	if s.HotClients < 1 || s.HotClients > 64 {
-		return s, 0, fmt.Errorf("hot_clients: %d is not from 1 to 64", s.HotClients)
+	if s.HotClients < 0 || s.HotClients > 64 {
+		return s, 0, fmt.Errorf("hot_clients: %d is not from 0 to 64", s.HotClients)
 	}
 	at := stepOffsets(text)
 	at = append(at, make([]int64, max(0, len(file.Steps)-len(at)))...)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -28,6 +28,7 @@
 	Command  func() *exec.Cmd // a new process of the pooler, which the experiment gives its environment
 	Logs     io.Writer        // where the poolers' log lines go, each with "pooler" put first; nil: nowhere
 	Progress func(line string)
+	Stop     <-chan struct{} // closed: the run ends early, as if its length were over
 }
 
 // FleetReport is what came of it, by what clients, relays and stand-ins recorded.
@@ -167,6 +168,15 @@
 			r.act(step)
 		}
 		r.failed()
+		select {
+		case <-f.Stop:
+			r.say("stopped before its end")
+			elapsed = s.Length
+		default:
+		}
+		if elapsed >= s.Length {
+			break
+		}
 		if elapsed-sampled >= time.Second {
 			sampled = elapsed
 			r.sample()
@@ -215,6 +225,9 @@
 // start starts p's process and waits until its front listens, as its log says.
 func (r *fleetRun) start(p *pooler) {
 	cmd := r.Command()
+	// A group of its own, so that a terminal's interrupt reaches the laboratory alone, which then ends every pooler by its
+	// id; and killed with the laboratory's thread if that is killed itself.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	for k, v := range p.env {
 		cmd.Env = append(cmd.Env, k+"="+v)
 	}
