--- a/cmd/threadsail/fleet_test.go
+++ b/cmd/threadsail/fleet_test.go
@@ -15,7 +15,8 @@
 )
 
 // Twelve processes of the pooler before three servers: four are cut off from the primary, one is killed and started
-// again, one stalls, the links of four others are slow, and the primary hands over to a replica. Every request of a
+// again, one stalls, the links of four others are slow, two others' links to a replica are reset, the primary hands over
+// to a replica, a replica is replaced under a new name, and half of the poolers move to new list services. Every request of a
 // pooler that was up must have its one final answer in time, and no attempt may overlap another of the same request.
 // Timings are not judged.
 func TestFleetUnderFaults(t *testing.T) {
@@ -30,7 +31,9 @@
 		{"at_ms": 3000, "act": "stop", "poolers": "7", "for_ms": 1500},
 		{"at_ms": 5000, "act": "delay", "poolers": "8-11", "servers": "all", "delay_ms": 20, "jitter_ms": 20, "for_ms": 2000},
 		{"at_ms": 6000, "act": "reset", "poolers": "4,6", "servers": "1", "for_ms": 1000},
-		{"at_ms": 8000, "act": "promote", "servers": "1"}]}`
+		{"at_ms": 8000, "act": "promote", "servers": "1"},
+		{"at_ms": 9000, "act": "replace", "servers": "2"},
+		{"at_ms": 10000, "act": "move", "poolers": "0-5"}]}`
 	if err := os.WriteFile(path, []byte(scenario), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -71,4 +74,7 @@
 	if strings.Count(logs.String(), `"pooler":5,`) == 0 {
 		t.Error("no log of the restarted pooler")
 	}
+	if rep.ListCalls < 12+6 {
+		t.Errorf("%d list calls, want the moved poolers at their new list services", rep.ListCalls)
+	}
 }
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -32,9 +32,11 @@
 	Down    Act = "down"    // servers refuse and break their connections; For: up after it
 	Up      Act = "up"      // servers listen again
 	Promote Act = "promote" // the one server named becomes primary, all others replicas
+	Replace Act = "replace" // a new server, a replica, takes each one's place under a new name; the old goes down
+	Move    Act = "move"    // the poolers get a new list service, named in their configuration, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Move}
 
 // undo is the step that ends a fault of some length.
 var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up}
@@ -83,7 +85,7 @@
 		return fmt.Errorf("for_ms: %s lasts no time", s.Act)
 	}
 	onLinks := s.Act == Cut || s.Act == OneWay || s.Act == Delay || s.Act == Reset || s.Act == Heal
-	onServers := s.Act == Down || s.Act == Up || s.Act == Promote
+	onServers := s.Act == Down || s.Act == Up || s.Act == Promote || s.Act == Replace
 	switch {
 	case (onLinks || !onServers) && len(s.Poolers) == 0:
 		return fmt.Errorf("poolers: %s needs some", s.Act)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -93,18 +93,20 @@
 // fleetRun is the state of one run.
 type fleetRun struct {
 	Fleet
-	h       standin.Host
-	servers *standin.Fleet
-	poolers []*pooler
-	relays  [][]*relay.Link // by pooler, then server
-	lists   []*standin.Discovery
-	logs    sync.Mutex
-	starts  int
-	began   time.Time
-	errs    []string // of starts, which fail the run on its own goroutine
-	open    []int    // connections open at each server, summed over the samples
-	samples int
-	ups     []up
+	h        standin.Host
+	servers  *standin.Fleet
+	poolers  []*pooler
+	relays   [][]*relay.Link // by pooler, then server
+	members  []*standin.Member
+	lists    []*standin.Discovery // every list service that a pooler has had
+	logs     sync.Mutex
+	starts   int
+	began    time.Time
+	errs     []string // of starts, which fail the run on its own goroutine
+	open     []int    // connections open at each server, summed over the samples
+	samples  int
+	ups      []up
+	replaced int
 
 	mu       sync.Mutex
 	requests []judge.Request
@@ -129,18 +131,13 @@
 	for i := range s.Poolers {
 		links := make([]*relay.Link, s.Servers)
 		for j, server := range r.servers.Servers {
-			link, err := relay.Listen(server.Addr, s.Seed^uint64(i<<16|j))
-			if err != nil {
-				h.Fatal(err)
-			}
-			h.Cleanup(link.Close)
-			links[j] = link
+			links[j] = r.link(i, j, server)
 		}
 		r.relays = append(r.relays, links)
-		env, list := r.servers.Member(fmt.Sprintf("n%d", i+1), fmt.Sprintf("%016x", rand.New(rand.NewPCG(s.Seed, uint64(i))).Uint64()),
-			func(server *standin.Server) string { return links[indexOf(r.servers.Servers, server)].Addr() })
-		r.lists = append(r.lists, list)
-		r.poolers = append(r.poolers, &pooler{i: i, env: env})
+		m := r.servers.Member(fmt.Sprintf("n%d", i+1), fmt.Sprintf("%016x", rand.New(rand.NewPCG(s.Seed, uint64(i))).Uint64()),
+			func(server *standin.Server) string { return r.relays[i][indexOf(r.servers.Servers, server)].Addr() })
+		r.members, r.lists = append(r.members, m), append(r.lists, m.Discovery)
+		r.poolers = append(r.poolers, &pooler{i: i, env: m.Env})
 	}
 	h.Cleanup(r.endAll)
 	r.began = time.Now()
@@ -197,6 +194,33 @@
 	return fmt.Sprint(set)
 }
 
+// link opens the relay from pooler i to the server in place j.
+func (r *fleetRun) link(i, j int, server *standin.Server) *relay.Link {
+	link, err := relay.Listen(server.Addr, r.Scenario.Seed^uint64(i<<16|j))
+	if err != nil {
+		r.h.Fatal(err)
+	}
+	r.h.Cleanup(link.Close)
+	return link
+}
+
+// replace puts a new server, a replica, in place j: the old one goes down, relays lead to the new one, and every list
+// service names it instead.
+func (r *fleetRun) replace(j int) {
+	old := r.servers.Servers[j]
+	r.replaced++
+	fresh := r.servers.Server(fmt.Sprintf("db%d-%d", j+1, r.replaced), false)
+	r.servers.Servers[j] = fresh
+	for i := range r.relays {
+		r.relays[i][j] = r.link(i, j, fresh)
+	}
+	for _, m := range r.members {
+		m.List()
+	}
+	old.Down()
+	r.ups = append(r.ups, up{j, time.Now()})
+}
+
 func indexOf(servers []*standin.Server, s *standin.Server) int {
 	for i, x := range servers {
 		if x == s {
@@ -368,6 +392,16 @@
 		})
 	case faults.Hup:
 		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
+	case faults.Move:
+		for _, i := range step.Poolers {
+			r.members[i].Move()
+			r.lists = append(r.lists, r.members[i].Discovery)
+		}
+		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
+	case faults.Replace:
+		for _, j := range step.Servers {
+			r.replace(j)
+		}
 	case faults.Cut:
 		links(relay.Fault{Drop: true})
 	case faults.OneWay:
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -217,27 +217,48 @@
 	f.check(os.Rename(next, f.inventory))
 }
 
-// Member writes the files of one more pooler of the fleet, with a name and a seed of its own and a list service of its own
-// that names each server at the address that via gives, a relay say. It returns that pooler's environment and its list
-// service.
-func (f *Fleet) Member(name, seed string, via func(*Server) string) (map[string]string, *Discovery) {
+// Member is one more pooler of the fleet with files of its own and a list service of its own, which names each server at
+// the address that its via gives, a relay say.
+type Member struct {
+	Env       map[string]string // the pooler's environment
+	Discovery *Discovery
+	f         *Fleet
+	config    map[string]any
+	via       func(*Server) string
+}
+
+// Member writes the files of one more pooler, with a name and a seed of its own.
+func (f *Fleet) Member(name, seed string, via func(*Server) string) *Member {
 	f.t.Helper()
-	var entries []Entry
-	for _, e := range f.entries() {
-		for _, s := range f.Servers {
+	m := &Member{f: f, config: maps.Clone(f.config), via: via, Env: maps.Clone(f.Env)}
+	m.config["name"], m.config["seed"] = name, seed
+	m.config["known"] = map[string]any{"revision": 0, "complete": true, "members": m.entries()}
+	m.Env["PROXY_CONFIG"] = filepath.Join(f.t.TempDir(), "config.json")
+	m.Move()
+	return m
+}
+
+// Move starts another list service for the member and names it in its configuration, which a SIGHUP then has it read.
+// The old one stays as it is.
+func (m *Member) Move() {
+	m.Discovery = NewDiscovery(m.entries())
+	m.f.t.Cleanup(m.Discovery.CloseClientConnections)
+	m.config["discovery"] = strings.TrimPrefix(m.Discovery.URL, "http://")
+	m.f.file(m.Env["PROXY_CONFIG"], m.config)
+}
+
+// List tells the member's list service of the fleet's servers as they now are.
+func (m *Member) List() { m.Discovery.Change(m.entries()) }
+
+func (m *Member) entries() []Entry {
+	var out []Entry
+	for _, e := range m.f.entries() {
+		for _, s := range m.f.Servers {
 			if s.Name == e.ID {
-				e.HostPort = via(s)
+				e.HostPort = m.via(s)
 			}
 		}
-		entries = append(entries, e)
+		out = append(out, e)
 	}
-	d := NewDiscovery(entries)
-	f.t.Cleanup(d.CloseClientConnections)
-	config := maps.Clone(f.config)
-	config["name"], config["seed"], config["discovery"] = name, seed, strings.TrimPrefix(d.URL, "http://")
-	config["known"] = map[string]any{"revision": 0, "complete": true, "members": entries}
-	env := maps.Clone(f.Env)
-	env["PROXY_CONFIG"] = filepath.Join(f.t.TempDir(), "config.json")
-	f.file(env["PROXY_CONFIG"], config)
-	return env, d
+	return out
 }
