--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"os"
 	"os/exec"
 	"slices"
 	"strings"
@@ -42,6 +43,7 @@
 	Connections      [3]float64 // new connections a server over the run: least, mean, most
 	Open             [3]float64 // connections open at a server, its mean over the run's seconds: least, mean, most
 	OpenMost         int        // connections open at one server at any sampled second
+	Resident         [3]float64 // resident memory of a pooler in MB, mean over poolers: at the first sample, at the last, most of any
 	Probes           int        // health asked for at servers, all servers
 	Cold             int        // requests' statements at servers in the first second after they came up again
 	Worst100ms       [2]float64 // new connections at one server in its worst 100 ms: mean over servers, most
@@ -107,6 +109,7 @@
 	samples  int
 	ups      []up
 	replaced int
+	rss      [3]float64 // summed over poolers: first sample, last sample; and the most of one
 
 	mu       sync.Mutex
 	requests []judge.Request
@@ -233,6 +236,15 @@
 // sample counts the connections open at each server, through all relays.
 func (r *fleetRun) sample() {
 	r.samples++
+	r.rss[1] = 0
+	for _, p := range r.poolers {
+		mb := p.resident()
+		if r.samples == 1 {
+			r.rss[0] += mb
+		}
+		r.rss[1] += mb
+		r.rss[2] = max(r.rss[2], mb)
+	}
 	for i := range r.relays {
 		for j, link := range r.relays[i] {
 			r.open[j] += link.Open()
@@ -336,6 +348,25 @@
 	}
 }
 
+// resident is the resident memory of p's process in MB, as Linux tells it; 0 if it is out or can't be read.
+func (p *pooler) resident() float64 {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil || cmd.Process == nil {
+		return 0
+	}
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", cmd.Process.Pid))
+	var size, pages float64
+	if err != nil {
+		return 0
+	}
+	if _, err := fmt.Sscan(string(statm), &size, &pages); err != nil {
+		return 0
+	}
+	return pages * float64(os.Getpagesize()) / (1 << 20)
+}
+
 // signal sends sig to p's process, if it runs.
 func (p *pooler) signal(sig syscall.Signal) (exited chan struct{}) {
 	p.mu.Lock()
@@ -550,6 +581,8 @@
 			}
 		}
 	}
+	n := float64(len(r.poolers))
+	rep.Resident = [3]float64{r.rss[0] / n, r.rss[1] / n, r.rss[2]}
 	least, most, sum := -1, 0, 0
 	for _, s := range r.servers.Servers {
 		n := s.Came()
@@ -608,6 +641,8 @@
 		rep.Connections[0], rep.Connections[1], rep.Connections[2], rep.ListCalls)
 	fmt.Fprintf(out, "connections open at a server, its mean over the seconds: least %.1f, mean %.1f, most %.1f\n",
 		rep.Open[0], rep.Open[1], rep.Open[2])
+	fmt.Fprintf(out, "resident memory of a pooler: %.1f MB at the first second, %.1f MB at the last, %.1f MB at most\n",
+		rep.Resident[0], rep.Resident[1], rep.Resident[2])
 	fmt.Fprintf(out, "probes %d; requests at servers in their first second back %d\n", rep.Probes, rep.Cold)
 	fmt.Fprintf(out, "new connections at one server in its worst 100 ms: %.1f on the mean, %.0f at most; in its worst second %.1f, %.0f\n",
 		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
