Bound lab clients' login by their patience; show the judge losing silent poolers

Cause: a test with poolers that take connections and answer nothing hung for its 600 s limit: DialPostgres waited for the login's end without a deadline, so one stalled pooler would hold a client for ever. The lab's clients now log in within their patience and the slack. TestFleetJudgesSilence plays two such poolers and wants every request lost: it hung before the change and passes in 2.2 s after it.

--- a/cmd/threadsail/fleet_test.go
+++ b/cmd/threadsail/fleet_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -78,3 +81,35 @@
 		t.Errorf("%d list calls, want the moved poolers at their new list services", rep.ListCalls)
 	}
 }
+
+// silent stands for a broken pooler: it says where it listens, as the pooler does, takes connections and answers nothing.
+func silent() {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		os.Exit(1)
+	}
+	fmt.Fprintf(os.Stderr, "{\"front\":\"postgres\",\"addr\":%q}\n", ln.Addr().String())
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			os.Exit(1)
+		}
+		go func() { _, _ = io.Copy(io.Discard, c) }()
+	}
+}
+
+// The judge is not idle: poolers that answer nothing lose every request.
+func TestFleetJudgesSilence(t *testing.T) {
+	s, err := config.ParseScenario("silent.json", []byte(`{"poolers": 2, "servers": 1, "length_ms": 500, "patience_ms": 100}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := lab.Fleet{Scenario: s, Command: func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0], "serve")
+		cmd.Env = append(os.Environ(), "THREADSAIL_TEST_SILENT=1")
+		return cmd
+	}}.Run(t)
+	if rep.Lost == 0 || rep.Served+rep.Refused+rep.Failed != 0 || len(rep.Broken) == 0 {
+		t.Errorf("lost %d, answered %d, broken %q: want all lost", rep.Lost, rep.Served+rep.Refused+rep.Failed, rep.Broken)
+	}
+}
--- a/cmd/threadsail/main_test.go
+++ b/cmd/threadsail/main_test.go
@@ -20,6 +20,10 @@
 
 // TestMain lets the test's own binary stand for the program.
 func TestMain(m *testing.M) {
+	if os.Getenv("THREADSAIL_TEST_SILENT") != "" {
+		silent()
+		return
+	}
 	if os.Getenv("THREADSAIL_TEST_RUN") != "" {
 		main()
 		return
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -487,7 +487,7 @@
 		q := judge.Request{Pooler: p.i, Began: time.Now(), Write: rng.Float64() < s.Writes}
 		if c == nil {
 			var err error
-			if c, err = standin.DialPostgres(addr); err != nil {
+			if c, err = standin.DialPostgresWithin(addr, s.Patience+lateBy); err != nil { // a stalled pooler must not hold it
 				q.Ended, q.Outcome, q.Cause = time.Now(), judge.Broken, "connect: "+err.Error()
 				r.note(q, 0)
 				c = nil
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -82,11 +82,18 @@
 }
 
 // DialPostgres connects; the startup message goes out with the first statement.
-func DialPostgres(addr string) (*Postgres, error) {
+func DialPostgres(addr string) (*Postgres, error) { return DialPostgresWithin(addr, 0) }
+
+// DialPostgresWithin connects and logs in within a time; 0: however long it takes. The error is the connection's.
+func DialPostgresWithin(addr string, within time.Duration) (*Postgres, error) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	if within > 0 {
+		_ = c.SetDeadline(time.Now().Add(within))
+		defer func() { _ = c.SetDeadline(time.Time{}) }()
+	}
 	_, err = c.Write(pgwire.AppendStartup(nil, "client", "core"))
 	p := &Postgres{Conn: c, r: &buffered{c: c}}
 	for err == nil {
