--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -138,7 +138,9 @@
 		}
 		r.relays = append(r.relays, links)
 		m := r.servers.Member(fmt.Sprintf("n%d", i+1), fmt.Sprintf("%016x", rand.New(rand.NewPCG(s.Seed, uint64(i))).Uint64()),
-			func(server *standin.Server) string { return r.relays[i][indexOf(r.servers.Servers, server)].Addr() })
+			func(server *standin.Server) string {
+				return r.relays[i][slices.Index(r.servers.Servers, server)].Addr()
+			})
 		r.members, r.lists = append(r.members, m), append(r.lists, m.Discovery)
 		r.poolers = append(r.poolers, &pooler{i: i, env: m.Env})
 	}
@@ -224,15 +226,6 @@
 	r.ups = append(r.ups, up{j, time.Now()})
 }
 
-func indexOf(servers []*standin.Server, s *standin.Server) int {
-	for i, x := range servers {
-		if x == s {
-			return i
-		}
-	}
-	return -1
-}
-
 // sample counts the connections open at each server, through all relays.
 func (r *fleetRun) sample() {
 	r.samples++
