--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -3,7 +3,8 @@
 //
 // Three parts, each owned by one side:
 //   - Table is the stewards' replicated state. The consensus engine applies commands to it in log order on every steward;
-//     a command carries the proposer's time, so that every copy decides alike. Its tokens are log indices: they only grow.
+//     a command carries the leader's time on the table's own clock, so that every copy decides alike. Its tokens are log
+//     indices: they only grow. No wall clock is asked: Clock tells how the table's time follows each leader's monotonic one.
 //   - Holder is a pooler's view of its own lease. It counts from the moment it asked, on its own monotonic clock, and stops
 //     acting a drift bound before the stewards can think the term over, so that two holders never act at once.
 //   - Fence is kept by whoever receives the acts of a duty: an act with a token older than one already seen is refused.
@@ -12,7 +13,10 @@
 // service.
 package lease
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Duty names a duty: "lists", "round/GROUP", "warm/SERVER".
 type Duty string
@@ -25,89 +29,128 @@
 	Term   time.Duration // from the holder's asking
 }
 
-// Command is what a pooler proposes to the stewards.
+// Command is what a pooler proposes to the stewards, as their leader stamps it.
 type Command struct {
 	Release bool // give the lease up, once the holder has stopped acting (Holder.Lost); else acquire or renew it
 	Duty    Duty
 	Holder  string
 	Term    time.Duration
-	Now     time.Time // the proposer's wall time, carried so that every steward decides alike
+	Now     time.Duration // the table's time at the leader, taken after the pooler asked (Clock.At)
+	Epoch   uint64        // the leader's term of office at the stamp
 }
 
+// Clock is how one leader tells the table's time: from the latest time that it found there when it came to office, on by
+// its own monotonic clock. The table's time therefore never runs ahead of real time, and stands still without a leader:
+// a lease may last longer than its term, never shorter. Each term of office has its own clock.
+type Clock struct {
+	Epoch      uint64
+	base, from time.Duration
+}
+
+// Lead begins a term of office at mono, a time on the leader's monotonic clock. The caller owes that all commands of
+// earlier epochs have been applied (a barrier).
+func (t *Table) Lead(epoch uint64, mono time.Duration) Clock {
+	return Clock{Epoch: epoch, base: t.latest, from: mono}
+}
+
+// At is the table's time at mono.
+func (c Clock) At(mono time.Duration) time.Duration { return c.base + mono - c.from }
+
 // entry is one duty's lease. Invariant: Token is that of the command that gave it to Holder; renewals keep it.
 type entry struct {
-	holder  string
-	token   uint64
-	expires time.Time
+	Holder  string
+	Token   uint64
+	Expires time.Duration
 }
 
-// Table is the stewards' state. The zero Table holds no lease. Drift is the most by which two poolers' clocks may differ
+// Table is the stewards' state. The zero Table holds no lease. Drift is the most by which two monotonic clocks may differ
 // over a term, from the operators' file; a lease is given to another only after its term and the drift are over.
 type Table struct {
 	Drift  time.Duration
 	leases map[Duty]entry
-	latest time.Time // the latest proposer's time applied: time never goes back in the table
+	latest time.Duration // the latest stamp applied: time never goes back in the table
 }
 
-// Apply carries out a command committed at a log index, and returns the lease that is in force for its duty afterwards;
-// ok tells whether the command's holder has it.
-func (t *Table) Apply(c Command, index uint64) (g Grant, ok bool) {
+// Apply carries out a command committed at a log index in an epoch, and returns the lease that is in force for its duty
+// afterwards; ok tells whether the command's holder has it. A command stamped in another epoch than it was committed in
+// changes nothing: its leader's clock had stopped counting.
+func (t *Table) Apply(c Command, index, epoch uint64) (g Grant, ok bool) {
 	if t.leases == nil {
 		t.leases = map[Duty]entry{}
 	}
-	if c.Now.After(t.latest) {
-		t.latest = c.Now
+	if c.Epoch != epoch {
+		return Grant{Duty: c.Duty}, false
 	}
+	t.latest = max(t.latest, c.Now)
 	now := t.latest
 	e, held := t.leases[c.Duty]
-	free := !held || !now.Before(e.expires.Add(t.Drift))
+	free := !held || now >= e.Expires+t.Drift
 	switch {
 	case c.Release:
-		if held && e.holder == c.Holder {
+		if held && e.Holder == c.Holder {
 			delete(t.leases, c.Duty)
 		}
 		return Grant{Duty: c.Duty}, false
-	case !free && e.holder != c.Holder: // another holds it
-		return Grant{Duty: c.Duty, Holder: e.holder, Token: e.token, Term: e.expires.Sub(now)}, false
+	case !free && e.Holder != c.Holder: // another holds it
+		return Grant{Duty: c.Duty, Holder: e.Holder, Token: e.Token, Term: e.Expires - now}, false
 	case free:
-		e.token = index // a new holder, or the same after its lease had run out: a new token
+		e.Token = index // a new holder, or the same after its lease had run out: a new token
 	}
-	e.holder, e.expires = c.Holder, now.Add(c.Term)
+	e.Holder, e.Expires = c.Holder, max(e.Expires, now+c.Term)
 	t.leases[c.Duty] = e
-	return Grant{Duty: c.Duty, Holder: c.Holder, Token: e.token, Term: c.Term}, true
+	return Grant{Duty: c.Duty, Holder: c.Holder, Token: e.Token, Term: c.Term}, true
+}
+
+// saved is a Table as a snapshot keeps it.
+type saved struct {
+	Latest time.Duration
+	Leases map[Duty]entry
+}
+
+// MarshalJSON gives the state for a snapshot; Drift is the operators' and not part of it.
+func (t *Table) MarshalJSON() ([]byte, error) { return json.Marshal(saved{t.latest, t.leases}) }
+
+// UnmarshalJSON takes a snapshot's state over; a text that can't be read changes nothing.
+func (t *Table) UnmarshalJSON(text []byte) error {
+	var s saved
+	if err := json.Unmarshal(text, &s); err != nil {
+		return err
+	}
+	t.latest, t.leases = s.Latest, s.Leases
+	return nil
 }
 
 // Holder of the duty, and its token, as the table stands; "" if none holds it at the table's latest time.
 func (t *Table) Holder(d Duty) (string, uint64) {
 	e, ok := t.leases[d]
-	if !ok || !t.latest.Before(e.expires.Add(t.Drift)) {
+	if !ok || t.latest >= e.Expires+t.Drift {
 		return "", 0
 	}
-	return e.holder, e.token
+	return e.Holder, e.Token
 }
 
 // Holder is one pooler's own lease of one duty. Times are on the pooler's monotonic clock, as durations since any origin
 // it keeps. The zero Holder holds nothing.
 type Holder struct {
 	Drift time.Duration // as in the Table
-	asked time.Duration // when the pending or last granted request was sent
+	asked time.Duration // of the request that was granted last
 	grant Grant
 	until time.Duration // acting ends here: asked + term - drift
 	has   bool
 }
 
-// Asked notes that a request to acquire or renew was sent at now.
-func (h *Holder) Asked(now time.Duration) { h.asked = now }
-
-// Granted takes the stewards' answer to the request sent last. The term is counted from the asking, not the answer, so
-// that a slow answer shortens the lease instead of stretching it.
-func (h *Holder) Granted(g Grant, ok bool) {
-	if !ok {
+// Granted takes the stewards' answer to a request that was sent at asked. The term is counted from the asking, not the
+// answer, so that a slow answer shortens the lease instead of stretching it; an answer that was overtaken by a newer one
+// changes nothing.
+func (h *Holder) Granted(asked time.Duration, g Grant, ok bool) {
+	switch {
+	case asked < h.asked || ok && g.Token < h.grant.Token:
+	case !ok:
 		h.has = false
-		return
+	default:
+		h.asked, h.grant, h.has = asked, g, true
+		h.until = asked + g.Term - h.Drift
 	}
-	h.grant, h.has = g, true
-	h.until = h.asked + g.Term - h.Drift
 }
 
 // MayAct tells whether the duty may be carried out at now, and with which token.
@@ -118,14 +161,17 @@
 	return h.grant.Token, true
 }
 
-// RenewAt is when to ask again: a third of the term in, so that two answers may be lost before acting must stop.
-func (h *Holder) RenewAt() time.Duration {
+// Until is when acting must stop; 0 while nothing is held.
+func (h *Holder) Until() time.Duration {
 	if !h.has {
-		return h.asked
+		return 0
 	}
-	return h.asked + h.grant.Term/3
+	return h.until
 }
 
+// RenewAt is when to ask again: a third of the term in, so that two answers may be lost before acting must stop.
+func (h *Holder) RenewAt() time.Duration { return h.asked + h.grant.Term/3 }
+
 // Lost drops the lease at once: the pooler stalled, was cut off, or is shutting down.
 func (h *Holder) Lost() { h.has = false }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -9,8 +10,7 @@
 )
 
 func TestTable(t *testing.T) {
-	t0 := time.Unix(1000, 0)
-	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
 	term := 3 * time.Second
 	tab := Table{Drift: time.Second}
 	type got struct {
@@ -31,7 +31,7 @@
 		{Duty: "lists", Holder: "a", Term: term, Now: at(6300)},    // free at once: token 9
 		{Duty: "round/g1", Holder: "b", Term: term, Now: at(6300)}, // another duty: its own lease
 	} {
-		g, ok := tab.Apply(c, uint64(i+1))
+		g, ok := tab.Apply(c, uint64(i+1), 0)
 		if !c.Release {
 			results = append(results, got{g.Holder, g.Token, ok})
 		}
@@ -41,6 +41,14 @@
 	if d := cmp.Diff(want, results); d != "" {
 		t.Error(d)
 	}
+	if _, ok := tab.Apply(Command{Duty: "lists", Holder: "b", Term: term, Now: at(60000)}, 11, 1); ok {
+		t.Error("a command of a leader that has lost its office is taken")
+	}
+	text, err := json.Marshal(&tab)
+	tab = Table{Drift: tab.Drift}
+	if err != nil || json.Unmarshal(text, &tab) != nil || json.Unmarshal([]byte("{"), &tab) == nil {
+		t.Errorf("the table does not survive a snapshot: %v", err)
+	}
 	if h, token := tab.Holder("lists"); h != "a" || token != 9 {
 		t.Errorf("holder %q %d, want a 9", h, token)
 	}
@@ -53,20 +61,23 @@
 	if _, ok := h.MayAct(0); ok {
 		t.Fatal("acts without a lease")
 	}
-	h.Asked(10 * s)
-	h.Granted(Grant{Duty: "lists", Holder: "a", Token: 7, Term: 3 * s}, true) // the answer came late: the term still counts from 10 s
+	h.Granted(10*s, Grant{Duty: "lists", Holder: "a", Token: 7, Term: 3 * s}, true) // the answer came late: the term counts from 10 s
 	if token, ok := h.MayAct(11 * s); !ok || token != 7 {
 		t.Errorf("at 11 s: %d %v, want 7", token, ok)
 	}
 	if _, ok := h.MayAct(12 * s); ok {
 		t.Error("acts at 12 s, a drift before the term is over")
 	}
-	if h.RenewAt() != 11*s {
-		t.Errorf("renews at %v, want 11 s", h.RenewAt())
+	if h.RenewAt() != 11*s || h.Until() != 12*s {
+		t.Errorf("renews at %v, acts until %v, want 11 s and 12 s", h.RenewAt(), h.Until())
+	}
+	h.Granted(9*s, Grant{}, false) // an answer that was overtaken
+	h.Granted(11*s, Grant{Token: 5, Term: 9 * s}, true)
+	if token, ok := h.MayAct(11 * s); !ok || token != 7 {
+		t.Errorf("after old answers: %d %v, want 7", token, ok)
 	}
-	h.Asked(11 * s)
-	h.Granted(Grant{}, false)
-	if _, ok := h.MayAct(11 * s); ok {
+	h.Granted(11*s, Grant{}, false)
+	if _, ok := h.MayAct(11 * s); ok || h.Until() != 0 {
 		t.Error("acts after a no")
 	}
 }
@@ -91,40 +102,59 @@
 	}
 }
 
-// Whatever poolers ask and whenever, within the drift that the table assumes: a new holder's lease begins only after the
-// last one's can have been acted on, and tokens of new holders only grow.
+// Whatever poolers ask and whenever, however late requests and answers come and leaders change: a new holder's lease begins
+// only after the last one may have acted, by real time, and tokens of new holders only grow.
 func TestNoTwoHolders(t *testing.T) {
+	ms := func(t *rapid.T, least, most int, what string) time.Duration {
+		return time.Duration(rapid.IntRange(least, most).Draw(t, what)) * time.Millisecond
+	}
 	rapid.Check(t, func(t *rapid.T) {
-		drift := time.Duration(rapid.IntRange(0, 500).Draw(t, "drift ms")) * time.Millisecond
-		tab := Table{Drift: drift}
-		t0 := time.Unix(1000, 0)
-		var last struct {
-			holder string
-			token  uint64
-			until  time.Time // of acting, on the table's clock, as the holder may think: expiry
+		tab := Table{Drift: ms(t, 0, 500, "drift")}
+		now, epoch := time.Duration(0), uint64(1) // real time
+		clock := tab.Lead(epoch, now)
+		clocks := []Clock{clock}
+		holders := map[string]*Holder{}
+		for _, name := range []string{"a", "b", "c"} {
+			holders[name] = &Holder{Drift: tab.Drift}
 		}
-		now := t0
+		newest := uint64(0)
 		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "step ms")) * time.Millisecond)
-			c := Command{Duty: "lists", Holder: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "holder"),
-				Term: time.Duration(rapid.IntRange(100, 3000).Draw(t, "term ms")) * time.Millisecond, Now: now,
+			now += ms(t, 0, 2000, "step")
+			asked := now
+			now += ms(t, 0, 300, "way")
+			stale := rapid.SampledFrom(clocks).Draw(t, "a clock of some leader so far")
+			if rapid.IntRange(0, 4).Draw(t, "new leader") == 0 {
+				epoch++
+				now += ms(t, 0, 3000, "without a leader")
+				clock = tab.Lead(epoch, now)
+				clocks = append(clocks, clock)
+			}
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "holder")
+			c := Command{Duty: "lists", Holder: name, Term: ms(t, 100, 3000, "term"), Now: clock.At(now), Epoch: epoch,
 				Release: rapid.IntRange(0, 9).Draw(t, "release") == 0}
-			g, ok := tab.Apply(c, uint64(i+1))
-			if c.Release && c.Holder == last.holder { // it stopped acting before it gave the lease up
-				last.holder = ""
+			if rapid.IntRange(0, 4).Draw(t, "an old stamp") == 0 {
+				c.Now, c.Epoch = stale.At(now), stale.Epoch
 			}
-			if !ok {
+			if c.Release {
+				holders[name].Lost()
+			}
+			g, ok := tab.Apply(c, uint64(i+1), epoch)
+			if rapid.IntRange(0, 3).Draw(t, "the answer is lost") == 0 || c.Release {
 				continue
 			}
-			if g.Holder != last.holder || g.Token != last.token {
-				if last.holder != "" && now.Before(last.until.Add(drift)) && g.Holder != last.holder {
-					t.Fatalf("%s holds from %v while %s may act until %v", g.Holder, now, last.holder, last.until)
-				}
-				if g.Token <= last.token {
-					t.Fatalf("token %d after %d", g.Token, last.token)
+			holders[name].Granted(asked, g, ok)
+			if _, acts := holders[name].MayAct(now); !acts || !ok {
+				continue
+			}
+			for other, h := range holders {
+				if token, acts := h.MayAct(now); acts && other != name {
+					t.Fatalf("at %v %s may act by token %d and %s by %d", now, name, g.Token, other, token)
 				}
 			}
-			last.holder, last.token, last.until = g.Holder, g.Token, now.Add(c.Term)
+			if g.Token < newest {
+				t.Fatalf("token %d after %d", g.Token, newest)
+			}
+			newest = g.Token
 		}
 	})
 }
