Know the fleet's live poolers by memberlist, and put faults on UDP links too

Need: the list poller's word must reach all poolers, and nobody knew who is alive or which version they run. internal/peers is a thin adapter of hashicorp/memberlist: members with build, configuration digest and list, a word to all by gossip, a message to one by TCP. A named pooler is reached at the address that the own file gives, so that relays, tunnels and other addresses work; named ones that are lost are called again every 5 s, as memberlist gives a partition's other side up. internal/relay passes datagrams as well, at the port of its TCP side (issue of the laboratory: UDP links). Not in serve.

--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,274 @@
+// Package peers tells which poolers of the fleet are alive, with their versions, and carries their words to each other, by
+// hashicorp/memberlist (SWIM). It decides nothing: what a word means is the caller's affair.
+//
+// A pooler names some others in the operators' file, each at the address at which it is reached from here; the rest come
+// by gossip, at the addresses they advertise. Where the file names a pooler that address is used for it, whatever it
+// advertises: hosts behind other addresses, tunnels, a laboratory's relays.
+package peers
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// Peer is a pooler by its name and the address at which it is reached from here, TCP and UDP.
+type Peer struct{ Name, Addr string }
+
+// Meta is what a pooler tells of itself. Its JSON must stay within memberlist's 512 bytes.
+type Meta struct {
+	Build  string `json:"build,omitempty"`  // version of the program
+	Config string `json:"config,omitempty"` // digest of its configuration
+	Token  uint64 `json:"token,omitempty"`  // of the list in force, as duty.Word
+	Seq    uint64 `json:"seq,omitempty"`
+}
+
+// Member is a pooler that is held to be alive.
+type Member struct {
+	Name string
+	Meta Meta
+}
+
+// Options of a member.
+type Options struct {
+	Name      string
+	Listen    string // host:port, TCP and UDP
+	Advertise string // host:port that others reach it at; empty: as Listen
+	Peers     []Peer
+	// Heard takes a message of another pooler. It is called on memberlist's goroutines and must not wait; the bytes are its own.
+	Heard func(text []byte)
+	Log   func(string) // nil: nowhere
+}
+
+const (
+	joinEvery    = 5 * time.Second  // named poolers that are not held to be alive are called again: a healed cut
+	pullEvery    = 10 * time.Second // whole views are exchanged with one other pooler
+	probeEvery   = time.Second
+	probeTimeout = 500 * time.Millisecond
+	tcpTimeout   = 2 * time.Second
+	leaveFor     = 200 * time.Millisecond
+	metaEvery    = 2 * time.Second // news of a member's own versions: each costs the fleet a gossip
+	repeats      = 3               // times log10 of the fleet: how often a word is passed on
+)
+
+// Peers is one pooler's membership.
+type Peers struct {
+	o      Options
+	list   *memberlist.Memberlist
+	size   atomic.Pointer[memberlist.Memberlist] // list, for goroutines of its own that run before it is returned
+	queue  *memberlist.TransmitLimitedQueue
+	ending chan struct{}
+	done   sync.WaitGroup
+
+	mu   sync.Mutex
+	meta Meta
+	news bool // the meta has changed and is not told yet
+}
+
+// ErrUnknown tells that a pooler is not held to be alive.
+var ErrUnknown = errors.New("peers: no such pooler is alive")
+
+// Start listens and begins to join the fleet; it does not wait for the others. Errors are of the addresses.
+func Start(o Options, meta Meta) (*Peers, error) {
+	host, port, err := hostPort(o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	p := &Peers{o: o, meta: meta, ending: make(chan struct{})}
+	c := memberlist.DefaultLANConfig()
+	c.Logger = nil
+	c.LogOutput = lines(p.say)
+	c.Name, c.BindAddr, c.BindPort = o.Name, host, port
+	c.PushPullInterval, c.TCPTimeout = pullEvery, tcpTimeout
+	c.ProbeInterval, c.ProbeTimeout = probeEvery, probeTimeout
+	c.Delegate, c.DNSConfigPath = (*delegate)(p), ""
+	nt, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port,
+		Logger: newLogger(c.LogOutput)})
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	c.BindPort = nt.GetAutoBindPort()
+	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
+	if o.Advertise != "" {
+		if c.AdvertiseAddr, c.AdvertisePort, err = hostPort(o.Advertise); err != nil {
+			_ = nt.Shutdown()
+			return nil, fmt.Errorf("peers: advertise: %w", err)
+		}
+	}
+	via := map[string]string{}
+	for _, peer := range o.Peers {
+		via[peer.Name] = peer.Addr
+	}
+	c.Transport = &routed{NetTransport: nt, via: via}
+	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: repeats, NumNodes: func() int {
+		if list := p.size.Load(); list != nil {
+			return list.NumMembers()
+		}
+		return 1
+	}}
+	if p.list, err = memberlist.Create(c); err != nil {
+		_ = nt.Shutdown()
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	p.size.Store(p.list)
+	p.done.Go(p.keep)
+	return p, nil
+}
+
+// Members are the poolers held to be alive, this one among them, by name.
+func (p *Peers) Members() []Member {
+	var out []Member
+	for _, n := range p.list.Members() {
+		m := Member{Name: n.Name}
+		_ = json.Unmarshal(n.Meta, &m.Meta) // of another build: its name is what counts
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Tell passes a word on to all, by gossip: soon and nearly surely, but not surely. A newer word of one topic takes the
+// place of an older one that is still being passed on.
+func (p *Peers) Tell(topic string, text []byte) { p.queue.QueueBroadcast(word{topic, text}) }
+
+// Send gives one pooler a message over TCP. It waits for the network, some seconds at most.
+func (p *Peers) Send(name string, text []byte) error {
+	for _, n := range p.list.Members() {
+		if n.Name == name {
+			return p.list.SendReliable(n, text)
+		}
+	}
+	return fmt.Errorf("%w: %s", ErrUnknown, name)
+}
+
+// Show changes what this pooler tells of itself. The fleet hears of it within some seconds.
+func (p *Peers) Show(meta Meta) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.news = p.news || p.meta != meta
+	p.meta = meta
+}
+
+// Close tells the fleet that this pooler leaves, and ends.
+func (p *Peers) Close() {
+	close(p.ending)
+	p.done.Wait()
+	_ = p.list.Leave(leaveFor)
+	_ = p.list.Shutdown()
+}
+
+// keep joins named poolers that are not alive here, and tells of this one's news.
+func (p *Peers) keep() {
+	join, news := time.NewTimer(0), time.NewTicker(metaEvery)
+	defer join.Stop()
+	defer news.Stop()
+	for {
+		select {
+		case <-p.ending:
+			return
+		case <-join.C:
+			alive := p.list.Members()
+			for _, peer := range p.o.Peers {
+				if peer.Name == p.o.Name || slices.ContainsFunc(alive, func(n *memberlist.Node) bool { return n.Name == peer.Name }) {
+					continue
+				}
+				p.done.Go(func() { _, _ = p.list.Join([]string{peer.Name + "/" + peer.Addr}) }) // a silent one must not delay the others
+			}
+			join.Reset(joinEvery)
+		case <-news.C:
+			p.mu.Lock()
+			due := p.news
+			p.news = false
+			p.mu.Unlock()
+			if due {
+				_ = p.list.UpdateNode(0)
+			}
+		}
+	}
+}
+
+func (p *Peers) say(line string) {
+	if p.o.Log != nil {
+		p.o.Log(line)
+	}
+}
+
+func hostPort(addr string) (host string, port int, err error) {
+	host, text, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", 0, err
+	}
+	if net.ParseIP(host) == nil {
+		return "", 0, fmt.Errorf("%q is no IP address", host)
+	}
+	port, err = strconv.Atoi(text)
+	return host, port, err
+}
+
+// word is a message on its way through the fleet.
+type word struct {
+	topic string
+	text  []byte
+}
+
+func (w word) Invalidates(o memberlist.Broadcast) bool {
+	old, ok := o.(word)
+	return ok && old.topic == w.topic
+}
+func (w word) Message() []byte { return w.text }
+func (word) Finished()         {}
+
+// delegate is what memberlist asks of a Peers.
+type delegate Peers
+
+func (d *delegate) NodeMeta(limit int) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text, err := json.Marshal(d.meta)
+	if err != nil || len(text) > limit {
+		return nil
+	}
+	return text
+}
+
+func (d *delegate) NotifyMsg(b []byte) {
+	if len(b) > 0 {
+		d.o.Heard(slices.Clone(b))
+	}
+}
+
+func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.queue.GetBroadcasts(overhead, limit)
+}
+func (d *delegate) LocalState(bool) []byte        { return nil }
+func (d *delegate) MergeRemoteState([]byte, bool) {}
+
+// routed reaches named poolers at the addresses known here.
+type routed struct {
+	*memberlist.NetTransport
+	via map[string]string
+}
+
+func (r *routed) to(a memberlist.Address) memberlist.Address {
+	if addr, ok := r.via[a.Name]; ok {
+		a.Addr = addr
+	}
+	return a
+}
+
+func (r *routed) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	return r.NetTransport.WriteToAddress(b, r.to(a))
+}
+
+func (r *routed) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return r.NetTransport.DialAddressTimeout(r.to(a), timeout)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,14 +1,16 @@
-// Package relay puts faults on a TCP link between two processes on loopback: a Link listens where the caller dials and
-// passes bytes on to the target, late, not at all, or not after a reset, as its Fault says. The fleet laboratory puts one
-// on each link between a pooler and a server. A Link counts what it accepted and passed, so that a judge can tell what
-// reached the other side.
+// Package relay puts faults on a link between two processes on loopback: a Link listens where the caller dials and passes
+// bytes on to the target, late, not at all, or not after a reset, as its Fault says. Listen makes one for TCP, ListenBoth one
+// for TCP and UDP at the same port. The fleet laboratory puts one on each link between a pooler and a server, and between
+// poolers. A Link counts what it accepted and passed, so that a judge can tell what reached the other side.
 package relay
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +30,7 @@
 // Link is one link with faults: a listener on loopback and the connections passed through it.
 type Link struct {
 	ln     net.Listener
+	udp    net.PacketConn // nil: TCP only
 	target string
 
 	mu       sync.Mutex
@@ -35,6 +38,7 @@
 	rng      *rand.Rand
 	open     map[*pair]struct{}
 	accepted []time.Time
+	flows    map[string]net.Conn // by UDP caller, each with a socket of its own to the target
 	closed   bool
 	done     sync.WaitGroup
 }
@@ -52,6 +56,92 @@
 	return l, nil
 }
 
+// ListenBoth is Listen for TCP and UDP at one port.
+func ListenBoth(target string, seed uint64) (*Link, error) {
+	for {
+		l, err := Listen(target, seed)
+		if err != nil {
+			return nil, err
+		}
+		udp, err := net.ListenPacket("udp", l.Addr())
+		if errors.Is(err, syscall.EADDRINUSE) { // another's UDP port: try the next free one of TCP
+			l.Close()
+			continue
+		}
+		if err != nil {
+			l.Close()
+			return nil, err
+		}
+		l.udp, l.flows = udp, map[string]net.Conn{}
+		l.done.Go(l.datagrams)
+		return l, nil
+	}
+}
+
+// datagrams passes callers' datagrams on, each caller's from a socket of its own, and their answers back.
+func (l *Link) datagrams() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, caller, err := l.udp.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		flow, closed := l.flows[caller.String()], l.closed
+		l.mu.Unlock()
+		if closed {
+			return
+		}
+		if flow == nil {
+			if flow, err = net.Dial("udp", l.target); err != nil {
+				continue
+			}
+			l.mu.Lock()
+			if closed = l.closed; !closed {
+				l.flows[caller.String()] = flow
+			}
+			l.mu.Unlock()
+			if closed {
+				_ = flow.Close()
+				return
+			}
+			l.done.Go(func() {
+				back := make([]byte, 64<<10)
+				for {
+					n, err := flow.Read(back)
+					if errors.Is(err, net.ErrClosed) {
+						return
+					}
+					if err == nil { // else nobody listens at the target: later datagrams may be heard
+						l.pass(true, back[:n], func(b []byte) { _, _ = l.udp.WriteTo(b, caller) })
+					}
+				}
+			})
+		}
+		l.pass(false, buf[:n], func(b []byte) { _, _ = flow.Write(b) })
+	}
+}
+
+// pass sends one datagram as the fault says; delayed ones may overtake each other.
+func (l *Link) pass(answer bool, b []byte, send func([]byte)) {
+	f := l.Fault()
+	if f.Refuse || f.Drop && (answer || !f.OneWay) {
+		return
+	}
+	wait := f.Delay
+	if f.Jitter > 0 {
+		l.mu.Lock()
+		wait += time.Duration(l.rng.Int64N(int64(f.Jitter)))
+		l.mu.Unlock()
+	}
+	if wait == 0 {
+		send(b)
+		return
+	}
+	late := slices.Clone(b)
+	time.AfterFunc(wait, func() { send(late) })
+}
+
 // Addr is where callers dial.
 func (l *Link) Addr() string { return l.ln.Addr().String() }
 
@@ -106,6 +196,12 @@
 	l.closed = true
 	open := l.open
 	l.open = map[*pair]struct{}{}
+	if l.udp != nil {
+		_ = l.udp.Close()
+	}
+	for _, flow := range l.flows {
+		_ = flow.Close()
+	}
 	l.mu.Unlock()
 	for p := range open {
 		p.reset()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -138,3 +138,53 @@
 		t.Errorf("new: %v, want a reset", err)
 	}
 }
+
+// Datagrams go both ways at the port that TCP has too, each caller's answers to that caller, and by the fault in force.
+func TestDatagrams(t *testing.T) {
+	target, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	go func() {
+		buf := make([]byte, 100)
+		for {
+			n, from, err := target.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			_, _ = target.WriteTo(buf[:n], from)
+		}
+	}()
+	l, err := ListenBoth(target.LocalAddr().String(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	say := func(text string, within time.Duration) string {
+		c, err := net.Dial("udp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = c.Write([]byte(text))
+		_ = c.SetReadDeadline(time.Now().Add(within))
+		buf := make([]byte, 100)
+		n, _ := c.Read(buf)
+		return string(buf[:n])
+	}
+	for _, c := range []struct {
+		fault Fault
+		want  string
+	}{{Fault{}, "a"}, {Fault{Drop: true}, ""}, {Fault{Drop: true, OneWay: true}, ""}, {Fault{Refuse: true}, ""},
+		{Fault{Delay: 10 * time.Millisecond, Jitter: 10 * time.Millisecond}, "a"}} {
+		l.Set(c.fault)
+		within := 5 * time.Second
+		if c.want == "" {
+			within = 100 * time.Millisecond
+		}
+		if got := say("a", within); got != c.want {
+			t.Errorf("%+v: %q comes back, want %q", c.fault, got, c.want)
+		}
+	}
+}
