--- /dev/null
+++ b/cmd/threadsail-fleet/main.go
@@ -0,0 +1,70 @@
+// Command threadsail-fleet is the pooler with its fleet's parts: the same program as threadsail serve, and what
+// deploy/fleet.json sets, membership and leases. It is a program of its own because the libraries behind these take 4 MB of
+// resident memory, which a pooler that is on its own must not pay.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/fleet"
+	"threadsail/internal/program"
+)
+
+func main() {
+	flags := flag.NewFlagSet("threadsail-fleet serve", flag.ContinueOnError)
+	console := flags.Bool("console", false, "write the log for people, not as JSON")
+	level := flags.String("log-level", "info", "least level of what is logged: debug, info, warn or error; debug tells every renewal and word")
+	if len(os.Args) < 2 || os.Args[1] != "serve" || flags.Parse(os.Args[2:]) != nil || flags.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "usage: threadsail-fleet serve [flags]   (every other command is threadsail's)")
+		flags.PrintDefaults()
+		os.Exit(2)
+	}
+	if err := serve(*console, *level); err != nil {
+		fmt.Fprintf(os.Stderr, "threadsail-fleet: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func serve(console bool, level string) error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	my, err := config.LoadMySQL(os.Getenv, cfg)
+	if err != nil {
+		return err
+	}
+	part, err := config.LoadFleet(os.Getenv, cfg)
+	if err != nil {
+		return err
+	}
+	least, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return err
+	}
+	log := program.NewLog(os.Stderr, console, least)
+	control := program.Signals()
+	if part != nil {
+		if cfg.MemoryBytes < leastMemory {
+			return errors.New("limits.memory_mb: under 32, which the fleet's parts need")
+		}
+		build := "(devel)"
+		if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+			build = info.Main.Version
+		}
+		control.Fleet = &program.FleetPart{Config: part, Build: build, Open: func(events program.FleetEvents) (program.Fleet, error) {
+			return fleet.Open(part, log, events)
+		}}
+	}
+	return program.Serve(cfg, my, log, control, func(program.Addrs) {})
+}
+
+// leastMemory is twice what the program takes at rest with its fleet's parts.
+const leastMemory = 32 << 20
--- /dev/null
+++ b/cmd/threadsail-fleet/main_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"threadsail/internal/config"
+	"threadsail/internal/judge"
+	"threadsail/internal/lab"
+)
+
+// TestMain lets the test's own binary stand for the program.
+func TestMain(m *testing.M) {
+	if os.Getenv("THREADSAIL_TEST_RUN") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// line is a line of a pooler's log, what it tells of the list duty.
+type line struct {
+	Pooler  int
+	Message string
+	Token   uint64
+	Seq     uint64
+	Holder  string
+	Began   int64 `json:"began_ns"`
+	Ended   int64 `json:"ended_ns"`
+	At      int64 `json:"at_ns"`
+	Until   int64 `json:"until_ns"`
+}
+
+func play(t *testing.T, scenario string) (lab.FleetReport, []line, config.Scenario) {
+	t.Helper()
+	s, err := config.ParseScenario("scenario.json", []byte(scenario))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var logs bytes.Buffer
+	rep := lab.Fleet{Scenario: s, Logs: &logs, Command: func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0], "serve", "--log-level", "debug")
+		cmd.Env = append(os.Environ(), "THREADSAIL_TEST_RUN=1")
+		return cmd
+	}, Progress: func(line string) { t.Log(line) }}.Run(t)
+	var table strings.Builder
+	rep.Table(&table)
+	t.Log("\n" + table.String())
+	for _, b := range rep.Broken {
+		t.Error(b)
+	}
+	var out []line
+	for text := range strings.Lines(logs.String()) {
+		var l line
+		if err := json.Unmarshal([]byte(text), &l); err != nil {
+			continue
+		}
+		out = append(out, l)
+	}
+	return rep, out, s
+}
+
+// fence is a register that only takes tokens not older than the newest: histories of acts are checked against it.
+var fence = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, _ any) (bool, any) { return input.(uint64) >= state.(uint64), input },
+}
+
+// tenure is a lease as its holder used it: from its first grant until it could not act any more.
+type tenure struct {
+	holder      string
+	token       uint64
+	from, until int64
+}
+
+func tenures(lines []line) []tenure {
+	var out []tenure
+	for _, l := range lines {
+		if l.Message != "lease: held" {
+			continue
+		}
+		if n := len(out); n > 0 && out[n-1].token == l.Token {
+			out[n-1].until = max(out[n-1].until, l.Until)
+			continue
+		}
+		out = append(out, tenure{l.Holder, l.Token, l.At, l.Until})
+	}
+	return out
+}
+
+// judgeHistory checks what the poolers did with leases: no two may act at once, and no act or list of an older token comes
+// after one of a newer.
+func judgeHistory(t *testing.T, lines []line) {
+	t.Helper()
+	var acts []porcupine.Operation
+	taken := map[int][]porcupine.Operation{}
+	for _, l := range lines {
+		switch l.Message {
+		case "list: handed on":
+			acts = append(acts, porcupine.Operation{ClientId: l.Pooler, Input: l.Token, Call: l.Began, Return: l.Ended})
+		case "list: taken from the fleet":
+			taken[l.Pooler] = append(taken[l.Pooler], porcupine.Operation{ClientId: l.Pooler, Input: l.Token, Call: l.At, Return: l.At})
+		}
+	}
+	if !porcupine.CheckOperations(fence, acts) {
+		t.Error("an act of an older lease came after one of a newer")
+	}
+	for i, ops := range taken {
+		if !porcupine.CheckOperations(fence, ops) {
+			t.Errorf("pooler %d took a list of an older lease after one of a newer", i)
+		}
+	}
+	ends := tenures(lines)
+	for i, a := range ends {
+		for _, b := range ends[i+1:] {
+			if a.from < b.until && b.from < a.until {
+				t.Errorf("%s may act by token %d while %s may by %d", a.holder, a.token, b.holder, b.token)
+			}
+		}
+	}
+	if len(ends) == 0 || len(acts) == 0 || len(taken) == 0 {
+		t.Errorf("%d leases, %d acts, %d poolers that took a list: the history is idle", len(ends), len(acts), len(taken))
+	}
+}
+
+// Six poolers, three of them stewards, with a relay on each link between two: whoever holds the list duty is stalled for
+// twice its lease, later killed, and later cut off from all others while the servers change; then all links between
+// poolers are slow. No request is lost, one pooler acts at a time, no list goes back, and all learn of the new server.
+func TestLeaseUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts six processes")
+	}
+	rep, lines, s := play(t, `{"poolers": 6, "servers": 2, "length_ms": 19000, "seed": 7, "clients": 1, "rest_ms": 40, "writes": 0.3,
+	  "patience_ms": 1500, "fleet": {"stewards": 3, "term_ms": 900, "relays": true}, "steps": [
+		{"at_ms": 3000, "act": "stop", "poolers": "holder", "for_ms": 1800},
+		{"at_ms": 7000, "act": "kill", "poolers": "holder", "for_ms": 1000},
+		{"at_ms": 11000, "act": "isolate", "poolers": "holder", "for_ms": 4000},
+		{"at_ms": 14000, "act": "replace", "servers": "1"},
+		{"at_ms": 15500, "act": "lag", "poolers": "all", "delay_ms": 30, "jitter_ms": 30, "for_ms": 2000}]}`)
+	judgeHistory(t, lines)
+	if n := len(tenures(lines)); n < 3 {
+		t.Errorf("%d leases, want one more after each of the holder's ends", n)
+	}
+	for i, met := range rep.Met {
+		if !met[1] {
+			t.Errorf("pooler %d never heard of the new server", i)
+		}
+	}
+	served := map[int]int{}
+	for _, q := range rep.Requests {
+		if q.Outcome == judge.Served {
+			served[q.Pooler]++
+		}
+	}
+	if len(served) != s.Poolers {
+		t.Errorf("%d poolers served, want all %d", len(served), s.Poolers)
+	}
+}
+
+// Without a quorum of stewards every pooler serves and watches the list service as if it were alone.
+func TestLostQuorum(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts four processes")
+	}
+	rep, lines, s := play(t, `{"poolers": 4, "servers": 2, "length_ms": 8000, "seed": 7, "clients": 1, "rest_ms": 40, "writes": 0.3,
+	  "patience_ms": 1500, "fleet": {"stewards": 3, "term_ms": 600, "relays": true}, "steps": [
+		{"at_ms": 0, "act": "isolate", "poolers": "0,3"}, {"at_ms": 0, "act": "isolate", "poolers": "1,3"}, {"at_ms": 0, "act": "isolate", "poolers": "2,3"},
+		{"at_ms": 5000, "act": "replace", "servers": "1"}]}`)
+	if n := len(tenures(lines)); n > 1 { // one may have been given before the cut
+		t.Errorf("%d leases without a quorum", n)
+	}
+	if rep.ListCalls < s.Poolers {
+		t.Errorf("%d list calls, want each pooler's own", rep.ListCalls)
+	}
+	for i, met := range rep.Met {
+		if !met[1] {
+			t.Errorf("pooler %d never heard of the new server", i)
+		}
+	}
+}
--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
@@ -89,22 +87,25 @@
 }
 
 func (c *serveCmd) Run(s streams) error {
-	cfg, my, err := load()
+	cfg, my, part, err := load()
 	if err != nil {
 		return err
 	}
+	if part != nil {
+		return errors.New("PROXY_FLEET: enabled is true, and this program has no fleet's parts: run threadsail-fleet serve")
+	}
 	level, err := zerolog.ParseLevel(c.LogLevel)
 	if err != nil {
 		return err
 	}
 	log := program.NewLog(s.err, c.LogFormat == "console", level)
-	return program.Serve(cfg, my, log, control(), func(program.Addrs) {})
+	return program.Serve(cfg, my, log, program.Signals(), func(program.Addrs) {})
 }
 
 type checkCmd struct{}
 
 func (*checkCmd) Run(s streams) error {
-	cfg, my, err := load()
+	cfg, my, part, err := load()
 	if err != nil {
 		return err
 	}
@@ -115,8 +116,12 @@
 	if my != nil {
 		front = "at " + my.Listen
 	}
-	fmt.Fprintf(s.out, "configuration is fine: %d classes, %d members known, MySQL front %s\n",
-		len(cfg.Settings.Classes), len(cfg.Known.Members), front)
+	fleet := "off"
+	if part != nil {
+		fleet = fmt.Sprintf("as %s, %d stewards", part.Name, len(part.Stewards))
+	}
+	fmt.Fprintf(s.out, "configuration is fine: %d classes, %d members known, MySQL front %s, fleet %s\n",
+		len(cfg.Settings.Classes), len(cfg.Known.Members), front, fleet)
 	return nil
 }
 
@@ -131,34 +136,16 @@
 	return nil
 }
 
-// control listens to signals: SIGTERM and SIGINT end the program, SIGHUP has it read its configuration again.
-func control() program.Control {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	terminate, reload := make(chan struct{}), make(chan struct{}, 1)
-	go func() {
-		for ended := false; ; {
-			switch s := <-signals; {
-			case s == syscall.SIGHUP:
-				select {
-				case reload <- struct{}{}:
-				default: // one is due already, and will see this change too
-				}
-			case !ended:
-				ended = true
-				close(terminate)
-			}
-		}
-	}()
-	return program.Control{Terminate: terminate, Reload: reload,
-		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(os.Getenv) }}
-}
-
-func load() (*config.Config, *config.MySQL, error) {
+// load reads all that the pooler is configured by; the MySQL front and the fleet are nil while they are off.
+func load() (*config.Config, *config.MySQL, *config.Fleet, error) {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
 	my, err := config.LoadMySQL(os.Getenv, cfg)
-	return cfg, my, err
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	part, err := config.LoadFleet(os.Getenv, cfg)
+	return cfg, my, part, err
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 	MemoryBytes    int64
 	Sockets        int
 	Known          discovery.List
+	Digest         string // of the settings but for the pooler's own number and zone: the same at all poolers of a fleet
 	Settings       rules.Settings
 	Zones          []string // names, in the order of their numbers
 	Reports        bool     // servers report their health
@@ -155,6 +156,7 @@
 	if c.Settings, err = Settings(facts); err != nil {
 		return err
 	}
+	c.Digest = facts.digest()
 	if len(c.Settings.Classes) == 0 {
 		return errors.New("settings: lanes: no class is named")
 	}
@@ -208,5 +210,16 @@
 	return nil
 }
 
+// ipAddress is address for a host that is named by its IP address.
+func ipAddress(key, v string) error {
+	if err := address(key, v); err != nil {
+		return err
+	}
+	if host, _, _ := net.SplitHostPort(v); net.ParseIP(host) == nil {
+		return fmt.Errorf("%s: %q is no IP address", key, host)
+	}
+	return nil
+}
+
 // or is the first value that is set.
 func or[T comparable](values ...T) T { return cmp.Or(values...) }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -32,7 +32,7 @@
 		Zones: []string{"a"}, Reports: true, MaxOpen: 7, ConnIdle: 9 * time.Second, ConnectTimeout: defaultConnectTimeout,
 		Settings: rules.Settings{Classes: []rules.Class{{Name: "w", Need: rules.NeedWrite, Effect: rules.Keyed,
 			Scope: rules.ScopeGroup, Deadline: 3 * time.Second}}}}
-	if d := cmp.Diff(want, got, cmpopts.IgnoreFields(Config{}, "shape")); d != "" {
+	if d := cmp.Diff(want, got, cmpopts.IgnoreFields(Config{}, "shape", "Digest")); d != "" {
 		t.Error(d)
 	}
 }
--- a/internal/config/facts.go
+++ b/internal/config/facts.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Facts is the text that an instance is born with. Unknown keys are skipped.
@@ -85,6 +87,16 @@
 	return f, nil
 }
 
+// digest is the same for the same facts about the fleet, wherever in it they are told.
+func (f Facts) digest() string {
+	f.Me, f.Zone = 0, 0
+	text, err := json.Marshal(f)
+	if err != nil {
+		panic(err) // they were read from JSON
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64(text))
+}
+
 // jsonError names the key at fault where the decoder knows it.
 func jsonError(err error) error {
 	var t *json.UnmarshalTypeError
--- /dev/null
+++ b/internal/config/fleet.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"math"
+	"os"
+	"slices"
+	"time"
+)
+
+// FleetFile is where the file of the poolers' own fleet lies unless PROXY_FLEET names another.
+const FleetFile = "deploy/fleet.json"
+
+// Defaults of the fleet's file, and the bounds that hold between them.
+const (
+	defaultTerm  = 3 * time.Second
+	defaultDrift = 100 * time.Millisecond // 3% of the term: far more than two monotonic clocks differ by
+	leastTerm    = 300 * time.Millisecond
+	mostStewards = 7
+)
+
+// Fleet is how this pooler takes part in the fleet of poolers.
+type Fleet struct {
+	Name      string // among the peers; PROXY_CONFIG's name unless the file gives one
+	Listen    string // for peers, TCP and UDP; an IP address and a port
+	Advertise string // where others reach it; empty: as Listen
+	Peers     []Peer // some others, for a start
+	Stewards  []Peer // all stewards, the same set at every pooler
+	Steward   StewardPart
+	Term      time.Duration // of leases
+	Drift     time.Duration // the most by which two monotonic clocks differ over a term
+	Election  time.Duration // as steward.Options.Election
+	// SharedAddresses tells that servers have the same host and port at all poolers: a handed list's new servers can be
+	// used without an own call.
+	SharedAddresses bool
+}
+
+// Peer is a pooler and the address at which it is reached from here.
+type Peer struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+}
+
+// StewardPart is what a steward needs besides; Listen empty: this pooler is none.
+type StewardPart struct {
+	Listen string `json:"listen"`
+	Dir    string `json:"dir"`
+}
+
+// LoadFleet reads the file of the fleet. Without the file, or with "enabled" false, the pooler is on its own: nil. An error
+// names the file, the line and the key.
+func LoadFleet(getenv func(string) string, cfg *Config) (*Fleet, error) {
+	path := or(getenv("PROXY_FLEET"), FleetFile)
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) && getenv("PROXY_FLEET") == "" {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_FLEET: %w", err)
+	}
+	f, offset, err := parseFleet(text, cfg.Name)
+	if err != nil {
+		return nil, fmt.Errorf("%s:%d: %w", path, 1+bytes.Count(text[:min(max(offset, 0), int64(len(text)))], []byte("\n")), err)
+	}
+	return f, nil
+}
+
+// parseFleet returns the fleet's part, nil if it is off, or an error with the offset in text of what it is about.
+func parseFleet(text []byte, name string) (*Fleet, int64, error) {
+	var file struct {
+		Enabled           bool
+		Name              string
+		Listen, Advertise string
+		Peers, Stewards   []Peer
+		Steward           StewardPart
+		TermMs            float64 `json:"term_ms"`
+		DriftMs           float64 `json:"drift_ms"`
+		ElectionMs        float64 `json:"election_ms"`
+		SharedAddresses   bool    `json:"shared_addresses"`
+	}
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
+	if err := dec.Decode(&file); err != nil {
+		return nil, jsonOffset(err, dec.InputOffset()), jsonError(err)
+	}
+	if dec.More() {
+		return nil, dec.InputOffset(), errors.New("text follows the object")
+	}
+	if !file.Enabled {
+		return nil, 0, nil
+	}
+	f := &Fleet{Name: or(file.Name, name), Listen: file.Listen, Advertise: file.Advertise, Peers: file.Peers, Stewards: file.Stewards,
+		Steward: file.Steward, Term: or(Milliseconds(file.TermMs), defaultTerm), Drift: or(Milliseconds(file.DriftMs), defaultDrift),
+		SharedAddresses: file.SharedAddresses}
+	f.Election = or(Milliseconds(file.ElectionMs), f.Term/3)
+	for _, check := range []struct {
+		key string
+		err error
+	}{
+		{"name", missing(f.Name)},
+		{"listen", ipAddress("listen", f.Listen)},
+		{"advertise", optional(f.Advertise, ipAddress("advertise", f.Advertise))},
+		{"peers", named("peers", f.Peers)},
+		{"stewards", named("stewards", f.Stewards)},
+		{"stewards", stewards(f)},
+		{"term_ms", bounds("term_ms", f.Term, leastTerm, time.Minute)},
+		{"drift_ms", bounds("drift_ms", f.Drift, time.Millisecond, f.Term/4)}, // a holder acts for two thirds of its term at the least
+		{"election_ms", bounds("election_ms", f.Election, 50*time.Millisecond, f.Term)},
+	} {
+		if check.err != nil {
+			return nil, int64(bytes.Index(text, []byte(`"`+check.key+`"`))), check.err
+		}
+	}
+	return f, 0, nil
+}
+
+// jsonOffset is where a decoder's error lies, if it says; else fallback.
+func jsonOffset(err error, fallback int64) int64 {
+	var syntax *json.SyntaxError
+	var typed *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return syntax.Offset
+	case errors.As(err, &typed):
+		return typed.Offset
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return math.MaxInt64 // the end of the text
+	}
+	return fallback
+}
+
+func missing(name string) error {
+	if name == "" {
+		return errors.New("name: missing, here and in PROXY_CONFIG")
+	}
+	return nil
+}
+
+func optional(v string, err error) error {
+	if v == "" {
+		return nil
+	}
+	return err
+}
+
+func named(key string, peers []Peer) error {
+	seen := map[string]bool{}
+	for i, p := range peers {
+		if p.Name == "" || seen[p.Name] {
+			return fmt.Errorf("%s[%d].name: %q is empty or names another too", key, i, p.Name)
+		}
+		seen[p.Name] = true
+		if err := ipAddress(fmt.Sprintf("%s[%d].addr", key, i), p.Addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func stewards(f *Fleet) error {
+	n := len(f.Stewards)
+	switch {
+	case n == 0 || n%2 == 0 || n > mostStewards:
+		return fmt.Errorf("stewards: %d are named, not an odd number up to %d: an even one bears no more losses", n, mostStewards)
+	case f.Steward.Listen == "":
+		return nil
+	case f.Steward.Dir == "":
+		return errors.New("steward.dir: missing")
+	case !slices.ContainsFunc(f.Stewards, func(p Peer) bool { return p.Name == f.Name }):
+		return fmt.Errorf("stewards: this pooler, %q, is a steward and not among them", f.Name)
+	}
+	return ipAddress("steward.listen", f.Steward.Listen)
+}
+
+func bounds(key string, d, least, most time.Duration) error {
+	if d < least || d > most {
+		return fmt.Errorf("%s: %v is not from %v to %v", key, d, least, most)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/fleet_test.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestFleet(t *testing.T) {
+	const peers = `"enabled": true, "listen": "127.0.0.1:7946", "peers": [{"name": "n2", "addr": "127.0.0.2:7946"}]`
+	const stewards = `"stewards": [{"name": "n1", "addr": "127.0.0.1:7950"}]`
+	for _, c := range []struct{ text, want string }{
+		{`{` + peers + `, ` + stewards + `}`, ""},
+		{"{\n" + peers + ",\n" + stewards + ",\n\"term_msec\": 3}", `unknown field "term_msec"`},
+		{"{\n" + peers + ",\n" + stewards + ",\n\"term_ms\": 10}", ":4: term_ms"},
+		{"{" + peers + ", " + stewards + ",\n\"term_ms\": \"3\"}", ":2: term_ms: a string does not fit"},
+		{"{" + peers + ",\n" + stewards + ",\n\"drift_ms\": 2000}", ":3: drift_ms"},
+		{"{" + peers + ",\n\"stewards\": [{\"name\": \"n1\", \"addr\": \"127.0.0.1:1\"}, {\"name\": \"n2\", \"addr\": \"127.0.0.1:2\"}]}", ":2: stewards: 2 are named"},
+		{"{" + peers + ",\n\"stewards\": [{\"name\": \"n1\", \"addr\": \"here\"}]}", ":2: stewards[0].addr"},
+		{`{"enabled": true, "listen": "localhost:1"}`, ":1: listen"},
+		{`{` + peers + `}`, "stewards: 0 are named"},
+		{`{` + peers + `, "stewards": [{"name": "n3", "addr": "127.0.0.1:1"}], "steward": {"listen": "127.0.0.1:1", "dir": "d"}}`, "not among them"},
+		{`{` + peers + `, ` + stewards + `, "steward": {"listen": "127.0.0.1:1"}}`, "steward.dir: missing"},
+		{"{\n\n\"enabled\": tru", ":3: "},
+		{`{} {}`, "text follows"},
+	} {
+		path := filepath.Join(t.TempDir(), "fleet.json")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := LoadFleet(func(string) string { return path }, &Config{Name: "n1"})
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || !strings.HasPrefix(err.Error(), path)) {
+			t.Errorf("%s: %v, want %q", c.text, err, c.want)
+		}
+	}
+	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1")
+	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
+		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second}
+	if d := cmp.Diff(want, got); d != "" || err != nil {
+		t.Error(d, err)
+	}
+	shipped, err := os.ReadFile("../../deploy/fleet.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f, _, err := parseFleet(shipped, "n1"); f != nil || err != nil {
+		t.Errorf("the shipped file is not off: %+v %v", f, err)
+	}
+	on := strings.Replace(string(shipped), "false", "true", 1)
+	if f, _, err := parseFleet([]byte(on), "n1"); f == nil || err != nil {
+		t.Errorf("the shipped file can't be turned on: %v", err)
+	}
+}
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -24,13 +24,27 @@
 	Writes           float64       // share of the requests that are keyed writes
 	Patience         time.Duration // a request's deadline
 	Plan             *faults.Plan
+	Fleet            ScenarioFleet
 }
 
+// ScenarioFleet is how the poolers of a scenario know each other; Stewards 0: they don't.
+type ScenarioFleet struct {
+	Stewards        int           // the first so many poolers keep the leases
+	Term            time.Duration // as Fleet.Term; the drift is 3% of it, the election a third
+	Relays          bool          // a relay on each link between two poolers, for faults
+	SharedAddresses bool          // as Fleet.SharedAddresses
+}
+
+// DriftOf and ElectionOf are the drift and the election that a scenario gives its poolers for a term.
+func (f ScenarioFleet) DriftOf() time.Duration    { return f.Term * 3 / 100 }
+func (f ScenarioFleet) ElectionOf() time.Duration { return f.Term / 3 }
+
 // Most a scenario may ask for on one machine; the laboratory's design note tells how they were found.
 const (
 	mostPoolers = 400
 	mostServers = 120
 	mostLength  = 10 * time.Minute
+	mostRelayed = 32 // poolers with relays between them: each pair takes two, of two sockets
 )
 
 // LoadScenario reads a scenario file. An error names the file, the line and the key.
@@ -73,20 +87,18 @@
 		RestMs           float64 `json:"rest_ms"`
 		Writes           float64
 		PatienceMs       float64 `json:"patience_ms"`
-		Steps            []json.RawMessage
+		Fleet            struct {
+			Stewards        int
+			TermMs          float64 `json:"term_ms"`
+			Relays          bool
+			SharedAddresses bool `json:"shared_addresses"`
+		}
+		Steps []json.RawMessage
 	}
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&file); err != nil {
-		var syntax *json.SyntaxError
-		var typed *json.UnmarshalTypeError
-		switch {
-		case errors.As(err, &syntax):
-			return Scenario{}, syntax.Offset, err
-		case errors.As(err, &typed):
-			return Scenario{}, typed.Offset, jsonError(err)
-		}
-		return Scenario{}, dec.InputOffset(), err
+		return Scenario{}, jsonOffset(err, dec.InputOffset()), jsonError(err)
 	}
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Length: ms(file.LengthMs), Seed: file.Seed,
@@ -108,6 +120,17 @@
 	case s.Rest < time.Millisecond || s.Patience < 10*time.Millisecond:
 		return s, 0, errors.New("rest_ms: under 1, or patience_ms under 10")
 	}
+	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
+		SharedAddresses: file.Fleet.SharedAddresses}
+	switch fl := s.Fleet; {
+	case fl.Stewards == 0:
+	case fl.Stewards%2 == 0 || fl.Stewards < 0 || fl.Stewards > min(mostStewards, s.Poolers):
+		return s, 0, fmt.Errorf("fleet.stewards: %d is not an odd number of the poolers, up to %d", fl.Stewards, mostStewards)
+	case fl.Term < leastTerm:
+		return s, 0, fmt.Errorf("fleet.term_ms: under %v", leastTerm)
+	case fl.Relays && s.Poolers > mostRelayed:
+		return s, 0, fmt.Errorf("fleet.relays: %d poolers are more than %d", s.Poolers, mostRelayed)
+	}
 	rng := rand.New(rand.NewPCG(s.Seed, 0xfa17))
 	hot, err := faults.Pick(file.Hot, s.Poolers, rng)
 	if s.Hot, s.HotClients = hot, or(file.HotClients, s.Clients); err != nil {
@@ -126,16 +149,25 @@
 		if err := one.Decode(&st); err != nil {
 			return s, at[i], fmt.Errorf("steps[%d]: %w", i, jsonError(err))
 		}
-		poolers, err := faults.Pick(st.Poolers, s.Poolers, rng)
-		if err != nil {
+		holder := st.Poolers == "holder"
+		var poolers []int
+		if !holder {
+			poolers, err = faults.Pick(st.Poolers, s.Poolers, rng)
+		}
+		switch act := faults.Act(st.Act); {
+		case err != nil:
 			return s, at[i], fmt.Errorf("steps[%d].poolers: %w", i, err)
+		case holder && s.Fleet.Stewards == 0:
+			return s, at[i], fmt.Errorf("steps[%d].poolers: holder: the poolers have no stewards", i)
+		case act.OnPeers() && !s.Fleet.Relays:
+			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.relays", i, act)
 		}
 		servers, err := faults.Pick(st.Servers, s.Servers, rng)
 		if err != nil {
 			return s, at[i], fmt.Errorf("steps[%d].servers: %w", i, err)
 		}
 		steps = append(steps, faults.Step{At: ms(st.AtMs), Act: faults.Act(st.Act), Poolers: poolers, Servers: servers,
-			For: ms(st.ForMs), Delay: ms(st.DelayMs), Jitter: ms(st.JitterMs)})
+			Holder: holder, For: ms(st.ForMs), Delay: ms(st.DelayMs), Jitter: ms(st.JitterMs)})
 		if steps[i].At > s.Length {
 			return s, at[i], fmt.Errorf("steps[%d].at_ms: after the end of the run", i)
 		}
--- a/internal/duty/lists.go
+++ b/internal/duty/lists.go
@@ -61,6 +61,7 @@
 	tellAt  time.Duration
 	fetchAt time.Duration
 	fetch   bool          // one is under way
+	blind   bool          // the list of the newest word cannot be used here
 	lacking time.Duration // since when the list of the newest word has been missing here
 	refused uint64
 }
@@ -89,7 +90,9 @@
 	if err == nil {
 		l.holder.Granted(l.asked, g, ok)
 	}
-	if err != nil || !ok {
+	if _, acts := l.holder.MayAct(now); acts {
+		l.askAt = now + l.Term/12 // after a renewal that failed there is time for another
+	} else {
 		l.askAt = now + l.spread(l.Term/2) // all that hear nothing ask twice a term or so
 	}
 	switch {
@@ -151,9 +154,16 @@
 	return l.settle(now)
 }
 
+// Blind takes in that the list last fetched names a server whose address here is not known: the list service is asked
+// once, by this pooler itself.
+func (l *Lists) Blind(now time.Duration) Do {
+	l.fetch, l.blind = false, true
+	return l.settle(now)
+}
+
 // Own takes in that the own watch has brought a list, or a change.
 func (l *Lists) Own(now time.Duration) Do {
-	l.told = true
+	l.told, l.blind = true, false
 	if token, ok := l.holder.MayAct(now); ok && token == l.word.Token {
 		l.word.Seq++
 		l.have, l.tellAt = l.word, now
@@ -215,7 +225,7 @@
 	if !l.asking && now >= l.askDue(acts) {
 		l.asking, l.asked, do.Ask = true, now, true
 	}
-	switch watch := l.want && (acts || now >= l.aloneAt()); {
+	switch watch := l.want && (acts || l.blind || now >= l.aloneAt()); {
 	case watch && !l.open:
 		l.open, do.Open = true, true
 	case !watch && l.open:
@@ -228,7 +238,7 @@
 	if acts && l.told && now >= l.tellAt {
 		do.Tell, l.tellAt = l.word, now+l.Term/3
 	}
-	if l.lacks() && !acts && !l.fetch && now >= l.fetchAt {
+	if l.lacks() && !acts && !l.fetch && !l.blind && now >= l.fetchAt {
 		do.Fetch, l.fetch = l.word, true
 	}
 	return do
@@ -271,7 +281,7 @@
 	} else if l.want && !l.open {
 		next(l.aloneAt())
 	}
-	if l.lacks() && !l.fetch {
+	if l.lacks() && !l.fetch && !l.blind {
 		next(l.fetchAt)
 	}
 	return due
--- a/internal/duty/lists_test.go
+++ b/internal/duty/lists_test.go
@@ -86,6 +86,15 @@
 			{"an old one's list", 9 * s, took(theirs(8, 5), false), Do{}},
 			{"a renewal that was overtaken", 9 * s, func(l *Lists, at time.Duration) Do { l.asking = true; return l.Answer(at, grant, true, nil) }, Do{}},
 		},
+		"a list with a server that was never seen from here": {
+			{"the start", 0, (*Lists).Want, Do{}},
+			{"a word", s, heard(theirs(3, 1), false), Do{}},
+			{"the fetch", 2 * s, (*Lists).Timer, Do{Fetch: theirs(3, 1)}},
+			{"an address is missing", 2 * s, (*Lists).Blind, Do{Open: true}},
+			{"the own call's answer", 2 * s, (*Lists).Own, Do{Close: true}},
+			{"the next word", 3 * s, heard(theirs(3, 2), false), Do{}},
+			{"its fetch", 4 * s, (*Lists).Timer, Do{Fetch: theirs(3, 2)}},
+		},
 		"a word whose list does not come": {
 			{"the start", 0, (*Lists).Want, Do{}},
 			{"a word", s, heard(theirs(3, 1), false), Do{}},
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -33,13 +33,23 @@
 	Up      Act = "up"      // servers listen again
 	Promote Act = "promote" // the one server named becomes primary, all others replicas
 	Replace Act = "replace" // a new server, a replica, takes each one's place under a new name; the old goes down
+	Isolate Act = "isolate" // links between the poolers and all other poolers, stewards among them, drop all; For: rejoined after it
+	Lag     Act = "lag"     // links of the poolers to all other poolers hold each piece back by Delay, up to Jitter more; For: rejoined after it
+	Rejoin  Act = "rejoin"  // those links pass all again
 	Move    Act = "move"    // the poolers get a new list service, named in their configuration, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Move}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Isolate, Lag, Rejoin, Move}
 
 // undo is the step that ends a fault of some length.
-var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up}
+var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up,
+	Isolate: Rejoin, Lag: Rejoin}
+
+// Ends tells whether the act ends faults that another began.
+func (a Act) Ends() bool { return a == Restart || a == Cont || a == Heal || a == Up || a == Rejoin }
+
+// OnPeers tells whether the act is on links between poolers.
+func (a Act) OnPeers() bool { return a == Isolate || a == Lag || a == Rejoin }
 
 // Step is one act at one time, on sets of poolers and servers, each by its index from 0.
 type Step struct {
@@ -48,7 +58,11 @@
 	Poolers       []int
 	Servers       []int
 	For           time.Duration // how long the fault lasts; 0: until another step ends it
-	Delay, Jitter time.Duration // of Delay
+	Delay, Jitter time.Duration // of Delay and Lag
+	// Holder stands for Poolers: whoever holds the fleet's list duty when the step comes, as the laboratory sees it. A fault's
+	// end has the index of its beginning, and is for the same pooler.
+	Holder bool
+	Index  int // of the step as given
 }
 
 // Plan is the sorted list of steps, the ends of faults with a length among them.
@@ -65,9 +79,10 @@
 		if err := s.check(poolers, servers); err != nil {
 			return nil, fmt.Errorf("steps[%d].%w", i, err)
 		}
+		s.Index = i
 		all = append(all, s)
 		if s.For > 0 {
-			all = append(all, Step{At: s.At + s.For, Act: undo[s.Act], Poolers: s.Poolers, Servers: s.Servers})
+			all = append(all, Step{At: s.At + s.For, Act: undo[s.Act], Poolers: s.Poolers, Servers: s.Servers, Holder: s.Holder, Index: i})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Step) int { return int(a.At - b.At) })
@@ -87,7 +102,7 @@
 	onLinks := s.Act == Cut || s.Act == OneWay || s.Act == Delay || s.Act == Reset || s.Act == Heal
 	onServers := s.Act == Down || s.Act == Up || s.Act == Promote || s.Act == Replace
 	switch {
-	case (onLinks || !onServers) && len(s.Poolers) == 0:
+	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder:
 		return fmt.Errorf("poolers: %s needs some", s.Act)
 	case (onLinks || onServers) && len(s.Servers) == 0:
 		return fmt.Errorf("servers: %s needs some", s.Act)
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,188 @@
+// Package fleet is a pooler's way to the other poolers and to the stewards: it puts the steward, the client of the leases
+// and the membership together behind program.Fleet. It decides nothing; package duty does.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/duty"
+	"threadsail/internal/lease"
+	"threadsail/internal/peers"
+	"threadsail/internal/program"
+	"threadsail/internal/steward"
+)
+
+const (
+	gives      = 8  // lists on their way to others at once: more askers are left to ask others
+	queuedAsks = 16 // asks and releases that wait for the stewards
+)
+
+// message is what poolers say to each other, one JSON object.
+type message struct {
+	Kind string          `json:"kind"` // "word", "want" or "list"
+	From string          `json:"from,omitempty"`
+	Word duty.Word       `json:"word"`
+	List json.RawMessage `json:"list,omitempty"`
+}
+
+// Fleet implements program.Fleet.
+type Fleet struct {
+	c       *config.Fleet
+	holder  string // this process among the holders: a restarted pooler does not own what the one before it held
+	peers   *peers.Peers
+	steward *steward.Steward // nil: this pooler is none
+	asks    chan func(*steward.Client)
+	giving  chan struct{}
+	log     zerolog.Logger
+	done    sync.WaitGroup
+}
+
+// Open starts the pooler's part and returns at once; errors are of its addresses and the steward's folder.
+func Open(c *config.Fleet, log zerolog.Logger, events program.FleetEvents) (*Fleet, error) {
+	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), asks: make(chan func(*steward.Client), queuedAsks),
+		giving: make(chan struct{}, gives), log: log.With().Str("part", "fleet").Logger()}
+	say := func(line string) { f.log.Warn().Msg(line) }
+	var stewards []steward.Peer
+	for _, p := range c.Stewards {
+		stewards = append(stewards, steward.Peer(p))
+	}
+	if c.Steward.Listen != "" {
+		if err := os.MkdirAll(c.Steward.Dir, 0o700); err != nil {
+			return nil, err
+		}
+		var err error
+		f.steward, err = steward.Start(steward.Options{Name: c.Name, Listen: c.Steward.Listen, Dir: c.Steward.Dir, Stewards: stewards,
+			Drift: c.Drift, Election: c.Election, Log: say})
+		if err != nil {
+			return nil, err
+		}
+	}
+	var others []peers.Peer
+	for _, p := range c.Peers {
+		others = append(others, peers.Peer(p))
+	}
+	var err error
+	if f.peers, err = peers.Start(peers.Options{Name: c.Name, Listen: c.Listen, Advertise: c.Advertise, Peers: others,
+		Heard: func(text []byte) { f.heard(text, events) }, Log: say}, peers.Meta{}); err != nil {
+		if f.steward != nil {
+			f.steward.Close()
+		}
+		return nil, err
+	}
+	f.done.Go(func() {
+		client := &steward.Client{Holder: f.holder, Stewards: stewards, Timeout: c.Term / 4} // so that a renewal, a third of the term in, can be tried twice
+		defer client.Close()
+		for ask := range f.asks {
+			ask(client)
+		}
+	})
+	return f, nil
+}
+
+// heard sorts what other poolers say. What can't be read is logged and has no effect.
+func (f *Fleet) heard(text []byte, events program.FleetEvents) {
+	var m message
+	if err := json.Unmarshal(text, &m); err != nil {
+		f.log.Warn().Err(err).Msg("a message of another pooler can't be read")
+		return
+	}
+	switch m.Kind {
+	case "word":
+		events.Word(m.Word)
+	case "want":
+		events.Wanted(m.From)
+	case "list":
+		events.List(m.Word, m.List)
+	}
+}
+
+func encode(m message) []byte {
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // a list is JSON that this process wrote
+	}
+	return text
+}
+
+// ask hands work to the one goroutine that talks with the stewards; at the end there is nobody to talk to.
+func (f *Fleet) ask(work func(*steward.Client)) {
+	select {
+	case f.asks <- work:
+	default:
+		f.log.Warn().Msg("lease: too many asks wait for the stewards")
+		go work(&steward.Client{Holder: f.holder, Stewards: []steward.Peer{{}}, Timeout: time.Nanosecond}) // answers with an error
+	}
+}
+
+// Acquire asks for the list duty's lease.
+func (f *Fleet) Acquire(done func(g lease.Grant, ok bool, err error)) {
+	f.ask(func(c *steward.Client) { done(c.Acquire(duty.ListsDuty, f.c.Term)) })
+}
+
+// Release gives it up. If that fails the lease runs out by itself.
+func (f *Fleet) Release() {
+	f.ask(func(c *steward.Client) { _ = c.Release(duty.ListsDuty) })
+}
+
+// Tell passes a word on to all.
+func (f *Fleet) Tell(w duty.Word) { f.peers.Tell("lists", encode(message{Kind: "word", Word: w})) }
+
+// Fetch asks one of the poolers that show the word's list, or the word's source while none does.
+func (f *Fleet) Fetch(w duty.Word) {
+	from, n := w.Source, 0
+	for _, m := range f.peers.Members() {
+		if m.Name != f.c.Name && m.Meta.Token == w.Token && m.Meta.Seq == w.Seq {
+			if n++; rand.IntN(n) == 0 {
+				from = m.Name
+			}
+		}
+	}
+	text := encode(message{Kind: "want", From: f.c.Name})
+	go func() {
+		if err := f.peers.Send(from, text); err != nil {
+			f.log.Warn().Err(err).Str("from", from).Msg("list: can't be fetched")
+		}
+	}()
+}
+
+// Give sends a list to a pooler that asked for it.
+func (f *Fleet) Give(to string, w duty.Word, list []byte) {
+	select {
+	case f.giving <- struct{}{}:
+	default:
+		return
+	}
+	text := encode(message{Kind: "list", Word: w, List: list})
+	go func() {
+		defer func() { <-f.giving }()
+		if err := f.peers.Send(to, text); err != nil {
+			f.log.Warn().Err(err).Str("to", to).Msg("list: can't be given")
+		}
+	}()
+}
+
+// Show changes what the others see of this pooler.
+func (f *Fleet) Show(w duty.Word, build, config string) {
+	f.peers.Show(peers.Meta{Build: build, Config: config, Token: w.Token, Seq: w.Seq})
+}
+
+// Members is how many poolers are held to be alive.
+func (f *Fleet) Members() int { return len(f.peers.Members()) }
+
+// Close leaves the fleet. What waits for the stewards, a release above all, is said first.
+func (f *Fleet) Close() {
+	close(f.asks)
+	f.done.Wait()
+	f.peers.Close()
+	if f.steward != nil {
+		f.steward.Close()
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -50,6 +50,7 @@
 	WorstSecond      [2]float64 // the same in its worst second
 	ListCalls        int        // watches opened at the list services, all poolers
 	Starts           int        // pooler processes started, restarts among them
+	Met              [][]bool   `json:"-"` // by pooler, then server place: whether a connection came to who stands there last
 	Requests         []judge.Request
 	Outages          []judge.Outage
 }
@@ -109,7 +110,9 @@
 	samples  int
 	ups      []up
 	replaced int
-	rss      [3]float64 // summed over poolers: first sample, last sample; and the most of one
+	peers    peerNet
+	held     map[int][]int // by the index of a step on the holder, whom it was for
+	rss      [3]float64    // summed over poolers: first sample, last sample; and the most of one
 
 	mu       sync.Mutex
 	requests []judge.Request
@@ -125,7 +128,7 @@
 // Run plays the scenario and judges it. It fails h if a pooler does not start.
 func (f Fleet) Run(h standin.Host) FleetReport {
 	s := f.Scenario
-	r := &fleetRun{Fleet: f, h: h, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	r := &fleetRun{Fleet: f, h: h, held: map[int][]int{}, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
 	names := make([]string, s.Servers)
 	for i := range names {
 		names[i] = fmt.Sprintf("db%d", i+1)
@@ -144,6 +147,7 @@
 		r.members, r.lists = append(r.members, m), append(r.lists, m.Discovery)
 		r.poolers = append(r.poolers, &pooler{i: i, env: m.Env})
 	}
+	r.peers.join(h, s, r.members)
 	h.Cleanup(r.endAll)
 	r.began = time.Now()
 	r.each(r.poolers, func(p *pooler) { r.start(p) })
@@ -188,6 +192,7 @@
 	tick.Stop()
 	close(stop)
 	running.Wait()
+	r.endAll() // so that their logs are whole
 	return r.report()
 }
 
@@ -380,8 +385,26 @@
 	}
 }
 
+// holder is the pooler that has watched a list service of its own for longest, as those tell; none: nobody watches one.
+func (r *fleetRun) holder() []int {
+	var oldest time.Time
+	var found []int
+	for i, m := range r.members {
+		if since, ok := m.Discovery.Open(); ok && (found == nil || since.Before(oldest)) {
+			oldest, found = since, []int{i}
+		}
+	}
+	return found
+}
+
 // act carries out one step of the plan.
 func (r *fleetRun) act(step faults.Step) {
+	if step.Holder {
+		if !step.Act.Ends() {
+			r.held[step.Index] = r.holder()
+		}
+		step.Poolers = r.held[step.Index]
+	}
 	r.say("%s, poolers %s, servers %s", step.Act, some(step.Poolers), some(step.Servers))
 	links := func(fault relay.Fault) {
 		for _, p := range step.Poolers {
@@ -422,6 +445,12 @@
 			r.lists = append(r.lists, r.members[i].Discovery)
 		}
 		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
+	case faults.Isolate:
+		r.peers.set(step.Poolers, relay.Fault{Drop: true}, false)
+	case faults.Lag:
+		r.peers.set(step.Poolers, relay.Fault{Delay: step.Delay, Jitter: step.Jitter}, true)
+	case faults.Rejoin:
+		r.peers.set(step.Poolers, relay.Fault{}, true)
 	case faults.Replace:
 		for _, j := range step.Servers {
 			r.replace(j)
@@ -588,6 +617,13 @@
 	for _, l := range r.lists {
 		rep.ListCalls += l.Watches()
 	}
+	for i := range r.relays {
+		met := make([]bool, len(r.relays[i]))
+		for j, link := range r.relays[i] {
+			met[j] = link.Accepted() > 0
+		}
+		rep.Met = append(rep.Met, met)
+	}
 	for j := range r.servers.Servers {
 		var at []time.Time
 		for i := range r.relays {
--- /dev/null
+++ b/internal/lab/peers.go
@@ -0,0 +1,106 @@
+package lab
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"threadsail/internal/config"
+	"threadsail/internal/relay"
+	"threadsail/internal/standin"
+)
+
+// Where a laboratory's poolers speak with each other: each on a loopback address of its own, at ports that no outgoing
+// connection can take, in a block of addresses that no other laboratory of this machine has.
+const (
+	gossipPort  = 7946
+	stewardPort = 7950
+	firstBlock  = 64
+	blocks      = 128
+	aBlock      = 250 // addresses of a third octet
+)
+
+var laboratories atomic.Int32
+
+// peerNet is the links between poolers; the zero peerNet has none.
+type peerNet struct {
+	block   int
+	links   map[[2]int][]*relay.Link // from pooler i to pooler j
+	claimed net.Listener             // holds the block
+}
+
+func (n *peerNet) addr(i, port int) string {
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", n.block, 1+i/aBlock, 1+i%aBlock), fmt.Sprint(port))
+}
+
+// claim takes a block of addresses.
+func (n *peerNet) claim(h standin.Host) {
+	var err error
+	for range blocks {
+		n.block = firstBlock + (os.Getpid()+int(laboratories.Add(1)))%blocks
+		if n.claimed, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n.block, gossipPort)); err == nil {
+			h.Cleanup(func() { _ = n.claimed.Close() })
+			return
+		}
+	}
+	h.Fatal(err)
+}
+
+// join writes each member's file of the fleet, with a relay on each link to another if the scenario wants them.
+func (n *peerNet) join(h standin.Host, s config.Scenario, members []*standin.Member) {
+	fleet := s.Fleet
+	if fleet.Stewards == 0 {
+		return
+	}
+	n.claim(h)
+	n.links = map[[2]int][]*relay.Link{}
+	name := func(i int) string { return fmt.Sprint("n", i+1) }
+	to := func(i, j, port int) string {
+		addr := n.addr(j, port)
+		if i == j || !fleet.Relays {
+			return addr
+		}
+		l, err := relay.ListenBoth(addr, s.Seed^uint64(i<<16|j))
+		if err != nil {
+			h.Fatal(err)
+		}
+		h.Cleanup(l.Close)
+		n.links[[2]int{i, j}] = append(n.links[[2]int{i, j}], l)
+		return l.Addr()
+	}
+	for i, m := range members {
+		var peers, stewards []config.Peer
+		for j := range members {
+			if j < fleet.Stewards {
+				stewards = append(stewards, config.Peer{Name: name(j), Addr: to(i, j, stewardPort)})
+			}
+			if i != j && (fleet.Relays || j < fleet.Stewards) {
+				peers = append(peers, config.Peer{Name: name(j), Addr: to(i, j, gossipPort)})
+			}
+		}
+		file := map[string]any{"enabled": true, "name": name(i), "listen": n.addr(i, gossipPort), "peers": peers, "stewards": stewards,
+			"term_ms": fleet.Term.Milliseconds(), "drift_ms": fleet.DriftOf().Milliseconds(), "election_ms": fleet.ElectionOf().Milliseconds(),
+			"shared_addresses": fleet.SharedAddresses}
+		if i < fleet.Stewards {
+			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
+		}
+		m.File("PROXY_FLEET", file)
+	}
+}
+
+// set puts a fault on the links between the poolers of a set and all others; or, within, on those inside the set too.
+func (n *peerNet) set(poolers []int, fault relay.Fault, within bool) {
+	in := map[int]bool{}
+	for _, i := range poolers {
+		in[i] = true
+	}
+	for ends, links := range n.links {
+		if in[ends[0]] != in[ends[1]] || within && in[ends[0]] {
+			for _, l := range links {
+				l.Set(fault)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/fleet.go
@@ -0,0 +1,188 @@
+package program
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/duty"
+	"threadsail/internal/lease"
+	"threadsail/internal/protocol/discovery"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+// Fleet is the way to the other poolers and to the stewards of the leases. None of its calls waits. The program knows only
+// this interface, so that the libraries behind it stay out of a pooler that is on its own.
+type Fleet interface {
+	// Acquire asks for the list duty's lease, or renews it, and calls done once, on any goroutine.
+	Acquire(done func(g lease.Grant, ok bool, err error))
+	Release()                                 // gives it up
+	Tell(w duty.Word)                         // passes a word on to all
+	Fetch(w duty.Word)                        // asks a pooler that has it for the list of a word; it comes as FleetEvents.List, or not
+	Give(to string, w duty.Word, list []byte) // sends a list to one that asked
+	Show(w duty.Word, build, config string)   // what the others see of this pooler
+	Members() int                             // poolers held to be alive, this one among them
+	Close()
+}
+
+// FleetEvents is what a Fleet tells, on any goroutine.
+type FleetEvents struct {
+	Word   func(w duty.Word)
+	Wanted func(from string)
+	List   func(w duty.Word, list []byte)
+}
+
+// fleetDescriptors is how many a fleet may hold: listeners, the log, connections to and from other poolers.
+const fleetDescriptors = 48
+
+// listDuty plays the fleet's list duty for a watcher: the decisions are duty.Lists'. It runs on the watcher's loop.
+type listDuty struct {
+	loop    *routing.Loop
+	watcher *watcher
+	fleet   Fleet
+	lists   duty.Lists
+	log     zerolog.Logger
+	shared  bool // config.Fleet.SharedAddresses
+	build   string
+	digest  string
+	told    duty.Word      // the last word told
+	list    discovery.List // the whole list as last told, by whomever
+	timer   *routing.Timer
+	late    *routing.Timer // of a fetch
+}
+
+// joinFleet has the watcher take part in the list duty. It must be called before the loop runs.
+func joinFleet(w *watcher, cfg *config.Config, part *FleetPart, log zerolog.Logger) (*listDuty, error) {
+	fc := part.Config
+	d := &listDuty{loop: w.loop, watcher: w, log: log.With().Str("part", "fleet").Logger(), shared: fc.SharedAddresses, build: part.Build,
+		digest: cfg.Digest, list: discovery.List{Complete: true, Revision: cfg.Known.Revision, Members: cfg.Known.Members},
+		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Spread: float64(cfg.Seed%1024) / 1024, Fleet: max(cfg.Settings.Balancers, 1)}}
+	fleet, err := part.Open(FleetEvents{
+		Word:   func(word duty.Word) { d.loop.Post(func() { d.heard(word) }) },
+		Wanted: func(from string) { d.loop.Post(func() { d.wanted(from) }) },
+		List:   func(word duty.Word, list []byte) { d.loop.Post(func() { d.took(word, list) }) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.fleet, w.duty = fleet, d
+	return d, nil
+}
+
+func (d *listDuty) want()   { d.carry(d.lists.Want(d.loop.Now())) }
+func (d *listDuty) failed() { d.carry(d.lists.Failed(d.loop.Now())) }
+
+// own takes in what the own watch has brought.
+func (d *listDuty) own(l discovery.List) {
+	d.list = d.list.With(l)
+	d.carry(d.lists.Own(d.loop.Now()))
+}
+
+func (d *listDuty) heard(w duty.Word) {
+	do, refused := d.lists.Heard(d.loop.Now(), w)
+	if refused {
+		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("word: refused, a newer one was heard")
+	}
+	d.carry(do)
+}
+
+// wanted sends another pooler the list here, if it is one that was handed on.
+func (d *listDuty) wanted(from string) {
+	if w := d.lists.Have(); w.Seq > 0 {
+		d.fleet.Give(from, w, d.list.Format())
+	}
+}
+
+// took takes in a list that was handed on: whole, or not at all.
+func (d *listDuty) took(w duty.Word, text []byte) {
+	d.late.Stop()
+	now := d.loop.Now()
+	list, err := discovery.ParseList(text)
+	if err == nil && !d.shared {
+		var known bool
+		if list, known = list.At(d.list); !known { // a server that was never seen from here: its address here is asked for
+			d.carry(d.lists.Blind(now))
+			return
+		}
+	}
+	if err != nil || !list.Complete {
+		d.log.Error().Err(err).Str("from", w.Source).Msg("list: what was handed on can't be used")
+		d.carry(d.lists.FetchFailed(now))
+		return
+	}
+	do, ok := d.lists.Took(now, w)
+	if ok {
+		d.list, d.watcher.since = list, 0
+		d.watcher.list(rules.ListFull, members(list, d.watcher.zones))
+		d.log.Info().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Int64("at_ns", int64(now)).
+			Uint64("revision", list.Revision).Int("servers", len(list.Members)).Msg("list: taken from the fleet")
+	} else {
+		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("list: not newer than the one in force")
+	}
+	d.carry(do)
+}
+
+// carry carries out what was decided.
+func (d *listDuty) carry(do duty.Do) {
+	now := d.loop.Now()
+	if do.Close {
+		d.watcher.shut()
+		d.log.Info().Msg("list service: left to the holder")
+	}
+	if do.Release {
+		d.fleet.Release()
+	}
+	if do.Open {
+		token, holds := d.lists.Token(now)
+		d.log.Info().Bool("holder", holds).Uint64("token", token).Msg("list service: called")
+		d.watcher.open()
+	}
+	if do.Ask {
+		d.fleet.Acquire(func(g lease.Grant, ok bool, err error) { d.loop.Post(func() { d.answer(g, ok, err) }) })
+	}
+	if do.Tell.Token > 0 {
+		// The token is looked at once more, right before the act: the loop may have been late.
+		if token, ok := d.lists.Token(d.loop.Now()); ok && token == do.Tell.Token {
+			began := d.loop.Now()
+			d.fleet.Tell(do.Tell)
+			level := zerolog.DebugLevel // the same word again, so that the others hear of a holder
+			if do.Tell != d.told {
+				level = zerolog.InfoLevel
+			}
+			d.told = do.Tell
+			d.log.WithLevel(level).Uint64("token", do.Tell.Token).Uint64("seq", do.Tell.Seq).Str("holder", do.Tell.Holder).
+				Int64("began_ns", int64(began)).Int64("ended_ns", int64(d.loop.Now())).Msg("list: handed on")
+		}
+	}
+	if do.Fetch.Seq > 0 {
+		d.fleet.Fetch(do.Fetch)
+		d.late = d.loop.After(d.lists.Term/2, func() { d.carry(d.lists.FetchFailed(d.loop.Now())) })
+	}
+	d.fleet.Show(d.lists.Have(), d.build, d.digest)
+	d.timer.Stop()
+	now = d.loop.Now()
+	d.timer = d.loop.After(max(d.lists.Due(now)-now, time.Millisecond), func() { d.carry(d.lists.Timer(d.loop.Now())) })
+}
+
+func (d *listDuty) answer(g lease.Grant, ok bool, err error) {
+	now := d.loop.Now()
+	_, had := d.lists.Token(now)
+	do := d.lists.Answer(now, g, ok, err)
+	switch token, has := d.lists.Token(now); {
+	case err != nil:
+		d.log.Warn().Err(err).Msg("lease: the stewards decide nothing")
+	case has:
+		level := zerolog.DebugLevel
+		if !had {
+			level = zerolog.InfoLevel
+		}
+		d.log.WithLevel(level).Uint64("token", token).Str("holder", g.Holder).Bool("renewed", had).Int64("at_ns", int64(now)).
+			Int64("until_ns", int64(d.lists.Until())).Msg("lease: held")
+	}
+	d.carry(do)
+}
+
+// leave ends the pooler's part: another may act at once.
+func (d *listDuty) leave() { d.carry(d.lists.Leave(d.loop.Now())) }
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -76,6 +76,14 @@
 	Terminate <-chan struct{}                                      // closed: end, once what has been taken is answered
 	Reload    <-chan struct{}                                      // the configuration may have changed
 	Load      func(inForce *config.Config) (*config.Config, error) // reads it again, strictly
+	Fleet     *FleetPart                                           // nil: the pooler is on its own
+}
+
+// FleetPart is the pooler's part in the fleet of poolers.
+type FleetPart struct {
+	Config *config.Fleet
+	Build  string // version of the program
+	Open   func(FleetEvents) (Fleet, error)
 }
 
 // Addrs is where the pooler listens; MySQL and Admin are empty while they are off.
@@ -94,6 +102,9 @@
 		sockets -= admin.Descriptors
 	}
 	sockets -= descriptors(postgresSource(cfg))
+	if control.Fleet != nil {
+		sockets -= fleetDescriptors
+	}
 	if my != nil {
 		sockets -= descriptors(mysqlSource(cfg, my))
 		sockets /= 2 // each front has its own share: neither can starve the other
@@ -117,6 +128,13 @@
 		sides = append(sides, m)
 		addrs.MySQL = m.front.Addr()
 	}
+	var lists *listDuty
+	if control.Fleet != nil && pg.source.watcher != nil { // a file is each pooler's own
+		if lists, err = joinFleet(pg.source.watcher, cfg, control.Fleet, log); err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+		defer lists.fleet.Close()
+	}
 	var running sync.WaitGroup
 	for _, s := range sides {
 		log.Info().Str("front", s.name).Str("addr", s.front.Addr()).Msg("serving")
@@ -156,6 +174,9 @@
 			for _, s := range sides {
 				s.loop.Post(s.drain)
 			}
+			if lists != nil {
+				pg.loop.Post(lists.leave)
+			}
 		case <-ended:
 			log.Info().Msg("ended")
 			return nil
--- /dev/null
+++ b/internal/program/signals.go
@@ -0,0 +1,33 @@
+package program
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"threadsail/internal/config"
+)
+
+// Signals is how a process of the pooler is told what to do: SIGTERM and SIGINT end it, SIGHUP has it read its
+// configuration again.
+func Signals() Control {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	terminate, reload := make(chan struct{}), make(chan struct{}, 1)
+	go func() {
+		for ended := false; ; {
+			switch s := <-signals; {
+			case s == syscall.SIGHUP:
+				select {
+				case reload <- struct{}{}:
+				default: // one is due already, and will see this change too
+				}
+			case !ended:
+				ended = true
+				close(terminate)
+			}
+		}
+	}()
+	return Control{Terminate: terminate, Reload: reload,
+		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(os.Getenv) }}
+}
--- a/internal/program/watch.go
+++ b/internal/program/watch.go
@@ -33,9 +33,19 @@
 	c      *transport.Conn
 	stream *discovery.Stream
 	silent *routing.Timer
+	duty   *listDuty // decides when to call, with the fleet; nil: whenever the module asks
 }
 
 func (w *watcher) watch() {
+	if w.duty != nil {
+		w.duty.want()
+	} else {
+		w.open()
+	}
+}
+
+// open calls the list service, unless a watch is under way.
+func (w *watcher) open() {
 	if w.stop != nil {
 		return
 	}
@@ -59,12 +69,21 @@
 	if addr == w.addr {
 		return
 	}
+	open := w.stop != nil || w.duty == nil // else the holder's word tells what the new one lists
+	w.shut()
+	w.addr, w.since = addr, 0
+	if open {
+		w.open()
+	}
+}
+
+// shut ends the watch under way, if any, and tells nobody.
+func (w *watcher) shut() {
 	w.silent.Stop()
 	if w.stop != nil {
 		w.stop()
 	}
-	w.addr, w.since, w.stop = addr, 0, nil
-	w.watch()
+	w.stop = nil
 }
 
 // hear waits for the next word.
@@ -76,12 +95,11 @@
 func (w *watcher) Closed(err error) { w.failed(err) }
 
 func (w *watcher) failed(err error) {
-	w.silent.Stop()
-	if w.stop != nil {
-		w.stop()
-	}
-	w.stop = nil
+	w.shut()
 	w.log("discovery: " + err.Error())
+	if w.duty != nil {
+		w.duty.failed()
+	}
 	w.list(rules.ListFailed, nil)
 }
 
@@ -95,6 +113,9 @@
 		}
 		w.since = l.Revision
 		w.list(kind, members(l, w.zones))
+		if w.duty != nil {
+			w.duty.own(l)
+		}
 	}
 	if err != nil {
 		if len(lists) == 0 {
--- a/internal/protocol/discovery/discovery_test.go
+++ b/internal/protocol/discovery/discovery_test.go
@@ -90,3 +90,30 @@
 		}
 	})
 }
+
+// A list that one pooler hands to another keeps its meaning, at the other's addresses, and changes add up to the whole.
+func TestHandedOn(t *testing.T) {
+	started := time.Duration(1767225600123 * float64(time.Millisecond)) // as it is parsed
+	a := Member{Name: "a", Addr: "h1:1", Zone: "z", Group: 2, State: rules.Ready, Primary: true, Started: started}
+	b := Member{Name: "b", Addr: "h2:1", State: rules.Draining}
+	whole := List{Revision: 4, Complete: true, Members: []Member{a, b}}
+	if got, err := ParseList(whole.Format()); cmp.Diff(whole, got) != "" || err != nil {
+		t.Errorf("%v %v", cmp.Diff(whole, got), err)
+	}
+	c := Member{Name: "c", Addr: "h3:1", State: rules.Ready}
+	next := whole.With(List{Revision: 5, Members: []Member{{Name: "a", State: rules.Gone}, c}})
+	if d := cmp.Diff(List{Revision: 5, Complete: true, Members: []Member{b, c}}, next); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(whole, next.With(whole)); d != "" {
+		t.Error(d)
+	}
+	here := List{Members: []Member{{Name: "a", Addr: "10.0.0.1:1"}, {Name: "b", Addr: "10.0.0.2:1"}}}
+	at, known := whole.At(here)
+	if !known || at.Members[0].Addr != "10.0.0.1:1" || at.Members[1].Addr != "10.0.0.2:1" || whole.Members[0].Addr != "h1:1" {
+		t.Errorf("%+v %v", at, known)
+	}
+	if _, known := next.At(here); known {
+		t.Error("a server that was never seen from here has an address")
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -28,11 +28,12 @@
 	changed  chan struct{}
 	watches  int
 	since    string
+	open     map[int]time.Time // watches that are open, by number, with their beginnings
 }
 
 // NewDiscovery starts a list service.
 func NewDiscovery(entries []Entry) *Discovery {
-	d := &Discovery{revision: 1, entries: entries, changed: make(chan struct{})}
+	d := &Discovery{revision: 1, entries: entries, changed: make(chan struct{}), open: map[int]time.Time{}}
 	d.Server = httptest.NewServer(http.HandlerFunc(d.serve))
 	return d
 }
@@ -54,6 +55,18 @@
 	return d.watches
 }
 
+// Open is when the oldest watch that is open now began; false: none is open.
+func (d *Discovery) Open() (since time.Time, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range d.open {
+		if !ok || at.Before(since) {
+			since, ok = at, true
+		}
+	}
+	return since, ok
+}
+
 // Since is the revision that the last watch asked for changes from; empty: it asked for the whole list.
 func (d *Discovery) Since() string {
 	d.mu.Lock()
@@ -68,8 +81,15 @@
 	}
 	d.mu.Lock()
 	d.watches++
+	n := d.watches
+	d.open[n] = time.Now()
 	d.since = r.URL.Query().Get("since")
 	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.open, n)
+	}()
 	for {
 		d.mu.Lock()
 		line, _ := json.Marshal(map[string]any{"revision": d.revision, "complete": true, "members": d.entries})
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -238,6 +238,16 @@
 	return m
 }
 
+// File writes a further file of the member and names it in its environment.
+func (m *Member) File(variable string, v any) {
+	m.f.t.Helper()
+	m.Env[variable] = filepath.Join(m.Dir(), strings.ToLower(variable)+".json")
+	m.f.file(m.Env[variable], v)
+}
+
+// Dir is the folder of the member's own files.
+func (m *Member) Dir() string { return filepath.Dir(m.Env["PROXY_CONFIG"]) }
+
 // Move starts another list service for the member and names it in its configuration, which a SIGHUP then has it read.
 // The old one stays as it is.
 func (m *Member) Move() {
