--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,198 @@
+package audit
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+func record(i int) Record {
+	return Record{At: int64(i), Instance: "n1", Build: "b", Config: "c", Revision: uint64(i), Act: ListTaken, Server: strings.Repeat("s", i%7)}
+}
+
+// A journal cut at any byte is opened again, loses the torn record alone, and goes on; nothing torn is ever read.
+func TestCutAnywhere(t *testing.T) {
+	var whole []byte
+	var ends []int
+	for i := range 4 {
+		whole, _ = Append(whole, record(i))
+		ends = append(ends, len(whole))
+	}
+	path := filepath.Join(t.TempDir(), "acts")
+	for cut := range len(whole) + 1 {
+		if err := os.WriteFile(path, whole[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		j, lost, err := Open(path, 1<<20, 1)
+		if err != nil {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+		var want []Record
+		kept := 0
+		for i, end := range ends {
+			if end <= cut {
+				want, kept = append(want, record(i)), end
+			}
+		}
+		if lost != int64(cut-kept) {
+			t.Errorf("cut at %d: %d bytes lost, want %d", cut, lost, cut-kept)
+		}
+		if err := errors.Join(j.Write(record(9)), j.Close()); err != nil {
+			t.Fatal(err)
+		}
+		text, _ := os.ReadFile(path)
+		got, problems := Parse(path, text)
+		if d := cmp.Diff(append(want, record(9)), got); d != "" || len(problems) > 0 {
+			t.Errorf("cut at %d: %s %v", cut, d, problems)
+		}
+	}
+}
+
+// Problems name file and place, and the rest is still read.
+func TestProblems(t *testing.T) {
+	var b []byte
+	for i := range 3 {
+		b, _ = Append(b, record(i))
+	}
+	one, _ := Append(nil, record(0))
+	two, _ := Append(one, record(1))
+	flipped := append([]byte(nil), b...)
+	flipped[len(one)+20] ^= 1
+	for _, c := range []struct {
+		name string
+		text []byte
+		read int
+		want string
+	}{
+		{"whole", b, 3, ""},
+		{"torn", b[:len(b)-1], 2, fmt.Sprintf("j: at byte %d: the journal ends inside a record", len(two))},
+		{"flipped", flipped, 2, fmt.Sprintf("j: at byte %d: a record's checksum", len(one))},
+		{"foreign", []byte("{\"a\": 1}\n{\"b\": 2}\n"), 0, "j: at byte 0: no journal"},
+		{"empty", nil, 0, ""},
+	} {
+		got, problems := Parse("j", c.text)
+		said := ""
+		if len(problems) > 0 {
+			said = problems[0].Error()
+		}
+		if len(got) != c.read || c.want == "" && said != "" || !strings.Contains(said, c.want) {
+			t.Errorf("%s: %d records, %q; want %d, %q", c.name, len(got), said, c.read, c.want)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "foreign")
+	if err := os.WriteFile(path, []byte("{\"a\": 1}\n{\"b\": 2}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Open(path, 1<<20, 1); !errors.Is(err, ErrForeign) {
+		t.Errorf("a foreign file: %v", err)
+	}
+	if text, _ := os.ReadFile(path); len(text) != 18 {
+		t.Error("a foreign file was changed")
+	}
+}
+
+// Full files are put aside, and the oldest go.
+func TestRotation(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "acts")
+	one, _ := Append(nil, record(0))
+	j, _, err := Open(path, int64(2*len(one)+20), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 9 {
+		r := record(0)
+		r.At = int64(i)
+		if err := j.Write(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = j.Close()
+	var at []int64
+	for _, name := range []string{path + ".2", path + ".1", path} {
+		text, err := os.ReadFile(name)
+		records, problems := Parse(name, text)
+		if err != nil || len(problems) > 0 {
+			t.Errorf("%s: %v %v", name, err, problems)
+		}
+		for _, r := range records {
+			at = append(at, r.At)
+		}
+	}
+	if d := cmp.Diff([]int64{4, 5, 6, 7, 8}, at); d != "" {
+		t.Error(d)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	b, _ := Append(nil, record(1))
+	b, _ = Append(b, record(2))
+	f.Add(b)
+	f.Add(b[:len(b)-3])
+	f.Add([]byte("text"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		records, problems := Parse("f", b)
+		var again []byte
+		for _, r := range records {
+			next, err := Append(again, r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			again = next
+		}
+		if got, bad := Parse("f", again); len(bad) > 0 || cmp.Diff(records, got, cmpopts.EquateEmpty()) != "" {
+			t.Fatalf("records do not survive: %v", bad)
+		}
+		for _, p := range problems {
+			if p.Offset < 0 || p.Offset >= int64(len(b)) {
+				t.Fatalf("a problem at %d of %d", p.Offset, len(b))
+			}
+		}
+	})
+}
+
+func TestMerge(t *testing.T) {
+	s := int64(time.Second)
+	act := func(at int64, who string, what Act, change func(*Record)) Record {
+		r := Record{At: at * s, Instance: who, Build: "b1", Config: "c1", Act: what}
+		if change != nil {
+			change(&r)
+		}
+		return r
+	}
+	list := func(token, seq uint64) func(*Record) { return func(r *Record) { r.Token, r.Seq = token, seq } }
+	primary := func(server string) func(*Record) { return func(r *Record) { r.Group, r.Server = 2, server } }
+	config := func(digest string) func(*Record) { return func(r *Record) { r.Config = digest } }
+	rep := Merge([]Record{
+		// Journals come one after the other, not by time.
+		act(0, "a", Started, nil), act(1, "a", HandedOn, list(5, 1)), act(10, "a", HandedOn, list(5, 2)), act(11, "a", PrimaryTaken, primary("p")),
+		act(20, "a", ConfigTaken, config("c2")), act(30, "a", HandedOn, list(5, 3)), act(40, "a", Ended, config("c2")),
+		act(0, "b", Started, nil), act(2, "b", ListTaken, list(5, 1)), act(12, "b", ListTaken, list(5, 2)), act(12, "b", PrimaryTaken, primary("q")),
+		act(15, "b", PrimaryTaken, primary("p")), act(22, "b", ConfigTaken, config("c2")), act(25, "b", LeaseHeld, list(9, 0)), act(26, "b", HandedOn, list(9, 1)),
+		act(0, "c", Started, nil), act(2, "c", ListTaken, list(5, 1)), act(28, "c", ListTaken, list(9, 1)), act(50, "c", Refused, list(5, 3)),
+	}, Limits{Grace: 5 * time.Second})
+	want := []Straggler{
+		{"c", "list", 10 * s, 28 * s, "5.1", "5.2"},
+		{"c", "config", 20 * s, 0, "c1", "c2"},
+	}
+	// a, the old holder, acts by token 5 at 30 s and never takes 9.1 in the fourteen seconds that it has.
+	want = append(want, Straggler{"a", "list", 26 * s, 0, "5.3", "9.1"})
+	if d := cmp.Diff(want, rep.Stragglers); d != "" {
+		t.Error(d)
+	}
+	if len(rep.OldTokens) != 1 || rep.OldTokens[0].Record.At != 30*s || rep.OldTokens[0].Newer.Token != 9 {
+		t.Errorf("old tokens: %+v", rep.OldTokens)
+	}
+	if d := cmp.Diff([]Disagreement{{Group: 2, A: "a", B: "b", Of: "p", As: "q", From: 12 * s, To: 15 * s}}, rep.Disagreements); d != "" {
+		t.Error(d)
+	}
+	if n := len(rep.Moments); n == 0 || rep.Moments[n-1].Poolers != 2 || rep.Moments[2].Poolers != 3 {
+		t.Errorf("moments: %+v", rep.Moments)
+	}
+}
--- /dev/null
+++ b/internal/audit/journal.go
@@ -0,0 +1,97 @@
+package audit
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+)
+
+// Journal is a pooler's journal on disk. It is not safe for use by several goroutines.
+type Journal struct {
+	path string
+	most int64 // bytes of one file
+	keep int   // older files kept beside it: path.1 is the youngest
+	file *os.File
+	size int64
+}
+
+// Open opens a journal for writing, or makes it. A torn tail is cut; cut tells how many bytes that was. A file that is no
+// journal at all is an error, and stays as it is.
+func Open(path string, most int64, keep int) (j *Journal, cut int64, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, 0, err
+	}
+	whole := int64(len(text))
+	if _, problems := Parse(path, text); len(problems) > 0 {
+		switch last := problems[len(problems)-1]; {
+		case last.Offset == 0 && errors.Is(last.Err, ErrForeign):
+			return nil, 0, last
+		case !errors.Is(last.Err, ErrCorrupt) || last.Offset == 0: // a corrupt record inside stays for the reader to tell of
+			whole = last.Offset
+		}
+	}
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err = file.Truncate(whole); err == nil {
+		_, err = file.Seek(whole, 0)
+	}
+	if err != nil {
+		_ = file.Close()
+		return nil, 0, err
+	}
+	return &Journal{path: path, most: most, keep: keep, file: file, size: whole}, int64(len(text)) - whole, nil
+}
+
+// Write appends a record with one system call, so that a crash of the process leaves it whole or not at all; a crash of the
+// machine may tear it. A full file is put aside first.
+func (j *Journal) Write(r Record) error {
+	b, err := Append(nil, r)
+	if err != nil {
+		return err
+	}
+	if j.size > 0 && j.size+int64(len(b)) > j.most {
+		if err := j.rotate(); err != nil {
+			return err
+		}
+	}
+	n, err := j.file.Write(b)
+	if err != nil && n > 0 { // a full disk: no half record stays
+		if terr := j.file.Truncate(j.size); terr != nil {
+			return errors.Join(err, terr)
+		}
+		if _, serr := j.file.Seek(j.size, 0); serr != nil {
+			return errors.Join(err, serr)
+		}
+		return err
+	}
+	j.size += int64(n)
+	return err
+}
+
+func (j *Journal) rotate() error {
+	if err := j.file.Close(); err != nil {
+		return err
+	}
+	for i := j.keep; i > 0; i-- {
+		from := j.path
+		if i > 1 {
+			from = fmt.Sprintf("%s.%d", j.path, i-1)
+		}
+		if err := os.Rename(from, fmt.Sprintf("%s.%d", j.path, i)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+	}
+	file, err := os.OpenFile(j.path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	j.file, j.size = file, 0
+	return nil
+}
+
+// Close closes the file.
+func (j *Journal) Close() error { return j.file.Close() }
--- /dev/null
+++ b/internal/audit/record.go
@@ -0,0 +1,131 @@
+// Package audit keeps what a pooler did on which version, and finds out from many poolers' journals what the fleet did: its
+// versions over time, stragglers, acts by old tokens, and where poolers disagreed about a primary.
+//
+// A journal is a file of frames, appended only: four bytes of length, four of CRC-32C, both little-endian, then one JSON
+// Record. What holds: a frame whose checksum does not fit is never read as a record; a torn tail, as a crash leaves one, is
+// cut when the journal is opened for writing and told of when it is read; records before it are kept.
+package audit
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"time"
+)
+
+// Act is what a record tells of.
+type Act string
+
+// The acts. What further fields a record holds is told with each.
+const (
+	Started      Act = "started"       // the process serves
+	Ended        Act = "ended"         // it ends in order
+	PrimaryTaken Act = "primary-taken" // Group, Server: writes go there from now on
+	PrimaryLeft  Act = "primary-left"  // Group, Server: and no longer
+	ListTaken    Act = "list-taken"    // Revision; Token and Seq if it was handed on
+	ConfigTaken  Act = "config-taken"  // Config
+	LeaseHeld    Act = "lease-held"    // Token
+	LeaseLost    Act = "lease-lost"    // Token
+	HandedOn     Act = "handed-on"     // Token, Seq, Revision: an act of the list duty
+	Refused      Act = "refused"       // Token, Seq: a word or list older than one before it
+)
+
+// Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
+type Record struct {
+	At       int64  `json:"at"`       // Unix time in ns, by the pooler's clock
+	Instance string `json:"instance"` // the pooler's name, and what tells its processes apart
+	Build    string `json:"build"`
+	Config   string `json:"config"`   // digest of the configuration in force
+	Revision uint64 `json:"revision"` // of the list in force
+	Token    uint64 `json:"token,omitempty"`
+	Seq      uint64 `json:"seq,omitempty"`
+	Act      Act    `json:"act"`
+	Group    int    `json:"group,omitempty"`
+	Server   string `json:"server,omitempty"`
+}
+
+// Time is At for people and sorting.
+func (r Record) Time() time.Time { return time.Unix(0, r.At) }
+
+const (
+	headLen   = 8
+	maxRecord = 64 << 10 // of a frame's JSON: names are short, and a torn length must not be believed
+)
+
+// What Next finds wrong.
+var (
+	ErrTorn    = errors.New("the journal ends inside a record")
+	ErrCorrupt = errors.New("a record's checksum does not fit")
+	ErrForeign = errors.New("no journal of acts")
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Append puts a record's frame behind b.
+func Append(b []byte, r Record) ([]byte, error) {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return b, err
+	}
+	if len(text) > maxRecord {
+		return b, fmt.Errorf("audit: a record of %d bytes is over %d", len(text), maxRecord)
+	}
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(text)))
+	b = binary.LittleEndian.AppendUint32(b, crc32.Checksum(text, castagnoli))
+	return append(b, text...), nil
+}
+
+// Next reads the frame at the beginning of b and tells how long it is. Errors are ErrTorn, ErrCorrupt and ErrForeign; of a
+// corrupt frame whose length can be believed n is that length, so that what follows can still be read, else 0.
+func Next(b []byte) (r Record, n int, err error) {
+	if len(b) < headLen {
+		return r, 0, ErrTorn
+	}
+	size := int(binary.LittleEndian.Uint32(b))
+	switch {
+	case size > maxRecord || size < 2:
+		return r, 0, ErrForeign
+	case len(b) < headLen+size:
+		return r, 0, ErrTorn
+	}
+	text := b[headLen : headLen+size]
+	if crc32.Checksum(text, castagnoli) != binary.LittleEndian.Uint32(b[4:]) {
+		return r, headLen + size, ErrCorrupt
+	}
+	if err := json.Unmarshal(text, &r); err != nil || r.Act == "" || r.Instance == "" {
+		return Record{}, headLen + size, ErrForeign
+	}
+	return r, headLen + size, nil
+}
+
+// Problem is a place in a journal that could not be read.
+type Problem struct {
+	File   string
+	Offset int64
+	Err    error
+}
+
+func (p Problem) Error() string { return fmt.Sprintf("%s: at byte %d: %v", p.File, p.Offset, p.Err) }
+
+// Unwrap is the cause, ErrTorn, ErrCorrupt or ErrForeign.
+func (p Problem) Unwrap() error { return p.Err }
+
+// Parse reads a whole journal's text: its records, and a problem for each place that can't be read. What comes behind a
+// corrupt record is read where its length leads to another record; where framing is lost, reading ends.
+func Parse(file string, b []byte) (records []Record, problems []Problem) {
+	for at := 0; at < len(b); {
+		r, n, err := Next(b[at:])
+		if err != nil {
+			problems = append(problems, Problem{file, int64(at), err})
+			if n == 0 {
+				break
+			}
+		} else {
+			records = append(records, r)
+		}
+		at += n
+	}
+	return records, problems
+}
