Play groups of servers, roles in lists and servers that take their time in the laboratory

Cause: figures of even load were the laboratory's, not the poolers'. Every pooler was number 0 of its fleet (settings.me was never set), so all had one home; lists told no roles, so each start probed and kept a connection to every member; answers came within 0.3 ms, whose chance the module takes for slowness; and a stand-in that ran out of descriptors stopped taking connections silently, which showed as refusals after 8 s without a fault. Now: groups, roles, work_ms and direct (no relay a link) in scenarios, poolers numbered, connections counted by the servers themselves, replicas apart from primaries, and a laboratory that can't take connections fails its run.

--- a/cmd/threadsail-fleet/main_test.go
+++ b/cmd/threadsail-fleet/main_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/anishathalye/porcupine"
 
@@ -117,6 +118,16 @@
 		}
 	}
 	ends := tenures(lines)
+	for i, a := range ends[:max(len(ends)-1, 0)] {
+		last := a.from
+		for _, l := range lines {
+			if l.Token == a.token && l.Message == "list: handed on" {
+				last = max(last, l.Ended)
+			}
+		}
+		t.Logf("hand-over from %s to %s: %v after the last act, %v after the lease's end", a.holder, ends[i+1].holder,
+			time.Duration(ends[i+1].from-last).Round(time.Millisecond), time.Duration(ends[i+1].from-a.until).Round(time.Millisecond))
+	}
 	for i, a := range ends {
 		for _, b := range ends[i+1:] {
 			if a.from < b.until && b.from < a.until {
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -15,6 +15,9 @@
 // Scenario is an experiment of the fleet laboratory: its size, its load and its faults.
 type Scenario struct {
 	Poolers, Servers int           // processes of the pooler, stand-in servers (the first is primary)
+	Groups           int           // of servers, in order and of about one size; the first of each is its primary
+	Roles            bool          // the lists tell who is primary
+	Direct           bool          // no relays between poolers and servers: for fleets that are too large for one a link
 	Length           time.Duration // of the run
 	Seed             uint64        // draws shares of poolers and the clients' choices
 	Clients          int           // a pooler, each with one request at a time
@@ -23,6 +26,7 @@
 	Rest             time.Duration // between a client's answer and its next request
 	Writes           float64       // share of the requests that are keyed writes
 	Patience         time.Duration // a request's deadline
+	Work             time.Duration // a server takes over a statement, half of it to one and a half
 	Plan             *faults.Plan
 	Fleet            ScenarioFleet
 }
@@ -35,6 +39,12 @@
 	SharedAddresses bool          // as Fleet.SharedAddresses
 }
 
+// GroupOf is the group of the server in place j, and whether that is its group's first.
+func (s Scenario) GroupOf(j int) (group int, first bool) {
+	group = j * s.Groups / s.Servers
+	return group, j == 0 || (j-1)*s.Groups/s.Servers != group
+}
+
 // DriftOf and ElectionOf are the drift and the election that a scenario gives its poolers for a term.
 func (f ScenarioFleet) DriftOf() time.Duration    { return f.Term * 3 / 100 }
 func (f ScenarioFleet) ElectionOf() time.Duration { return f.Term / 3 }
@@ -79,6 +89,8 @@
 func parseScenario(text []byte) (Scenario, int64, error) {
 	var file struct {
 		Poolers, Servers int
+		Groups           int
+		Roles, Direct    bool
 		Clients          *int // 0: idle poolers
 		Hot              string
 		HotClients       int     `json:"hot_clients"`
@@ -87,6 +99,7 @@
 		RestMs           float64 `json:"rest_ms"`
 		Writes           float64
 		PatienceMs       float64 `json:"patience_ms"`
+		WorkMs           float64 `json:"work_ms"`
 		Fleet            struct {
 			Stewards        int
 			TermMs          float64 `json:"term_ms"`
@@ -101,8 +114,9 @@
 		return Scenario{}, jsonOffset(err, dec.InputOffset()), jsonError(err)
 	}
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
-	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Length: ms(file.LengthMs), Seed: file.Seed,
-		Clients: 1, Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000))}
+	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Groups: or(file.Groups, 1), Roles: file.Roles, Direct: file.Direct, Length: ms(file.LengthMs), Seed: file.Seed,
+		Clients: 1, Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000)),
+		Work: ms(file.WorkMs)}
 	if file.Clients != nil {
 		s.Clients = *file.Clients
 	}
@@ -111,6 +125,8 @@
 		return s, 0, fmt.Errorf("poolers: %d is not from 1 to %d", s.Poolers, mostPoolers)
 	case s.Servers < 1 || s.Servers > mostServers:
 		return s, 0, fmt.Errorf("servers: %d is not from 1 to %d", s.Servers, mostServers)
+	case s.Groups < 1 || s.Groups > s.Servers:
+		return s, 0, fmt.Errorf("groups: %d is not from 1 to the number of servers", s.Groups)
 	case s.Length <= 0 || s.Length > mostLength:
 		return s, 0, fmt.Errorf("length_ms: %v is not above 0 and within %v", s.Length, mostLength)
 	case s.Clients < 0 || s.Clients > 16:
@@ -119,6 +135,8 @@
 		return s, 0, fmt.Errorf("writes: %v is no share from 0 to 1", s.Writes)
 	case s.Rest < time.Millisecond || s.Patience < 10*time.Millisecond:
 		return s, 0, errors.New("rest_ms: under 1, or patience_ms under 10")
+	case s.Work < 0 || s.Work > s.Patience:
+		return s, 0, fmt.Errorf("work_ms: %v is not from 0 to the patience", s.Work)
 	}
 	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
 		SharedAddresses: file.Fleet.SharedAddresses}
@@ -161,6 +179,8 @@
 			return s, at[i], fmt.Errorf("steps[%d].poolers: holder: the poolers have no stewards", i)
 		case act.OnPeers() && !s.Fleet.Relays:
 			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.relays", i, act)
+		case act.OnLinks() && s.Direct:
+			return s, at[i], fmt.Errorf("steps[%d].act: %s needs relays, and direct is true", i, act)
 		}
 		servers, err := faults.Pick(st.Servers, s.Servers, rng)
 		if err != nil {
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -31,7 +31,7 @@
 	Heal    Act = "heal"    // links pass all again
 	Down    Act = "down"    // servers refuse and break their connections; For: up after it
 	Up      Act = "up"      // servers listen again
-	Promote Act = "promote" // the one server named becomes primary, all others replicas
+	Promote Act = "promote" // the one server named becomes primary, all others of its group replicas
 	Replace Act = "replace" // a new server, a replica, takes each one's place under a new name; the old goes down
 	Isolate Act = "isolate" // links between the poolers and all other poolers, stewards among them, drop all; For: rejoined after it
 	Lag     Act = "lag"     // links of the poolers to all other poolers hold each piece back by Delay, up to Jitter more; For: rejoined after it
@@ -48,6 +48,11 @@
 // Ends tells whether the act ends faults that another began.
 func (a Act) Ends() bool { return a == Restart || a == Cont || a == Heal || a == Up || a == Rejoin }
 
+// OnLinks tells whether the act is on links between poolers and servers.
+func (a Act) OnLinks() bool {
+	return a == Cut || a == OneWay || a == Delay || a == Reset || a == Heal
+}
+
 // OnPeers tells whether the act is on links between poolers.
 func (a Act) OnPeers() bool { return a == Isolate || a == Lag || a == Rejoin }
 
@@ -99,7 +104,7 @@
 	if _, ok := undo[s.Act]; s.For > 0 && !ok {
 		return fmt.Errorf("for_ms: %s lasts no time", s.Act)
 	}
-	onLinks := s.Act == Cut || s.Act == OneWay || s.Act == Delay || s.Act == Reset || s.Act == Heal
+	onLinks := s.Act.OnLinks()
 	onServers := s.Act == Down || s.Act == Up || s.Act == Promote || s.Act == Replace
 	switch {
 	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder:
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -42,6 +42,7 @@
 	P50, P99         time.Duration
 	Connections      [3]float64 // new connections a server over the run: least, mean, most
 	Open             [3]float64 // connections open at a server, its mean over the run's seconds: least, mean, most
+	OpenReplicas     [3]float64 // the same at those that are replicas at the end
 	OpenMost         int        // connections open at one server at any sampled second
 	Resident         [3]float64 // resident memory of a pooler in MB, mean over poolers: at the first sample, at the last, most of any
 	Probes           int        // health asked for at servers, all servers
@@ -134,14 +135,26 @@
 		names[i] = fmt.Sprintf("db%d", i+1)
 	}
 	r.servers = standin.NewFleet(h, false, func(settings map[string]any) { settings["balancers"] = s.Poolers }, names...)
+	r.servers.Roles = s.Roles
+	for j, server := range r.servers.Servers {
+		var first bool
+		server.Cell, first = s.GroupOf(j)
+		server.Set(first, 0)
+		r.work(server)
+	}
 	for i := range s.Poolers {
-		links := make([]*relay.Link, s.Servers)
-		for j, server := range r.servers.Servers {
-			links[j] = r.link(i, j, server)
+		if !s.Direct {
+			links := make([]*relay.Link, s.Servers)
+			for j, server := range r.servers.Servers {
+				links[j] = r.link(i, j, server)
+			}
+			r.relays = append(r.relays, links)
 		}
-		r.relays = append(r.relays, links)
 		m := r.servers.Member(fmt.Sprintf("n%d", i+1), fmt.Sprintf("%016x", rand.New(rand.NewPCG(s.Seed, uint64(i))).Uint64()),
 			func(server *standin.Server) string {
+				if s.Direct {
+					return server.Addr
+				}
 				return r.relays[i][slices.Index(r.servers.Servers, server)].Addr()
 			})
 		r.members, r.lists = append(r.members, m), append(r.lists, m.Discovery)
@@ -214,12 +227,25 @@
 	return link
 }
 
+// work has a server take its time over each statement. Without it answers come within fractions of a millisecond, whose
+// chance a pooler takes for slowness, and spreads its reads over servers that it would not use.
+func (r *fleetRun) work(server *standin.Server) {
+	if w := r.Scenario.Work; w > 0 {
+		server.Do(func(standin.Seen) standin.Act {
+			time.Sleep(w/2 + time.Duration(rand.Int64N(int64(w))))
+			return standin.Answer
+		})
+	}
+}
+
 // replace puts a new server, a replica, in place j: the old one goes down, relays lead to the new one, and every list
 // service names it instead.
 func (r *fleetRun) replace(j int) {
 	old := r.servers.Servers[j]
 	r.replaced++
 	fresh := r.servers.Server(fmt.Sprintf("db%d-%d", j+1, r.replaced), false)
+	fresh.Cell = old.Cell
+	r.work(fresh)
 	r.servers.Servers[j] = fresh
 	for i := range r.relays {
 		r.relays[i][j] = r.link(i, j, fresh)
@@ -231,7 +257,7 @@
 	r.ups = append(r.ups, up{j, time.Now()})
 }
 
-// sample counts the connections open at each server, through all relays.
+// sample counts the connections open at each server.
 func (r *fleetRun) sample() {
 	r.samples++
 	r.rss[1] = 0
@@ -243,9 +269,10 @@
 		r.rss[1] += mb
 		r.rss[2] = max(r.rss[2], mb)
 	}
-	for i := range r.relays {
-		for j, link := range r.relays[i] {
-			r.open[j] += link.Open()
+	for j, server := range r.servers.Servers {
+		r.open[j] += server.Open()
+		if err := server.Broken(); err != nil {
+			r.fail(fmt.Sprintf("the laboratory itself: %s takes no connections: %v", server.Name, err))
 		}
 	}
 }
@@ -477,8 +504,11 @@
 			r.ups = append(r.ups, up{s, time.Now()})
 		}
 	case faults.Promote:
-		for i, s := range r.servers.Servers {
-			s.Set(i == step.Servers[0], 0)
+		next := r.servers.Servers[step.Servers[0]]
+		for _, s := range r.servers.Servers {
+			if s.Cell == next.Cell {
+				s.Set(s == next, 0)
+			}
 		}
 	}
 }
@@ -520,6 +550,7 @@
 		if q.Keyed = q.Write; q.Write {
 			text = standin.Write(fmt.Sprintf("%016x", rng.Uint64()), s.Patience)
 		}
+		text = standin.At(rng.IntN(s.Groups), text)
 		_ = c.SetDeadline(time.Now().Add(s.Patience + lateBy))
 		began := time.Now()
 		res := c.Do(text)
@@ -586,14 +617,25 @@
 			c.Lost++
 		}
 	}
-	rep.Open = [3]float64{-1, 0, 0}
+	rep.Open, rep.OpenReplicas = [3]float64{-1, 0, 0}, [3]float64{-1, 0, 0}
+	replicas := 0
+	for _, s := range r.servers.Servers {
+		if !s.Primary() {
+			replicas++
+		}
+	}
+	spread := func(of *[3]float64, mean float64, n int) {
+		if of[0] < 0 || mean < of[0] {
+			of[0] = mean
+		}
+		of[1] += mean / float64(n)
+		of[2] = max(of[2], mean)
+	}
 	for j, s := range r.servers.Servers {
 		mean := float64(r.open[j]) / float64(max(r.samples, 1))
-		if rep.Open[0] < 0 || mean < rep.Open[0] {
-			rep.Open[0] = mean
+		if spread(&rep.Open, mean, len(r.servers.Servers)); !s.Primary() {
+			spread(&rep.OpenReplicas, mean, replicas)
 		}
-		rep.Open[1] += mean / float64(len(r.servers.Servers))
-		rep.Open[2] = max(rep.Open[2], mean)
 		rep.Probes += s.Probes()
 		for _, seen := range s.Seen() {
 			for _, u := range r.ups {
@@ -624,12 +666,8 @@
 		}
 		rep.Met = append(rep.Met, met)
 	}
-	for j := range r.servers.Servers {
-		var at []time.Time
-		for i := range r.relays {
-			at = append(at, r.relays[i][j].AcceptedAt()...)
-		}
-		slices.SortFunc(at, time.Time.Compare)
+	for _, server := range r.servers.Servers {
+		at := server.CameAt()
 		for _, t := range at {
 			if sec := int(t.Sub(r.began) / time.Second); sec >= 0 {
 				for len(rep.NewBySecond) <= sec {
@@ -670,6 +708,7 @@
 		rep.Connections[0], rep.Connections[1], rep.Connections[2], rep.ListCalls)
 	fmt.Fprintf(out, "connections open at a server, its mean over the seconds: least %.1f, mean %.1f, most %.1f\n",
 		rep.Open[0], rep.Open[1], rep.Open[2])
+	fmt.Fprintf(out, "the same at replicas: least %.1f, mean %.1f, most %.1f\n", rep.OpenReplicas[0], rep.OpenReplicas[1], rep.OpenReplicas[2])
 	fmt.Fprintf(out, "resident memory of a pooler: %.1f MB at the first second, %.1f MB at the last, %.1f MB at most\n",
 		rep.Resident[0], rep.Resident[1], rep.Resident[2])
 	fmt.Fprintf(out, "probes %d; requests at servers in their first second back %d\n", rep.Probes, rep.Cold)
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -52,6 +52,11 @@
 		lastID.Add(1), patience.Milliseconds(), key)
 }
 
+// At is a statement of Read or Write for another group than the first.
+func At(cluster int, text string) string {
+	return strings.Replace(text, "cluster=0", "cluster="+strconv.Itoa(cluster), 1)
+}
+
 // Dial connects to a front of a wire, "postgres" or "mysql".
 func Dial(wire, addr string) (Client, error) {
 	if wire == "mysql" {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -17,6 +17,7 @@
 	Cell     int     `json:"cell"`
 	Phase    string  `json:"phase"`
 	UpSince  float64 `json:"up_since_ms"`
+	Recovery string  `json:"recovery,omitempty"` // "off": a primary
 }
 
 // Discovery is the list service. It keeps one list and tells its watches of changes.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -52,7 +52,9 @@
 	Env       map[string]string // what the pooler's environment holds
 	config    map[string]any    // the file that PROXY_CONFIG names
 	inventory string
+	Roles     bool // the list tells who is primary, as it is when the list is told
 	phase     map[string]string
+	members   int
 	Hup       chan struct{} // tells a pooler of this process to read its configuration again
 }
 
@@ -178,7 +180,11 @@
 			if phase == "" {
 				phase = "Ready"
 			}
-			out = append(out, Entry{ID: s.Name, HostPort: s.Addr, Locality: "a", Phase: phase})
+			e := Entry{ID: s.Name, HostPort: s.Addr, Locality: "a", Cell: s.Cell, Phase: phase}
+			if f.Roles {
+				e.Recovery = map[bool]string{true: "off", false: "on"}[s.Primary()]
+			}
+			out = append(out, e)
 		}
 	}
 	return out
@@ -232,6 +238,10 @@
 	f.t.Helper()
 	m := &Member{f: f, config: maps.Clone(f.config), via: via, Env: maps.Clone(f.Env)}
 	m.config["name"], m.config["seed"] = name, seed
+	settings := maps.Clone(f.config["settings"].(map[string]any))
+	settings["me"] = f.members
+	f.members++
+	m.config["settings"] = settings
 	m.config["known"] = map[string]any{"revision": 0, "complete": true, "members": m.entries()}
 	m.Env["PROXY_CONFIG"] = filepath.Join(f.t.TempDir(), "config.json")
 	m.Move()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -7,8 +7,10 @@
 	"crypto/sha1"
 	"crypto/x509"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -53,6 +55,7 @@
 // Server is a database server on one of the wires.
 type Server struct {
 	Name, Addr string
+	Cell       int // its group; set before it is listed
 	mysql      bool
 	ln         net.Listener
 
@@ -68,7 +71,8 @@
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
-	came    int           // connections, ever
+	came    []time.Time   // of each connection, ever
+	broken  error         // of the stand-in itself
 	probes  int           // health asked for, ever
 	changed chan struct{} // closed at the next statement
 	unsent  map[net.Conn]bool
@@ -147,11 +151,16 @@
 		for {
 			c, err := ln.Accept()
 			if err != nil {
+				if !errors.Is(err, net.ErrClosed) {
+					s.mu.Lock()
+					s.broken = err // want of descriptors, say: whoever judges must not take it for the pooler's doing
+					s.mu.Unlock()
+				}
 				return
 			}
 			s.mu.Lock()
 			s.conns[c] = true
-			s.came++
+			s.came = append(s.came, time.Now())
 			s.mu.Unlock()
 			go s.serve(c)
 		}
@@ -246,7 +255,35 @@
 func (s *Server) Came() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.came
+	return len(s.came)
+}
+
+// CameAt is when each of those came, in order.
+func (s *Server) CameAt() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.came)
+}
+
+// Broken tells that the stand-in could not take connections any more, through no fault put on it.
+func (s *Server) Broken() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.broken
+}
+
+// Open counts the connections that are open now.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Primary tells its role.
+func (s *Server) Primary() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.primary
 }
 
 // Wait waits until it has seen n statements, for a generous while.
@@ -374,7 +411,7 @@
 		return
 	}
 	s.mu.Lock()
-	key = pgwire.Key{Process: uint32(s.came), Secret: 77}
+	key = pgwire.Key{Process: uint32(len(s.came)), Secret: 77}
 	how := s.login
 	s.mu.Unlock()
 	if how == Scram && !proves(c, r) {
