Deal homes by rendezvous hashing with bounded loads instead of a ring by number

Need: even load by what a pooler knows alone (issue of even load). With the ring, a group whose primary changed gave every front another home: TestFewHomesMove counts 80 of 80 before, the own fifth and a few after. internal/balance deals homes and second choices out without state: no server over its bound, 1 + 0.15/(n-1) of the mean, at most 5% of the fronts move without need when one server of 3 to 8 comes or goes (300 fronts, 40 lists), 33 us a deal, kept until members change.

--- a/rules/state.go
+++ b/rules/state.go
@@ -7,6 +7,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"threadsail/internal/balance"
 )
 
 // What a Router remembers, and its timers. Nothing is decided here.
@@ -93,6 +95,8 @@
 	cursor    int
 	weighed   bool // its members differ in weight
 	left      bool // the recorded primary has left the list, and no other has shown itself
+	dealtOf   []*store
+	dealt     []*store // dealtOf as this front prefers them, until they or the fleet change
 	held      []*request
 	watching  bool
 	refreshAt time.Duration
@@ -205,6 +209,9 @@
 	}
 	set.Classes = append(slices.Clip(old), set.Classes[len(old):]...) // the old ones stay where requests point to them
 	r.set = set
+	for _, g := range r.groups {
+		g.dealtOf = nil
+	}
 	r.least = min(windowLeast/float64(set.Balancers), 1)
 	r.pingGap, r.large = pingEvery, set.Balancers > smallFleet
 	if r.large {
@@ -399,8 +406,8 @@
 	}
 }
 
-// replicas are the members that are listed as ready and not the recorded primary, from this front's home on: each is the
-// home of as many fronts, and its neighbours on both sides come next at as many. They hold until the next call.
+// replicas are the members that are listed as ready and not the recorded primary, in the order in which this front prefers
+// them: its home first, which the fleet has been dealt evenly, then the others as they are dealt to it.
 func (r *Router) replicas(g *group) []*store {
 	ready := r.scratch[:0]
 	for _, s := range g.members {
@@ -408,16 +415,18 @@
 			ready = append(ready, s)
 		}
 	}
-	slices.SortFunc(ready, func(a, b *store) int { return cmp.Compare(a.Store, b.Store) })
-	if n := len(ready); n > 1 {
-		home := r.set.Me % n
-		ready = append(ready, ready[:home]...)
-		if r.scratch = ready; r.set.Me/n%2 == 1 {
-			slices.Reverse(ready[home+1:])
-		}
-		ready = ready[home:]
+	if r.scratch = ready; slices.Equal(ready, g.dealtOf) {
+		return g.dealt
+	}
+	ids := make([]uint32, len(ready))
+	for i, s := range ready {
+		ids[i] = s.Store
+	}
+	g.dealtOf, g.dealt = slices.Clone(ready), nil
+	for _, i := range balance.Order(r.set.Me, r.set.Balancers, ids) {
+		g.dealt = append(g.dealt, ready[i])
 	}
-	return ready
+	return g.dealt
 }
 
 // weigh finds out whether the members of a group differ in weight: where they do not, the least busy one is next.
