Leave repeated all-member rounds to the holder of the lease, which tells what it finds

Each still makes the first round itself at a loss, so that a primary that is there already is found as fast as before; the repeats are the holder's, who tells by gossip that it goes on, and which server it found, with its token and as of when. A pooler that hears nothing for three rounds goes on by itself.

--- a/cmd/threadsail-fleet/main_test.go
+++ b/cmd/threadsail-fleet/main_test.go
@@ -195,3 +195,42 @@
 		}
 	}
 }
+
+// Twelve poolers lose their primary for four seconds. With the fleet's parts the holder alone repeats the all-member rounds
+// and tells the others what it finds; without them each does. Both find the new primary and lose no request.
+func TestSharedRounds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts twelve processes, twice")
+	}
+	probes := map[string]int{}
+	for name, fleet := range map[string]string{"alone": "", "fleet": `"fleet": {"stewards": 3, "term_ms": 900},`} {
+		rep, lines, s := play(t, `{"poolers": 12, "servers": 4, "length_ms": 12000, "seed": 7, "clients": 2, "rest_ms": 40, "writes": 0.3,
+		  "patience_ms": 1500, "roles": true, "work_ms": 5, `+fleet+` "steps": [
+			{"at_ms": 4000, "act": "down", "servers": "0"}, {"at_ms": 8000, "act": "promote", "servers": "1"}]}`)
+		for _, n := range rep.ProbesBySecond[5:8] { // steady pings are shared by all fronts anyway
+			probes[name] += n
+		}
+		told := 0
+		for _, l := range lines {
+			if l.Message == "primary: told" {
+				told++
+			}
+		}
+		if (told > 0) != (fleet != "") {
+			t.Errorf("%s: the holder told of %d rounds", name, told)
+		}
+		wrote := map[int]bool{}
+		for _, q := range rep.Requests {
+			if q.Write && q.Outcome == judge.Served && q.Began.Sub(rep.Began) > 8*time.Second {
+				wrote[q.Pooler] = true
+			}
+		}
+		if len(wrote) != s.Poolers {
+			t.Errorf("%s: %d poolers write to the new primary, want all %d", name, len(wrote), s.Poolers)
+		}
+	}
+	if probes["fleet"] > probes["alone"]/2 {
+		t.Errorf("probes %v: sharing saves less than half", probes)
+	}
+	t.Logf("probes in the last three seconds without a primary: %v", probes)
+}
--- a/cmd/wirehost/host.go
+++ b/cmd/wirehost/host.go
@@ -184,3 +184,9 @@
 func (f *front) CloseIdle(store uint32)                { f.reply.ShutIdle(f.who, store) }
 func (f *front) Watch()                                { f.reply.Observe(f.who, true) }
 func (f *front) Log(text string)                       { f.reply.Emit(f.who, text) }
+
+func (f *front) Primary(n rules.News) {
+	if text := n.Text(); text != "" {
+		f.Log(text)
+	}
+}
--- a/internal/duty/lists.go
+++ b/internal/duty/lists.go
@@ -147,6 +147,14 @@
 	return l.settle(now), news
 }
 
+// Act takes in an act of a holder that is not about the list, by its token. It tells whether the act may be believed.
+func (l *Lists) Act(now time.Duration, token uint64) (do Do, ok bool) {
+	if ok = token > 0 && token >= l.word.Token; !ok {
+		l.refused++
+	}
+	return l.settle(now), ok
+}
+
 // FetchFailed takes in that the last Fetch came to nothing.
 func (l *Lists) FetchFailed(now time.Duration) Do {
 	l.fetch = false
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,10 +27,14 @@
 
 // message is what poolers say to each other, one JSON object.
 type message struct {
-	Kind string          `json:"kind"` // "word", "want" or "list"
+	Kind string          `json:"kind"` // "word", "want", "list" or "found"
 	From string          `json:"from,omitempty"`
 	Word duty.Word       `json:"word"`
 	List json.RawMessage `json:"list,omitempty"`
+	// Of "found": the server that the holder found to be the group's primary, and as of when; none: its round found none.
+	Group  int           `json:"group,omitempty"`
+	Server string        `json:"server,omitempty"`
+	AsOf   time.Duration `json:"as_of_ns,omitempty"` // Unix time: all machines read one clock (PROTOCOL)
 }
 
 // Fleet implements program.Fleet.
@@ -101,6 +105,8 @@
 		events.Wanted(m.From)
 	case "list":
 		events.List(m.Word, m.List)
+	case "found":
+		events.Found(m.Word.Token, m.Group, m.Server, m.AsOf)
 	}
 }
 
@@ -135,6 +141,11 @@
 // Tell passes a word on to all.
 func (f *Fleet) Tell(w duty.Word) { f.peers.Tell("lists", encode(message{Kind: "word", Word: w})) }
 
+// TellFound passes on which server the holder found to be a group's primary; empty: none yet.
+func (f *Fleet) TellFound(token uint64, group int, server string, asOf time.Duration) {
+	f.peers.Tell(fmt.Sprint("found/", group), encode(message{Kind: "found", Word: duty.Word{Token: token}, Group: group, Server: server, AsOf: asOf}))
+}
+
 // Fetch asks one of the poolers that show the word's list, or the word's source while none does.
 func (f *Fleet) Fetch(w duty.Word) {
 	from, n := w.Source, 0
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -37,8 +37,9 @@
 	judge.Verdict
 	Poolers, Servers int
 	Length           time.Duration
-	Seconds          []Counts // by the second in which requests ended
-	NewBySecond      []int    // new connections at all servers, by the second
+	Began            time.Time // of the clients and the plan
+	Seconds          []Counts  // by the second in which requests ended
+	NewBySecond      []int     // new connections at all servers, by the second
 	P50, P99         time.Duration
 	Connections      [3]float64 // new connections a server over the run: least, mean, most
 	Open             [3]float64 // connections open at a server, its mean over the run's seconds: least, mean, most
@@ -46,6 +47,7 @@
 	OpenMost         int        // connections open at one server at any sampled second
 	Resident         [3]float64 // resident memory of a pooler in MB, mean over poolers: at the first sample, at the last, most of any
 	Probes           int        // health asked for at servers, all servers
+	ProbesBySecond   []int      // the same by the second
 	Cold             int        // requests' statements at servers in the first second after they came up again
 	Worst100ms       [2]float64 // new connections at one server in its worst 100 ms: mean over servers, most
 	WorstSecond      [2]float64 // the same in its worst second
@@ -595,7 +597,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rep := FleetReport{Verdict: judge.Judge(r.requests, outages, r.servers.Ledger.Overlaps()), Poolers: len(r.poolers),
-		Servers: len(r.servers.Servers), Length: r.Scenario.Length, P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
+		Servers: len(r.servers.Servers), Length: r.Scenario.Length, Began: r.began, P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
 		P99: time.Duration(r.took.ValueAtQuantile(99)) * time.Microsecond, Starts: r.starts,
 		Requests: r.requests, Outages: outages}
 	for _, q := range r.requests {
@@ -636,7 +638,11 @@
 		if spread(&rep.Open, mean, len(r.servers.Servers)); !s.Primary() {
 			spread(&rep.OpenReplicas, mean, replicas)
 		}
-		rep.Probes += s.Probes()
+		probed := s.ProbedAt()
+		rep.Probes += len(probed)
+		for _, t := range probed {
+			count(&rep.ProbesBySecond, t.Sub(r.began))
+		}
 		for _, seen := range s.Seen() {
 			for _, u := range r.ups {
 				if u.server == j && !seen.At.Before(u.at) && seen.At.Sub(u.at) < time.Second {
@@ -669,12 +675,7 @@
 	for _, server := range r.servers.Servers {
 		at := server.CameAt()
 		for _, t := range at {
-			if sec := int(t.Sub(r.began) / time.Second); sec >= 0 {
-				for len(rep.NewBySecond) <= sec {
-					rep.NewBySecond = append(rep.NewBySecond, 0)
-				}
-				rep.NewBySecond[sec]++
-			}
+			count(&rep.NewBySecond, t.Sub(r.began))
 		}
 		for k, span := range []time.Duration{100 * time.Millisecond, time.Second} {
 			n := float64(worst(at, span))
@@ -686,6 +687,17 @@
 	return rep
 }
 
+// count adds one to the second in which something came; what came before the beginning is left out.
+func count(bySecond *[]int, at time.Duration) {
+	if at < 0 {
+		return
+	}
+	for len(*bySecond) <= int(at/time.Second) {
+		*bySecond = append(*bySecond, 0)
+	}
+	(*bySecond)[at/time.Second]++
+}
+
 // worst is the most of the sorted times within any span.
 func worst(at []time.Time, span time.Duration) (most int) {
 	from := 0
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -55,6 +55,7 @@
 	probeEvery   = time.Second
 	probeTimeout = 500 * time.Millisecond
 	tcpTimeout   = 2 * time.Second
+	gossipEvery  = 50 * time.Millisecond // a word reaches hundreds in four rounds or so; without words nothing is sent
 	leaveFor     = 200 * time.Millisecond
 	metaEvery    = 2 * time.Second // news of a member's own versions: each costs the fleet a gossip
 	repeats      = 3               // times log10 of the fleet: how often a word is passed on
@@ -89,6 +90,7 @@
 	c.LogOutput = lines(p.say)
 	c.Name, c.BindAddr, c.BindPort = o.Name, host, port
 	c.PushPullInterval, c.TCPTimeout = pullEvery, tcpTimeout
+	c.GossipInterval = gossipEvery
 	c.ProbeInterval, c.ProbeTimeout = probeEvery, probeTimeout
 	c.Delegate, c.DNSConfigPath = (*delegate)(p), ""
 	nt, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port,
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -18,12 +18,13 @@
 type Fleet interface {
 	// Acquire asks for the list duty's lease, or renews it, and calls done once, on any goroutine.
 	Acquire(done func(g lease.Grant, ok bool, err error))
-	Release()                                 // gives it up
-	Tell(w duty.Word)                         // passes a word on to all
-	Fetch(w duty.Word)                        // asks a pooler that has it for the list of a word; it comes as FleetEvents.List, or not
-	Give(to string, w duty.Word, list []byte) // sends a list to one that asked
-	Show(w duty.Word, build, config string)   // what the others see of this pooler
-	Members() int                             // poolers held to be alive, this one among them
+	Release()                                                             // gives it up
+	Tell(w duty.Word)                                                     // passes a word on to all
+	Fetch(w duty.Word)                                                    // asks a pooler that has it for the list of a word; it comes as FleetEvents.List, or not
+	Give(to string, w duty.Word, list []byte)                             // sends a list to one that asked
+	Show(w duty.Word, build, config string)                               // what the others see of this pooler
+	TellFound(token uint64, group int, server string, asOf time.Duration) // passes on a primary that the holder found; "": none yet
+	Members() int                                                         // poolers held to be alive, this one among them
 	Close()
 }
 
@@ -32,6 +33,7 @@
 	Word   func(w duty.Word)
 	Wanted func(from string)
 	List   func(w duty.Word, list []byte)
+	Found  func(token uint64, group int, server string, asOf time.Duration)
 }
 
 // fleetDescriptors is how many a fleet may hold: listeners, the log, connections to and from other poolers.
@@ -41,36 +43,68 @@
 type listDuty struct {
 	loop    *routing.Loop
 	watcher *watcher
+	core    *routing.Core
 	fleet   Fleet
 	lists   duty.Lists
 	log     zerolog.Logger
 	shared  bool // config.Fleet.SharedAddresses
 	build   string
 	digest  string
-	told    duty.Word      // the last word told
+	last    duty.Word      // the last word told
 	list    discovery.List // the whole list as last told, by whomever
 	timer   *routing.Timer
 	late    *routing.Timer // of a fetch
 }
 
 // joinFleet has the watcher take part in the list duty. It must be called before the loop runs.
-func joinFleet(w *watcher, cfg *config.Config, part *FleetPart, log zerolog.Logger) (*listDuty, error) {
+func joinFleet(w *watcher, core *routing.Core, cfg *config.Config, part *FleetPart, log zerolog.Logger) (*listDuty, error) {
 	fc := part.Config
-	d := &listDuty{loop: w.loop, watcher: w, log: log.With().Str("part", "fleet").Logger(), shared: fc.SharedAddresses, build: part.Build,
+	d := &listDuty{loop: w.loop, watcher: w, core: core, log: log.With().Str("part", "fleet").Logger(), shared: fc.SharedAddresses, build: part.Build,
 		digest: cfg.Digest, list: discovery.List{Complete: true, Revision: cfg.Known.Revision, Members: cfg.Known.Members},
 		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Spread: float64(cfg.Seed%1024) / 1024, Fleet: max(cfg.Settings.Balancers, 1)}}
 	fleet, err := part.Open(FleetEvents{
 		Word:   func(word duty.Word) { d.loop.Post(func() { d.heard(word) }) },
 		Wanted: func(from string) { d.loop.Post(func() { d.wanted(from) }) },
 		List:   func(word duty.Word, list []byte) { d.loop.Post(func() { d.took(word, list) }) },
+		Found: func(token uint64, group int, server string, asOf time.Duration) {
+			d.loop.Post(func() { d.told(token, group, server, asOf) })
+		},
 	})
 	if err != nil {
 		return nil, err
 	}
 	d.fleet, w.duty = fleet, d
+	core.OnPrimary(d.found)
 	return d, nil
 }
 
+// found takes in that this pooler has found a group's primary by itself, or that a round of it has found none (""). The
+// holder tells the others.
+func (d *listDuty) found(group int, server string, asOf time.Duration) {
+	if token, ok := d.lists.Token(d.loop.Now()); ok {
+		began := d.loop.Now()
+		d.fleet.TellFound(token, group, server, asOf)
+		level := zerolog.InfoLevel
+		if server == "" {
+			level = zerolog.DebugLevel
+		}
+		d.log.WithLevel(level).Uint64("token", token).Int("group", group).Str("server", server).Int64("began_ns", int64(began)).
+			Int64("ended_ns", int64(d.loop.Now())).Msg("primary: told")
+	}
+}
+
+// told takes in what the holder found of a group.
+func (d *listDuty) told(token uint64, group int, server string, asOf time.Duration) {
+	now := d.loop.Now()
+	do, ok := d.lists.Act(now, token)
+	if ok {
+		d.core.Told(group, server, min(asOf, now))
+	} else {
+		d.log.Warn().Uint64("token", token).Str("server", server).Msg("primary: refused, a newer holder was heard")
+	}
+	d.carry(do)
+}
+
 func (d *listDuty) want()   { d.carry(d.lists.Want(d.loop.Now())) }
 func (d *listDuty) failed() { d.carry(d.lists.Failed(d.loop.Now())) }
 
@@ -148,10 +182,10 @@
 			began := d.loop.Now()
 			d.fleet.Tell(do.Tell)
 			level := zerolog.DebugLevel // the same word again, so that the others hear of a holder
-			if do.Tell != d.told {
+			if do.Tell != d.last {
 				level = zerolog.InfoLevel
 			}
-			d.told = do.Tell
+			d.last = do.Tell
 			d.log.WithLevel(level).Uint64("token", do.Tell.Token).Uint64("seq", do.Tell.Seq).Str("holder", do.Tell.Holder).
 				Int64("began_ns", int64(began)).Int64("ended_ns", int64(d.loop.Now())).Msg("list: handed on")
 		}
@@ -163,6 +197,8 @@
 	d.fleet.Show(d.lists.Have(), d.build, d.digest)
 	d.timer.Stop()
 	now = d.loop.Now()
+	_, holds := d.lists.Token(now)
+	d.core.ForAll(holds)
 	d.timer = d.loop.After(max(d.lists.Due(now)-now, time.Millisecond), func() { d.carry(d.lists.Timer(d.loop.Now())) })
 }
 
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -130,7 +130,7 @@
 	}
 	var lists *listDuty
 	if control.Fleet != nil && pg.source.watcher != nil { // a file is each pooler's own
-		if lists, err = joinFleet(pg.source.watcher, cfg, control.Fleet, log); err != nil {
+		if lists, err = joinFleet(pg.source.watcher, pg.core, cfg, control.Fleet, log); err != nil {
 			return fmt.Errorf("fleet: %w", err)
 		}
 		defer lists.fleet.Close()
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -146,6 +146,7 @@
 	counts  []*Counts
 	pending int
 	actions []func()
+	primary func(group int, server string, asOf time.Duration)
 }
 
 // New returns a core that runs on a loop.
@@ -164,6 +165,22 @@
 	return c, nil
 }
 
+// OnPrimary has f told, on the loop, of each primary that this pooler finds, as of a Unix time, and with "" of each round
+// of a group that ends without one.
+func (c *Core) OnPrimary(f func(group int, server string, asOf time.Duration)) { c.primary = f }
+
+// Told takes in what another pooler, which repeats rounds for the fleet, found of a group, as OnPrimary tells it there. A
+// server that no list here has named is passed over.
+func (c *Core) Told(group int, server string, asOf time.Duration) {
+	id, known := c.names[server]
+	if known || server == "" {
+		c.router.Told(c.loop.Now(), group, id, known, asOf)
+	}
+}
+
+// ForAll has this pooler repeat rounds for the fleet, or leaves that to others.
+func (c *Core) ForAll(on bool) { c.router.ForAll(on) }
+
 // Retune takes over new settings under way. Requests that are open keep their class.
 func (c *Core) Retune(set rules.Settings, maxOpen int, probeTimeout time.Duration) error {
 	c.enlist(set)
@@ -430,6 +447,33 @@
 func (a *actions) Watch()          { a.core().do(a.core().opt.Watch) }
 func (a *actions) Log(text string) { a.core().opt.Log(text) }
 
+func (a *actions) Primary(n rules.News) {
+	if text := n.Text(); text != "" {
+		a.Log(text)
+	}
+	c := a.core()
+	if c.primary == nil || n.Kind == rules.PrimaryLost {
+		return
+	}
+	c.do(func() {
+		server := ""
+		if n.Kind == rules.PrimaryFound {
+			server = c.name(n.Store)
+		}
+		c.primary(n.Group, server, n.AsOf)
+	})
+}
+
+// name is what lists call a store. It is asked for rarely.
+func (c *Core) name(store uint32) string {
+	for name, id := range c.names {
+		if id == store {
+			return name
+		}
+	}
+	return ""
+}
+
 // attempt sends a request to a server. The time-out closes the connection before the module hears of it, so that
 // no second attempt can meet the first.
 func (c *Core) attempt(id, store uint32, timeout time.Duration) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -73,7 +73,7 @@
 	conns   map[net.Conn]bool
 	came    []time.Time   // of each connection, ever
 	broken  error         // of the stand-in itself
-	probes  int           // health asked for, ever
+	probes  []time.Time   // of each time that health was asked for
 	changed chan struct{} // closed at the next statement
 	unsent  map[net.Conn]bool
 }
@@ -248,7 +248,14 @@
 func (s *Server) Probes() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.probes
+	return len(s.probes)
+}
+
+// ProbedAt is when each of those came, in order.
+func (s *Server) ProbedAt() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.probes)
 }
 
 // Came counts the connections that it has ever had.
@@ -431,7 +438,7 @@
 		primary, position := s.state()
 		if text == "SHOW health" {
 			s.mu.Lock()
-			s.probes++
+			s.probes = append(s.probes, time.Now())
 			s.mu.Unlock()
 			x1 := map[bool]int{true: 1}[primary]
 			c.Write(pgwire.AppendReady(pgwire.AppendRow(nil, "health",
--- a/rules/api.go
+++ b/rules/api.go
@@ -18,7 +18,10 @@
 // attempt that it does not know is ignored.
 package rules
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Need says how fresh the data behind an answer must be.
 type Need uint8
@@ -231,6 +234,41 @@
 	CloseIdle(store uint32)
 	// Watch subscribes to changes of the list.
 	Watch()
+	// Primary tells news of a group's recorded primary; hosts log its Text.
+	Primary(n News)
 	// Log adds a line to the front's log.
 	Log(text string)
 }
+
+// NewsKind is what News tells.
+type NewsKind uint8
+
+// The kinds.
+const (
+	PrimaryFound   NewsKind = iota // Store is the record from now on, as of AsOf
+	PrimaryLost                    // Store is no longer, for Why
+	PrimaryUnknown                 // a round has ended without one; Again: not the first of this outage
+)
+
+// News is a change of a group's record, or a round that led to none.
+type News struct {
+	Kind  NewsKind
+	Group int
+	Store uint32
+	AsOf  time.Duration
+	Why   string
+	Again bool
+}
+
+// Text is the line for the log; empty: nothing that is worth one.
+func (n News) Text() string {
+	switch {
+	case n.Kind == PrimaryFound:
+		return fmt.Sprintf("group %d: store %d is primary", n.Group, n.Store)
+	case n.Kind == PrimaryLost:
+		return fmt.Sprintf("group %d: primary %d %s", n.Group, n.Store, n.Why)
+	case n.Again:
+		return ""
+	}
+	return fmt.Sprintf("group %d: round ends without a primary", n.Group)
+}
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -20,6 +20,7 @@
 func (printer) SetTimer(time.Duration)            {}
 func (printer) CloseIdle(store uint32)            { fmt.Printf("close idle %d\n", store) }
 func (printer) Watch()                            { fmt.Println("watch") }
+func (p printer) Primary(n rules.News)            { p.Log(n.Text()) }
 func (printer) Log(text string)                   { fmt.Println("log:", text) }
 
 // A write, the loss of its group's primary, a held write, and the new primary.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -104,7 +104,7 @@
 		return
 	}
 	g.primary, g.dark, g.left = s, false, false
-	r.act.Log(fmt.Sprintf("group %d: store %d is primary", g.id, s.Store))
+	r.act.Primary(News{Kind: PrimaryFound, Group: g.id, Store: s.Store, AsOf: asOf})
 	if !g.pinging {
 		g.pinging = true
 		r.after(resumeAfter, func() { r.ping(g) })
@@ -129,7 +129,7 @@
 		return false
 	}
 	g.primary, g.lostAt, g.expect = nil, r.now, outage
-	r.act.Log(fmt.Sprintf("group %d: primary %d %s", g.id, s.Store, why))
+	r.act.Primary(News{Kind: PrimaryLost, Group: g.id, Store: s.Store, Why: why})
 	r.round(g)
 	return true
 }
@@ -186,8 +186,12 @@
 	}
 	g.roundDue = due
 	r.after(d, func() {
-		if g.roundDue == due && g.primary == nil && (!r.large || len(g.held) > 0) {
-			r.round(g) // in a large fleet only fronts that hold work for the group repeat it
+		switch {
+		case g.roundDue != due || g.primary != nil || r.large && len(g.held) == 0 && !r.forAll:
+		case r.now < g.leftUntil && !r.forAll: // another front repeats it for all, and tells what it finds
+			r.roundIn(g, roundSeen)
+		default: // in a large fleet only fronts that hold work for the group repeat it, or one for all
+			r.round(g)
 		}
 	})
 }
@@ -210,15 +214,9 @@
 		r.lose(s, "does not answer its ping")
 	}
 	if g.roundEnds(s, reached) && g.primary == nil {
-		if !g.dark {
-			g.dark = true
-			r.act.Log(fmt.Sprintf("group %d: round ends without a primary", g.id))
-		}
-		wait := roundDark
-		if g.roundSeen {
-			wait = roundSeen
-		}
-		r.roundIn(g, wait)
+		r.act.Primary(News{Kind: PrimaryUnknown, Group: g.id, Again: g.dark})
+		g.dark = true
+		r.roundIn(g, map[bool]time.Duration{true: roundSeen, false: roundDark}[g.roundSeen])
 	}
 	r.pump(g)
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -20,6 +20,7 @@
 	did    []string
 	sends  map[uint32][]uint32 // request: stores, in order
 	probed []uint32
+	news   []News
 	logs   []string
 }
 
@@ -35,6 +36,7 @@
 func (f *fake) SetTimer(d time.Duration)          { f.rings = append(f.rings, f.now+d) }
 func (f *fake) CloseIdle(s uint32)                { f.note("close %d", s) }
 func (f *fake) Watch()                            { f.note("watch") }
+func (f *fake) Primary(n News)                    { f.logs, f.news = append(f.logs, n.Text()), append(f.news, n) }
 func (f *fake) Log(text string)                   { f.logs = append(f.logs, text) }
 
 // until rings every timer due up to a time, and moves the clock there.
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -6,7 +6,6 @@
 	"slices"
 	"testing"
 	"time"
-
 )
 
 func fleet(n int) func(*Settings) { return func(s *Settings) { s.Balancers = n } }
@@ -233,6 +232,7 @@
 func (silent) SetTimer(time.Duration)                {}
 func (silent) CloseIdle(uint32)                      {}
 func (silent) Watch()                                {}
+func (silent) Primary(News)                          {}
 func (silent) Log(string)                            {}
 
 // The cost of a request and its outcome at a front that knows 60 stores.
@@ -549,3 +549,51 @@
 		}
 	}
 }
+
+// While another front repeats a group's rounds for all, one that holds work leaves them to it, and goes on by itself once
+// nothing is heard of it. What it tells is taken as of its time, and newer evidence stands.
+func TestRoundsLeftToAnother(t *testing.T) {
+	f := withPrimary(t, fleet(80))
+	rounds := func(d time.Duration) int { // probes within d, where every member says that it is a replica
+		before := len(f.probed)
+		for end := f.now + d; f.now < end; {
+			f.until(min(f.now+100*ms, end))
+			for _, s := range f.r.order {
+				if s.inRound {
+					f.report(s.Store, false, f.now)
+				}
+			}
+		}
+		return len(f.probed) - before
+	}
+	f.report(1, false, f.now)
+	f.request(2, cFresh)
+	if n := rounds(time.Second); n == 0 {
+		t.Fatal("no round of its own after the loss")
+	}
+	f.request(3, cFresh)
+	f.r.Told(f.now, 7, 0, false, 0)
+	if n := rounds(leftFor - 100*ms); n != 0 {
+		t.Errorf("%d probes while another front repeats the rounds", n)
+	}
+	f.request(4, cFresh)
+	if n := rounds(time.Second); n == 0 {
+		t.Error("no round of its own once the other is silent")
+	}
+	f.r.Told(f.now, 7, 2, true, f.now-time.Minute)
+	if f.r.group(7).primary != nil {
+		t.Error("old news of a primary outweighs a newer no")
+	}
+	f.r.Told(f.now, 7, 2, true, f.now+ms)
+	if p := f.r.group(7).primary; p == nil || p.Store != 2 {
+		t.Errorf("the primary that was told is not the record: %v", p)
+	}
+	f.r.ForAll(true)
+	f.report(2, false, f.now+2*ms)
+	for id := range uint32(10) {
+		f.r.Gone(f.now, id)
+	}
+	if n := rounds(2 * time.Second); n < 6 {
+		t.Errorf("%d probes of the front that repeats rounds for all, without work of its own", n)
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -93,8 +93,9 @@
 	roundDue  time.Duration
 	usedAt    time.Duration // last request
 	cursor    int
-	weighed   bool // its members differ in weight
-	left      bool // the recorded primary has left the list, and no other has shown itself
+	weighed   bool          // its members differ in weight
+	left      bool          // the recorded primary has left the list, and no other has shown itself
+	leftUntil time.Duration // until then another front repeats rounds of this group for all
 	dealtOf   []*store
 	dealt     []*store // dealtOf as this front prefers them, until they or the fleet change
 	held      []*request
@@ -159,6 +160,7 @@
 	lagAt   time.Duration // a replica last showed itself far behind
 	pingGap time.Duration
 	askSpan time.Duration // over which the fronts of a large fleet spread their calls of the list service
+	forAll  bool          // this front repeats rounds for the whole fleet
 	large   bool          // the fleet is too large to ping every 100 ms
 	usual   []usual       // per class
 	slow    float64       // as a store's, of all together
@@ -429,6 +431,24 @@
 	return g.dealt
 }
 
+// leftFor is how long a front that repeats rounds for all is believed to go on with a group after it was heard of: three
+// of its rounds, of which two may be lost on the way.
+const leftFor = 3 * roundSeen
+
+// Told takes in what the front that repeats rounds for all found of a group: its primary, as of a time, or none yet. It is
+// evidence like an answer's, and newer evidence of this front's own outweighs it.
+func (r *Router) Told(now time.Duration, group int, id uint32, found bool, asOf time.Duration) {
+	r.tick(now)
+	if s := r.stores[id]; found && s != nil && s.Group == group {
+		r.claim(s, asOf)
+	} else if g := r.groups[group]; g != nil && !found {
+		g.leftUntil = r.now + leftFor
+	}
+}
+
+// ForAll has this front repeat rounds for all fronts, also of groups that it holds no work for, or leaves that to others.
+func (r *Router) ForAll(on bool) { r.forAll = on }
+
 // weigh finds out whether the members of a group differ in weight: where they do not, the least busy one is next.
 func (g *group) weigh() {
 	g.weighed = slices.ContainsFunc(g.members, func(s *store) bool { return max(s.Weight, 1) != max(g.members[0].Weight, 1) })
