Write poolers' acts into journals, and audit a fleet from them with threadsail audit

Need: which pooler acted on which version, and who was behind (issue of the audit). A pooler with the fleet's parts notes primaries taken and left (also those that a list names), lists and configurations taken, leases, what it hands on and what it refuses, with its build, configuration digest and list, on a goroutine of its own: a full queue or disk drops acts and says so, never holds the loop. threadsail audit merges journals into a report for people or as JSON and names what it can't read by file and byte.

--- a/cmd/threadlab/fleet.go
+++ b/cmd/threadlab/fleet.go
@@ -21,7 +21,8 @@
 type fleetCmd struct {
 	Scenario string `arg:"" help:"A shipped scenario (calm, roll, herd, zone, split, join) or a scenario file."`
 	Poolers  int    `help:"Play it with so many poolers instead; steps that name poolers by index must fit them."`
-	Binary   string `default:"bin/threadsail" help:"The pooler to run; if it is missing, this program's own."`
+	Binary   string `help:"The pooler to run: bin/threadsail unless given, and bin/threadsail-fleet where the poolers know each other. If it is missing, this program's own."`
+	Journals string `help:"Put the poolers' journals of acts into this folder, for threadsail audit."`
 	JSON     string `help:"Write the report as JSON to this file."`
 	Logs     string `help:"Write the poolers' logs to this file, one JSON line each with the pooler's index."`
 	Plot     string `help:"Draw requests and new connections by the second into this PNG file."`
@@ -46,8 +47,17 @@
 	if err != nil {
 		return err
 	}
+	if c.Binary == "" {
+		c.Binary = "bin/threadsail"
+		if s.Fleet.Stewards > 0 {
+			c.Binary = "bin/threadsail-fleet"
+		}
+	}
 	command := func() *exec.Cmd { return exec.Command(c.Binary, "serve") }
 	if _, err := os.Stat(c.Binary); err != nil {
+		if s.Fleet.Stewards > 0 {
+			return fmt.Errorf("%w: poolers that know each other are built by go build -o bin/ ./cmd/threadsail-fleet", err)
+		}
 		self, err := os.Executable()
 		if err != nil {
 			return err
@@ -92,6 +102,11 @@
 				b.Fatal(err)
 			}
 		}
+		if c.Journals != "" {
+			if err := keep(rep.Journals, c.Journals); err != nil {
+				b.Fatal(err)
+			}
+		}
 		if c.Plot != "" {
 			if err := drawFleet(rep, fmt.Sprintf("%s: %d poolers, %d servers", c.Scenario, rep.Poolers, rep.Servers), c.Plot); err != nil {
 				b.Fatal(err)
@@ -102,3 +117,20 @@
 		}
 	})
 }
+
+// keep copies the poolers' journals, which are gone with the run, into a folder.
+func keep(journals []string, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for i, name := range journals {
+		text, err := os.ReadFile(name)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, fmt.Sprintf("n%d.acts", i+1)), text, 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/threadsail-fleet/main_test.go
+++ b/cmd/threadsail-fleet/main_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"threadsail/internal/audit"
 	"threadsail/internal/config"
 	"threadsail/internal/judge"
 	"threadsail/internal/lab"
@@ -234,3 +235,47 @@
 	}
 	t.Logf("probes in the last three seconds without a primary: %v", probes)
 }
+
+// A pooler is cut off from the others while a server is replaced and the configuration of all but that one changes
+// (SIGHUP), and joins again; another is killed while it writes. The audit of their journals finds the one straggler, that
+// it was brought up once it was back, and no act by an old token; no journal has a torn record.
+func TestAudit(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts five processes")
+	}
+	rep, _, _ := play(t, `{"poolers": 5, "servers": 3, "length_ms": 16000, "seed": 7, "clients": 1, "rest_ms": 40, "writes": 0.3,
+	  "patience_ms": 1500, "roles": true, "fleet": {"stewards": 3, "term_ms": 900, "relays": true, "shared_addresses": true}, "steps": [
+		{"at_ms": 3000, "act": "isolate", "poolers": "4", "for_ms": 7000},
+		{"at_ms": 3000, "act": "nolist", "poolers": "4", "for_ms": 7000},
+		{"at_ms": 4000, "act": "replace", "servers": "2"},
+		{"at_ms": 5000, "act": "retune", "poolers": "0-3"},
+		{"at_ms": 6000, "act": "kill", "poolers": "3", "for_ms": 500},
+		{"at_ms": 13000, "act": "retune", "poolers": "4"}]}`)
+	var records []audit.Record
+	for _, name := range rep.Journals {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		more, problems := audit.Parse(name, text)
+		if len(problems) > 0 || len(more) == 0 {
+			t.Errorf("%d acts, %v", len(more), problems)
+		}
+		records = append(records, more...)
+	}
+	found := audit.Merge(records, audit.Limits{Grace: 3 * time.Second})
+	if len(found.OldTokens) > 0 {
+		t.Errorf("acts by old tokens: %+v", found.OldTokens)
+	}
+	behind := map[string]bool{}
+	for _, s := range found.Stragglers {
+		t.Logf("%+v", s)
+		if !strings.HasPrefix(s.Instance, "n5/") || s.To == 0 {
+			t.Errorf("%s is behind in its %s from %d to %d: want the one cut off alone, and brought up", s.Instance, s.What, s.From, s.To)
+		}
+		behind[s.What] = true
+	}
+	if !behind["list"] || !behind["config"] {
+		t.Errorf("behind in %v, want list and configuration", behind)
+	}
+}
--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -29,6 +29,7 @@
 	Serve     serveCmd     `cmd:"" help:"Run the pooler, configured by PROXY_CONFIG and the other PROXY_ variables; SIGHUP reads it again."`
 	Check     checkCmd     `cmd:"" help:"Read and check the configuration and the server lists that it names, and say what is wrong."`
 	Version   versionCmd   `cmd:"" help:"Print the version."`
+	Audit     auditCmd     `cmd:"" help:"Merge the journals of a fleet's poolers: versions over time, stragglers, acts by old tokens, disagreements."`
 	Inventory inventoryCmd `cmd:"" help:"Check, compare, seal, convert and bring back files of servers."`
 }
 
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -22,6 +22,9 @@
 	defaultDrift = 100 * time.Millisecond // 3% of the term: far more than two monotonic clocks differ by
 	leastTerm    = 300 * time.Millisecond
 	mostStewards = 7
+
+	defaultJournalMB = 8 // some 40,000 acts
+	defaultKeep      = 4
 )
 
 // Fleet is how this pooler takes part in the fleet of poolers.
@@ -38,6 +41,14 @@
 	// SharedAddresses tells that servers have the same host and port at all poolers: a handed list's new servers can be
 	// used without an own call.
 	SharedAddresses bool
+	Journal         JournalPart
+}
+
+// JournalPart is the pooler's journal of acts; File empty: it keeps none.
+type JournalPart struct {
+	File  string
+	Bytes int64 // of one file, before it is put aside
+	Keep  int   // files put aside
 }
 
 // Peer is a pooler and the address at which it is reached from here.
@@ -82,6 +93,11 @@
 		DriftMs           float64 `json:"drift_ms"`
 		ElectionMs        float64 `json:"election_ms"`
 		SharedAddresses   bool    `json:"shared_addresses"`
+		Journal           struct {
+			File  string
+			MaxMB float64 `json:"max_mb"`
+			Keep  *int
+		}
 	}
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
@@ -97,6 +113,10 @@
 	f := &Fleet{Name: or(file.Name, name), Listen: file.Listen, Advertise: file.Advertise, Peers: file.Peers, Stewards: file.Stewards,
 		Steward: file.Steward, Term: or(Milliseconds(file.TermMs), defaultTerm), Drift: or(Milliseconds(file.DriftMs), defaultDrift),
 		SharedAddresses: file.SharedAddresses}
+	f.Journal = JournalPart{File: file.Journal.File, Bytes: int64(or(file.Journal.MaxMB, defaultJournalMB) * (1 << 20)), Keep: defaultKeep}
+	if file.Journal.Keep != nil {
+		f.Journal.Keep = *file.Journal.Keep
+	}
 	f.Election = or(Milliseconds(file.ElectionMs), f.Term/3)
 	for _, check := range []struct {
 		key string
@@ -108,6 +128,7 @@
 		{"peers", named("peers", f.Peers)},
 		{"stewards", named("stewards", f.Stewards)},
 		{"stewards", stewards(f)},
+		{"journal", journal(f.Journal)},
 		{"term_ms", bounds("term_ms", f.Term, leastTerm, time.Minute)},
 		{"drift_ms", bounds("drift_ms", f.Drift, time.Millisecond, f.Term/4)}, // a holder acts for two thirds of its term at the least
 		{"election_ms", bounds("election_ms", f.Election, 50*time.Millisecond, f.Term)},
@@ -177,6 +198,16 @@
 	return ipAddress("steward.listen", f.Steward.Listen)
 }
 
+func journal(j JournalPart) error {
+	switch {
+	case j.Bytes < 64<<10 || j.Bytes > 1<<30:
+		return fmt.Errorf("journal.max_mb: %d bytes are not from 64 KiB to 1 GiB", j.Bytes)
+	case j.Keep < 0 || j.Keep > 100:
+		return fmt.Errorf("journal.keep: %d is not from 0 to 100", j.Keep)
+	}
+	return nil
+}
+
 func bounds(key string, d, least, most time.Duration) error {
 	if d < least || d > most {
 		return fmt.Errorf("%s: %v is not from %v to %v", key, d, least, most)
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -24,6 +24,9 @@
 	Term    Act = "term"    // SIGTERM, as a roll does; For: restarted after it
 	Restart Act = "restart" // start again those that have ended
 	Hup     Act = "hup"     // SIGHUP: read the configuration again
+	Retune  Act = "retune"  // a new configuration, the same for all that get it, and SIGHUP
+	NoList  Act = "nolist"  // the poolers' list services answer 503 and end their watches; For: they answer again after it
+	Lists   Act = "lists"   // they answer again
 	Cut     Act = "cut"     // links from the poolers to the servers drop all: a partition; For: healed after it
 	OneWay  Act = "oneway"  // links pass requests and drop answers; For: healed after it
 	Delay   Act = "delay"   // links hold each piece back by Delay, up to Jitter more; For: healed after it
@@ -39,14 +42,16 @@
 	Move    Act = "move"    // the poolers get a new list service, named in their configuration, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Isolate, Lag, Rejoin, Move}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Isolate, Lag, Rejoin, Move}
 
 // undo is the step that ends a fault of some length.
 var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up,
-	Isolate: Rejoin, Lag: Rejoin}
+	Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
 
 // Ends tells whether the act ends faults that another began.
-func (a Act) Ends() bool { return a == Restart || a == Cont || a == Heal || a == Up || a == Rejoin }
+func (a Act) Ends() bool {
+	return a == Restart || a == Cont || a == Heal || a == Up || a == Rejoin || a == Lists
+}
 
 // OnLinks tells whether the act is on links between poolers and servers.
 func (a Act) OnLinks() bool {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -53,7 +53,8 @@
 	WorstSecond      [2]float64 // the same in its worst second
 	ListCalls        int        // watches opened at the list services, all poolers
 	Starts           int        // pooler processes started, restarts among them
-	Met              [][]bool   `json:"-"` // by pooler, then server place: whether a connection came to who stands there last
+	Met              [][]bool   `json:"-"`          // by pooler, then server place: whether a connection came to who stands there last
+	Journals         []string   `json:",omitempty"` // of a fleet that knows its members; they are gone with the run
 	Requests         []judge.Request
 	Outages          []judge.Outage
 }
@@ -468,6 +469,15 @@
 		})
 	case faults.Hup:
 		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
+	case faults.Retune:
+		for _, i := range step.Poolers {
+			r.members[i].Retune()
+		}
+		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
+	case faults.NoList, faults.Lists:
+		for _, i := range step.Poolers {
+			r.members[i].Discovery.Out(step.Act == faults.NoList)
+		}
 	case faults.Move:
 		for _, i := range step.Poolers {
 			r.members[i].Move()
@@ -597,7 +607,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rep := FleetReport{Verdict: judge.Judge(r.requests, outages, r.servers.Ledger.Overlaps()), Poolers: len(r.poolers),
-		Servers: len(r.servers.Servers), Length: r.Scenario.Length, Began: r.began, P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
+		Servers: len(r.servers.Servers), Length: r.Scenario.Length, Began: r.began, Journals: r.peers.journals(r.members), P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
 		P99: time.Duration(r.took.ValueAtQuantile(99)) * time.Microsecond, Starts: r.starts,
 		Requests: r.requests, Outages: outages}
 	for _, q := range r.requests {
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -82,7 +82,7 @@
 		}
 		file := map[string]any{"enabled": true, "name": name(i), "listen": n.addr(i, gossipPort), "peers": peers, "stewards": stewards,
 			"term_ms": fleet.Term.Milliseconds(), "drift_ms": fleet.DriftOf().Milliseconds(), "election_ms": fleet.ElectionOf().Milliseconds(),
-			"shared_addresses": fleet.SharedAddresses}
+			"shared_addresses": fleet.SharedAddresses, "journal": map[string]any{"file": n.journal(m)}}
 		if i < fleet.Stewards {
 			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
 		}
@@ -90,6 +90,19 @@
 	}
 }
 
+// journal is where a member keeps its acts.
+func (n *peerNet) journal(m *standin.Member) string { return filepath.Join(m.Dir(), "acts") }
+
+// journals are those of all members, after the run.
+func (n *peerNet) journals(members []*standin.Member) (out []string) {
+	if n.links != nil {
+		for _, m := range members {
+			out = append(out, n.journal(m))
+		}
+	}
+	return out
+}
+
 // set puts a fault on the links between the poolers of a set and all others; or, within, on those inside the set too.
 func (n *peerNet) set(poolers []int, fault relay.Fault, within bool) {
 	in := map[int]bool{}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -1,10 +1,13 @@
 package program
 
 import (
+	"fmt"
+	"os"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"threadsail/internal/audit"
 	"threadsail/internal/config"
 	"threadsail/internal/duty"
 	"threadsail/internal/lease"
@@ -50,6 +53,10 @@
 	shared  bool // config.Fleet.SharedAddresses
 	build   string
 	digest  string
+	holder  string // this process, in the journal
+	journal *journal
+	left    bool           // it has ended its part: what follows is the drain
+	token   uint64         // of the lease held when the journal was told last; 0: none
 	last    duty.Word      // the last word told
 	list    discovery.List // the whole list as last told, by whomever
 	timer   *routing.Timer
@@ -62,6 +69,11 @@
 	d := &listDuty{loop: w.loop, watcher: w, core: core, log: log.With().Str("part", "fleet").Logger(), shared: fc.SharedAddresses, build: part.Build,
 		digest: cfg.Digest, list: discovery.List{Complete: true, Revision: cfg.Known.Revision, Members: cfg.Known.Members},
 		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Spread: float64(cfg.Seed%1024) / 1024, Fleet: max(cfg.Settings.Balancers, 1)}}
+	journal, err := openJournal(fc.Journal, d.log)
+	if err != nil {
+		return nil, err
+	}
+	d.journal, d.holder = journal, fmt.Sprintf("%s/%d", fc.Name, os.Getpid())
 	fleet, err := part.Open(FleetEvents{
 		Word:   func(word duty.Word) { d.loop.Post(func() { d.heard(word) }) },
 		Wanted: func(from string) { d.loop.Post(func() { d.wanted(from) }) },
@@ -71,13 +83,54 @@
 		},
 	})
 	if err != nil {
+		journal.close()
 		return nil, err
 	}
 	d.fleet, w.duty = fleet, d
-	core.OnPrimary(d.found)
+	core.OnPrimary(d.primary)
+	d.note(audit.Record{Act: audit.Started})
 	return d, nil
 }
 
+// close ends the pooler's part, after the loop has ended.
+func (d *listDuty) close() {
+	d.fleet.Close()
+	d.journal.close()
+}
+
+// note writes an act down, with the versions that it was done on.
+func (d *listDuty) note(r audit.Record) {
+	if d.left {
+		return
+	}
+	r.At, r.Instance, r.Build, r.Config, r.Revision = int64(d.loop.Now()), d.holder, d.build, d.digest, d.list.Revision
+	d.journal.note(r)
+}
+
+// retune takes over a configuration under way.
+func (d *listDuty) retune(cfg *config.Config) {
+	if d.digest != cfg.Digest {
+		d.digest = cfg.Digest
+		d.note(audit.Record{Act: audit.ConfigTaken})
+		d.carry(duty.Do{})
+	}
+}
+
+// primary takes in news of a group's primary.
+func (d *listDuty) primary(kind rules.NewsKind, group int, server string, asOf time.Duration) {
+	switch kind {
+	case rules.PrimaryFound:
+		d.note(audit.Record{Act: audit.PrimaryTaken, Group: group, Server: server})
+		d.found(group, server, asOf)
+	case rules.PrimaryListed:
+		d.note(audit.Record{Act: audit.PrimaryTaken, Group: group, Server: server})
+	case rules.PrimaryLost:
+		d.note(audit.Record{Act: audit.PrimaryLeft, Group: group, Server: server})
+	case rules.PrimaryUnknown:
+		d.found(group, "", asOf)
+	}
+}
+
 // found takes in that this pooler has found a group's primary by itself, or that a round of it has found none (""). The
 // holder tells the others.
 func (d *listDuty) found(group int, server string, asOf time.Duration) {
@@ -111,13 +164,18 @@
 // own takes in what the own watch has brought.
 func (d *listDuty) own(l discovery.List) {
 	d.list = d.list.With(l)
-	d.carry(d.lists.Own(d.loop.Now()))
+	do := d.lists.Own(d.loop.Now())
+	if have := d.lists.Have(); do.Tell.Token == 0 { // else it is noted as handed on
+		d.note(audit.Record{Act: audit.ListTaken, Token: have.Token, Seq: have.Seq})
+	}
+	d.carry(do)
 }
 
 func (d *listDuty) heard(w duty.Word) {
 	do, refused := d.lists.Heard(d.loop.Now(), w)
 	if refused {
 		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("word: refused, a newer one was heard")
+		d.note(audit.Record{Act: audit.Refused, Token: w.Token, Seq: w.Seq})
 	}
 	d.carry(do)
 }
@@ -152,6 +210,7 @@
 		d.watcher.list(rules.ListFull, members(list, d.watcher.zones))
 		d.log.Info().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Int64("at_ns", int64(now)).
 			Uint64("revision", list.Revision).Int("servers", len(list.Members)).Msg("list: taken from the fleet")
+		d.note(audit.Record{Act: audit.ListTaken, Token: w.Token, Seq: w.Seq})
 	} else {
 		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("list: not newer than the one in force")
 	}
@@ -184,6 +243,7 @@
 			level := zerolog.DebugLevel // the same word again, so that the others hear of a holder
 			if do.Tell != d.last {
 				level = zerolog.InfoLevel
+				d.note(audit.Record{Act: audit.HandedOn, Token: do.Tell.Token, Seq: do.Tell.Seq})
 			}
 			d.last = do.Tell
 			d.log.WithLevel(level).Uint64("token", do.Tell.Token).Uint64("seq", do.Tell.Seq).Str("holder", do.Tell.Holder).
@@ -197,8 +257,17 @@
 	d.fleet.Show(d.lists.Have(), d.build, d.digest)
 	d.timer.Stop()
 	now = d.loop.Now()
-	_, holds := d.lists.Token(now)
+	token, holds := d.lists.Token(now)
 	d.core.ForAll(holds)
+	if token != d.token {
+		if d.token > 0 {
+			d.note(audit.Record{Act: audit.LeaseLost, Token: d.token})
+		}
+		if token > 0 {
+			d.note(audit.Record{Act: audit.LeaseHeld, Token: token})
+		}
+		d.token = token
+	}
 	d.timer = d.loop.After(max(d.lists.Due(now)-now, time.Millisecond), func() { d.carry(d.lists.Timer(d.loop.Now())) })
 }
 
@@ -221,4 +290,8 @@
 }
 
 // leave ends the pooler's part: another may act at once.
-func (d *listDuty) leave() { d.carry(d.lists.Leave(d.loop.Now())) }
+func (d *listDuty) leave() {
+	d.carry(d.lists.Leave(d.loop.Now()))
+	d.note(audit.Record{Act: audit.Ended})
+	d.left = true
+}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -133,7 +133,7 @@
 		if lists, err = joinFleet(pg.source.watcher, pg.core, cfg, control.Fleet, log); err != nil {
 			return fmt.Errorf("fleet: %w", err)
 		}
-		defer lists.fleet.Close()
+		defer lists.close()
 	}
 	var running sync.WaitGroup
 	for _, s := range sides {
@@ -166,7 +166,10 @@
 	for terminate := control.Terminate; ; {
 		select {
 		case <-control.Reload: // also while terminating: servers may still drain
-			cfg = state.reload(cfg, control.Load, log)
+			if cfg = state.reload(cfg, control.Load, log); lists != nil {
+				inForce := cfg
+				pg.loop.Post(func() { lists.retune(inForce) })
+			}
 		case <-terminate:
 			terminate = nil
 			state.serving.Store(false)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -146,7 +146,7 @@
 	counts  []*Counts
 	pending int
 	actions []func()
-	primary func(group int, server string, asOf time.Duration)
+	primary func(kind rules.NewsKind, group int, server string, asOf time.Duration)
 }
 
 // New returns a core that runs on a loop.
@@ -165,12 +165,13 @@
 	return c, nil
 }
 
-// OnPrimary has f told, on the loop, of each primary that this pooler finds, as of a Unix time, and with "" of each round
-// of a group that ends without one.
-func (c *Core) OnPrimary(f func(group int, server string, asOf time.Duration)) { c.primary = f }
+// OnPrimary has f told, on the loop, of all news of groups' primaries, as of a Unix time where the news has one.
+func (c *Core) OnPrimary(f func(kind rules.NewsKind, group int, server string, asOf time.Duration)) {
+	c.primary = f
+}
 
-// Told takes in what another pooler, which repeats rounds for the fleet, found of a group, as OnPrimary tells it there. A
-// server that no list here has named is passed over.
+// Told takes in what another pooler, which repeats rounds for the fleet, found of a group: its primary, or "" for none
+// yet. A server that no list here has named is passed over.
 func (c *Core) Told(group int, server string, asOf time.Duration) {
 	id, known := c.names[server]
 	if known || server == "" {
@@ -451,17 +452,9 @@
 	if text := n.Text(); text != "" {
 		a.Log(text)
 	}
-	c := a.core()
-	if c.primary == nil || n.Kind == rules.PrimaryLost {
-		return
+	if c := a.core(); c.primary != nil {
+		c.do(func() { c.primary(n.Kind, n.Group, c.name(n.Store), n.AsOf) })
 	}
-	c.do(func() {
-		server := ""
-		if n.Kind == rules.PrimaryFound {
-			server = c.name(n.Store)
-		}
-		c.primary(n.Group, server, n.AsOf)
-	})
 }
 
 // name is what lists call a store. It is asked for rarely.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -29,6 +29,7 @@
 	changed  chan struct{}
 	watches  int
 	since    string
+	out      bool
 	open     map[int]time.Time // watches that are open, by number, with their beginnings
 }
 
@@ -49,6 +50,15 @@
 	d.changed = make(chan struct{})
 }
 
+// Out has it answer 503 and end its watches, or answer again.
+func (d *Discovery) Out(out bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.out = out
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 // Watches tells how many watches have been opened.
 func (d *Discovery) Watches() int {
 	d.mu.Lock()
@@ -81,6 +91,11 @@
 		return
 	}
 	d.mu.Lock()
+	if d.out {
+		d.mu.Unlock()
+		http.Error(w, "out", http.StatusServiceUnavailable)
+		return
+	}
 	d.watches++
 	n := d.watches
 	d.open[n] = time.Now()
@@ -94,8 +109,11 @@
 	for {
 		d.mu.Lock()
 		line, _ := json.Marshal(map[string]any{"revision": d.revision, "complete": true, "members": d.entries})
-		changed := d.changed
+		changed, out := d.changed, d.out
 		d.mu.Unlock()
+		if out {
+			return
+		}
 		fmt.Fprintf(w, "%s\n", line)
 		w.(http.Flusher).Flush()
 		for waiting := true; waiting; {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -258,6 +258,16 @@
 // Dir is the folder of the member's own files.
 func (m *Member) Dir() string { return filepath.Dir(m.Env["PROXY_CONFIG"]) }
 
+// Retune writes another configuration for the member, the same whoever gets it, which a SIGHUP then has it read.
+func (m *Member) Retune() {
+	settings := maps.Clone(m.config["settings"].(map[string]any))
+	caps := maps.Clone(settings["caps"].(map[string]any))
+	caps["maxRetryAfterMs"] = 400
+	settings["caps"] = caps
+	m.config["settings"] = settings
+	m.f.file(m.Env["PROXY_CONFIG"], m.config)
+}
+
 // Move starts another list service for the member and names it in its configuration, which a SIGHUP then has it read.
 // The old one stays as it is.
 func (m *Member) Move() {
--- a/rules/api.go
+++ b/rules/api.go
@@ -247,6 +247,7 @@
 const (
 	PrimaryFound   NewsKind = iota // Store is the record from now on, as of AsOf
 	PrimaryLost                    // Store is no longer, for Why
+	PrimaryListed                  // the list names Store, which stands until evidence comes
 	PrimaryUnknown                 // a round has ended without one; Again: not the first of this outage
 )
 
@@ -267,7 +268,7 @@
 		return fmt.Sprintf("group %d: store %d is primary", n.Group, n.Store)
 	case n.Kind == PrimaryLost:
 		return fmt.Sprintf("group %d: primary %d %s", n.Group, n.Store, n.Why)
-	case n.Again:
+	case n.Kind == PrimaryListed || n.Again:
 		return ""
 	}
 	return fmt.Sprintf("group %d: round ends without a primary", n.Group)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -806,6 +806,7 @@
 		(p == nil || p.role == RoleUnknown) {
 		// Rounds by all at a start are a storm: the list's word, some seconds old, stands until an answer.
 		g.primary, s.claimAt = s, max(s.claimAt, r.now-outage)
+		r.act.Primary(News{Kind: PrimaryListed, Group: g.id, Store: s.Store, AsOf: s.claimAt})
 	}
 	g.weigh()
 	if m.Started > 0 {
