--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -192,6 +192,10 @@
 	if d := cmp.Diff([]Disagreement{{Group: 2, A: "a", B: "b", Of: "p", As: "q", From: 12 * s, To: 15 * s}}, rep.Disagreements); d != "" {
 		t.Error(d)
 	}
+	killed := Merge([]Record{act(0, "a/1", Started, nil), act(1, "b/1", Started, nil), act(5, "a/2", Started, nil)}, Limits{})
+	if last := killed.Moments[len(killed.Moments)-1]; last.Poolers != 2 {
+		t.Errorf("%d poolers after one was killed and started again, want 2", last.Poolers)
+	}
 	if n := len(rep.Moments); n == 0 || rep.Moments[n-1].Poolers != 2 || rep.Moments[2].Poolers != 3 {
 		t.Errorf("moments: %+v", rep.Moments)
 	}
--- a/internal/audit/merge.go
+++ b/internal/audit/merge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -86,6 +87,8 @@
 		switch r.Act {
 		case Ended:
 			delete(now, r.Instance)
+		case Started: // the one of that name before it was killed
+			maps.DeleteFunc(now, func(other string, _ Version) bool { return name(other) == name(r.Instance) })
 		case ListTaken, HandedOn:
 			next.Token, next.Seq = r.Token, r.Seq
 		}
@@ -144,21 +147,21 @@
 	})
 	for what, versions := range map[string][]*took{"list": lists, "config": configs} {
 		for i, v := range versions {
-			for name, life := range lives {
+			for instance, life := range lives {
 				if i == 0 || life.from > v.first+int64(grace) { // the first of all has nobody behind it
 					continue
 				}
-				at, caught := v.by[name], false
+				at, caught := v.by[instance], false
 				for _, later := range versions[i:] { // a still newer one will do
-					if t, ok := later.by[name]; ok && (!caught || t < at) {
+					if t, ok := later.by[instance]; ok && (!caught || t < at) {
 						at, caught = t, true
 					}
 				}
 				switch {
 				case caught && at > v.first+int64(grace):
-					rep.Stragglers = append(rep.Stragglers, Straggler{name, what, v.first, at, versions[i-1].name, v.name})
+					rep.Stragglers = append(rep.Stragglers, Straggler{instance, what, v.first, at, versions[i-1].name, v.name})
 				case !caught && life.to > v.first+int64(grace):
-					rep.Stragglers = append(rep.Stragglers, Straggler{name, what, v.first, 0, versions[i-1].name, v.name})
+					rep.Stragglers = append(rep.Stragglers, Straggler{instance, what, v.first, 0, versions[i-1].name, v.name})
 				}
 			}
 		}
@@ -238,15 +241,23 @@
 			settle(r.At, r.Group, r.Instance)
 		case Ended, Started:
 			for group, of := range primary {
-				if _, ok := of[r.Instance]; ok {
-					delete(of, r.Instance)
-					settle(r.At, group, r.Instance)
+				for instance := range of {
+					if instance == r.Instance || r.Act == Started && name(instance) == name(r.Instance) {
+						delete(of, instance)
+						settle(r.At, group, instance)
+					}
 				}
 			}
 		}
 	}
 }
 
+// name is a pooler's, of whichever process.
+func name(instance string) string {
+	name, _, _ := strings.Cut(instance, "/")
+	return name
+}
+
 func listName(token, seq uint64) string {
 	return strconv.FormatUint(token, 10) + "." + strconv.FormatUint(seq, 10)
 }
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -35,7 +35,7 @@
 // Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
 type Record struct {
 	At       int64  `json:"at"`       // Unix time in ns, by the pooler's clock
-	Instance string `json:"instance"` // the pooler's name, and what tells its processes apart
+	Instance string `json:"instance"` // NAME/PROCESS: the pooler's name, and what tells its processes apart
 	Build    string `json:"build"`
 	Config   string `json:"config"`   // digest of the configuration in force
 	Revision uint64 `json:"revision"` // of the list in force
