Shut a pooler out of writes when its build is barred or the fleet's list never reaches it

Need: no pooler may send writes by what the fleet has left behind (issue of the audit). Decided in internal/duty.

--- a/cmd/threadsail-fleet/main.go
+++ b/cmd/threadsail-fleet/main.go
@@ -17,6 +17,9 @@
 	"threadsail/internal/program"
 )
 
+// version is what -ldflags "-X main.version=v1.4.0" gives a build; empty: what the Go command knows.
+var version string
+
 func main() {
 	flags := flag.NewFlagSet("threadsail-fleet serve", flag.ContinueOnError)
 	console := flags.Bool("console", false, "write the log for people, not as JSON")
@@ -55,9 +58,9 @@
 		if cfg.MemoryBytes < leastMemory {
 			return errors.New("limits.memory_mb: under 32, which the fleet's parts need")
 		}
-		build := "(devel)"
-		if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-			build = info.Main.Version
+		build := version
+		if info, ok := debug.ReadBuildInfo(); ok && build == "" {
+			build = info.Main.Version // "(devel)" where it was built from a working tree: below every least_build
 		}
 		control.Fleet = &program.FleetPart{Config: part, Build: build, Open: func(events program.FleetEvents) (program.Fleet, error) {
 			return fleet.Open(part, log, events)
--- a/cmd/threadsail-fleet/main_test.go
+++ b/cmd/threadsail-fleet/main_test.go
@@ -20,6 +20,7 @@
 // TestMain lets the test's own binary stand for the program.
 func TestMain(m *testing.M) {
 	if os.Getenv("THREADSAIL_TEST_RUN") != "" {
+		version = os.Getenv("THREADSAIL_TEST_BUILD")
 		main()
 		return
 	}
@@ -39,7 +40,7 @@
 	Until   int64 `json:"until_ns"`
 }
 
-func play(t *testing.T, scenario string) (lab.FleetReport, []line, config.Scenario) {
+func play(t *testing.T, scenario string, builds ...string) (lab.FleetReport, []line, config.Scenario) {
 	t.Helper()
 	s, err := config.ParseScenario("scenario.json", []byte(scenario))
 	if err != nil {
@@ -50,6 +51,11 @@
 		cmd := exec.Command(os.Args[0], "serve", "--log-level", "debug")
 		cmd.Env = append(os.Environ(), "THREADSAIL_TEST_RUN=1")
 		return cmd
+	}, Env: func(i int) []string {
+		if i < len(builds) {
+			return []string{"THREADSAIL_TEST_BUILD=" + builds[i]}
+		}
+		return nil
 	}, Progress: func(line string) { t.Log(line) }}.Run(t)
 	var table strings.Builder
 	rep.Table(&table)
@@ -236,6 +242,65 @@
 	t.Logf("probes in the last three seconds without a primary: %v", probes)
 }
 
+// journals reads the poolers' journals, which must be whole.
+func journals(t *testing.T, rep lab.FleetReport) (records []audit.Record) {
+	t.Helper()
+	for _, name := range rep.Journals {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		more, problems := audit.Parse(name, text)
+		if len(problems) > 0 || len(more) == 0 {
+			t.Errorf("%d acts, %v", len(more), problems)
+		}
+		records = append(records, more...)
+	}
+	return records
+}
+
+// A pooler whose build the operators allow no more serves reads, refuses every write, holds no lease and says so in its
+// journal; the others do as ever.
+func TestOldBuildIsShutOut(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts four processes")
+	}
+	rep, lines, s := play(t, `{"poolers": 4, "servers": 2, "length_ms": 5000, "seed": 7, "clients": 1, "rest_ms": 40, "writes": 0.5,
+	  "patience_ms": 1500, "roles": true, "fleet": {"stewards": 3, "term_ms": 600, "least_build": "v2.0.0"}}`, "v2.0.0", "v2.0.0", "v2.1.0", "v1.9.9")
+	wrote, read := map[int]int{}, map[int]int{}
+	for _, q := range rep.Requests {
+		switch {
+		case q.Outcome != judge.Served:
+		case q.Write:
+			wrote[q.Pooler]++
+		default:
+			read[q.Pooler]++
+		}
+	}
+	for i := range s.Poolers {
+		if old := i == 3; read[i] == 0 || (wrote[i] == 0) != old {
+			t.Errorf("pooler %d served %d writes and %d reads", i, wrote[i], read[i])
+		}
+	}
+	if rep.Refused == 0 {
+		t.Error("no write was refused")
+	}
+	for _, l := range tenures(lines) {
+		if strings.HasPrefix(l.holder, "n4/") {
+			t.Errorf("the old build held a lease: %+v", l)
+		}
+	}
+	shut := map[string]bool{}
+	for _, r := range journals(t, rep) {
+		if r.Act == audit.ShutOut {
+			shut[r.Instance[:2]] = true
+		}
+	}
+	if len(shut) != 1 || !shut["n4"] {
+		t.Errorf("shut out: %v, want n4 alone", shut)
+	}
+}
+
 // A pooler is cut off from the others while a server is replaced and the configuration of all but that one changes
 // (SIGHUP), and joins again; another is killed while it writes. The audit of their journals finds the one straggler, that
 // it was brought up once it was back, and no act by an old token; no journal has a torn record.
@@ -251,19 +316,7 @@
 		{"at_ms": 5000, "act": "retune", "poolers": "0-3"},
 		{"at_ms": 6000, "act": "kill", "poolers": "3", "for_ms": 500},
 		{"at_ms": 13000, "act": "retune", "poolers": "4"}]}`)
-	var records []audit.Record
-	for _, name := range rep.Journals {
-		text, err := os.ReadFile(name)
-		if err != nil {
-			t.Fatal(err)
-		}
-		more, problems := audit.Parse(name, text)
-		if len(problems) > 0 || len(more) == 0 {
-			t.Errorf("%d acts, %v", len(more), problems)
-		}
-		records = append(records, more...)
-	}
-	found := audit.Merge(records, audit.Limits{Grace: 3 * time.Second})
+	found := audit.Merge(journals(t, rep), audit.Limits{Grace: 3 * time.Second})
 	if len(found.OldTokens) > 0 {
 		t.Errorf("acts by old tokens: %+v", found.OldTokens)
 	}
--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -29,6 +29,8 @@
 	LeaseHeld    Act = "lease-held"    // Token
 	LeaseLost    Act = "lease-lost"    // Token
 	HandedOn     Act = "handed-on"     // Token, Seq, Revision: an act of the list duty
+	ShutOut      Act = "shut-out"      // it takes no writes: barred, or behind for too long
+	BroughtUp    Act = "brought-up"    // it takes writes again
 	Refused      Act = "refused"       // Token, Seq: a word or list older than one before it
 )
 
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -11,6 +11,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"golang.org/x/mod/semver"
 )
 
 // FleetFile is where the file of the poolers' own fleet lies unless PROXY_FLEET names another.
@@ -23,6 +25,7 @@
 	leastTerm    = 300 * time.Millisecond
 	mostStewards = 7
 
+	stragglerTerms   = 10
 	defaultJournalMB = 8 // some 40,000 acts
 	defaultKeep      = 4
 )
@@ -42,6 +45,8 @@
 	// used without an own call.
 	SharedAddresses bool
 	Journal         JournalPart
+	Bound           time.Duration // as duty.Lists.Bound
+	LeastBuild      string        // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
 }
 
 // JournalPart is the pooler's journal of acts; File empty: it keeps none.
@@ -93,6 +98,8 @@
 		DriftMs           float64 `json:"drift_ms"`
 		ElectionMs        float64 `json:"election_ms"`
 		SharedAddresses   bool    `json:"shared_addresses"`
+		StragglerMs       float64 `json:"straggler_ms"`
+		LeastBuild        string  `json:"least_build"`
 		Journal           struct {
 			File  string
 			MaxMB float64 `json:"max_mb"`
@@ -112,7 +119,8 @@
 	}
 	f := &Fleet{Name: or(file.Name, name), Listen: file.Listen, Advertise: file.Advertise, Peers: file.Peers, Stewards: file.Stewards,
 		Steward: file.Steward, Term: or(Milliseconds(file.TermMs), defaultTerm), Drift: or(Milliseconds(file.DriftMs), defaultDrift),
-		SharedAddresses: file.SharedAddresses}
+		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild}
+	f.Bound = or(f.Bound, stragglerTerms*f.Term)
 	f.Journal = JournalPart{File: file.Journal.File, Bytes: int64(or(file.Journal.MaxMB, defaultJournalMB) * (1 << 20)), Keep: defaultKeep}
 	if file.Journal.Keep != nil {
 		f.Journal.Keep = *file.Journal.Keep
@@ -129,6 +137,8 @@
 		{"stewards", named("stewards", f.Stewards)},
 		{"stewards", stewards(f)},
 		{"journal", journal(f.Journal)},
+		{"least_build", version(f.LeastBuild)},
+		{"straggler_ms", bounds("straggler_ms", f.Bound, 4*f.Term, time.Hour)}, // three terms may pass until it calls by itself
 		{"term_ms", bounds("term_ms", f.Term, leastTerm, time.Minute)},
 		{"drift_ms", bounds("drift_ms", f.Drift, time.Millisecond, f.Term/4)}, // a holder acts for two thirds of its term at the least
 		{"election_ms", bounds("election_ms", f.Election, 50*time.Millisecond, f.Term)},
@@ -198,6 +208,13 @@
 	return ipAddress("steward.listen", f.Steward.Listen)
 }
 
+func version(v string) error {
+	if v != "" && !semver.IsValid(v) {
+		return fmt.Errorf("least_build: %q is no version such as v1.4.0", v)
+	}
+	return nil
+}
+
 func journal(j JournalPart) error {
 	switch {
 	case j.Bytes < 64<<10 || j.Bytes > 1<<30:
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -26,6 +26,8 @@
 		{`{` + peers + `, "stewards": [{"name": "n3", "addr": "127.0.0.1:1"}], "steward": {"listen": "127.0.0.1:1", "dir": "d"}}`, "not among them"},
 		{`{` + peers + `, ` + stewards + `, "steward": {"listen": "127.0.0.1:1"}}`, "steward.dir: missing"},
 		{"{" + peers + ", " + stewards + ",\n\"journal\": {\"file\": \"j\", \"max_mb\": 0.001}}", ":2: journal.max_mb"},
+		{"{" + peers + ", " + stewards + ",\n\"least_build\": \"1.4\"}", ":2: least_build"},
+		{"{" + peers + ", " + stewards + ",\n\"straggler_ms\": 1000}", ":2: straggler_ms"},
 		{"{\n\n\"enabled\": tru", ":3: "},
 		{`{} {}`, "text follows"},
 	} {
@@ -40,7 +42,7 @@
 	}
 	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1")
 	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
-		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}}
+		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
 		t.Error(d, err)
 	}
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -37,6 +37,7 @@
 	Term            time.Duration // as Fleet.Term; the drift is 3% of it, the election a third
 	Relays          bool          // a relay on each link between two poolers, for faults
 	SharedAddresses bool          // as Fleet.SharedAddresses
+	LeastBuild      string        // as Fleet.LeastBuild, at all poolers
 }
 
 // GroupOf is the group of the server in place j, and whether that is its group's first.
@@ -104,7 +105,8 @@
 			Stewards        int
 			TermMs          float64 `json:"term_ms"`
 			Relays          bool
-			SharedAddresses bool `json:"shared_addresses"`
+			SharedAddresses bool   `json:"shared_addresses"`
+			LeastBuild      string `json:"least_build"`
 		}
 		Steps []json.RawMessage
 	}
@@ -139,7 +141,7 @@
 		return s, 0, fmt.Errorf("work_ms: %v is not from 0 to the patience", s.Work)
 	}
 	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
-		SharedAddresses: file.Fleet.SharedAddresses}
+		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild}
 	switch fl := s.Fleet; {
 	case fl.Stewards == 0:
 	case fl.Stewards%2 == 0 || fl.Stewards < 0 || fl.Stewards > min(mostStewards, s.Poolers):
--- a/internal/duty/lists.go
+++ b/internal/duty/lists.go
@@ -46,6 +46,9 @@
 	Drift  time.Duration // as in lease.Table
 	Spread float64       // from 0 up to 1, by the pooler's own seed: when it asks and acts alone, among all
 	Fleet  int           // poolers, for the spread of fetches
+	// Bound is how long this pooler may lack a list that the fleet has, while neither a fetch nor an own call brings it up,
+	// before it is shut out; 0: for good.
+	Bound time.Duration
 
 	holder  lease.Holder
 	word    Word          // the newest word, of the holder or of this pooler itself
@@ -63,6 +66,7 @@
 	fetch   bool          // one is under way
 	blind   bool          // the list of the newest word cannot be used here
 	lacking time.Duration // since when the list of the newest word has been missing here
+	barred  bool          // the operators allow this build no more
 	refused uint64
 }
 
@@ -155,6 +159,25 @@
 	return l.settle(now), ok
 }
 
+// Bar takes in whether the operators bar this pooler's build. A barred one gives its lease up and asks for none.
+func (l *Lists) Bar(now time.Duration, barred bool) Do {
+	l.barred = barred
+	_, acts := l.holder.MayAct(now)
+	if barred && acts {
+		l.holder.Lost()
+		l.heard = now
+	}
+	do := l.settle(now)
+	do.Release = do.Release || barred && acts
+	return do
+}
+
+// ShutOut tells whether this pooler acts on what the fleet has left behind, and may take no writes: its build is barred,
+// or it has lacked the fleet's list for longer than Bound.
+func (l *Lists) ShutOut(now time.Duration) bool {
+	return l.barred || l.Bound > 0 && l.lacks() && now >= l.lacking+l.Bound
+}
+
 // FetchFailed takes in that the last Fetch came to nothing.
 func (l *Lists) FetchFailed(now time.Duration) Do {
 	l.fetch = false
@@ -230,7 +253,7 @@
 		l.holder.Lost()
 		l.heard = now
 	}
-	if !l.asking && now >= l.askDue(acts) {
+	if !l.asking && !l.ShutOut(now) && now >= l.askDue(acts) {
 		l.asking, l.asked, do.Ask = true, now, true
 	}
 	switch watch := l.want && (acts || l.blind || now >= l.aloneAt()); {
@@ -289,8 +312,11 @@
 	} else if l.want && !l.open {
 		next(l.aloneAt())
 	}
-	if l.lacks() && !l.fetch && !l.blind {
-		next(l.fetchAt)
+	if l.lacks() {
+		next(l.lacking + l.Bound)
+		if !l.fetch && !l.blind {
+			next(l.fetchAt)
+		}
 	}
 	return due
 }
--- a/internal/duty/lists_test.go
+++ b/internal/duty/lists_test.go
@@ -114,6 +114,41 @@
 	}
 }
 
+// A pooler that the fleet's list does not reach for longer than the bound is shut out and asks for no lease, until a list
+// comes; one whose build is barred gives its lease up at once.
+func TestShutOut(t *testing.T) {
+	s := time.Second
+	l := lists()
+	l.Bound = 10 * s
+	l.Want(0)
+	w := Word{Token: 3, Seq: 1, Holder: "n2", Source: "n2"}
+	for at := s; at <= 10*s; at += s {
+		l.Heard(at, w)
+	}
+	if l.ShutOut(10 * s) {
+		t.Error("shut out within the bound")
+	}
+	if do := l.Timer(20 * s); !l.ShutOut(20*s) || do.Ask {
+		t.Errorf("after the bound: shut out %v, %+v", l.ShutOut(20*s), do)
+	}
+	if _, ok := l.Took(21*s, w); !ok || l.ShutOut(21*s) {
+		t.Error("not brought up by the list")
+	}
+	h := lists()
+	h.Want(0)
+	h.Timer(term)
+	h.Answer(term, lease.Grant{Duty: ListsDuty, Holder: "n1", Token: 7, Term: term}, true, nil)
+	if do := h.Bar(term, true); !do.Release || !do.Close || !h.ShutOut(term) {
+		t.Errorf("barred: %+v", do)
+	}
+	if do := h.Timer(4 * term); do.Ask || !do.Open {
+		t.Errorf("barred, no holder heard: %+v, want its own call and no ask", do)
+	}
+	if h.Bar(5*term, false); h.ShutOut(5 * term) {
+		t.Error("still shut out")
+	}
+}
+
 // world is a fleet of Lists around one table, in simulated time, with words and asks that get lost.
 type world struct {
 	t      *rapid.T
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,10 +27,12 @@
 
 // message is what poolers say to each other, one JSON object.
 type message struct {
-	Kind string          `json:"kind"` // "word", "want", "list" or "found"
-	From string          `json:"from,omitempty"`
-	Word duty.Word       `json:"word"`
-	List json.RawMessage `json:"list,omitempty"`
+	Kind string    `json:"kind"` // "word", "want", "list" or "found"
+	From string    `json:"from,omitempty"`
+	Word duty.Word `json:"word"`
+	// Of "word": the least build that the holder's operators allow; empty: any.
+	Least string          `json:"least,omitempty"`
+	List  json.RawMessage `json:"list,omitempty"`
 	// Of "found": the server that the holder found to be the group's primary, and as of when; none: its round found none.
 	Group  int           `json:"group,omitempty"`
 	Server string        `json:"server,omitempty"`
@@ -100,7 +102,7 @@
 	}
 	switch m.Kind {
 	case "word":
-		events.Word(m.Word)
+		events.Word(m.Word, m.Least)
 	case "want":
 		events.Wanted(m.From)
 	case "list":
@@ -140,7 +142,9 @@
 
 // Tell passes a word on to all. It writes a datagram to each member, some 10 us a piece, on the caller's goroutine: the word
 // is out when it returns, while the lease that it was said by is still looked at.
-func (f *Fleet) Tell(w duty.Word) { f.peers.Tell("lists", encode(message{Kind: "word", Word: w})) }
+func (f *Fleet) Tell(w duty.Word) {
+	f.peers.Tell("lists", encode(message{Kind: "word", Word: w, Least: f.c.LeastBuild}))
+}
 
 // TellFound passes on which server the holder found to be a group's primary; empty: none yet.
 func (f *Fleet) TellFound(token uint64, group int, server string, asOf time.Duration) {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -26,8 +26,9 @@
 // pooler and a server and the scenario's faults put on links and processes. Clients speak PostgreSQL's wire.
 type Fleet struct {
 	Scenario config.Scenario
-	Command  func() *exec.Cmd // a new process of the pooler, which the experiment gives its environment
-	Logs     io.Writer        // where the poolers' log lines go, each with "pooler" put first; nil: nowhere
+	Command  func() *exec.Cmd     // a new process of the pooler, which the experiment gives its environment
+	Env      func(i int) []string // further environment of the pooler of an index; nil: none
+	Logs     io.Writer            // where the poolers' log lines go, each with "pooler" put first; nil: nowhere
 	Progress func(line string)
 	Stop     <-chan struct{} // closed: the run ends early, as if its length were over
 }
@@ -292,6 +293,9 @@
 	// A group of its own, so that a terminal's interrupt reaches the laboratory alone, which then ends every pooler by its
 	// id; and killed with the laboratory's thread if that is killed itself.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if r.Env != nil {
+		cmd.Env = append(cmd.Env, r.Env(p.i)...)
+	}
 	for k, v := range p.env {
 		cmd.Env = append(cmd.Env, k+"="+v)
 	}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/mod/semver"
 
 	"threadsail/internal/audit"
 	"threadsail/internal/config"
@@ -33,7 +34,7 @@
 
 // FleetEvents is what a Fleet tells, on any goroutine.
 type FleetEvents struct {
-	Word   func(w duty.Word)
+	Word   func(w duty.Word, least string) // least: the least build that the holder's operators allow; empty: any
 	Wanted func(from string)
 	List   func(w duty.Word, list []byte)
 	Found  func(token uint64, group int, server string, asOf time.Duration)
@@ -55,6 +56,8 @@
 	digest  string
 	holder  string // this process, in the journal
 	journal *journal
+	ready   func(bool)     // tells the operators' door
+	shut    bool           // takes no writes
 	left    bool           // it has ended its part: what follows is the drain
 	token   uint64         // of the lease held when the journal was told last; 0: none
 	last    duty.Word      // the last word told
@@ -64,18 +67,18 @@
 }
 
 // joinFleet has the watcher take part in the list duty. It must be called before the loop runs.
-func joinFleet(w *watcher, core *routing.Core, cfg *config.Config, part *FleetPart, log zerolog.Logger) (*listDuty, error) {
+func joinFleet(w *watcher, core *routing.Core, cfg *config.Config, part *FleetPart, ready func(bool), log zerolog.Logger) (*listDuty, error) {
 	fc := part.Config
-	d := &listDuty{loop: w.loop, watcher: w, core: core, log: log.With().Str("part", "fleet").Logger(), shared: fc.SharedAddresses, build: part.Build,
+	d := &listDuty{loop: w.loop, watcher: w, core: core, log: log.With().Str("part", "fleet").Logger(), shared: fc.SharedAddresses, build: part.Build, ready: ready,
 		digest: cfg.Digest, list: discovery.List{Complete: true, Revision: cfg.Known.Revision, Members: cfg.Known.Members},
-		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Spread: float64(cfg.Seed%1024) / 1024, Fleet: max(cfg.Settings.Balancers, 1)}}
+		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Bound: fc.Bound, Spread: float64(cfg.Seed%1024) / 1024, Fleet: max(cfg.Settings.Balancers, 1)}}
 	journal, err := openJournal(fc.Journal, d.log)
 	if err != nil {
 		return nil, err
 	}
 	d.journal, d.holder = journal, fmt.Sprintf("%s/%d", fc.Name, os.Getpid())
 	fleet, err := part.Open(FleetEvents{
-		Word:   func(word duty.Word) { d.loop.Post(func() { d.heard(word) }) },
+		Word:   func(word duty.Word, least string) { d.loop.Post(func() { d.heard(word, least) }) },
 		Wanted: func(from string) { d.loop.Post(func() { d.wanted(from) }) },
 		List:   func(word duty.Word, list []byte) { d.loop.Post(func() { d.took(word, list) }) },
 		Found: func(token uint64, group int, server string, asOf time.Duration) {
@@ -89,6 +92,7 @@
 	d.fleet, w.duty = fleet, d
 	core.OnPrimary(d.primary)
 	d.note(audit.Record{Act: audit.Started})
+	w.loop.After(0, func() { d.bar(fc.LeastBuild) })
 	return d, nil
 }
 
@@ -171,13 +175,21 @@
 	d.carry(do)
 }
 
-func (d *listDuty) heard(w duty.Word) {
+func (d *listDuty) heard(w duty.Word, least string) {
 	do, refused := d.lists.Heard(d.loop.Now(), w)
 	if refused {
 		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("word: refused, a newer one was heard")
 		d.note(audit.Record{Act: audit.Refused, Token: w.Token, Seq: w.Seq})
 	}
 	d.carry(do)
+	if !refused {
+		d.bar(least)
+	}
+}
+
+// bar gives the duties up where this build is below the least that is allowed.
+func (d *listDuty) bar(least string) {
+	d.carry(d.lists.Bar(d.loop.Now(), least != "" && semver.Compare(d.build, least) < 0))
 }
 
 // wanted sends another pooler the list here, if it is one that was handed on.
@@ -228,6 +240,18 @@
 		d.fleet.Release()
 	}
 	if do.Open {
+		if shut := d.lists.ShutOut(now); shut != d.shut {
+			d.shut = shut
+			d.core.TakeWrites(!shut)
+			d.ready(!shut)
+			if shut {
+				d.log.Error().Str("build", d.build).Msg("shut out: the fleet has left this pooler's build or list behind; writes are refused")
+				d.note(audit.Record{Act: audit.ShutOut})
+			} else {
+				d.log.Info().Msg("brought up: writes are taken again")
+				d.note(audit.Record{Act: audit.BroughtUp})
+			}
+		}
 		token, holds := d.lists.Token(now)
 		d.log.Info().Bool("holder", holds).Uint64("token", token).Msg("list service: called")
 		d.watcher.open()
@@ -257,6 +281,18 @@
 	d.fleet.Show(d.lists.Have(), d.build, d.digest)
 	d.timer.Stop()
 	now = d.loop.Now()
+	if shut := d.lists.ShutOut(now); shut != d.shut {
+		d.shut = shut
+		d.core.TakeWrites(!shut)
+		d.ready(!shut)
+		if shut {
+			d.log.Error().Str("build", d.build).Msg("shut out: the fleet has left this pooler's build or list behind; writes are refused")
+			d.note(audit.Record{Act: audit.ShutOut})
+		} else {
+			d.log.Info().Msg("brought up: writes are taken again")
+			d.note(audit.Record{Act: audit.BroughtUp})
+		}
+	}
 	token, holds := d.lists.Token(now)
 	d.core.ForAll(holds)
 	if token != d.token {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -128,9 +128,12 @@
 		sides = append(sides, m)
 		addrs.MySQL = m.front.Addr()
 	}
+	state := &state{sides: sides}
+	state.serving.Store(true)
+	state.allowed.Store(true)
 	var lists *listDuty
 	if control.Fleet != nil && pg.source.watcher != nil { // a file is each pooler's own
-		if lists, err = joinFleet(pg.source.watcher, pg.core, cfg, control.Fleet, log); err != nil {
+		if lists, err = joinFleet(pg.source.watcher, pg.core, cfg, control.Fleet, state.allowed.Store, log); err != nil {
 			return fmt.Errorf("fleet: %w", err)
 		}
 		defer lists.close()
@@ -146,8 +149,6 @@
 			s.loop.Run()
 		}()
 	}
-	state := &state{sides: sides}
-	state.serving.Store(true)
 	if cfg.Admin != "" { // last, so that its yes is true
 		door, err := admin.Listen(cfg.Admin, state.figures)
 		if err != nil {
@@ -191,6 +192,7 @@
 type state struct {
 	sides                 []*side
 	serving               atomic.Bool
+	allowed               atomic.Bool // the fleet has not shut this pooler out
 	reloads, reloadErrors atomic.Uint64
 }
 
@@ -204,7 +206,7 @@
 			lists = append(lists, *k.shown.Load())
 		}
 	}
-	return admin.Figures{Serving: s.serving.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
+	return admin.Figures{Serving: s.serving.Load() && s.allowed.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
 		Classes: all.Classes, Pending: all.Pending, Members: all.Members, Unavailable: all.Unavailable, Lists: lists}
 }
 
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -146,7 +146,9 @@
 	counts  []*Counts
 	pending int
 	actions []func()
-	primary func(kind rules.NewsKind, group int, server string, asOf time.Duration)
+	// noWrites: writes that come are refused, as this pooler acts on a version that the fleet has left behind.
+	noWrites bool
+	primary  func(kind rules.NewsKind, group int, server string, asOf time.Duration)
 }
 
 // New returns a core that runs on a loop.
@@ -179,6 +181,10 @@
 	}
 }
 
+// TakeWrites has writes taken in, or refused at once with the time to come again that the settings allow. Those that have
+// been taken are carried on.
+func (c *Core) TakeWrites(on bool) { c.noWrites = !on }
+
 // ForAll has this pooler repeat rounds for the fleet, or leaves that to others.
 func (c *Core) ForAll(on bool) { c.router.ForAll(on) }
 
@@ -237,7 +243,7 @@
 	now := c.loop.Now()
 	o := &Open{c: c, req: r, counts: c.countsOf(c.opt.Settings.Classes[r.Class].Name),
 		deadline: r.Arrived + r.Patience - replyMargin, live: map[int]*call{}}
-	if len(c.open) >= c.opt.MaxOpen {
+	if len(c.open) >= c.opt.MaxOpen || c.noWrites && c.opt.Settings.Classes[r.Class].Need == rules.NeedWrite {
 		o.ended = true
 		o.counts.Refused++
 		after := time.Duration(0)
