Have serve ask of deploy/fleet.json only whether the fleet's parts are wanted

Now it reads enabled alone, and turns true down; threadsail check still reads all of it. Table tests of both.

--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -88,11 +88,13 @@
 }
 
 func (c *serveCmd) Run(s streams) error {
-	cfg, my, part, err := load()
+	cfg, my, err := load()
 	if err != nil {
 		return err
 	}
-	if part != nil {
+	if on, err := config.FleetEnabled(os.Getenv); err != nil {
+		return err
+	} else if on {
 		return errors.New("PROXY_FLEET: enabled is true, and this program has no fleet's parts: run threadsail-fleet serve")
 	}
 	level, err := zerolog.ParseLevel(c.LogLevel)
@@ -106,7 +108,11 @@
 type checkCmd struct{}
 
 func (*checkCmd) Run(s streams) error {
-	cfg, my, part, err := load()
+	cfg, my, err := load()
+	if err != nil {
+		return err
+	}
+	part, err := config.LoadFleet(os.Getenv, cfg)
 	if err != nil {
 		return err
 	}
@@ -137,16 +143,12 @@
 	return nil
 }
 
-// load reads all that the pooler is configured by; the MySQL front and the fleet are nil while they are off.
-func load() (*config.Config, *config.MySQL, *config.Fleet, error) {
+// load reads all that the pooler is configured by; the MySQL front is nil while it is off.
+func load() (*config.Config, *config.MySQL, error) {
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, nil, err
 	}
 	my, err := config.LoadMySQL(os.Getenv, cfg)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	part, err := config.LoadFleet(os.Getenv, cfg)
-	return cfg, my, part, err
+	return cfg, my, err
 }
--- a/cmd/threadsail/main_test.go
+++ b/cmd/threadsail/main_test.go
@@ -6,9 +6,11 @@
 	"cmp"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"syscall"
@@ -43,12 +45,18 @@
 func TestCommandLine(t *testing.T) {
 	f := standin.NewFleet(t, true, nil, "p")
 	bad := map[string]string{"PROXY_CONFIG": f.Env["PROXY_CONFIG"], "PROXY_MYSQL": f.Env["PROXY_CONFIG"]}
+	fleet := maps.Clone(f.Env)
+	fleet["PROXY_FLEET"] = filepath.Join(t.TempDir(), "fleet.json")
+	if err := os.WriteFile(fleet["PROXY_FLEET"], []byte(`{"enabled": true}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	for _, c := range []struct {
 		args []string
 		env  map[string]string
 		code int
 		want string
 	}{
+		{[]string{"serve"}, fleet, 1, "run threadsail-fleet serve"},
 		{nil, nil, 2, "Usage:"},
 		{[]string{"fly"}, nil, 2, "Usage:"},
 		{[]string{"version", "now"}, nil, 2, "Usage:"},
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -58,3 +58,20 @@
 		t.Errorf("the shipped file can't be turned on: %v", err)
 	}
 }
+
+// A pooler without the fleet's parts asks only whether they are wanted.
+func TestFleetEnabled(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet.json")
+	for _, c := range []struct {
+		text    string
+		on, bad bool
+	}{{`{"enabled": false, "a key of a newer build": 1, "term_ms": 1}`, false, false}, {`{"enabled": true}`, true, false}, {`{"enabled": 3}`, false, true},
+		{`{"enab`, false, true}, {`{}`, false, false}} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if on, err := FleetEnabled(func(string) string { return path }); on != c.on || (err != nil) != c.bad {
+			t.Errorf("%s: %v %v", c.text, on, err)
+		}
+	}
+}
