Hint the holder at a lost primary, and leave it the rounds it tells of

By the second and the logs: poolers notice a dead primary over five seconds, as the fleet shares its pings, and the holder is one of them; until it notices, all repeat their rounds, and each makes its first one whatever the holder tells. Now a pooler that loses a primary sends the holder a datagram, the holder looks for itself at once (Suspect, no more often than a round is repeated), and a group whose rounds another front tells of gets none here, the first included.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,6 +114,8 @@
 		events.Wanted(m.From)
 	case "list":
 		events.List(m.Word, m.List)
+	case "lost":
+		events.Lost(m.Group)
 	case "found":
 		events.Found(m.Word.Token, m.Group, m.Server, m.AsOf)
 	}
@@ -168,6 +170,11 @@
 	}
 }
 
+// Report tells a holder that this pooler has lost a group's primary: a hint, by a datagram.
+func (f *Fleet) Report(holder string, group int) {
+	f.peers.Hint(holder, encode(message{Kind: "lost", From: f.c.Name, Group: group}))
+}
+
 // Fetch asks one of the poolers that show the word's list, or the word's source while none does.
 func (f *Fleet) Fetch(w duty.Word) {
 	from, n := w.Source, 0
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -178,6 +178,16 @@
 	return fmt.Errorf("%w: %s", ErrUnknown, name)
 }
 
+// Hint gives one pooler a datagram, which may be lost.
+func (p *Peers) Hint(name string, text []byte) {
+	p.mu.Lock()
+	n := p.alive[name]
+	p.mu.Unlock()
+	if n != nil {
+		_ = p.list.SendBestEffort(n, text)
+	}
+}
+
 // Show changes what this pooler tells of itself. The fleet hears of it within some seconds.
 func (p *Peers) Show(meta Meta) {
 	p.mu.Lock()
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -29,6 +29,7 @@
 	Release()                                 // gives it up
 	Fetch(w duty.Word)                        // asks a pooler that has it for the list of a word; it comes as FleetEvents.List, or not
 	Give(to string, w duty.Word, list []byte) // sends a list to one that asked
+	Report(holder string, group int)          // tells a holder that this pooler has lost a group's primary
 	Show(w duty.Word, build, config string)   // what the others see of this pooler
 	Members() int                             // poolers held to be alive, this one among them
 	Close()
@@ -39,6 +40,7 @@
 	Word   func(w duty.Word, least string) // least: the least build that the holder's operators allow; empty: any
 	Wanted func(from string)
 	List   func(w duty.Word, list []byte)
+	Lost   func(group int)
 	Found  func(token uint64, group int, server string, asOf time.Duration)
 }
 
@@ -83,6 +85,7 @@
 		Word:   func(word duty.Word, least string) { d.loop.Post(func() { d.heard(word, least) }) },
 		Wanted: func(from string) { d.loop.Post(func() { d.wanted(from) }) },
 		List:   func(word duty.Word, list []byte) { d.loop.Post(func() { d.took(word, list) }) },
+		Lost:   func(group int) { d.loop.Post(func() { d.core.Suspect(group) }) },
 		Found: func(token uint64, group int, server string, asOf time.Duration) {
 			d.loop.Post(func() { d.told(token, group, server, asOf) })
 		},
@@ -132,6 +135,9 @@
 		d.note(audit.Record{Act: audit.PrimaryTaken, Group: group, Server: server})
 	case rules.PrimaryLost:
 		d.note(audit.Record{Act: audit.PrimaryLeft, Group: group, Server: server})
+		if w := d.lists.Have(); w.Source != "" && w.Source != d.lists.Name {
+			d.fleet.Report(w.Source, group)
+		}
 	case rules.PrimaryUnknown:
 		d.found(group, "", asOf)
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -185,6 +185,9 @@
 // been taken are carried on.
 func (c *Core) TakeWrites(on bool) { c.noWrites = !on }
 
+// Suspect takes in that another pooler has lost a group's primary.
+func (c *Core) Suspect(group int) { c.router.Suspect(c.loop.Now(), group) }
+
 // ForAll has this pooler repeat rounds for the fleet, or leaves that to others.
 func (c *Core) ForAll(on bool) { c.router.ForAll(on) }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -162,6 +162,9 @@
 	switch {
 	case g.roundOut > 0 || !r.set.MayProbe:
 		return
+	case r.now < g.leftUntil && !r.forAll: // another front is at it for all
+		r.roundIn(g, roundSeen)
+		return
 	case g.roundAt > 0 && r.now < g.roundAt+roundGap:
 		r.roundIn(g, g.roundAt+roundGap-r.now)
 		return
@@ -186,12 +189,8 @@
 	}
 	g.roundDue = due
 	r.after(d, func() {
-		switch {
-		case g.roundDue != due || g.primary != nil || r.large && len(g.held) == 0 && !r.forAll:
-		case r.now < g.leftUntil && !r.forAll: // another front repeats it for all, and tells what it finds
-			r.roundIn(g, roundSeen)
-		default: // in a large fleet only fronts that hold work for the group repeat it, or one for all
-			r.round(g)
+		if g.roundDue == due && g.primary == nil && (!r.large || len(g.held) > 0 || r.forAll) {
+			r.round(g) // in a large fleet only fronts that hold work for the group repeat it, or one for all
 		}
 	})
 }
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -576,6 +576,10 @@
 	if n := rounds(leftFor - 100*ms); n != 0 {
 		t.Errorf("%d probes while another front repeats the rounds", n)
 	}
+	before := len(f.probed)
+	if f.r.Suspect(f.now, 7); len(f.probed) != before {
+		t.Error("a front that repeats nothing for others probes at another's loss")
+	}
 	f.request(4, cFresh)
 	if n := rounds(time.Second); n == 0 {
 		t.Error("no round of its own once the other is silent")
@@ -589,7 +593,14 @@
 		t.Errorf("the primary that was told is not the record: %v", p)
 	}
 	f.r.ForAll(true)
-	f.report(2, false, f.now+2*ms)
+	f.until(f.now + roundSeen)
+	before = len(f.probed)
+	f.r.Suspect(f.now, 7)
+	f.r.Suspect(f.now, 7)
+	if n := len(f.probed) - before; n != 3 {
+		t.Errorf("%d probes of the front that repeats rounds for all, told twice of a loss, want one round", n)
+	}
+	f.report(2, false, f.now)
 	for id := range uint32(10) {
 		f.r.Gone(f.now, id)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -446,6 +446,15 @@
 	}
 }
 
+// Suspect takes in that another front has lost a group's primary. The front that repeats rounds for all looks for itself at
+// once, and no sooner again than a round is repeated: its own pings notice a loss seconds later, as the fleet shares them.
+func (r *Router) Suspect(now time.Duration, group int) {
+	r.tick(now)
+	if g := r.groups[group]; g != nil && r.forAll && r.now >= g.roundAt+roundSeen {
+		r.round(g)
+	}
+}
+
 // ForAll has this front repeat rounds for all fronts, also of groups that it holds no work for, or leaves that to others.
 func (r *Router) ForAll(on bool) { r.forAll = on }
 
