Say once that a pooler is shut out, and log a holder's acts in one place

Seen in a reading of the change: the block that shuts a pooler out stood twice in carry, and the lines that log an act were written twice; a primary whose name had been forgotten would have been told as none found.

--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -130,7 +130,9 @@
 	switch kind {
 	case rules.PrimaryFound:
 		d.note(audit.Record{Act: audit.PrimaryTaken, Group: group, Server: server})
-		d.found(group, server, asOf)
+		if server != "" { // else its name was forgotten meanwhile
+			d.found(group, server, asOf)
+		}
 	case rules.PrimaryListed:
 		d.note(audit.Record{Act: audit.PrimaryTaken, Group: group, Server: server})
 	case rules.PrimaryLost:
@@ -156,8 +158,7 @@
 		level = zerolog.DebugLevel
 	}
 	d.fleet.TellFound(token, group, server, asOf, d.lists.Until()-began, func(all bool) {
-		d.log.WithLevel(level).Uint64("token", token).Int("group", group).Str("server", server).Int64("began_ns", int64(began)).
-			Int64("ended_ns", int64(d.loop.Now())).Bool("all", all).Msg("primary: told")
+		d.acted(level, "primary: told", token, began, all, func(e *zerolog.Event) { e.Int("group", group).Str("server", server) })
 	})
 }
 
@@ -251,18 +252,6 @@
 		d.fleet.Release()
 	}
 	if do.Open {
-		if shut := d.lists.ShutOut(now); shut != d.shut {
-			d.shut = shut
-			d.core.TakeWrites(!shut)
-			d.ready(!shut)
-			if shut {
-				d.log.Error().Str("build", d.build).Msg("shut out: the fleet has left this pooler's build or list behind; writes are refused")
-				d.note(audit.Record{Act: audit.ShutOut})
-			} else {
-				d.log.Info().Msg("brought up: writes are taken again")
-				d.note(audit.Record{Act: audit.BroughtUp})
-			}
-		}
 		token, holds := d.lists.Token(now)
 		d.log.Info().Bool("holder", holds).Uint64("token", token).Msg("list service: called")
 		d.watcher.open()
@@ -281,8 +270,7 @@
 			}
 			d.last = do.Tell
 			d.fleet.Tell(do.Tell, d.lists.Until()-began, func(all bool) {
-				d.log.WithLevel(level).Uint64("token", do.Tell.Token).Uint64("seq", do.Tell.Seq).Str("holder", do.Tell.Holder).
-					Int64("began_ns", int64(began)).Int64("ended_ns", int64(d.loop.Now())).Bool("all", all).Msg("list: handed on")
+				d.acted(level, "list: handed on", token, began, all, func(e *zerolog.Event) { e.Uint64("seq", do.Tell.Seq).Str("holder", do.Tell.Holder) })
 			})
 		}
 	}
@@ -293,18 +281,7 @@
 	d.fleet.Show(d.lists.Have(), d.build, d.digest)
 	d.timer.Stop()
 	now = d.loop.Now()
-	if shut := d.lists.ShutOut(now); shut != d.shut {
-		d.shut = shut
-		d.core.TakeWrites(!shut)
-		d.ready(!shut)
-		if shut {
-			d.log.Error().Str("build", d.build).Msg("shut out: the fleet has left this pooler's build or list behind; writes are refused")
-			d.note(audit.Record{Act: audit.ShutOut})
-		} else {
-			d.log.Info().Msg("brought up: writes are taken again")
-			d.note(audit.Record{Act: audit.BroughtUp})
-		}
-	}
+	d.shutOut(d.lists.ShutOut(now))
 	token, holds := d.lists.Token(now)
 	d.core.ForAll(holds)
 	if token != d.token {
@@ -319,6 +296,30 @@
 	d.timer = d.loop.After(max(d.lists.Due(now)-now, time.Millisecond), func() { d.carry(d.lists.Timer(d.loop.Now())) })
 }
 
+// shutOut takes no writes any more, or again, and says so wherever it is looked for.
+func (d *listDuty) shutOut(shut bool) {
+	if shut == d.shut {
+		return
+	}
+	d.shut = shut
+	d.core.TakeWrites(!shut)
+	d.ready(!shut)
+	if shut {
+		d.log.Error().Str("build", d.build).Msg("shut out: the fleet has left this pooler's build or list behind; writes are refused")
+		d.note(audit.Record{Act: audit.ShutOut})
+	} else {
+		d.log.Info().Msg("brought up: writes are taken again")
+		d.note(audit.Record{Act: audit.BroughtUp})
+	}
+}
+
+// acted logs an act of the holder's once it is over, with its beginning and end and whether it reached all.
+func (d *listDuty) acted(level zerolog.Level, what string, token uint64, began time.Duration, all bool, more func(*zerolog.Event)) {
+	e := d.log.WithLevel(level).Uint64("token", token).Int64("began_ns", int64(began)).Int64("ended_ns", int64(d.loop.Now())).Bool("all", all)
+	more(e)
+	e.Msg(what)
+}
+
 func (d *listDuty) answer(g lease.Grant, ok bool, err error) {
 	now := d.loop.Now()
 	_, had := d.lists.Token(now)
