Let nothing be sent on a closed queue of the fleet, and drop what nothing uses

A primary that is found ends the time for which rounds are left to another front, so that the next loss is looked into at once (tested). Program.Fleet's Members, the count of refused words and the relays' times of accepting were used by nothing.

--- a/internal/duty/lists.go
+++ b/internal/duty/lists.go
@@ -67,7 +67,6 @@
 	blind   bool          // the list of the newest word cannot be used here
 	lacking time.Duration // since when the list of the newest word has been missing here
 	barred  bool          // the operators allow this build no more
-	refused uint64
 }
 
 // fetchEach spreads the fetches of a fleet after a new list: so much for each pooler, as one that hands a list on
@@ -117,7 +116,6 @@
 // Heard takes in a word from the fleet. It tells whether the word was refused as older than one before it.
 func (l *Lists) Heard(now time.Duration, w Word) (do Do, refused bool) {
 	if w.Before(l.word) || w.Token == 0 {
-		l.refused++
 		return l.settle(now), true
 	}
 	if w.Token > l.word.Token {
@@ -137,7 +135,6 @@
 func (l *Lists) Took(now time.Duration, w Word) (do Do, ok bool) {
 	l.fetch = false
 	if w.Seq == 0 || w.Before(l.have) || w.Token < l.word.Token {
-		l.refused++
 		return l.settle(now), false
 	}
 	news := l.have.Before(w)
@@ -153,10 +150,7 @@
 
 // Act takes in an act of a holder that is not about the list, by its token. It tells whether the act may be believed.
 func (l *Lists) Act(now time.Duration, token uint64) (do Do, ok bool) {
-	if ok = token > 0 && token >= l.word.Token; !ok {
-		l.refused++
-	}
-	return l.settle(now), ok
+	return l.settle(now), token > 0 && token >= l.word.Token
 }
 
 // Bar takes in whether the operators bar this pooler's build. A barred one gives its lease up and asks for none.
@@ -240,9 +234,6 @@
 // Have is the newest word that the list in force is not older than.
 func (l *Lists) Have() Word { return l.have }
 
-// Refused counts words and lists that were older than one before them.
-func (l *Lists) Refused() uint64 { return l.refused }
-
 // settle finds what is to be done at now.
 func (l *Lists) settle(now time.Duration) (do Do) {
 	if !l.begun {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,8 +46,10 @@
 	holder  string // this process among the holders: a restarted pooler does not own what the one before it held
 	peers   *peers.Peers
 	steward *steward.Steward // nil: this pooler is none
-	asks    chan func(*steward.Client)
+	asks    chan func()
 	words   chan func()
+	ending  chan struct{}
+	client  *steward.Client // on the goroutine of asks
 	giving  chan struct{}
 	log     zerolog.Logger
 	done    sync.WaitGroup
@@ -55,7 +57,7 @@
 
 // Open starts the pooler's part and returns at once; errors are of its addresses and the steward's folder.
 func Open(c *config.Fleet, log zerolog.Logger, events program.FleetEvents) (*Fleet, error) {
-	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), asks: make(chan func(*steward.Client), queuedAsks), words: make(chan func(), queuedActs),
+	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), asks: make(chan func(), queuedAsks), words: make(chan func(), queuedActs), ending: make(chan struct{}),
 		giving: make(chan struct{}, gives), log: log.With().Str("part", "fleet").Logger()}
 	say := func(line string) { f.log.Warn().Msg(line) }
 	var stewards []steward.Peer
@@ -86,15 +88,13 @@
 		return nil, err
 	}
 	f.done.Go(func() {
-		for word := range f.words {
-			word()
+		for f.next(f.words) {
 		}
 	})
 	f.done.Go(func() {
-		client := &steward.Client{Holder: f.holder, Stewards: stewards, Timeout: c.Term / 4} // so that a renewal, a third of the term in, can be tried twice
-		defer client.Close()
-		for ask := range f.asks {
-			ask(client)
+		f.client = &steward.Client{Holder: f.holder, Stewards: stewards, Timeout: c.Term / 4} // so that a renewal, a third of the term in, can be tried twice
+		defer f.client.Close()
+		for f.next(f.asks) {
 		}
 	})
 	return f, nil
@@ -121,6 +121,23 @@
 	}
 }
 
+// next does a piece of work from a queue, and tells whether there may be more: at the end what is queued is done first.
+func (f *Fleet) next(queue chan func()) bool {
+	select {
+	case work := <-queue:
+		work()
+		return true
+	default:
+	}
+	select {
+	case work := <-queue:
+		work()
+		return true
+	case <-f.ending:
+		return false
+	}
+}
+
 func encode(m message) []byte {
 	text, err := json.Marshal(m)
 	if err != nil {
@@ -132,7 +149,7 @@
 // ask hands work to the one goroutine that talks with the stewards; at the end there is nobody to talk to.
 func (f *Fleet) ask(work func(*steward.Client)) {
 	select {
-	case f.asks <- work:
+	case f.asks <- func() { work(f.client) }:
 	default:
 		f.log.Warn().Msg("lease: too many asks wait for the stewards")
 		go work(&steward.Client{Holder: f.holder, Stewards: []steward.Peer{{}}, Timeout: time.Nanosecond}) // answers with an error
@@ -214,13 +231,9 @@
 	f.peers.Show(peers.Meta{Build: build, Config: config, Token: w.Token, Seq: w.Seq})
 }
 
-// Members is how many poolers are held to be alive.
-func (f *Fleet) Members() int { return len(f.peers.Members()) }
-
 // Close leaves the fleet. What waits for the stewards, a release above all, is said first.
 func (f *Fleet) Close() {
-	close(f.asks)
-	close(f.words)
+	close(f.ending) // and not the queues: the loop may still be running where the start has failed
 	f.done.Wait()
 	f.peers.Close()
 	if f.steward != nil {
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -31,7 +31,6 @@
 	Give(to string, w duty.Word, list []byte) // sends a list to one that asked
 	Report(holder string, group int)          // tells a holder that this pooler has lost a group's primary
 	Show(w duty.Word, build, config string)   // what the others see of this pooler
-	Members() int                             // poolers held to be alive, this one among them
 	Close()
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,7 +37,7 @@
 	fault    Fault
 	rng      *rand.Rand
 	open     map[*pair]struct{}
-	accepted []time.Time
+	accepted int
 	flows    map[string]net.Conn // by UDP caller, each with a socket of its own to the target
 	closed   bool
 	done     sync.WaitGroup
@@ -172,7 +172,7 @@
 func (l *Link) Accepted() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.accepted)
+	return l.accepted
 }
 
 // Open counts the connections passed through the link that are open now.
@@ -182,13 +182,6 @@
 	return len(l.open)
 }
 
-// AcceptedAt is when each of those came, in order.
-func (l *Link) AcceptedAt() []time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Clone(l.accepted)
-}
-
 // Close stops listening, resets what is open and waits until its goroutines have ended.
 func (l *Link) Close() {
 	_ = l.ln.Close()
@@ -216,7 +209,7 @@
 			return
 		}
 		l.mu.Lock()
-		l.accepted = append(l.accepted, time.Now())
+		l.accepted++
 		refuse, closed := l.fault.Refuse, l.closed
 		l.mu.Unlock()
 		if refuse || closed {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -103,7 +103,7 @@
 	if !s.listed || s.silent || g.primary == s || g.primary != nil && g.primary.claimAt >= asOf {
 		return
 	}
-	g.primary, g.dark, g.left = s, false, false
+	g.primary, g.dark, g.left, g.leftUntil = s, false, false, 0
 	r.act.Primary(News{Kind: PrimaryFound, Group: g.id, Store: s.Store, AsOf: asOf})
 	if !g.pinging {
 		g.pinging = true
--- a/rules/scale_test.go
+++ b/rules/scale_test.go
@@ -592,6 +592,12 @@
 	if p := f.r.group(7).primary; p == nil || p.Store != 2 {
 		t.Errorf("the primary that was told is not the record: %v", p)
 	}
+	f.r.Told(f.now, 7, 0, false, 0)
+	f.report(3, true, f.now+2*ms)
+	if f.r.group(7).leftUntil != 0 {
+		t.Error("with a primary found, the rounds of a next loss are still left to another")
+	}
+	f.r.Told(f.now, 7, 2, true, f.now+3*ms)
 	f.r.ForAll(true)
 	f.until(f.now + roundSeen)
 	before = len(f.probed)
