Move the fleet's packages under internal/fleet and the rig's under internal/lab

Need: parts that poolers share are to grow as one tree of small packages, and the top level is to show the product and not its rig.

Change: lease, duty, steward, peers, balance and audit move under internal/fleet; relay, faults, judge and standin under internal/lab. No line of code changed but import paths.

--- a/cmd/threadsail-fleet/main_test.go
+++ b/cmd/threadsail-fleet/main_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"threadsail/internal/audit"
 	"threadsail/internal/config"
-	"threadsail/internal/judge"
+	"threadsail/internal/fleet/audit"
 	"threadsail/internal/lab"
+	"threadsail/internal/lab/judge"
 )
 
 // TestMain lets the test's own binary stand for the program.
--- a/cmd/threadsail/audit.go
+++ b/cmd/threadsail/audit.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"threadsail/internal/audit"
+	"threadsail/internal/fleet/audit"
 )
 
 type auditCmd struct {
--- a/cmd/threadsail/bench_test.go
+++ b/cmd/threadsail/bench_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"threadsail/internal/standin"
+	"threadsail/internal/lab/standin"
 )
 
 // processorTime is what a process has used so far, in ticks of 10 ms, from the 14th and 15th field of its stat file.
--- a/cmd/threadsail/fleet_test.go
+++ b/cmd/threadsail/fleet_test.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"threadsail/internal/config"
-	"threadsail/internal/judge"
 	"threadsail/internal/lab"
+	"threadsail/internal/lab/judge"
 )
 
 // Twelve processes of the pooler before three servers: four are cut off from the primary, one is killed and started
--- a/cmd/threadsail/main_test.go
+++ b/cmd/threadsail/main_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"threadsail/internal/standin"
+	"threadsail/internal/lab/standin"
 )
 
 // TestMain lets the test's own binary stand for the program.
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"threadsail/internal/faults"
+	"threadsail/internal/lab/faults"
 )
 
 // Scenario is an experiment of the fleet laboratory: its size, its load and its faults.
--- a/internal/duty/lists.go
+++ b/internal/fleet/duty/lists.go
@@ -12,7 +12,7 @@
 import (
 	"time"
 
-	"threadsail/internal/lease"
+	"threadsail/internal/fleet/lease"
 )
 
 // ListsDuty names the list poller's lease.
--- a/internal/duty/lists_test.go
+++ b/internal/fleet/duty/lists_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"threadsail/internal/lease"
+	"threadsail/internal/fleet/lease"
 )
 
 const term = 3 * time.Second
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,11 +13,11 @@
 	"github.com/rs/zerolog"
 
 	"threadsail/internal/config"
-	"threadsail/internal/duty"
-	"threadsail/internal/lease"
-	"threadsail/internal/peers"
+	"threadsail/internal/fleet/duty"
+	"threadsail/internal/fleet/lease"
+	"threadsail/internal/fleet/peers"
+	"threadsail/internal/fleet/steward"
 	"threadsail/internal/program"
-	"threadsail/internal/steward"
 )
 
 const (
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,10 +8,10 @@
 	"github.com/rs/zerolog"
 
 	"threadsail/internal/config"
-	"threadsail/internal/duty"
-	"threadsail/internal/lease"
+	"threadsail/internal/fleet/duty"
+	"threadsail/internal/fleet/lease"
+	"threadsail/internal/fleet/steward"
 	"threadsail/internal/program"
-	"threadsail/internal/steward"
 )
 
 // What was asked before the end is answered, and what comes after it does no harm: where a start fails, the loop still runs.
--- a/internal/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"threadsail/internal/relay"
+	"threadsail/internal/lab/relay"
 )
 
 // fleet is some members of this process, each reached by each other through a relay of its own.
--- a/internal/steward/client.go
+++ b/internal/fleet/steward/client.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"threadsail/internal/lease"
+	"threadsail/internal/fleet/lease"
 )
 
 // Client asks stewards for leases, for one pooler. It is not safe for use by several goroutines.
--- a/internal/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -18,7 +18,7 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 
-	"threadsail/internal/lease"
+	"threadsail/internal/fleet/lease"
 )
 
 // Peer is a steward, by its pooler's name and the address at which it is reached from here.
--- a/internal/steward/steward_test.go
+++ b/internal/fleet/steward/steward_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"threadsail/internal/lease"
-	"threadsail/internal/relay"
+	"threadsail/internal/fleet/lease"
+	"threadsail/internal/lab/relay"
 )
 
 const election = 300 * time.Millisecond
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -6,7 +6,7 @@
 	"text/tabwriter"
 	"time"
 
-	"threadsail/internal/standin"
+	"threadsail/internal/lab/standin"
 )
 
 // Demo shows the pooler at work: a group of servers, clients, and a primary that dies once.
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -16,10 +16,10 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"threadsail/internal/config"
-	"threadsail/internal/faults"
-	"threadsail/internal/judge"
-	"threadsail/internal/relay"
-	"threadsail/internal/standin"
+	"threadsail/internal/lab/faults"
+	"threadsail/internal/lab/judge"
+	"threadsail/internal/lab/relay"
+	"threadsail/internal/lab/standin"
 )
 
 // Fleet is an experiment on many processes of the pooler among stand-in servers, with a relay on each link between a
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"threadsail/internal/standin"
+	"threadsail/internal/lab/standin"
 )
 
 // Counts is what became of requests.
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 
 	"threadsail/internal/config"
-	"threadsail/internal/relay"
-	"threadsail/internal/standin"
+	"threadsail/internal/lab/relay"
+	"threadsail/internal/lab/standin"
 )
 
 // Where a laboratory's poolers speak with each other: each on a loopback address of its own, at ports that no outgoing
--- a/internal/lab/rewrite.go
+++ b/internal/lab/rewrite.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/protocol/inventory"
-	"threadsail/internal/standin"
 )
 
 // Rewrite is an experiment: a watched file is rewritten again and again under load, one time in five with something that
--- a/internal/lab/session.go
+++ b/internal/lab/session.go
@@ -15,8 +15,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/protocol/mysql"
-	"threadsail/internal/standin"
 	"threadsail/internal/translate"
 )
 
--- a/internal/lab/session_test.go
+++ b/internal/lab/session_test.go
@@ -12,9 +12,9 @@
 
 	"threadsail/internal/config"
 	"threadsail/internal/lab"
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
 	"threadsail/internal/protocol/mysql"
-	"threadsail/internal/standin"
 )
 
 var record = flag.Bool("record", false, "record testdata/old-client.cbor anew, against servers of the old wire")
--- a/internal/program/admin_test.go
+++ b/internal/program/admin_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
-	"threadsail/internal/standin"
 )
 
 // call makes one call at the operators' door.
--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"threadsail/internal/standin"
+	"threadsail/internal/lab/standin"
 )
 
 // BenchmarkRequest is a request's whole way, client, pooler and server in one process: what all of it allocates.
--- a/internal/program/cancel_test.go
+++ b/internal/program/cancel_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
-	"threadsail/internal/standin"
 )
 
 // canceller is a client whose statements another connection can cancel.
--- a/internal/program/clients_test.go
+++ b/internal/program/clients_test.go
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
 	"threadsail/internal/protocol/pgwire"
-	"threadsail/internal/standin"
 )
 
 func addr(a program.Addrs) string {
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -8,10 +8,10 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/mod/semver"
 
-	"threadsail/internal/audit"
 	"threadsail/internal/config"
-	"threadsail/internal/duty"
-	"threadsail/internal/lease"
+	"threadsail/internal/fleet/audit"
+	"threadsail/internal/fleet/duty"
+	"threadsail/internal/fleet/lease"
 	"threadsail/internal/protocol/discovery"
 	"threadsail/internal/routing"
 	"threadsail/rules"
--- a/internal/program/journal.go
+++ b/internal/program/journal.go
@@ -5,8 +5,8 @@
 
 	"github.com/rs/zerolog"
 
-	"threadsail/internal/audit"
 	"threadsail/internal/config"
+	"threadsail/internal/fleet/audit"
 )
 
 // queuedActs is how many acts may wait for the disk; a disk that hangs must not hold the loop, nor fill the memory.
--- a/internal/program/lists_test.go
+++ b/internal/program/lists_test.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"threadsail/internal/lab"
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/membership"
 	"threadsail/internal/program"
 	"threadsail/internal/protocol/inventory"
-	"threadsail/internal/standin"
 )
 
 func rewrite(t *testing.T, wire string, gateOff bool, versions int) lab.RewriteReport {
--- a/internal/program/mysql_test.go
+++ b/internal/program/mysql_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
-	"threadsail/internal/standin"
 )
 
 func mysqlPooler(t *testing.T, names ...string) (*standin.Fleet, *standin.MySQL, program.Addrs) {
--- a/internal/program/postgres_test.go
+++ b/internal/program/postgres_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/protocol/pgwire"
-	"threadsail/internal/standin"
 )
 
 func postgresPooler(t *testing.T, names ...string) (*standin.Fleet, *standin.Postgres) {
--- a/internal/program/relay_test.go
+++ b/internal/program/relay_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/protocol/pgwire"
-	"threadsail/internal/standin"
 )
 
 // longAnswer is a value of so many bytes that is different everywhere, as a server gives it.
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
-	"threadsail/internal/standin"
 )
 
 // New settings come under load: a request under way keeps its class, a new class is served, one that has vanished is an
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"threadsail/internal/config"
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
-	"threadsail/internal/standin"
 )
 
 // pooler runs the program on a fleet until the test ends.
--- a/internal/program/spoilt_test.go
+++ b/internal/program/spoilt_test.go
@@ -5,12 +5,12 @@
 	"sync/atomic"
 	"testing"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/protocol/mysql"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/routing"
-	"threadsail/internal/standin"
 	"threadsail/rules"
 )
 
--- a/internal/program/translate_test.go
+++ b/internal/program/translate_test.go
@@ -15,11 +15,11 @@
 	"github.com/go-sql-driver/mysql"
 	"github.com/google/go-cmp/cmp"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
 	"threadsail/internal/protocol/inventory"
 	wire "threadsail/internal/protocol/mysql"
 	"threadsail/internal/protocol/pgwire"
-	"threadsail/internal/standin"
 )
 
 // lessons is a table on a PostgreSQL stand-in: what it is asked and with which values, and what it answers.
--- a/rules/state.go
+++ b/rules/state.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"threadsail/internal/balance"
+	"threadsail/internal/fleet/balance"
 )
 
 // What a Router remembers, and its timers. Nothing is decided here.
