Ask guards before a request is taken and before an attempt is written

Need: what the poolers of a fleet share (limits, verdicts, purges, shard maps) has to refuse, answer or stop requests, at one place and for both wires, and a write must be stopped also behind a wait for its connection.

Change: routing.Guard, asked in Submit and right before each write (Fits, too), told of each final answer; a request stopped where an attempt may have run is failed, else refused. Without guards nothing is asked: one length check a request.

Shown by: routing's tests of answers, refusals, stops before and behind an attempt that may have run, and behind a wait.

--- /dev/null
+++ b/internal/fleet/bus/bus.go
@@ -0,0 +1,29 @@
+// Package bus is how the parts of poolers speak to each other: one message to one pooler, or to all that are alive. It decides
+// nothing and promises no order across topics; what a message means, and whether an old one still counts, is its part's affair.
+package bus
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrUnknown tells that a pooler is not held to be alive.
+var ErrUnknown = errors.New("bus: no such pooler is alive")
+
+// Bus is one pooler's way to the others. It is safe for use by several goroutines.
+type Bus interface {
+	// Self is this pooler's name.
+	Self() string
+	// Members are the poolers held to be alive, this one among them, by name. One that is cut off may stay in it for seconds,
+	// and one that is alive may be missing.
+	Members() []string
+	// Send gives one pooler a message. nil: it was written to a connection; whether it was read is not known. An error: it may
+	// have come all the same. It waits for the network, but no longer than ctx.
+	Send(ctx context.Context, to, topic string, body []byte) error
+	// Cast gives all others a datagram each, and gossip for those that are not known here. It may be lost, come twice, or
+	// overtake another. A newer one of the same topic takes the place of one that is still being passed on by gossip.
+	Cast(topic string, body []byte)
+	// Handle has f called with each message of a topic that comes from another pooler, on goroutines of the bus, several at once.
+	// f must not wait; body is its own. It must be called before the first message is to be heard.
+	Handle(topic string, f func(from string, body []byte))
+}
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -601,6 +601,9 @@
 	if c.After > 0 || s.f.core.ClassInfo(class).Need == rules.NeedSession {
 		r.Session = comment.Session(cmd.Text)
 	}
+	if s.f.core.Guarded() {
+		r.Text, r.Key = comment.Bare(cmd.Text), comment.QuotedKey(cmd.Text)
+	}
 	s.busy, s.id = true, c.ID
 	s.f.ids[c.ID] = c.ID != ""
 	s.open = s.f.core.Submit(r)
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -311,6 +311,9 @@
 	if info.Need == rules.NeedSession || info.Need == rules.NeedWrite {
 		r.Session = comment.Session(text)
 	}
+	if s.f.core.Guarded() {
+		r.Text, r.Key = comment.Bare(text), comment.QuotedKey(text)
+	}
 	s.asked = true
 	w := &slot{s: s, id: c.ID}
 	s.f.ids[c.ID] = true
--- a/internal/protocol/comment/comment.go
+++ b/internal/protocol/comment/comment.go
@@ -119,17 +119,31 @@
 	return c.before + strconv.FormatInt(ms, 10) + c.behind
 }
 
+// Bare is a statement without the comment that it ends in, and without the space before it.
+func Bare(statement string) string {
+	if start := strings.LastIndex(statement, "/*"); start >= 0 {
+		statement = statement[:start]
+	}
+	return strings.TrimRight(statement, " \t\r\n;")
+}
+
+// QuotedKey is the first quoted word of a statement, which names its row; "": none.
+func QuotedKey(statement string) string {
+	_, rest, _ := strings.Cut(statement, "'")
+	key, _, closed := strings.Cut(rest, "'")
+	if !closed {
+		return ""
+	}
+	return key
+}
+
 // Session is the number of the session that the statement's quoted key names; 0: none.
 func Session(statement string) uint64 {
-	start := strings.IndexByte(statement, '\'')
-	if start < 0 {
-		return 0
-	}
-	end := strings.IndexByte(statement[start+1:], '\'')
-	if end <= 0 {
+	key := QuotedKey(statement)
+	if key == "" {
 		return 0
 	}
 	h := fnv.New64a()
-	h.Write([]byte(statement[start+1 : start+1+end]))
+	h.Write([]byte(key))
 	return max(h.Sum64(), 1)
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -35,6 +35,8 @@
 	Patience     time.Duration // from then on
 	Payload      any
 	Reply        Replier
+	// Text is the statement without its comment, and Key the quoted key that it names; "": none. Only where the core is guarded.
+	Text, Key string
 }
 
 // Result is the end of an attempt or a probe, as the backend saw it.
@@ -112,6 +114,7 @@
 	counts   *Counts
 	deadline time.Duration
 	ended    bool
+	ran      bool // an attempt may have run
 	sent     int
 	live     map[int]*call
 }
@@ -149,6 +152,7 @@
 	// noWrites: writes that come are refused, as this pooler acts on a version that the fleet has left behind.
 	noWrites bool
 	primary  func(kind rules.NewsKind, group int, server string, asOf time.Duration)
+	guards   []Guard
 }
 
 // New returns a core that runs on a loop.
@@ -256,6 +260,9 @@
 		c.do(func() { r.Reply.Refuse(after) })
 		return o
 	}
+	if !c.admitted(o, now) {
+		return o
+	}
 	for c.lastID++; c.open[c.lastID] != nil; c.lastID++ {
 	}
 	o.id = c.lastID
@@ -288,8 +295,10 @@
 	switch how {
 	case Whole:
 		o.counts.Served++
+		o.tell(Ending{Served: true})
 	case Broken:
 		o.counts.Failed++
+		o.tell(Ending{})
 	}
 }
 
@@ -415,6 +424,7 @@
 		a.core().end(id, func(o *Open) {
 			o.counts.Refused++
 			o.req.Reply.Refuse(after)
+			o.tell(Ending{Refused: true})
 		})
 	})
 }
@@ -424,6 +434,7 @@
 		a.core().end(id, func(o *Open) {
 			o.counts.Failed++
 			o.req.Reply.Fail()
+			o.tell(Ending{})
 		})
 	})
 }
@@ -496,8 +507,31 @@
 		c.loop.Post(func() { o.outcome(n, Result{Result: rules.Moot}) })
 		return
 	}
+	switch o.maySend(store) {
+	case Elsewhere:
+		c.loop.Post(func() { o.outcome(n, Result{Result: rules.Full}) })
+		return
+	case Stop:
+		c.loop.Post(func() {
+			o.stopped()
+			o.outcome(n, Result{Result: rules.Moot})
+		})
+		return
+	}
 	k.call = c.backend.Send(addr, o.req.Payload, at-now, Attempt{
-		Fits: func() bool { return c.router.StillFits(c.loop.Now(), id, n) },
+		Fits: func() bool {
+			if !c.router.StillFits(c.loop.Now(), id, n) {
+				return false
+			}
+			switch o.maySend(store) {
+			case Elsewhere:
+				return false
+			case Stop:
+				o.stopped()
+				return false
+			}
+			return true
+		},
 		Sent: func() { o.counts.Attempts++ },
 		Done: func(r Result) { o.outcome(n, r) }})
 	k.timer = c.loop.At(at, func() {
@@ -514,6 +548,7 @@
 	}
 	delete(o.live, n)
 	k.timer.Stop()
+	o.ran = o.ran || !r.Result.NeverRan()
 	stream, long := r.Answer.(Stream)
 	switch {
 	case long && o.ended:
@@ -526,6 +561,9 @@
 		o.close()
 		o.counts.Served++
 		o.c.do(func() { o.req.Reply.Serve(r.Answer) })
+		if len(o.c.guards) > 0 {
+			o.tell(Ending{Served: true, Answer: r.Answer, Server: o.c.name(k.store)})
+		}
 	}
 	o.c.router.Outcome(o.c.loop.Now(), rules.Outcome{ID: o.id, Attempt: n, Store: k.store, Result: r.Result,
 		Closed: o.ended, Role: r.Role, HasPosition: r.HasPosition, Position: r.Position, Report: r.Report})
--- /dev/null
+++ b/internal/routing/guard_test.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"threadsail/rules"
+)
+
+// script is a guard that says what a test has set, and notes what it is told.
+type script struct {
+	admission Admission
+	sending   Sending
+	ended     []Ending
+}
+
+func (s *script) Admit(time.Duration, *Request) Admission         { return s.admission }
+func (s *script) MaySend(time.Duration, *Request, string) Sending { return s.sending }
+func (s *script) Ended(_ time.Duration, _ *Request, e Ending)     { s.ended = append(s.ended, e) }
+func guarded(t *testing.T, s *script) (*Core, *backend, reply, func(func())) {
+	c, b := start(t)
+	on := func(f func()) {
+		done := make(chan struct{})
+		c.loop.Post(func() { f(); close(done) })
+		<-done
+	}
+	on(func() { c.Guard(s) })
+	return c, b, reply{make(chan string, 2)}, on
+}
+
+func (r reply) submit(c *Core) func() {
+	return func() {
+		c.Submit(&Request{Keyed: true, Arrived: c.loop.Now(), Patience: 400 * time.Millisecond, Reply: r})
+	}
+}
+
+// What a guard answers or refuses must not reach the module, nor a server.
+func TestGuardAdmits(t *testing.T) {
+	for want, a := range map[string]Admission{"served": {Answer: "kept"}, "refused": {Refuse: true, After: time.Second}} {
+		c, b, r, on := guarded(t, &script{admission: a})
+		on(r.submit(c))
+		end := <-r.ended
+		on(func() {
+			if end != want || c.Open() != 0 || len(b.calls) != 0 {
+				t.Errorf("%+v: %s, %d open, %d attempts", a, end, c.Open(), len(b.calls))
+			}
+		})
+	}
+}
+
+// A request that a guard stops before it is sent is refused; one that may have run by then is failed; each once.
+func TestGuardStops(t *testing.T) {
+	s := &script{sending: Stop}
+	c, b, r, on := guarded(t, s)
+	on(r.submit(c))
+	if end := <-r.ended; end != "refused" || len(b.calls) != 0 {
+		t.Errorf("before any attempt: %s, %d attempts", end, len(b.calls))
+	}
+	on(func() { s.sending = Send })
+	on(r.submit(c))
+	w := <-b.calls
+	on(func() {
+		s.sending = Stop
+		w.Done(Result{Result: rules.Errored}) // a keyed write goes out again
+	})
+	if end := <-r.ended; end != "failed" {
+		t.Errorf("behind an attempt that may have run: %s", end)
+	}
+	on(func() {
+		if len(s.ended) != 2 || !s.ended[0].Refused || s.ended[1].Refused || s.ended[1].Served || c.Open() != 0 {
+			t.Errorf("the guard heard of %+v; %d open", s.ended, c.Open())
+		}
+	})
+	if len(r.ended) > 0 {
+		t.Error("a second answer")
+	}
+}
+
+// An attempt that waited for its connection is asked about once more right before it is written.
+func TestGuardStopsBehindAWait(t *testing.T) {
+	s := &script{}
+	c, b, r, on := guarded(t, s)
+	on(r.submit(c))
+	w := <-b.calls
+	on(func() {
+		s.sending = Stop
+		if w.Fits() {
+			t.Error("it is still sent")
+		}
+		w.Done(Result{Result: rules.Missed})
+	})
+	end := <-r.ended
+	on(func() {
+		if end != "refused" || c.Open() != 0 {
+			t.Errorf("%s, %d open", end, c.Open())
+		}
+	})
+}
