Split the decisions by concern into nine policy files

A pure move: every function keeps its text but aim, whose vote on the usual patience is now a method of usual. What only measures or keeps time (that vote, undisturbed, askIn, and their constants) stands with the rest of the memory in state.go.

--- /dev/null
+++ b/rules/list.go
@@ -0,0 +1,98 @@
+package rules
+
+import "time"
+
+// The list: who is a member, who drains, and when the list is asked for.
+
+const (
+	askAgainFirst = 500 * ms
+	askAgainMost  = 4 * time.Second
+	listGap       = 80 * ms // between two fronts' calls: a list service bore some ten a second from 80
+)
+
+// List takes in what discovery says.
+func (r *Router) List(now time.Duration, kind ListKind, entries []Member) {
+	r.tick(now)
+	if kind == ListFailed { // keep the old list and ask again, ever later, but within the time allowed
+		r.askIn(r.spread(max(r.askWait, r.askSpan)))
+		r.askWait = min(2*r.askWait, askAgainMost)
+		if r.set.MustAsk > 0 {
+			r.askWait = min(r.askWait, r.set.MustAsk/2)
+		}
+		return
+	}
+	seen := map[uint32]bool{}
+	for _, m := range entries {
+		seen[m.Store] = true
+		r.entry(m)
+	}
+	if kind != ListDelta {
+		for _, s := range r.order {
+			if s.listed && !seen[s.Store] && s.State != Gone {
+				r.leave(s, Gone)
+			}
+		}
+	}
+	if kind == ListCached {
+		r.askIn(r.askSpan - r.spread(r.askSpan))
+	} else {
+		r.askWait = askAgainFirst
+	}
+}
+
+func (r *Router) entry(m Member) {
+	s := r.stores[m.Store]
+	if s == nil && m.State == Gone {
+		return
+	}
+	if s == nil {
+		s = r.add(m)
+	}
+	if m.State != Ready {
+		r.leave(s, m.State)
+		return
+	}
+	if m.Started > s.Started && m.Started > s.roleAt && s.role == RolePrimary {
+		r.deny(s, m.Started) // a process that starts again comes back as a replica
+	}
+	r.join(s)
+	s.Member, s.stopAt = m, 0
+	g := r.group(s.Group)
+	g.left = g.left && g.primary != s
+	if p := g.primary; r.large && m.Primary && s.role == RoleUnknown && g.lostAt == 0 &&
+		(p == nil || p.role == RoleUnknown) {
+		// Rounds by all at a start are a storm: the list's word, some seconds old, stands until an answer.
+		g.primary, s.claimAt = s, max(s.claimAt, r.now-outage)
+		r.act.Primary(News{Kind: PrimaryListed, Group: g.id, Store: s.Store, AsOf: s.claimAt})
+	}
+	g.weigh()
+	if m.Started > 0 {
+		r.chill(s, m.Started)
+	}
+}
+
+// leave stops reads at once; writes may use the grace, less a margin, until the hand-over.
+func (r *Router) leave(s *store, st State) {
+	s.drained = s.drained || st == Draining
+	if st == Gone && r.set.DrainOnly && !s.drained {
+		return // the list does not prove what is up
+	}
+	s.State = st
+	if st == Gone {
+		g := r.group(s.Group)
+		g.left = g.left || g.primary == s // what stays may be about to be promoted, or not: no write tries it out
+		r.after(goneFor, func() { r.retire(s) })
+	}
+	if s.stopAt > 0 {
+		return
+	}
+	s.stopAt = max(r.now+r.set.DrainGrace-graceMargin-r.set.Tick, 1)
+	r.after(max(s.stopAt-r.now, 0), func() {
+		if s.State != Ready && r.now >= s.stopAt {
+			r.part(s)
+			if r.lose(s, "has left") {
+				r.group(s.Group).left = true
+			}
+		}
+	})
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1,7 +1,6 @@
 package rules
 
 import (
-	"bufio"
 	"fmt"
 	"os"
 	"reflect"
@@ -795,25 +794,32 @@
 	}
 }
 
+// The policy files are those that deploy/balancer.toml names; together they have a limit.
 func TestLineLimits(t *testing.T) {
-	file, err := os.Open("rules.go")
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer file.Close()
-	lines, at := 0, 0
-	for sc := bufio.NewScanner(file); sc.Scan(); {
-		at++
-		text := sc.Text()
-		if strings.TrimSpace(text) != "" {
-			lines++
+	_, list, _ := strings.Cut(string(deploy), "\npolicy = [")
+	list, _, _ = strings.Cut(list, "]")
+	lines := 0
+	for _, name := range strings.Split(list, ",") {
+		name = strings.Trim(name, ` "`)
+		text, err := os.ReadFile("../" + name)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if n := utf8.RuneCountInString(text); n > 110 {
-			t.Errorf("line %d has %d characters", at, n)
+		for at, line := range strings.Split(string(text), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if n := utf8.RuneCountInString(line); n > 110 {
+				t.Errorf("%s: line %d has %d characters", name, at+1, n)
+			}
 		}
 	}
 	if lines < 300 || lines > 950 {
-		t.Errorf("rules.go has %d non-blank lines, want 300 to 950", lines)
+		t.Errorf("the policy files have %d non-blank lines, want 300 to 950", lines)
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -11,7 +11,18 @@
 	"threadsail/internal/fleet/balance"
 )
 
-// What a Router remembers, and its timers. Nothing is decided here.
+// What a Router remembers and measures, and its timers. Nothing is decided here.
+
+const (
+	ms = time.Millisecond
+
+	patienceSame  = 50               // patiences within this part of the deadline count as the same
+	patienceVotes = 50               // for the usual patience: so many others must come before it is given up
+	baseCount     = 30               // answers whose mean is one measure of a class's undisturbed time
+	baseForgets   = 0.005            // a second: growth of the undisturbed time, so that no lucky measure lasts
+	loadMemory    = 10 * time.Second // over which the work sent to warm stores is averaged
+	goneFor       = time.Minute      // after which a store that has left the list is forgotten
+)
 
 type attempt struct {
 	s       *store
@@ -120,6 +131,30 @@
 	votes    int
 }
 
+// vote counts a try's patience and tells whether it is the usual one.
+func (u *usual) vote(patience, same time.Duration) bool {
+	switch {
+	case (patience - u.patience).Abs() <= same:
+		u.votes = min(u.votes+1, patienceVotes)
+	case u.votes == 0:
+		u.patience, u.votes = patience, 1
+	default:
+		u.votes--
+		return false
+	}
+	return true
+}
+
+// undisturbed measures a class's answer time without queues: the least mean of some answers.
+func (r *Router) undisturbed(class int, took time.Duration) {
+	b := &r.base[class]
+	b.sum += took
+	if b.count++; b.count == baseCount {
+		grown := time.Duration((1 + baseForgets*(r.now-b.at).Seconds()) * float64(b.time))
+		b.time, b.at, b.sum, b.count = min(max(b.sum/baseCount, ms), grown), r.now, 0, 0
+	}
+}
+
 type timer struct {
 	at  time.Duration
 	seq uint64
@@ -255,6 +290,17 @@
 	r.arm()
 }
 
+// askIn asks for the list in a while, unless that is under way already.
+func (r *Router) askIn(d time.Duration) {
+	if r.set.Asks && !r.asking {
+		r.asking = true
+		r.after(d, func() {
+			r.asking = false
+			r.act.Watch()
+		})
+	}
+}
+
 func (r *Router) arm() {
 	if len(r.timers) > 0 && (r.armed == 0 || r.timers[0].at < r.armed) {
 		r.armed = r.timers[0].at
