Let the host tell how long sends take, and the fleet tell which servers are bad

A drain's grace less 60 ms was all that lay between a write's choice and the end of the grace. With 2 s of grace that never mattered; with 250 ms a send that waits for its connection or its turn on the loop may end too late. Router.SendTakes takes in what the host has measured from choice to last byte; nothing new is chosen for a draining server, nor fits one still, once less than that is left. 60 ms stays the least.

Router.Verdict takes in the fleet's word that a server is bad: it loses its turn, with trials as ever, unless it has just answered here or no other member of its group has its turn; the word can be taken back, and does not give back a turn that was lost by own evidence.

--- a/rules/cold.go
+++ b/rules/cold.go
@@ -37,11 +37,3 @@
 	s.budgetAt = r.now
 	return s.budget >= work*s.phase // no two fronts save up for the same moment
 }
-
-func (r *Router) spend(s *store, class int) {
-	if work := float64(r.mean[class]); s.coldSince > 0 {
-		s.budget -= work
-	} else {
-		r.worked(work)
-	}
-}
--- a/rules/health.go
+++ b/rules/health.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"math"
+	"slices"
 	"time"
 )
 
@@ -88,7 +88,7 @@
 			}
 			r.undisturbed(a.req.class, r.took(s, a, true))
 			if s.lost && s.fails < failLimit {
-				s.lost = false
+				s.lost, s.told = false, false
 				r.act.Log(fmt.Sprintf("group %d: store %d has its turn back", s.Group, s.Store))
 			}
 		}
@@ -127,13 +127,6 @@
 	r.fails += failsStep * (1 - r.fails)
 }
 
-func (r *Router) slowness(s *store) float64 {
-	if s.slow <= 1 {
-		return 1
-	}
-	return 1 + (s.slow-1)*math.Exp2(-float64(r.now-s.slowAt)/float64(slowForgets))
-}
-
 // room tells whether a store may hold one more attempt of this front. Work beyond the window waits here
 // and not in the store's queue, whatever made the store slow: overload, a neighbour, a cold start, a jam.
 func (r *Router) room(s *store, class int) bool {
@@ -212,8 +205,26 @@
 	r.after(wait, func() { r.check(s) })
 }
 
+// Verdict takes in the fleet's word that a store is bad, or no longer: it loses its turn until a trial or the
+// next word, unless it has just answered here, or no other member of its group has its turn.
+func (r *Router) Verdict(now time.Duration, id uint32, bad bool) {
+	r.tick(now)
+	s := r.stores[id]
+	if s == nil || bad && (s.lost || s.heard > 0 && r.now < s.heard+heardFresh) || !bad && !s.told {
+		return
+	}
+	g := r.group(s.Group)
+	if !bad {
+		s.lost, s.told = false, false
+		r.pump(g)
+	} else if slices.ContainsFunc(g.members, func(x *store) bool { return x != s && !r.Avoids(x.Store) }) {
+		r.lostTurn(s, "is bad by the fleet's word")
+		s.told = true
+	}
+}
+
 func (r *Router) lostTurn(s *store, why string) {
-	if s.lost {
+	if s.told = false; s.lost {
 		return
 	}
 	s.lost, s.lostAt, s.trialWait, s.trialAt = true, r.now, trialFirst, r.now+trialFirst
--- a/rules/list.go
+++ b/rules/list.go
@@ -15,10 +15,7 @@
 	r.tick(now)
 	if kind == ListFailed { // keep the old list and ask again, ever later, but within the time allowed
 		r.askIn(r.spread(max(r.askWait, r.askSpan)))
-		r.askWait = min(2*r.askWait, askAgainMost)
-		if r.set.MustAsk > 0 {
-			r.askWait = min(r.askWait, r.set.MustAsk/2)
-		}
+		r.askWait = min(2*r.askWait, r.askMost)
 		return
 	}
 	seen := map[uint32]bool{}
@@ -71,6 +68,15 @@
 	}
 }
 
+// SendTakes takes in the longest time that a send has lately taken, from its choice to its last byte. Nothing
+// new is chosen for a draining store once less of the grace is left, less a tick; graceMargin at the least.
+func (r *Router) SendTakes(d time.Duration) { r.takes = d }
+
+// stops tells whether a store that drains gets no more attempts.
+func (r *Router) stops(s *store) bool {
+	return s.stopAt > 0 && r.now >= s.stopAt-max(r.takes-graceMargin, 0)
+}
+
 // leave stops reads at once; writes may use the grace, less a margin, until the hand-over.
 func (r *Router) leave(s *store, st State) {
 	s.drained = s.drained || st == Draining
--- a/rules/repeats.go
+++ b/rules/repeats.go
@@ -5,7 +5,7 @@
 // Repeats and ends: what may be sent again, and the one final answer.
 
 const (
-	graceMargin = 60 * ms // of the drain grace, left unused: the answer tick and the way to the store
+	graceMargin = 60 * ms // least time from a choice to its last byte at the store that is allowed for
 	retryShare  = 0.2     // further tries of safe requests, as a share of requests
 	retryBurst  = 20.0
 )
@@ -35,10 +35,8 @@
 		return false
 	}
 	s := q.tries[attempt].s
-	if s.stopAt > 0 && r.now >= s.stopAt {
-		return false
-	}
-	return s == q.g.primary || q.c.Need == NeedWrite || q.c.Need == NeedFresh || r.fresh(q, s)
+	return !r.stops(s) &&
+		(s == q.g.primary || q.c.Need == NeedWrite || q.c.Need == NeedFresh || r.fresh(q, s))
 }
 
 // again decides what follows an attempt that served nothing.
--- a/rules/state.go
+++ b/rules/state.go
@@ -68,6 +68,7 @@
 	slowAt    time.Duration
 	fails     float64
 	lost      bool // has lost its turn
+	told      bool // by the fleet's word alone
 	lostAt    time.Duration
 	trialAt   time.Duration
 	trialWait time.Duration
@@ -201,7 +202,8 @@
 	slow    float64       // as a store's, of all together
 	fails   float64       // share of recent attempts failing at all stores
 	retry   float64
-	askWait time.Duration
+	askWait time.Duration // to the next call of the list service, and the most that becomes
+	askMost time.Duration
 	asking  bool
 	kept    map[uint64]time.Duration // remembered tokens, newest generation
 	keptOld map[uint64]time.Duration
@@ -209,6 +211,7 @@
 	order   []*store      // all stores, in the order of their first listing
 	load    float64       // own work per warm store, as cores kept busy
 	loadAt  time.Duration
+	takes   time.Duration // from a choice to the last byte of its send, as the host has lately seen it
 	scratch []*store
 	ledger  ledger
 }
@@ -250,6 +253,9 @@
 		g.dealtOf = nil
 	}
 	r.least = min(windowLeast/float64(set.Balancers), 1)
+	if r.askMost = askAgainMost; set.MustAsk > 0 {
+		r.askMost = min(r.askMost, set.MustAsk/2)
+	}
 	r.pingGap, r.large = pingEvery, set.Balancers > smallFleet
 	if r.large {
 		r.pingGap *= time.Duration(set.Balancers)
@@ -541,6 +547,23 @@
 	return slices.Insert(held, i, q)
 }
 
+// slowness is how many undisturbed answer times a store takes, by its latest answers; what they said fades.
+func (r *Router) slowness(s *store) float64 {
+	if s.slow <= 1 {
+		return 1
+	}
+	return 1 + (s.slow-1)*math.Exp2(-float64(r.now-s.slowAt)/float64(slowForgets))
+}
+
+// spend takes an attempt off a cold store's budget, or counts it to the work of warm ones.
+func (r *Router) spend(s *store, class int) {
+	if work := float64(r.mean[class]); s.coldSince > 0 {
+		s.budget -= work
+	} else {
+		r.worked(work)
+	}
+}
+
 // worked averages the work sent to a warm store over loadMemory.
 func (r *Router) worked(work float64) {
 	r.load *= math.Exp(-float64(r.now-r.loadAt) / float64(loadMemory))
--- a/rules/writes.go
+++ b/rules/writes.go
@@ -13,7 +13,7 @@
 	if s == nil && (!r.set.MayProbe || !r.set.RoleReported || q.g.dark && !q.g.left) {
 		s = r.guess(q)
 	}
-	if s == nil || !r.mayTry(q, s) || s.stopAt > 0 && r.now >= s.stopAt || !r.room(s, q.class) {
+	if s == nil || !r.mayTry(q, s) || r.stops(s) || !r.room(s, q.class) {
 		return nil
 	}
 	return s
