Keep shared documents by version and fence, with copies, tenures and test doubles

Four parts of the fleet are built on package shared and package bus at once, and need something to stand on before the network and the log are there. Docs is the documents as a log makes them: compare-and-set by version, the fence looked up in the lease table as of the same entry. Copy is a pooler's view; it is confirmed only where it holds what was said to be newest. Stand keeps asking for a duty, renews a third of the term in and ends a drift bound early, told by a timer even while an ask hangs. A leader may now deny a lease by itself (lease.Table.Denied).

Shown: rapid against a model of writes, leases and restores; rapid over three poolers that stand for one duty while cut off, losing answers and ending: never two at once, and idle no longer than two terms and a half and two drifts; a fuzz target for documents.

--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -101,6 +101,27 @@
 	return Grant{Duty: c.Duty, Holder: c.Holder, Token: e.Token, Term: c.Term}, true
 }
 
+// Pass moves the table's time on to a stamp of a command of another kind, and tells whether the stamp counts: not in another
+// epoch than the command was committed in.
+func (t *Table) Pass(now time.Duration, stamped, epoch uint64) bool {
+	if stamped != epoch {
+		return false
+	}
+	t.latest = max(t.latest, now)
+	return true
+}
+
+// Denied tells whether an ask for a duty at now can only be denied: another holds it. A leader that has applied all that came
+// before its office may answer so by itself, as a denial that is out of date delays but grants nothing.
+func (t *Table) Denied(d Duty, holder string, now time.Duration) (g Grant, denied bool) {
+	now = max(now, t.latest)
+	e, held := t.leases[d]
+	if !held || e.Holder == holder || now >= e.Expires+t.Drift {
+		return Grant{}, false
+	}
+	return Grant{Duty: d, Holder: e.Holder, Token: e.Token, Term: e.Expires - now}, true
+}
+
 // saved is a Table as a snapshot keeps it.
 type saved struct {
 	Latest time.Duration
--- /dev/null
+++ b/internal/fleet/shared/shared_test.go
@@ -0,0 +1,284 @@
+package shared_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"threadsail/internal/fleet/lease"
+	"threadsail/internal/fleet/shared"
+	"threadsail/internal/fleet/shared/sharedtest"
+)
+
+// Writes, leases, and restores from snapshots in any order, against a plain model: a write is taken if its fence stands and its
+// version is the document's, versions only grow, and a refused write changes nothing.
+func TestDocsApply(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var docs shared.Docs
+		leases := lease.Table{Drift: 10}
+		model := map[string]shared.Doc{}
+		var index uint64
+		var now, expires time.Duration
+		var holder string
+		var token uint64
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			index += uint64(rapid.IntRange(1, 3).Draw(t, "gap"))
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "pause"))
+			if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+				who := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who")
+				g, ok := leases.Apply(lease.Command{Duty: "d", Holder: who, Term: 50, Now: now, Epoch: 1}, index, 1)
+				if ok {
+					holder, token, expires = who, g.Token, now+50
+				}
+				continue
+			}
+			leases.Pass(now, 1, 1)
+			key := rapid.SampledFrom([]string{"p/a", "p/b", "q"}).Draw(t, "key")
+			w := shared.Write{Key: key, Value: []byte(rapid.String().Draw(t, "value")), Expect: model[key].Version}
+			if rapid.Bool().Draw(t, "other version") {
+				w.Expect = uint64(rapid.IntRange(0, int(index)).Draw(t, "expect"))
+			}
+			if rapid.IntRange(0, 3).Draw(t, "delete") == 0 {
+				w.Value = nil
+			}
+			if rapid.Bool().Draw(t, "fenced") {
+				w.Fence = shared.Fence{Duty: "d", Token: token - min(token, uint64(rapid.IntRange(0, 1).Draw(t, "old")))}
+			}
+			before := docs.State()
+			version, err := docs.Apply(w, index, &leases)
+			stands := w.Fence == shared.Fence{} || holder != "" && w.Fence.Token == token && token != 0 && now < expires+10
+			switch {
+			case !stands:
+				if !errors.Is(err, shared.ErrFenced) {
+					t.Fatalf("fence %+v, token %d until %d+10, at %d: %v", w.Fence, token, expires, now, err)
+				}
+			case w.Expect != model[key].Version:
+				if !errors.Is(err, shared.ErrConflict) {
+					t.Fatalf("expected %d of %d: %v", w.Expect, model[key].Version, err)
+				}
+			case err != nil || version != index || docs.Version() != index:
+				t.Fatalf("version %d at index %d, %v", version, index, err)
+			case w.Value == nil:
+				delete(model, key)
+			default:
+				model[key] = shared.Doc{Key: key, Version: index, Value: w.Value}
+			}
+			if err != nil && docs.Version() != before.Version {
+				t.Fatal("a refused write has changed the version")
+			}
+			if len(docs.State().Docs) != len(model) {
+				t.Fatalf("%v, want %v", docs.State(), model)
+			}
+			for k, want := range model {
+				if got := docs.Get(k); got.Version != want.Version || !bytes.Equal(got.Value, want.Value) {
+					t.Fatalf("%s: %+v, want %+v", k, got, want)
+				}
+			}
+			if rapid.IntRange(0, 5).Draw(t, "restore") == 0 {
+				text, err := json.Marshal(&docs)
+				var next shared.Docs
+				if err == nil {
+					err = json.Unmarshal(text, &next)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				docs = next
+			}
+		}
+	})
+}
+
+func TestBounds(t *testing.T) {
+	var docs shared.Docs
+	put := func(key string, bytes int) error {
+		_, err := docs.Apply(shared.Write{Key: key, Value: make([]byte, bytes)}, docs.Version()+1, &lease.Table{})
+		return err
+	}
+	if err := put("big", shared.MaxValue+1); !errors.Is(err, shared.ErrTooLarge) {
+		t.Error(err)
+	}
+	if err := put("", 1); !errors.Is(err, shared.ErrTooLarge) {
+		t.Error(err)
+	}
+	n := 0
+	for ; put(fmt.Sprint(n), shared.MaxValue) == nil; n++ {
+	}
+	if n != shared.MaxTotal/shared.MaxValue-1 { // keys take some of the last one's room
+		t.Errorf("%d largest documents fit", n)
+	}
+	docs = shared.Docs{}
+	for n = 0; put(fmt.Sprint(n), 1) == nil; n++ {
+	}
+	if n != shared.MaxDocs {
+		t.Errorf("%d documents fit", n)
+	}
+}
+
+// What is no state that a log can have made is refused.
+func FuzzState(f *testing.F) {
+	f.Add([]byte(`{"version":3,"docs":[{"key":"a","version":2,"value":"eA=="}]}`))
+	f.Add([]byte(`{"version":1,"docs":[{"key":"a","version":2,"value":"eA=="}]}`))
+	f.Add([]byte(`{"version":3,"docs":[{"key":"a","version":2,"value":"eA=="},{"key":"a","version":3,"value":""}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var s, again shared.State
+		if json.Unmarshal(text, &s) != nil {
+			return
+		}
+		for k, d := range s.Docs {
+			if k != d.Key || d.Version == 0 || d.Version > s.Version || d.Value == nil {
+				t.Errorf("%+v in version %d", d, s.Version)
+			}
+		}
+		out, err := json.Marshal(s)
+		if err == nil {
+			err = json.Unmarshal(out, &again)
+		}
+		if err != nil || again.Version != s.Version || len(again.Docs) != len(s.Docs) {
+			t.Errorf("%s becomes %s, %v", text, out, err)
+		}
+	})
+}
+
+// Poolers stand for one duty while their ways to the register are cut, answers are lost and poolers end: no two may act at
+// once, tokens grow, and while one can ask somebody acts again within the bound of docs/shared.md.
+func TestTenure(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.SliceOfN(rapid.IntRange(0, 9), 30, 30).Draw(rt, "acts")
+		synctest.Test(t, func(t *testing.T) {
+			const term, drift = 3 * time.Second, 100 * time.Millisecond
+			r := sharedtest.New(drift)
+			type pooler struct {
+				*sharedtest.Client
+				shared.Tenure
+				end context.CancelFunc
+				cut bool
+			}
+			var all []*pooler
+			starts := 0
+			enter := func(i int) *pooler {
+				starts++
+				c := r.Client(fmt.Sprint("n", i, "/", starts)) // a restarted pooler does not own what the one before it held
+				ctx, end := context.WithCancel(t.Context())
+				return &pooler{Client: c, end: end, Tenure: c.Stand(ctx, "d", shared.Terms{Term: term, Drift: drift, Spread: float64(i) / 3})}
+			}
+			for i := range 3 {
+				all = append(all, enter(i))
+			}
+			var last uint64
+			idle := time.Now()
+			for _, x := range seed {
+				i := x % 3
+				switch x / 3 {
+				case 0:
+					all[i].cut = !all[i].cut
+					all[i].Cut(all[i].cut)
+				case 1:
+					all[i].Lose(2)
+				case 2:
+					all[i].end()
+					all[i] = enter(i)
+				}
+				for range 20 {
+					time.Sleep(73 * time.Millisecond)
+					synctest.Wait()
+					acting := 0
+					for _, p := range all {
+						if token, until, ok := p.Token(); ok {
+							acting++
+							if token < last || !until.After(time.Now()) {
+								t.Errorf("token %d after %d, until %v", token, last, until)
+							}
+							last = token
+						}
+					}
+					if acting > 1 {
+						t.Errorf("%d act at once", acting)
+					}
+					if acting == 1 || slices.ContainsFunc(all, func(p *pooler) bool { return p.cut }) {
+						idle = time.Now()
+					}
+					// A lost one's term and drift, the wait of the next with its spread, and two asks that fail.
+					if bound := 2*term + 2*drift + term/2; time.Since(idle) > bound {
+						t.Errorf("nobody has acted for %v", time.Since(idle))
+					}
+				}
+			}
+			for _, p := range all {
+				p.Cut(false)
+				p.end()
+			}
+			time.Sleep(2 * term)
+			for _, p := range all {
+				if _, _, ok := p.Token(); ok {
+					t.Error("one that has ended acts")
+				}
+			}
+		})
+	})
+}
+
+// The one who holds a duty hears at once when it is over, though its ask hangs.
+func TestTenureLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := sharedtest.New(100 * time.Millisecond)
+		c := r.Client("a")
+		ctx, end := context.WithCancel(t.Context())
+		tenure := c.Stand(ctx, "d", shared.Terms{Term: 3 * time.Second, Drift: 100 * time.Millisecond})
+		<-tenure.Changed()
+		token, until, ok := tenure.Token()
+		if _, err := c.Put(ctx, "p/a", 0, []byte("1"), shared.Fence{Duty: "d", Token: token}); err != nil || !ok {
+			t.Error(ok, err)
+		}
+		c.Cut(true)
+		lost := tenure.Changed()
+		<-lost
+		if _, _, ok := tenure.Token(); ok || time.Now().Before(until) {
+			t.Errorf("acts: %v, %v before its end", ok, time.Until(until))
+		}
+		c.Cut(false)
+		if _, err := c.Put(ctx, "p/a", 1, []byte("1"), shared.Fence{Duty: "d", Token: token + 9}); !errors.Is(err, shared.ErrFenced) {
+			t.Error(err)
+		}
+		end()
+		time.Sleep(time.Minute)
+	})
+}
+
+// A copy follows the register, grows old in a cut, and starts again from what it held, unconfirmed.
+func TestView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := sharedtest.New(0)
+		c, v := r.Client("a"), r.View()
+		news := v.Changed()
+		if _, err := c.Put(t.Context(), "p/b", 0, []byte("x"), shared.Fence{}); err != nil {
+			t.Fatal(err)
+		}
+		<-news
+		v.Cut(true)
+		at := time.Now()
+		time.Sleep(time.Minute)
+		if _, err := c.Put(t.Context(), "p/a", 0, []byte("y"), shared.Fence{}); err != nil {
+			t.Fatal(err)
+		}
+		if len(v.Under("p/")) != 1 || !v.Confirmed().Equal(at) {
+			t.Errorf("in a cut: %v, confirmed %v, want %v", v.Under("p/"), v.Confirmed(), at)
+		}
+		w := v.Restart()
+		if len(w.Under("p/")) != 1 || !w.Confirmed().IsZero() {
+			t.Errorf("restarted in a cut: %v, confirmed %v", w.Under("p/"), w.Confirmed())
+		}
+		w.Cut(false)
+		if got := w.Under("p/"); len(got) != 2 || got[0].Key != "p/a" || !w.Confirmed().Equal(time.Now()) || w.Version() != 2 {
+			t.Errorf("healed: %v, confirmed %v", got, w.Confirmed())
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/shared/tenure.go
@@ -0,0 +1,132 @@
+package shared
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"threadsail/internal/fleet/lease"
+)
+
+// Asker asks the stewards for leases, for one pooler. It is safe for use by several goroutines.
+type Asker interface {
+	Acquire(ctx context.Context, d lease.Duty, term time.Duration) (lease.Grant, bool, error)
+	Release(ctx context.Context, d lease.Duty) error
+}
+
+// Terms is how a pooler stands for a duty.
+type Terms struct {
+	Term   time.Duration // of the lease
+	Drift  time.Duration // as in lease.Table
+	Spread float64       // from 0 up to 1, by the pooler's own seed: when it asks, among all
+}
+
+// Stand stands for a duty until ctx ends, and then gives it up.
+func Stand(ctx context.Context, ask Asker, d lease.Duty, t Terms) Tenure {
+	s := &standing{ask: ask, duty: d, terms: t, start: time.Now(), changed: make(chan struct{})}
+	s.holder.Drift = t.Drift
+	go s.run(ctx)
+	return s
+}
+
+// standing is a Tenure. Its clock is monotonic, from start on.
+type standing struct {
+	ask   Asker
+	duty  lease.Duty
+	terms Terms
+	start time.Time
+
+	mu      sync.Mutex
+	holder  lease.Holder
+	acts    bool // as was last told by changed
+	changed chan struct{}
+	lapse   *time.Timer
+}
+
+// run asks, and asks again, one ask at a time.
+func (s *standing) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Since(s.start)
+		call, cancel := context.WithTimeout(ctx, s.terms.Term/4) // so that a renewal can be tried twice
+		g, ok, err := s.ask.Acquire(call, s.duty, s.terms.Term)
+		cancel()
+		s.mu.Lock()
+		if err == nil {
+			s.holder.Granted(asked, g, ok)
+		}
+		s.look()
+		next := s.nextAsk(time.Since(s.start), g, err)
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(next):
+		}
+	}
+	s.mu.Lock()
+	held := s.acts
+	s.holder.Lost()
+	s.look()
+	s.mu.Unlock()
+	if held {
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.terms.Term/4)
+		defer cancel()
+		_ = s.ask.Release(call, s.duty) // else it runs out by itself
+	}
+}
+
+// nextAsk is how long to wait: until a third of the term is over for the holder, a twelfth after a renewal that failed, as long
+// as another's lease has left and a share of half a term by the spread, so that of many the first comes soon. The caller has the
+// lock.
+func (s *standing) nextAsk(now time.Duration, g lease.Grant, err error) time.Duration {
+	spread := time.Duration(s.terms.Spread * float64(s.terms.Term) / 2)
+	switch _, acts := s.holder.MayAct(now); {
+	case acts && err != nil:
+		return s.terms.Term / 12
+	case acts:
+		return max(s.holder.RenewAt()-now, 0)
+	case err != nil:
+		return s.terms.Term/4 + spread
+	default:
+		return min(max(g.Term, 0), s.terms.Term) + s.terms.Drift + spread
+	}
+}
+
+// look tells whether the duty was won or lost since it was last told, and has it looked again when acting must stop. The caller
+// has the lock.
+func (s *standing) look() {
+	now := time.Since(s.start)
+	_, acts := s.holder.MayAct(now)
+	if acts != s.acts {
+		s.acts = acts
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	if s.lapse != nil {
+		s.lapse.Stop()
+		s.lapse = nil
+	}
+	if acts {
+		s.lapse = time.AfterFunc(s.holder.Until()-now, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.look()
+		})
+	}
+}
+
+// Token is documented with Tenure: acting ends a drift bound before the term does, counted from the asking.
+func (s *standing) Token() (token uint64, until time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if token, ok = s.holder.MayAct(time.Since(s.start)); !ok {
+		return 0, time.Time{}, false
+	}
+	return token, s.start.Add(s.holder.Until()), true
+}
+
+// Changed is documented with Tenure.
+func (s *standing) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
