Put local closing times into instants: weekdays, holidays, exceptions, zones

Hard cases are one rule: a close falls on the first instant at which the local clock reads it or later. Holidays are rickar/cal's rules (it has no Hungary or Jamaica, so rules, not countries); rrule-go was weighed and left out, as a close is a weekday's table and its answer at a gap is time.Date's, which promises nothing.

--- /dev/null
+++ b/internal/fleet/calendar/calendar.go
@@ -0,0 +1,211 @@
+// Package calendar decides when a site closes: local closing times by weekday, holidays and exceptions of a term, in an IANA
+// zone, put into instants. It owns nothing and reads no clock; the caller owes it zone data (time/tzdata or the machine's) and
+// must compare Digest with others before it takes their instants and its own for the same.
+//
+// What holds: an occurrence is named by its local date and its close, both as the operators wrote them, so that no change of
+// zone data renames it; the same plan and the same zone data give the same occurrences everywhere. A close is a reading of the
+// local clock, and falls on the first instant at which that clock reads it or later (see First).
+package calendar
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rickar/cal/v2"
+)
+
+// Easter and weekdays of a month are counted by the library in a zone of its own; UTC has no skipped midnight.
+func init() { cal.DefaultLoc = time.UTC }
+
+// MostClose is the latest close of a day, counted from its midnight: a night that ends at noon.
+const MostClose = 36 * time.Hour
+
+// Calendar is when a kind of site closes, as its operators write it.
+type Calendar struct {
+	// Close has closing times by weekday in English, small letters, "HH:MM" on the local clock; a weekday that is not named has
+	// none. "25:30" is half past one in the night that follows: it belongs to the day on which the site opened.
+	Close      map[string]string `json:"close"`
+	Holidays   []Holiday         `json:"holidays,omitempty"`
+	Exceptions []Exception       `json:"exceptions,omitempty"` // they go before holidays and weekdays
+}
+
+// Holiday is a day of each year: of a month, the nth weekday of a month (negative: from its end), or so many days from Easter.
+type Holiday struct {
+	Name    string `json:"name"`
+	Month   int    `json:"month,omitempty"`
+	Day     int    `json:"day,omitempty"`
+	Weekday string `json:"weekday,omitempty"`
+	Nth     int    `json:"nth,omitempty"`
+	Easter  *int   `json:"easter,omitempty"`
+	Monday  bool   `json:"monday_if_weekend,omitempty"` // kept on the Monday that follows a Saturday or Sunday
+	Close   string `json:"close,omitempty"`             // empty: the site does not open
+}
+
+// Exception is a span of dates, "2026-12-19" to To or that day alone, with a close of its own or none.
+type Exception struct {
+	From  string `json:"from"`
+	To    string `json:"to,omitempty"`
+	Close string `json:"close,omitempty"` // empty: the site does not open
+}
+
+// Plan is what one site closes by.
+type Plan struct {
+	Zone string `json:"zone"` // an IANA name
+	Calendar
+}
+
+// Error is what is wrong with a calendar, and at which key.
+type Error struct {
+	Path []string // keys and, as numbers from 0, places in lists
+	Err  error
+}
+
+func (e *Error) Error() string { return strings.Join(e.Path, ".") + ": " + e.Err.Error() }
+
+// Unwrap is the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func wrong(err error, path ...string) error {
+	if err == nil {
+		return nil
+	}
+	var inner *Error
+	if errors.As(err, &inner) {
+		return &Error{append(path, inner.Path...), inner.Err}
+	}
+	return &Error{path, err}
+}
+
+// Schedule is a plan made ready. It does not change and is safe for use by several goroutines.
+type Schedule struct {
+	Zone       *time.Location
+	days       [7]time.Duration
+	holidays   []holiday
+	exceptions []exception
+}
+
+type holiday struct {
+	rule  cal.Holiday
+	close time.Duration
+}
+
+type exception struct {
+	from, to time.Time // dates, at midnight UTC
+	close    time.Duration
+}
+
+const closed = time.Duration(-1)
+
+var weekdays = map[string]time.Weekday{"sunday": time.Sunday, "monday": time.Monday, "tuesday": time.Tuesday, "wednesday": time.Wednesday,
+	"thursday": time.Thursday, "friday": time.Friday, "saturday": time.Saturday}
+
+// Compile checks a plan and makes it ready. Errors are *Error.
+func Compile(p Plan) (*Schedule, error) {
+	s := &Schedule{}
+	var err error
+	if p.Zone == "" || p.Zone == "Local" { // Local is whatever each machine is set to
+		return nil, wrong(fmt.Errorf("%q is no IANA zone", p.Zone), "zone")
+	}
+	if s.Zone, err = time.LoadLocation(p.Zone); err != nil {
+		return nil, wrong(err, "zone")
+	}
+	for i := range s.days {
+		s.days[i] = closed
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.Close)) {
+		day, ok := weekdays[name]
+		if !ok {
+			return nil, wrong(errors.New("no weekday"), "close", name)
+		}
+		if s.days[day], err = clock(p.Close[name], false); err != nil {
+			return nil, wrong(err, "close", name)
+		}
+	}
+	for i, h := range p.Holidays {
+		made, err := h.compile()
+		if err != nil {
+			return nil, wrong(err, "holidays", strconv.Itoa(i))
+		}
+		s.holidays = append(s.holidays, made)
+	}
+	for i, e := range p.Exceptions {
+		made, err := e.compile()
+		if err != nil {
+			return nil, wrong(err, "exceptions", strconv.Itoa(i))
+		}
+		for j, o := range s.exceptions { // which of two counts would be anybody's guess
+			if !made.from.After(o.to) && !o.from.After(made.to) {
+				return nil, wrong(fmt.Errorf("overlaps with exceptions[%d]", j), "exceptions", strconv.Itoa(i), "from")
+			}
+		}
+		s.exceptions = append(s.exceptions, made)
+	}
+	return s, nil
+}
+
+func (h Holiday) compile() (holiday, error) {
+	out := holiday{rule: cal.Holiday{Name: h.Name}}
+	weekday, named := weekdays[h.Weekday]
+	switch {
+	case h.Name == "":
+		return out, wrong(errors.New("missing"), "name")
+	case h.Easter != nil:
+		if h.Month != 0 || h.Day != 0 || h.Weekday != "" || *h.Easter < -100 || *h.Easter > 100 {
+			return out, wrong(errors.New("stands alone, within 100 days"), "easter")
+		}
+		out.rule.Offset, out.rule.Func = *h.Easter, cal.CalcEasterOffset
+	case h.Month < 1 || h.Month > 12:
+		return out, wrong(fmt.Errorf("%d is no month", h.Month), "month")
+	case h.Weekday != "":
+		if !named || h.Day != 0 || h.Nth == 0 || h.Nth < -5 || h.Nth > 5 {
+			return out, wrong(errors.New("it takes a weekday's name and nth from -5 to 5, not 0, and no day"), "weekday")
+		}
+		out.rule.Month, out.rule.Weekday, out.rule.Offset, out.rule.Func = time.Month(h.Month), weekday, h.Nth, cal.CalcWeekdayOffset
+	case h.Day < 1 || time.Date(2024, time.Month(h.Month), h.Day, 0, 0, 0, 0, time.UTC).Month() != time.Month(h.Month):
+		return out, wrong(fmt.Errorf("%d is no day of month %d", h.Day, h.Month), "day")
+	default:
+		out.rule.Month, out.rule.Day, out.rule.Func = time.Month(h.Month), h.Day, cal.CalcDayOfMonth
+	}
+	if h.Monday {
+		out.rule.Observed = []cal.AltDay{{Day: time.Saturday, Offset: 2}, {Day: time.Sunday, Offset: 1}}
+	}
+	var err error
+	if out.close, err = clock(h.Close, true); err != nil {
+		return out, wrong(err, "close")
+	}
+	return out, nil
+}
+
+func (e Exception) compile() (out exception, err error) {
+	if out.from, err = time.Parse(time.DateOnly, e.From); err != nil {
+		return out, wrong(fmt.Errorf("%q is no date such as 2026-12-19", e.From), "from")
+	}
+	if out.to, err = time.Parse(time.DateOnly, cmp.Or(e.To, e.From)); err != nil || out.to.Before(out.from) {
+		return out, wrong(fmt.Errorf("%q is no date from %s on", e.To, e.From), "to")
+	}
+	if out.close, err = clock(e.Close, true); err != nil {
+		return out, wrong(err, "close")
+	}
+	return out, nil
+}
+
+// clock reads a close.
+func clock(text string, mayBeClosed bool) (time.Duration, error) {
+	if text == "" && mayBeClosed {
+		return closed, nil
+	}
+	hours, minutes, ok := strings.Cut(text, ":")
+	h, err1 := strconv.ParseUint(hours, 10, 8)
+	m, err2 := strconv.ParseUint(minutes, 10, 8)
+	d := time.Duration(h)*time.Hour + time.Duration(m)*time.Minute
+	if !ok || err1 != nil || err2 != nil || len(hours) != 2 || len(minutes) != 2 || m > 59 || d > MostClose {
+		return 0, fmt.Errorf("%q is no time of day from 00:00 to 36:00", text)
+	}
+	return d, nil
+}
