Find bad servers out together: evidence, joined by observer, and verdicts with an end

Each pooler sees too little of a server to tell a bad one from a bad link, and loses requests of its own before it knows. Package internal/fleet/verdict counts the last six attempts at each server of the last 3.5 s, tells them by datagrams while there is anything to complain of, keeps the newest report of each observer (so that loss, repeats and reordering cost nothing), and comes to a verdict by a function of these alone. It takes three observers in two rooms and the weighted median of all; an observer that complains of most servers counts for none; of a group at most the share is left, and one server always stays. Few poolers at a time try a convicted server; good answers of two end the verdict, its term does in any case. Reports that hung in a stalled process are refused by their age.

Nothing is wired yet.

--- a/internal/fleet/audit/record.go
+++ b/internal/fleet/audit/record.go
@@ -32,6 +32,8 @@
 	ShutOut      Act = "shut-out"      // it takes no writes: barred, or behind for too long
 	BroughtUp    Act = "brought-up"    // it takes writes again
 	Refused      Act = "refused"       // Token, Seq: a word or list older than one before it
+	VerdictBegun Act = "verdict-begun" // Server: the fleet holds it to be bad, by the evidence that this pooler has
+	VerdictEnded Act = "verdict-ended" // Server: and no longer
 )
 
 // Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
--- /dev/null
+++ b/internal/fleet/verdict/fleet_test.go
@@ -0,0 +1,402 @@
+package verdict
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"threadsail/internal/fleet"
+	"threadsail/internal/fleet/audit"
+	"threadsail/internal/fleet/bus/bustest"
+	"threadsail/internal/routing"
+)
+
+// pooler is a pooler as the part sees one: it sends reads to the servers of one group, leaves a server after two failures or
+// by the fleet's word, and then tries it each three seconds.
+type pooler struct {
+	*Part
+	name   string
+	idle   atomic.Bool
+	rest   time.Duration // between two reads
+	bad    func(server string) bool
+	stop   context.CancelFunc
+	mu     sync.Mutex
+	told   map[string]bool // the fleet's word
+	record []audit.Record
+	tried  map[string]time.Time
+	failed map[string]int
+	sent   map[string][]time.Time // to servers that were bad for it
+}
+
+func (p *pooler) Verdict(server string, bad bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told[server] = bad
+}
+func (p *pooler) Suspect(int)               {}
+func (p *pooler) Members() map[int][]string { return map[int][]string{0: {"a", "b", "c", "d"}} }
+func (p *pooler) Reads(int) bool            { return true }
+
+// left tells whether the pooler leaves a server by the fleet's word.
+func (p *pooler) left(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.told[server]
+}
+
+// work sends reads, a server each in turn by chance.
+func (p *pooler) work(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(p.rest/2 + time.Duration(rng.Int64N(int64(p.rest)))):
+		}
+		now, server := time.Now(), p.Members()[0][rng.IntN(4)]
+		if p.idle.Load() {
+			continue
+		}
+		if (p.failed[server] >= 2 || p.left(server)) && now.Sub(p.tried[server]) < 3*time.Second {
+			continue
+		}
+		p.tried[server] = now
+		if p.MaySend(0, &routing.Request{}, server) != routing.Send {
+			continue
+		}
+		if p.bad(server) {
+			p.failed[server]++
+			p.mu.Lock()
+			p.sent[server] = append(p.sent[server], now)
+			p.mu.Unlock()
+			p.Observe(server, 0, Failed, time.Second)
+		} else {
+			p.failed[server] = 0
+			p.Observe(server, 0, Good, time.Millisecond)
+		}
+	}
+}
+
+// rig is a fleet in a bubble.
+type rig struct {
+	net     *bustest.Network
+	poolers []*pooler
+	seed    uint64
+	ctx     context.Context
+	running sync.WaitGroup
+}
+
+// start has n poolers work before four servers, in zones by turns; bad tells when a server is bad for one of them.
+func start(t *testing.T, n int, seed uint64, rest time.Duration, bad func(i int, server string) bool) *rig {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &rig{net: bustest.New(seed), seed: seed, ctx: ctx}
+	for i := range n {
+		r.poolers = append(r.poolers, nil)
+		r.begin(i, rest, func(s string) bool { return bad(i, s) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		r.running.Wait()
+	})
+	return r
+}
+
+func (r *rig) begin(i int, rest time.Duration, bad func(server string) bool) {
+	p := &pooler{name: fmt.Sprint("n", i), rest: rest, bad: bad, told: map[string]bool{}, tried: map[string]time.Time{}, failed: map[string]int{}, sent: map[string][]time.Time{}}
+	p.Part = New(testRules, fmt.Sprint("z", i%3), p)
+	r.poolers[i] = p
+	ctx, cancel := context.WithCancel(r.ctx)
+	p.stop = cancel
+	b := r.net.Join(p.name)
+	r.running.Go(func() {
+		_ = p.Run(ctx, fleet.Ground{Bus: b, Log: zerolog.Nop(), Journal: func(a audit.Record) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			a.At = time.Now().UnixNano()
+			p.record = append(p.record, a)
+		}})
+	})
+	r.running.Go(func() { p.work(ctx, rand.New(rand.NewPCG(r.seed, uint64(i)))) })
+}
+
+// leavers counts the poolers that leave a server, and convicted the verdicts that were ever begun on it.
+func (r *rig) leavers(server string) (n int) {
+	for _, p := range r.poolers {
+		if p.left(server) {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rig) convicted(server string) (n int) {
+	for _, p := range r.poolers {
+		p.mu.Lock()
+		for _, a := range p.record {
+			if a.Act == audit.VerdictBegun && a.Server == server {
+				n++
+			}
+		}
+		p.mu.Unlock()
+	}
+	return n
+}
+
+func (r *rig) sent(server string, from, to time.Time) (n int) {
+	for _, p := range r.poolers {
+		p.mu.Lock()
+		for _, at := range p.sent[server] {
+			if at.After(from) && !at.After(to) {
+				n++
+			}
+		}
+		p.mu.Unlock()
+	}
+	return n
+}
+
+// within waits until something holds, for so long at most, and returns how long it took.
+func within(t *testing.T, d time.Duration, what string, holds func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !holds() {
+		if time.Since(began) > d {
+			t.Fatalf("not within %v: %s", d, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// A server fails for all. All poolers leave it, those among them that never asked it in this time; a few go on trying; when it
+// is good again all use it. No other server is convicted, and the fleet is silent before and after.
+func TestBadServerIsLeftByAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 12
+		var mu sync.Mutex
+		ill := false
+		r := start(t, n, 1, 400*time.Millisecond, func(i int, s string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return ill && s == "b"
+		})
+		r.begin(n-1, time.Hour, func(string) bool { return false }) // sees nothing at all
+		set := func(v bool) { mu.Lock(); ill = v; mu.Unlock() }
+		time.Sleep(5 * time.Second)
+		if _, casts := r.net.Said(); casts > 0 {
+			t.Errorf("%d datagrams in a calm", casts)
+		}
+		set(true)
+		fell := time.Now()
+		took := within(t, 10*time.Second, "all leave b", func() bool { return r.leavers("b") == n })
+		time.Sleep(20 * time.Second)
+		if k := r.leavers("b"); k < n-1 {
+			t.Errorf("%d leave b while it is bad", k)
+		}
+		after := r.sent("b", fell.Add(took), time.Now())
+		if rate := float64(after) / 20; rate > 3 { // trialLeast poolers each trialEvery, and turns that overlap
+			t.Errorf("%v requests a second go to b while it is left", rate)
+		}
+		set(false)
+		back := within(t, testRules.MostStale(n), "all use b", func() bool { return r.leavers("b") == 0 })
+		for _, s := range []string{"a", "c", "d"} {
+			if k := r.convicted(s); k > 0 {
+				t.Errorf("%s was convicted %d times", s, k)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		_, before := r.net.Said()
+		time.Sleep(5 * time.Second)
+		if _, casts := r.net.Said(); casts > before {
+			t.Errorf("%d datagrams after it", casts-before)
+		}
+		t.Logf("left by all in %v, %d requests to it in the 20 s after, used by all again in %v, %d datagrams in all", took, after, back, before)
+	})
+}
+
+// Bad links, liars, lost, doubled and overtaking reports, cuts and restarts: while a server is bad for fewer poolers than
+// Observers, or for those of one zone alone, nobody convicts it; and a verdict that a cut led to is over once it has healed,
+// in MostStale at the latest.
+func TestNetworks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(6, 10).Draw(rt, "poolers")
+		seed := rapid.Uint64().Draw(rt, "seed")
+		drop, twice := rapid.Float64Range(0, 0.4).Draw(rt, "drop"), rapid.Float64Range(0, 0.4).Draw(rt, "twice")
+		jitter := time.Duration(rapid.IntRange(1, 800).Draw(rt, "jitter ms")) * time.Millisecond
+		oneZone := rapid.Bool().Draw(rt, "one zone")
+		rest := time.Duration(rapid.IntRange(100, 2000).Draw(rt, "rest ms")) * time.Millisecond
+		liar := rapid.IntRange(0, n-1).Draw(rt, "liar")
+		restarts := rapid.SliceOfN(rapid.IntRange(0, n-1), 0, 4).Draw(rt, "restarts")
+		cut := rapid.IntRange(0, n-1).Draw(rt, "cut")
+		hurt := func(i int, s string) bool { // a link of its own, or the zone's
+			if oneZone {
+				return i%3 == 0 && s == "a"
+			}
+			return i < testRules.Observers-2 && s == "a" // the liar is one more
+		}
+		synctest.Test(t, func(t *testing.T) {
+			var mu sync.Mutex
+			healed := false
+			r := start(t, n, seed, rest, func(i int, s string) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return !healed && hurt(i, s)
+			})
+			r.net.Delay(0, jitter)
+			r.net.Drop(drop, twice)
+			tale := r.net.Join("liar")
+			if oneZone {
+				tale.Stop() // two zones would complain
+			}
+			var side []string
+			for i := range cut {
+				side = append(side, r.poolers[i].name)
+			}
+			var rest2 []string
+			for i := cut; i < n; i++ {
+				rest2 = append(rest2, r.poolers[i].name)
+			}
+			for k := range 24 {
+				if k < len(restarts) {
+					i := restarts[k]
+					r.poolers[i].stop()
+					r.begin(i, rest, func(s string) bool { mu.Lock(); defer mu.Unlock(); return !healed && hurt(i, s) })
+				}
+				r.net.Cut(side, rest2, k >= 6 && k < 15)
+				if !oneZone {
+					tale.Cast(topic, Report{Born: 1, Seq: uint64(k + 1), At: time.Now().UnixNano(), Room: fmt.Sprint("z", liar), Seen: 100,
+						Lines: []Line{{Server: "a", Failed: 1 << 20}, {Server: "b", Failed: 6}, {Server: "c", Slow: 6}, {Server: "d", Lost: true}}}.encode())
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+			for _, s := range []string{"a", "b", "c", "d"} {
+				if k := r.convicted(s); k > 0 {
+					t.Errorf("%s is convicted %d times: oneZone %v", s, k, oneZone)
+				}
+			}
+			mu.Lock()
+			healed = true
+			mu.Unlock()
+		})
+		if t.Failed() {
+			rt.Fatal("above")
+		}
+	})
+}
+
+// In a cut the poolers of one side can't reach a server, and convict it; those of the other use it. After the heal there is
+// one verdict: none, as most observers have good answers.
+func TestOppositeVerdictsHeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, far = 13, 5
+		var mu sync.Mutex
+		cut := false
+		r := start(t, n, 3, 300*time.Millisecond, func(i int, s string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return cut && i < far && s == "b"
+		})
+		var here, there []string
+		for i, p := range r.poolers {
+			if i < far {
+				here = append(here, p.name)
+			} else {
+				there = append(there, p.name)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		set := func(v bool) {
+			mu.Lock()
+			cut = v
+			mu.Unlock()
+			r.net.Cut(here, there, v)
+		}
+		set(true)
+		within(t, 10*time.Second, "the one side leaves b", func() bool { return r.leavers("b") == far })
+		time.Sleep(10 * time.Second)
+		if k := r.leavers("b"); k > far {
+			t.Errorf("%d leave b, with %d on that side", k, far)
+		}
+		set(false)
+		took := within(t, testRules.MostStale(n), "all use b", func() bool { return r.leavers("b") == 0 })
+		t.Logf("one verdict %v after the heal", took)
+		mu.Lock() // and where the server stays bad for the few
+		cut = true
+		mu.Unlock()
+		r.net.Cut(here, there, false)
+		time.Sleep(20 * time.Second)
+		if k := r.leavers("b"); k > 0 {
+			t.Errorf("%d of %d leave b, which is good for most", k, n)
+		}
+	})
+}
+
+// All servers but one fail for all: no more than the share of the group is left, and one that answers is always used.
+func TestLastServerIsKept(t *testing.T) {
+	for _, bad := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}, {"a", "b", "c", "d"}} {
+		synctest.Test(t, func(t *testing.T) {
+			r := start(t, 9, 4, 300*time.Millisecond, func(i int, s string) bool { return slices.Contains(bad, s) })
+			for range 100 {
+				time.Sleep(200 * time.Millisecond)
+				for _, p := range r.poolers {
+					p.mu.Lock()
+					k := 0
+					for _, left := range maps.All(p.told) {
+						if left {
+							k++
+						}
+					}
+					p.mu.Unlock()
+					if k > 2 {
+						t.Fatalf("%d of four servers are left", k)
+					}
+				}
+			}
+			if len(bad) <= 2 && r.leavers(bad[0]) < 8 {
+				t.Errorf("%d leave %s", r.leavers(bad[0]), bad[0])
+			}
+		})
+	}
+}
+
+// A pooler that has good answers of its own goes on with a server that all others leave.
+func TestOwnEvidenceOutranks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, 8, 5, 80*time.Millisecond, func(i int, s string) bool { return i > 0 && s == "c" })
+		within(t, 10*time.Second, "the others leave c", func() bool { return r.leavers("c") == 7 })
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			p := r.poolers[0]
+			p.mu.Lock()
+			told := p.told["c"]
+			p.mu.Unlock()
+			if told {
+				t.Fatal("the pooler with good answers is told to leave c")
+			}
+			if p.MaySend(0, &routing.Request{}, "c") != routing.Send {
+				t.Fatal("its reads are kept off")
+			}
+		}
+	})
+}
+
+// A verdict that nobody can appeal, as no client asks anything any more, still ends, at all poolers within their spread.
+func TestEndsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := start(t, 6, 6, 300*time.Millisecond, func(_ int, s string) bool { return s == "d" })
+		within(t, 10*time.Second, "all leave d", func() bool { return r.leavers("d") == 6 })
+		for _, p := range r.poolers {
+			p.idle.Store(true)
+		}
+		within(t, testRules.Term*5/4+span+time.Second, "all use d", func() bool { return r.leavers("d") == 0 })
+	})
+}
--- /dev/null
+++ b/internal/fleet/verdict/judge.go
@@ -0,0 +1,158 @@
+package verdict
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rules are what the operators set.
+type Rules struct {
+	Observers int           // that must complain of a server, at least
+	Rooms     int           // zones that these must be in, at least
+	Share     float64       // of a group's members that may be convicted, at most; one is always left
+	Term      time.Duration // of a first verdict; the n-th in a row is n times as long, up to longest
+}
+
+const (
+	// badShare of an observer's attempts at a server, failed or slow, make a complaint of it: what rules.failLimit is to one
+	// pooler alone.
+	badShare = 0.5
+	// appealLeast observers with good answers end a verdict: one could be the only one whose link is good.
+	appealLeast = 2
+	maxNamed    = 8 // observers that a finding names
+)
+
+// Finding is what the joined evidence of all observers says of one server, and what it rests on.
+type Finding struct {
+	Server             string
+	Good, Failed, Slow uint32 // attempts, of observers that count
+	Accusers, Rooms    int    // observers that complain, and their zones
+	Others             int    // observers that have evidence and do not complain
+	Lost, LostRooms    int    // observers for which it was a primary and lost that place, and their zones
+	By                 []string
+	against, inFavour  float64 // weights
+}
+
+// String names the evidence.
+func (f Finding) String() string {
+	return fmt.Sprintf("%d observers in %d rooms against %d others; %d failed, %d slow, %d good; %s",
+		f.Accusers, f.Rooms, f.Others, f.Failed, f.Slow, f.Good, strings.Join(f.By, ","))
+}
+
+// voice is what one observer says now.
+type voice struct {
+	observer string
+	Report
+}
+
+// doubtful tells whether an observer's complaints count for nothing: it complains of more than half of the servers that it
+// has evidence of, so that its own link is the likelier cause. In an outage of more than half of all servers nobody is
+// convicted, which is what the share of a group would forbid anyway.
+func doubtful(r Report) bool { return 2*r.Ill > r.Seen }
+
+// weigh joins the evidence. Its outcome follows from the set of voices alone, in whatever order they came.
+func weigh(voices []voice) map[string]Finding {
+	slices.SortFunc(voices, func(a, b voice) int { return strings.Compare(a.observer, b.observer) })
+	type rooms map[string]bool
+	found, of, lostOf := map[string]Finding{}, map[string]rooms{}, map[string]rooms{}
+	for _, v := range voices {
+		for _, l := range v.Lines {
+			f := found[l.Server]
+			f.Server = l.Server
+			if l.Lost {
+				if f.Lost++; lostOf[l.Server] == nil {
+					lostOf[l.Server] = rooms{}
+				}
+				lostOf[l.Server][v.Room] = true
+				f.LostRooms = len(lostOf[l.Server])
+			}
+			w := l.weight()
+			if w > 0 && !(l.complains() && doubtful(v.Report)) {
+				f.Good, f.Failed, f.Slow = f.Good+min(l.Good, recent), f.Failed+min(l.Failed, recent), f.Slow+min(l.Slow, recent)
+				if l.complains() {
+					if of[l.Server] == nil {
+						of[l.Server] = rooms{}
+					}
+					of[l.Server][v.Room] = true
+					if f.Accusers++; len(f.By) < maxNamed {
+						f.By = append(f.By, v.observer)
+					}
+					f.Rooms, f.against = len(of[l.Server]), f.against+w
+				} else {
+					f.Others, f.inFavour = f.Others+1, f.inFavour+w
+				}
+			}
+			found[l.Server] = f
+		}
+	}
+	return found
+}
+
+// convicts tells whether the evidence is enough against a server: enough observers in enough rooms, and the median observer,
+// by weight, among them. Fewer liars or bad links than Observers never are enough; more of them are not while observers with
+// good answers outweigh them.
+func (r Rules) convicts(f Finding) bool {
+	return f.Accusers >= r.Observers && f.Rooms >= r.Rooms && f.against > f.inFavour
+}
+
+// acquits tells whether it ends a verdict: good answers of several observers outweigh the complaints.
+func (r Rules) acquits(f Finding) bool { return f.Others >= appealLeast && f.inFavour > f.against }
+
+// primaryLost tells whether enough observers in enough rooms have lost a server as their group's primary.
+func (r Rules) primaryLost(f Finding) bool { return f.Lost >= r.Observers && f.LostRooms >= r.Rooms }
+
+// allowed is how many of a group's n members may be convicted at once: never the last one.
+func (r Rules) allowed(n int) int { return max(min(int(r.Share*float64(n)), n-1), 0) }
+
+// leave picks, of a group's convicted members, those that the fleet leaves: the first by name, as many as are allowed, so that
+// all poolers with the same findings leave the same ones.
+func (r Rules) leave(members []string, convicted func(string) bool) (out []string) {
+	members = slices.Clone(members)
+	slices.Sort(members)
+	members = slices.Compact(members)
+	n := r.allowed(len(members))
+	for _, m := range members {
+		if convicted(m) && len(out) < n {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// every is how often a pooler of a fleet of n casts what it has to say, when it has anything: each pooler then hears at most
+// 100 reports a second, whatever the fleet's size.
+func every(n int) time.Duration {
+	return min(max(time.Duration(n)*10*time.Millisecond, leastEvery), mostEvery)
+}
+
+// life is how long a report counts unless a newer one comes: so long that one of two may be lost.
+func life(n int) time.Duration { return every(n) * 5 / 2 }
+
+const (
+	leastEvery = 500 * time.Millisecond
+	mostEvery  = 5 * time.Second
+	// skew is the most by which poolers' wall clocks are taken to differ. A report that is older by them than its life and this
+	// is refused: it hung in a stalled process's buffers, or a clock is wrong.
+	skew = 2 * time.Second
+	// hold is how long enough evidence must stand before a verdict, so that others can speak against it: SWIM's suspicion.
+	hold = 500 * time.Millisecond
+	// longest is the longest verdict, in terms.
+	longest = 6
+	// trialEvery is how long a few poolers may try a convicted server before others do: each pooler's own trials are 3 s apart
+	// (rules.trialMost).
+	trialEvery = 3 * time.Second
+	// trialLeast poolers, in times Rules.Observers, try at the same time, so that their evidence alone can renew a verdict; of a
+	// large fleet trialShare.
+	trialLeast = 2
+	trialShare = 1.0 / 20
+)
+
+// MostStale is the longest time for which any pooler of a fleet of n may leave a server that is good again, for whatever its
+// clients see of it, without a single good answer, with clocks that differ by skew at most: the last complaint is span old when
+// it is told, counts for its life, longer where clocks differ (twice skew: one clock is ahead, and the report slow by so much),
+// and a verdict that begins or is renewed by it at the very end lasts for its longest term and the spread.
+func (r Rules) MostStale(n int) time.Duration {
+	return span + life(n) + 2*skew + longest*r.Term*5/4
+}
--- /dev/null
+++ b/internal/fleet/verdict/part.go
@@ -0,0 +1,258 @@
+package verdict
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/fleet"
+	"threadsail/internal/fleet/audit"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+const (
+	topic = "verdict"
+	tick  = 100 * time.Millisecond // looks at the evidence
+	again = time.Second            // a word that stands is given to the module again: it may not have been able to take it
+)
+
+// Host carries out what the fleet's word means for this pooler. Its methods may be called on any goroutine and must not wait.
+type Host interface {
+	// Verdict tells that the fleet holds a server to be bad, or no longer; the module weighs it against its own evidence.
+	Verdict(server string, bad bool)
+	// Suspect tells that several poolers have lost a group's primary.
+	Suspect(group int)
+	// Members are the servers that are listed as ready, by group, as of lately.
+	Members() map[int][]string
+	// Reads tells whether a class of requests can be served by several members of a group.
+	Reads(class int) bool
+}
+
+// Part is one pooler's share in the fleet's verdicts. It is a fleet.Part, and a routing.Guard that keeps requests from trying a
+// convicted server while others do. It is safe for use by several goroutines.
+type Part struct {
+	rules  Rules
+	room   string
+	host   Host
+	born   int64
+	spread float64 // of this pooler's verdicts, so that not all go back to a server at once
+
+	mu       sync.Mutex
+	own      own
+	board    board
+	standing verdicts
+	left     map[string]bool     // servers that the fleet leaves
+	others   map[string][]string // of each, the members of its group that it does not leave
+	trying   map[string]bool     // of those left, the ones that this pooler is to try now
+	seq      uint64
+	told     int                  // lines in the last cast
+	next     time.Time            // not before the next one
+	given    map[string]time.Time // words given to the host, and when last
+	suspect  map[int]time.Time
+}
+
+// New returns a part that has seen nothing. room is the pooler's zone.
+func New(r Rules, room string, host Host) *Part {
+	return &Part{rules: r, room: room, host: host, born: time.Now().UnixNano(), spread: rand.Float64(), own: newOwn(), board: board{heard: map[string]entry{}},
+		standing: verdicts{}, left: map[string]bool{}, others: map[string][]string{}, trying: map[string]bool{}, given: map[string]time.Time{}, suspect: map[int]time.Time{}}
+}
+
+// Observe takes in the end of an attempt: what it met with, and how long it took.
+func (p *Part) Observe(server string, class int, kind Kind, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.own.saw(time.Now(), server, class, kind, took)
+}
+
+// LostPrimary takes in that a server was its group's primary here and has lost that place by evidence.
+func (p *Part) LostPrimary(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.own.lostPrimary(time.Now(), server)
+}
+
+// Admit passes every request.
+func (p *Part) Admit(time.Duration, *routing.Request) routing.Admission { return routing.Admission{} }
+
+// Ended has no use for final answers: attempts say more.
+func (p *Part) Ended(time.Duration, *routing.Request, routing.Ending) {}
+
+// MaySend keeps a read off a server that the fleet leaves, trials of the module's among them, unless this pooler is one that
+// tries it now, has good answers of it, or knows of no other member that answers: it is then no worse than none.
+func (p *Part) MaySend(_ time.Duration, r *routing.Request, server string) routing.Sending {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if !p.left[server] || p.trying[server] || !p.host.Reads(r.Class) || p.own.outranks(now, server) {
+		return routing.Send
+	}
+	for _, m := range p.others[server] {
+		if l := p.own.line(now, m, span); l.Good > 0 && !l.complains() {
+			return routing.Elsewhere
+		}
+	}
+	return routing.Send
+}
+
+// Run hears, tells and judges until ctx ends. It returns no error: without the fleet's word the pooler goes by its own.
+func (p *Part) Run(ctx context.Context, g fleet.Ground) error {
+	g.Bus.Handle(topic, func(from string, body []byte) {
+		r, err := decode(body)
+		if err != nil {
+			g.Log.Debug().Err(err).Str("from", from).Msg("verdict: a report is refused")
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.board.take(time.Now(), from, r, life(len(g.Bus.Members())))
+	})
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			p.round(time.Now(), g)
+		}
+	}
+}
+
+// round judges, tells, and gives the host the fleet's word.
+func (p *Part) round(now time.Time, g fleet.Ground) {
+	fleetOf := g.Bus.Members()
+	groups := p.host.Members()
+	p.mu.Lock()
+	report := Report{Born: p.born, At: now.UnixNano(), Room: p.room}
+	report.Lines, report.Seen = p.own.lines(now)
+	report.Ill = ill(report.Lines)
+	voices := p.board.voices(now)
+	found := weigh(append(voices, voice{g.Bus.Self(), report}))
+	changes := p.standing.step(now, p.rules, found, p.spread)
+	p.leave(now, g.Bus.Self(), fleetOf, groups)
+	words, suspects := p.words(now), p.lostPrimaries(now, found, groups)
+	cast := p.say(now, report, accused(voices), len(fleetOf))
+	p.mu.Unlock()
+
+	for server, bad := range words {
+		p.host.Verdict(server, bad)
+	}
+	for _, group := range suspects {
+		p.host.Suspect(group)
+	}
+	if cast != nil {
+		g.Bus.Cast(topic, cast)
+	}
+	for _, c := range changes {
+		c.note(g)
+	}
+}
+
+// leave works out which servers the fleet leaves, with what is left of their groups, and which of them this pooler is to try.
+func (p *Part) leave(now time.Time, self string, fleetOf []string, groups map[int][]string) {
+	clear(p.left)
+	clear(p.others)
+	clear(p.trying)
+	for _, members := range groups {
+		for _, s := range p.rules.leave(members, p.standing.bad) {
+			p.left[s] = true
+			p.trying[s] = p.rules.tries(now, self, fleetOf, s)
+		}
+		for _, s := range members {
+			if p.left[s] {
+				p.others[s] = slices.DeleteFunc(slices.Clone(members), func(m string) bool { return p.left[m] })
+			}
+		}
+	}
+}
+
+// tries tells whether a pooler is one of the few that may try a convicted server now. Who that is follows from the time and
+// the names alone; poolers whose clocks or members differ may try beside each other, or leave a turn out.
+func (r Rules) tries(now time.Time, self string, fleetOf []string, server string) bool {
+	turn := now.UnixNano() / int64(trialEvery)
+	rank := func(name string) uint64 {
+		return xxhash.Sum64String(name + "\x00" + server + "\x00" + strconv.FormatInt(turn, 10))
+	}
+	mine, before := rank(self), 0
+	for _, name := range fleetOf {
+		if name != self && rank(name) < mine {
+			before++
+		}
+	}
+	return before < max(trialLeast*r.Observers, int(trialShare*float64(len(fleetOf))))
+}
+
+// words is what the host is to be told: each server's word when it changes, and again while it stands, but for
+// one that this pooler's own evidence outranks.
+func (p *Part) words(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for server := range p.left {
+		if at, ok := p.given[server]; (!ok || now.Sub(at) >= again) && !p.own.outranks(now, server) {
+			out[server], p.given[server] = true, now
+		}
+	}
+	for server := range p.given {
+		if !p.left[server] {
+			out[server] = false
+			delete(p.given, server)
+		}
+	}
+	return out
+}
+
+// lostPrimaries are the groups whose primary enough observers have lost, each told once a second while that stands.
+func (p *Part) lostPrimaries(now time.Time, found map[string]Finding, groups map[int][]string) (out []int) {
+	for group, members := range groups {
+		if slices.ContainsFunc(members, func(m string) bool { return p.rules.primaryLost(found[m]) }) && now.Sub(p.suspect[group]) >= again {
+			p.suspect[group] = now
+			out = append(out, group)
+		}
+	}
+	maps.DeleteFunc(p.suspect, func(_ int, at time.Time) bool { return now.Sub(at) > rememberFor })
+	return out
+}
+
+// say is the report that is due now, or nil. A pooler speaks while it complains, while it has evidence of a server that
+// another complains of or that is convicted, and once more to take back what it said: a calm fleet is silent.
+func (p *Part) say(now time.Time, r Report, accused map[string]bool, n int) []byte {
+	r.Lines = slices.DeleteFunc(r.Lines, func(l Line) bool { return !l.speaks() && !accused[l.Server] && !p.standing.bad(l.Server) })
+	if len(r.Lines) == 0 && p.told == 0 || now.Before(p.next) {
+		return nil
+	}
+	p.seq++
+	r.Seq, p.told = p.seq, len(r.Lines)
+	p.next = now.Add(time.Duration((0.75 + rand.Float64()/2) * float64(every(n))))
+	return r.encode()
+}
+
+// note writes a change to the log and the journal.
+func (c change) note(g fleet.Ground) {
+	act := audit.VerdictEnded
+	if c.on {
+		act = audit.VerdictBegun
+	}
+	if c.what != renewed {
+		g.Journal(audit.Record{Act: act, Server: c.server})
+	}
+	g.Log.WithLevel(zerolog.InfoLevel).Str("server", c.server).Str("evidence", c.finding.String()).Int("times", c.times).
+		Time("until", c.until).Msg("verdict: " + c.what)
+}
+
+// FromResult is what an attempt's result tells of its server; ok: anything.
+func FromResult(r rules.Result) (kind Kind, ok bool) {
+	switch r {
+	case rules.OK:
+		return Good, true
+	case rules.TimedOut, rules.NoConnect, rules.Reset, rules.Errored:
+		return Failed, true
+	}
+	return 0, false // refused, sent away or cancelled: it may be busy, or not the primary
+}
--- /dev/null
+++ b/internal/fleet/verdict/report.go
@@ -0,0 +1,99 @@
+package verdict
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// What a report may hold. A datagram carries it whole.
+const (
+	maxLines  = 12
+	maxName   = 128
+	maxReport = 1200 // bytes; memberlist's packets hold 1400
+)
+
+// Line is what an observer has seen of one server within its span.
+type Line struct {
+	Server string `json:"s"`
+	Good   uint32 `json:"g,omitempty"`
+	Failed uint32 `json:"f,omitempty"`
+	Slow   uint32 `json:"w,omitempty"`
+	Lost   bool   `json:"l,omitempty"` // it was a group's primary and lost that place
+}
+
+// ratio is the share of the attempts that the server failed or was slow at.
+func (l Line) ratio() float64 {
+	bad := float64(l.Failed) + float64(l.Slow)
+	if bad == 0 {
+		return 0
+	}
+	return bad / (bad + float64(l.Good))
+}
+
+// complains tells whether the line says that the server is bad.
+func (l Line) complains() bool { return l.ratio() >= badShare }
+
+// speaks tells whether the line is news by itself; any other is told only as an answer to one.
+func (l Line) speaks() bool { return l.complains() || l.Lost }
+
+// weight is how much the line counts: what it rests on, up to the most that one observer may say.
+func (l Line) weight() float64 {
+	n := min(l.Good, recent) + min(l.Failed, recent) + min(l.Slow, recent)
+	return float64(min(n, recent))
+}
+
+// Report is all that an observer says, whole: a newer one takes the place of the one before it, so that reports may be lost,
+// come twice or overtake each other. Who said it is told by the bus.
+type Report struct {
+	Born int64  `json:"b"` // Unix ns of the observer's start: a restarted one is another, whose numbers begin anew
+	Seq  uint64 `json:"n"`
+	At   int64  `json:"t"` // Unix ns
+	Room string `json:"r"` // the observer's zone
+	// Seen is the number of servers that it has evidence of, and Ill how many of them it complains of, told or not.
+	Seen  int    `json:"e"`
+	Ill   int    `json:"i,omitempty"`
+	Lines []Line `json:"l,omitempty"`
+}
+
+// before tells whether r is older than o.
+func (r Report) before(o Report) bool { return r.Born < o.Born || r.Born == o.Born && r.Seq < o.Seq }
+
+// encode writes a report, with fewer lines if it would be too long for a datagram: the last ones, which matter least, go.
+func (r Report) encode() []byte {
+	r.Lines = r.Lines[:min(len(r.Lines), maxLines)]
+	for {
+		text, err := json.Marshal(r)
+		if err != nil {
+			panic(err) // it holds nothing that JSON lacks
+		}
+		if len(text) <= maxReport || len(r.Lines) == 0 {
+			return text
+		}
+		r.Lines = r.Lines[:len(r.Lines)-1]
+	}
+}
+
+// decode reads another pooler's report. What is wrong in any part is refused whole.
+func decode(text []byte) (r Report, err error) {
+	if len(text) > 2*maxReport {
+		return r, errors.New("verdict: a report is too long")
+	}
+	if err := json.Unmarshal(text, &r); err != nil {
+		return Report{}, fmt.Errorf("verdict: a report can't be read: %w", err)
+	}
+	if len(r.Lines) > maxLines || len(r.Room) > maxName || r.Seen < 0 || r.Ill < 0 || r.Ill > r.Seen || len(r.Lines) > r.Seen {
+		return Report{}, errors.New("verdict: a report's numbers don't fit each other")
+	}
+	seen := map[string]bool{}
+	for _, l := range r.Lines {
+		if l.Server == "" || len(l.Server) > maxName || seen[l.Server] {
+			return Report{}, errors.New("verdict: a report names a server twice, or none")
+		}
+		seen[l.Server] = true
+	}
+	if ill(r.Lines) > r.Ill {
+		return Report{}, errors.New("verdict: a report complains of more servers than it says")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/fleet/verdict/verdict_test.go
@@ -0,0 +1,334 @@
+package verdict
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var testRules = Rules{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second}
+
+// said is a drawn report: what an honest observer could count, or anything that can be read.
+func said(t *rapid.T, servers []string) Report {
+	r := Report{Born: int64(rapid.IntRange(1, 3).Draw(t, "born")), Seq: uint64(rapid.IntRange(1, 5).Draw(t, "seq")),
+		Room: rapid.SampledFrom([]string{"z1", "z2", "z3"}).Draw(t, "room"), Seen: len(servers)}
+	for _, s := range servers {
+		if n := rapid.IntRange(0, 3).Draw(t, "said"); n > 0 {
+			r.Lines = append(r.Lines, Line{Server: s, Good: uint32(rapid.IntRange(0, 9).Draw(t, "good")),
+				Failed: uint32(rapid.IntRange(0, 9).Draw(t, "failed")), Slow: uint32(rapid.IntRange(0, 9).Draw(t, "slow")), Lost: n == 3})
+		}
+	}
+	r.Ill = ill(r.Lines)
+	return r
+}
+
+// Reports may be lost, come twice, late and in any order: the board ends with each observer's newest that came, and what is
+// found follows from these alone.
+func TestJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		type msg struct {
+			from string
+			Report
+		}
+		var sent []msg
+		newest := map[string]Report{}
+		for range rapid.IntRange(0, 20).Draw(t, "messages") {
+			m := msg{rapid.SampledFrom([]string{"n1", "n2", "n3", "n4"}).Draw(t, "from"), said(t, []string{"a", "b"})}
+			if slices.ContainsFunc(sent, func(o msg) bool { return o.from == m.from && o.Born == m.Born && o.Seq == m.Seq }) {
+				continue // an observer never says two things under one number
+			}
+			m.At = now.UnixNano()
+			if sent = append(sent, m); newest[m.from].before(m.Report) {
+				newest[m.from] = m.Report
+			}
+		}
+		boards := [2]board{}
+		for i := range boards {
+			boards[i].heard = map[string]entry{}
+			order := rapid.Permutation(append(slices.Clone(sent), sent...)).Draw(t, "order")
+			for _, m := range order {
+				boards[i].take(now, m.from, m.Report, time.Second)
+			}
+			for from, e := range boards[i].heard {
+				if d := cmp.Diff(newest[from], e.Report); d != "" {
+					t.Fatalf("%s: %s", from, d)
+				}
+			}
+			if len(boards[i].heard) != len(newest) {
+				t.Fatalf("%d observers, want %d", len(boards[i].heard), len(newest))
+			}
+		}
+		if d := cmp.Diff(fmt.Sprint(weigh(boards[0].voices(now))), fmt.Sprint(weigh(boards[1].voices(now)))); d != "" {
+			t.Fatal(d)
+		}
+		for i := range boards { // and all of it is over at its end
+			if v := boards[i].voices(now.Add(time.Second)); len(v) > 0 {
+				t.Fatalf("%d reports count after their life", len(v))
+			}
+		}
+	})
+}
+
+// Fewer liars than Observers, or liars in fewer rooms than Rooms, convict nobody, whatever they say and however little the
+// others see; nor do any number of them that is outweighed.
+func TestLiars(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := []string{"a", "b", "c"}
+		few := rapid.Bool().Draw(t, "few")
+		var voices []voice
+		liars := rapid.IntRange(0, 8).Draw(t, "liars")
+		if few {
+			liars = min(liars, testRules.Observers-1)
+		}
+		for i := range liars {
+			r := said(t, servers)
+			if !few {
+				r.Room = "z1"
+			}
+			r.Ill, r.Seen = 0, 100 // it hides how much it complains
+			voices = append(voices, voice{fmt.Sprint("liar", i), r})
+		}
+		for i := range rapid.IntRange(0, 5).Draw(t, "honest") {
+			r := Report{Room: rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "room"), Seen: 3}
+			for _, s := range servers {
+				r.Lines = append(r.Lines, Line{Server: s, Good: uint32(rapid.IntRange(0, 2).Draw(t, "good"))})
+			}
+			voices = append(voices, voice{fmt.Sprint("n", i), r})
+		}
+		for s, f := range weigh(voices) {
+			if testRules.convicts(f) || testRules.primaryLost(f) {
+				t.Fatalf("%s is convicted: %v", s, f)
+			}
+		}
+	})
+}
+
+// Many liars in many rooms weigh no more than as many honest observers.
+func TestMajority(t *testing.T) {
+	var voices []voice
+	for i := range 10 {
+		l := Line{Server: "a", Failed: 1 << 31, Slow: 1 << 31}
+		if i >= 5 {
+			l = Line{Server: "a", Good: recent}
+		}
+		voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i), Seen: 10, Lines: []Line{l}}})
+	}
+	if f := weigh(voices)["a"]; testRules.convicts(f) || f.against != f.inFavour {
+		t.Errorf("%v, %v against %v", f, f.against, f.inFavour)
+	}
+}
+
+// An observer that complains of most of what it sees has a bad link: its complaints count for nothing, its good answers do.
+func TestDoubtful(t *testing.T) {
+	var voices []voice
+	for i := range 4 {
+		voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i), Seen: 3, Ill: 2,
+			Lines: []Line{{Server: "a", Failed: 3}, {Server: "b", Failed: 3}, {Server: "c", Good: 3}}}})
+	}
+	found := weigh(voices)
+	if f := found["a"]; f.Accusers > 0 || testRules.convicts(f) {
+		t.Errorf("a: %v", f)
+	}
+	if f := found["c"]; f.Others != 4 {
+		t.Errorf("c: %v", f)
+	}
+}
+
+// Of a group's members at most the share is left, never the last one, and all poolers leave the same.
+func TestLeave(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := testRules
+		r.Share = rapid.Float64Range(0, 1).Draw(t, "share")
+		members := rapid.SliceOfN(rapid.StringMatching("[a-f]"), 0, 8).Draw(t, "members")
+		bad := map[string]bool{}
+		for _, m := range members {
+			bad[m] = rapid.Bool().Draw(t, "bad")
+		}
+		left := r.leave(members, func(m string) bool { return bad[m] })
+		n := len(slices.Compact(slices.Sorted(slices.Values(members))))
+		if n > 0 && len(left) >= n || float64(len(left)) > r.Share*float64(n) {
+			t.Fatalf("%d of %d are left", len(left), n)
+		}
+		if other := r.leave(rapid.Permutation(members).Draw(t, "order"), func(m string) bool { return bad[m] }); !slices.Equal(left, other) {
+			t.Fatalf("%v and %v", left, other)
+		}
+		for _, m := range left {
+			if !bad[m] {
+				t.Fatalf("%s is left without a verdict", m)
+			}
+		}
+	})
+}
+
+// A verdict needs evidence that stands, lasts for its term, longer each time, ends by an appeal, and is forgotten.
+func TestStanding(t *testing.T) {
+	vs, now := verdicts{}, time.Unix(1000, 0)
+	against := Finding{Server: "a", Accusers: 3, Rooms: 2, against: 9}
+	for _, c := range []struct {
+		after time.Duration
+		f     Finding
+		want  string
+	}{
+		{0, against, ""},
+		{hold - 1, against, ""},
+		{0, Finding{}, ""}, // it did not stand
+		{0, against, ""},
+		{hold, against, began},
+		{testRules.Term - 1, Finding{}, ""}, // nobody knows better
+		{1, Finding{}, over},
+		{0, against, ""},
+		{hold, against, began},
+		{2*testRules.Term - 1, against, ""},
+		{1, against, renewed},
+		{time.Second, Finding{Others: 1, inFavour: 9}, ""},
+		{time.Second, Finding{Others: 2, inFavour: 9, against: 9}, ""},
+		{time.Second, Finding{Others: 2, inFavour: 10, against: 9}, acquit},
+		{0, against, ""},
+		{hold, against, began},
+		{longest * testRules.Term, Finding{}, over},
+		{rememberFor, Finding{}, ""},
+	} {
+		now = now.Add(c.after)
+		got := ""
+		for _, ch := range vs.step(now, testRules, map[string]Finding{"a": c.f}, 0) {
+			got = ch.what
+		}
+		if got != c.want {
+			t.Fatalf("after %v, %v: %q, want %q", c.after, c.f, got, c.want)
+		}
+	}
+	if len(vs) > 0 {
+		t.Error("a verdict that is long over is still known")
+	}
+}
+
+// Whatever comes, the state keeps to its bounds.
+func TestBounded(t *testing.T) {
+	now, b, o, vs := time.Unix(1000, 0), board{heard: map[string]entry{}}, newOwn(), verdicts{}
+	for i := range 3 * maxObservers {
+		b.take(now, fmt.Sprint(i), Report{Born: 1, Seq: 1, At: now.UnixNano()}, time.Second)
+		o.saw(now, fmt.Sprint(i), i, Failed, 0)
+		o.lostPrimary(now, fmt.Sprint(i))
+		vs.step(now, testRules, map[string]Finding{fmt.Sprint(i): {Accusers: 3, Rooms: 2, against: 1}}, 0)
+	}
+	if len(b.heard) > maxObservers || len(o.servers) > maxServers || len(o.lost) > maxLost || len(vs) > maxServers {
+		t.Errorf("%d reports, %d servers, %d lost, %d verdicts", len(b.heard), len(o.servers), len(o.lost), len(vs))
+	}
+	now = now.Add(forgetAfter + time.Second) // and what is old makes way
+	if !b.take(now, "new", Report{Born: 1, Seq: 1, At: now.UnixNano()}, time.Second) || len(b.heard) != 1 {
+		t.Errorf("%d reports are known after all have been forgotten", len(b.heard))
+	}
+	o.saw(now, "new", 0, Good, 0)
+	if l, _ := o.lines(now); len(l) != 1 || l[0].Server != "new" {
+		t.Errorf("%v", l)
+	}
+}
+
+// A report that hung somewhere for longer than it could count, or whose clock is that wrong, is refused.
+func TestOldReports(t *testing.T) {
+	now, life := time.Unix(1000, 0), time.Second
+	for _, c := range []struct {
+		age  time.Duration
+		ok   bool
+		ends time.Duration
+	}{{0, true, life}, {skew, true, life}, {-time.Hour, true, life}, {life + skew, true, 0}, {life + skew + 1, false, 0}, {skew + life/2, true, life / 2}} {
+		b := board{heard: map[string]entry{}}
+		if ok := b.take(now, "n", Report{Born: 1, Seq: 1, At: now.Add(-c.age).UnixNano()}, life); ok != c.ok || ok && !b.heard["n"].ends.Equal(now.Add(c.ends)) {
+			t.Errorf("%v old: %v, counts until %v", c.age, ok, b.heard["n"].ends.Sub(now))
+		}
+	}
+}
+
+// A slow server is told from slow requests, from one slow answer, and from a slow day at all servers.
+func TestSlow(t *testing.T) {
+	o, now := newOwn(), time.Unix(1000, 0)
+	see := func(server string, class int, took time.Duration, n int) {
+		for range n {
+			now = now.Add(100 * time.Millisecond)
+			o.saw(now, server, class, Good, took)
+		}
+	}
+	for range 20 {
+		see("a", 0, 10*time.Millisecond, 1)
+		see("b", 0, 12*time.Millisecond, 1)
+		see("a", 1, 400*time.Millisecond, 1) // a heavy class
+		see("b", 1, 400*time.Millisecond, 1)
+	}
+	see("a", 0, 300*time.Millisecond, 1)
+	if l := o.line(now, "a", span); l.complains() || l.Slow != 1 {
+		t.Errorf("one slow answer: %+v", l)
+	}
+	see("b", 0, 10*time.Millisecond, 5)
+	see("a", 0, 300*time.Millisecond, 5)
+	if l := o.line(now, "a", span); !l.complains() {
+		t.Errorf("a slow server: %+v", l)
+	}
+	for range 60 { // the measure follows the day
+		see("a", 0, 300*time.Millisecond, 1)
+		see("b", 0, 300*time.Millisecond, 1)
+	}
+	if l := o.line(now, "a", span); l.complains() {
+		t.Errorf("all are slow: %+v", l)
+	}
+	alone := newOwn()
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		alone.saw(now, "a", 0, Good, 10*time.Millisecond)
+	}
+	alone.saw(now, "a", 0, Good, time.Second)
+	if l := alone.line(now, "a", span); l.Slow > 0 {
+		t.Errorf("a server alone is compared with nothing: %+v", l)
+	}
+}
+
+// What is cast fits into a datagram, complaints first, and comes back as it was.
+func TestReport(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var servers []string
+		for i := range rapid.IntRange(0, 20).Draw(t, "servers") {
+			servers = append(servers, fmt.Sprint(rapid.StringOfN(rapid.RuneFrom([]rune("ab-")), 0, 90, -1).Draw(t, "name"), i))
+		}
+		r := said(t, servers)
+		r.Seen = max(r.Seen, len(r.Lines))
+		text := r.encode()
+		got, err := decode(text)
+		if err != nil || len(text) > maxReport {
+			t.Fatalf("%v, %d bytes", err, len(text))
+		}
+		r.Lines = r.Lines[:len(got.Lines)]
+		if len(r.Lines) == 0 {
+			r.Lines = nil
+		}
+		if d := cmp.Diff(r, got); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add((&Report{Born: 1, Seq: 2, At: 3, Room: "z1", Seen: 2, Ill: 1, Lines: []Line{{Server: "a", Failed: 3, Lost: true}, {Server: "b", Good: 1}}}).encode())
+	f.Add([]byte(`{"e":1,"l":[{"s":"a"},{"s":"a"}]}`))
+	f.Add([]byte(`{"e":1,"i":-1}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := decode(text)
+		if err != nil {
+			return
+		}
+		if len(r.Lines) > maxLines || ill(r.Lines) > r.Ill || r.Ill > r.Seen {
+			t.Errorf("%+v", r)
+		}
+		if again, err := decode(r.encode()); err != nil || len(again.Lines) > len(r.Lines) {
+			t.Errorf("%+v: %v", again, err)
+		}
+		for s, f := range weigh([]voice{{"n", r}}) {
+			if testRules.convicts(f) {
+				t.Errorf("%s is convicted by one", s)
+			}
+		}
+	})
+}
