Tell each attempt's outcome with its server, and carry the fleet's word to the module

Guards hear of final answers only, and of a served one's server: a pooler that leaves a failing server after two attempts has served each of these requests elsewhere, so that nothing of the failures is in them. Core.OnOutcome tells every attempt's end; an error only where another server has then served the request, a cancel only where the module gave a silent server up. Nothing is done without it. Several may now hear of primaries. Core.Verdict hands the fleet's word to the module, and ReadyMembers tells the groups.

The verdicts' evidence takes silence for a failure only from four usual times on, or 150 ms where none is known: a client in a hurry says nothing of a server.

--- a/internal/fleet/verdict/evidence.go
+++ b/internal/fleet/verdict/evidence.go
@@ -1,6 +1,7 @@
 package verdict
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -21,10 +22,13 @@
 	maxLost    = 64               // primaries whose loss it remembers
 	slowTimes  = 4.0              // usual times from which an answer is slow: a queue of two or three is none
 	slowLeast  = 20 * time.Millisecond
-	paceStep   = 1.05 // of a server's typical time with each answer
-	paceLeast  = 5    // answers before a server's typical time counts
-	paceEvery  = time.Second
-	maxClasses = 64
+	// silentLeast without an answer is a failure where the usual time is not known, as rules.leastSilence; a client that gives
+	// up sooner says nothing of the server.
+	silentLeast = 150 * time.Millisecond
+	paceStep    = 1.05 // of a server's typical time with each answer
+	paceLeast   = 5    // answers before a server's typical time counts
+	paceEvery   = time.Second
+	maxClasses  = 64
 )
 
 // Kind is what one attempt tells of its server.
@@ -33,7 +37,8 @@
 // The kinds.
 const (
 	Good   Kind = iota // answered
-	Failed             // no connection, a broken one, no answer in time, an error that another server did not give
+	Failed             // no connection, a broken one, an error that another server did not give
+	Silent             // no answer in the time that it was given
 	slow               // answered, in slowTimes the usual time
 )
 
@@ -81,6 +86,14 @@
 	return own{servers: map[string]*record{}, lost: map[string]time.Time{}, usual: map[int]time.Duration{}}
 }
 
+// late tells whether a time is long for a class, and least where that has no usual time.
+func (o *own) late(class int, took, least time.Duration) bool {
+	if usual := o.usual[class]; usual > 0 {
+		return took >= slowLeast && float64(took) >= slowTimes*float64(usual)
+	}
+	return took >= least
+}
+
 // saw counts an attempt.
 func (o *own) saw(now time.Time, server string, class int, kind Kind, took time.Duration) {
 	r := o.servers[server]
@@ -94,12 +107,17 @@
 		r = &record{paces: map[int]*pace{}}
 		o.servers[server] = r
 	}
-	if kind == Good {
+	switch kind {
+	case Silent:
+		if kind = Failed; !o.late(class, took, silentLeast) {
+			return
+		}
+	case Good:
 		if now.Sub(o.usualAt) >= paceEvery {
 			o.usualAt = now
 			o.measure()
 		}
-		if usual := o.usual[class]; usual > 0 && took >= slowLeast && float64(took) >= slowTimes*float64(usual) {
+		if o.late(class, took, math.MaxInt64) {
 			kind = slow
 		}
 		if class >= 0 && class < maxClasses {
--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -246,13 +246,15 @@
 		Time("until", c.until).Msg("verdict: " + c.what)
 }
 
-// FromResult is what an attempt's result tells of its server; ok: anything.
+// FromResult is what an attempt's result, as routing.Core.OnOutcome tells it, says of its server; ok: anything.
 func FromResult(r rules.Result) (kind Kind, ok bool) {
 	switch r {
 	case rules.OK:
 		return Good, true
-	case rules.TimedOut, rules.NoConnect, rules.Reset, rules.Errored:
+	case rules.NoConnect, rules.Reset, rules.Errored:
 		return Failed, true
+	case rules.TimedOut, rules.Cancelled:
+		return Silent, true
 	}
-	return 0, false // refused, sent away or cancelled: it may be busy, or not the primary
+	return 0, false // turned or sent away: it may be busy, or not the primary
 }
--- a/internal/fleet/verdict/verdict_test.go
+++ b/internal/fleet/verdict/verdict_test.go
@@ -275,6 +275,14 @@
 	if l := o.line(now, "a", span); l.complains() {
 		t.Errorf("all are slow: %+v", l)
 	}
+	o.saw(now, "b", 0, Silent, 200*time.Millisecond)
+	if l := o.line(now, "b", span); l.Failed > 0 {
+		t.Errorf("a hurried client: %+v", l)
+	}
+	o.saw(now, "b", 0, Silent, 2*time.Second)
+	if l := o.line(now, "b", span); l.Failed != 1 {
+		t.Errorf("silence: %+v", l)
+	}
 	alone := newOwn()
 	for range 20 {
 		now = now.Add(100 * time.Millisecond)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -117,10 +117,12 @@
 	ran      bool // an attempt may have run
 	sent     int
 	live     map[int]*call
+	erred    []uint32 // stores that have answered with an error; only where outcomes are told
 }
 
 type call struct {
 	store uint32
+	began time.Duration
 	call  Call // nil: never sent
 	timer *Timer
 }
@@ -146,20 +148,22 @@
 	classes map[string]int // the numbers of those in the settings
 	unkeyed map[int]int    // of a keyed class: the one for requests that carry no key
 	listed  map[uint32]bool
+	ready   map[uint32]int // the groups of those that are listed as ready
 	counts  []*Counts
 	pending int
 	actions []func()
 	// noWrites: writes that come are refused, as this pooler acts on a version that the fleet has left behind.
 	noWrites bool
-	primary  func(kind rules.NewsKind, group int, server string, asOf time.Duration)
+	primary  []func(kind rules.NewsKind, group int, server string, asOf time.Duration)
 	guards   []Guard
+	met      func(server string, class int, result rules.Result, took time.Duration)
 }
 
 // New returns a core that runs on a loop.
 func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
 	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, addrs: map[uint32]string{},
 		names: map[string]uint32{}, gone: map[uint32]time.Duration{}, groups: map[int]bool{}, unkeyed: map[int]int{}, classes: map[string]int{},
-		listed: map[uint32]bool{}}
+		listed: map[uint32]bool{}, ready: map[uint32]int{}}
 	c.opt.Settings.Classes = nil
 	c.enlist(opt.Settings)
 	router, err := rules.New(c.opt.Settings, opt.Seed, (*actions)(c))
@@ -171,9 +175,9 @@
 	return c, nil
 }
 
-// OnPrimary has f told, on the loop, of all news of groups' primaries, as of a Unix time where the news has one.
+// OnPrimary has f told too, on the loop, of all news of groups' primaries, as of a Unix time where the news has one.
 func (c *Core) OnPrimary(f func(kind rules.NewsKind, group int, server string, asOf time.Duration)) {
-	c.primary = f
+	c.primary = append(c.primary, f)
 }
 
 // Told takes in what another pooler, which repeats rounds for the fleet, found of a group: its primary, or "" for none
@@ -331,6 +335,9 @@
 			c.addrs[id] = m.Addr
 			delete(c.gone, id)
 		}
+		if delete(c.ready, id); m.State == rules.Ready {
+			c.ready[id] = m.Group
+		}
 		entries = append(entries, rules.Member{Store: id, Zone: m.Zone, Group: m.Group, State: m.State,
 			Primary: m.Primary, Started: m.Started, Weight: m.Weight})
 	}
@@ -347,6 +354,7 @@
 // leave notes that a server is gone. It is forgotten later, unless it comes back or an attempt is still out there.
 func (c *Core) leave(name string, id uint32) {
 	delete(c.listed, id)
+	delete(c.ready, id)
 	if _, ok := c.gone[id]; ok || c.opt.Settings.DrainOnly { // there the module may still send to it
 		return
 	}
@@ -472,8 +480,9 @@
 	if text := n.Text(); text != "" {
 		a.Log(text)
 	}
-	if c := a.core(); c.primary != nil {
-		c.do(func() { c.primary(n.Kind, n.Group, c.name(n.Store), n.AsOf) })
+	c := a.core()
+	for _, f := range c.primary {
+		c.do(func() { f(n.Kind, n.Group, c.name(n.Store), n.AsOf) })
 	}
 }
 
@@ -500,7 +509,7 @@
 	if timeout > 0 {
 		at = min(at, now+timeout)
 	}
-	k := &call{store: store}
+	k := &call{store: store, began: now}
 	o.live[n] = k
 	addr := c.addrs[store]
 	if o.ended || at <= now || addr == "" {
@@ -549,6 +558,9 @@
 	delete(o.live, n)
 	k.timer.Stop()
 	o.ran = o.ran || !r.Result.NeverRan()
+	if o.c.met != nil {
+		o.meets(k, r.Result)
+	}
 	stream, long := r.Answer.(Stream)
 	switch {
 	case long && o.ended:
--- /dev/null
+++ b/internal/routing/evidence_test.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"threadsail/rules"
+)
+
+// Each attempt's end is told once, with what it says of its server: an error only where another server has then served the
+// request, a cancel only where the module gave the server up.
+func TestOutcomesAreTold(t *testing.T) {
+	c, b := start(t)
+	var told []string
+	on := func(f func()) {
+		done := make(chan struct{})
+		c.loop.Post(func() { f(); close(done) })
+		<-done
+	}
+	on(func() {
+		c.OnOutcome(func(server string, class int, result rules.Result, took time.Duration) {
+			if took < 0 || class != 0 {
+				t.Errorf("class %d after %v", class, took)
+			}
+			told = append(told, fmt.Sprint(server, result))
+		})
+	})
+	want := func(step string, names ...string) {
+		t.Helper()
+		on(func() {
+			if fmt.Sprint(told) != fmt.Sprint(names) {
+				t.Errorf("%s: told of %v, want %v", step, told, names)
+			}
+			told = nil
+		})
+	}
+	r, w := submit(c, b, time.Second)
+	on(func() { w.Done(Result{Result: rules.OK, Answer: "a"}); w.Done(Result{Result: rules.OK}) })
+	want("served", fmt.Sprint("s", rules.OK))
+	_, w = submit(c, b, time.Second)
+	on(func() { w.Done(Result{Result: rules.Errored}) })
+	w = <-b.calls // a keyed write goes out again, to the only server
+	on(func() { w.Done(Result{Result: rules.OK, Answer: "a"}) })
+	want("its own error", fmt.Sprint("s", rules.OK))
+	<-r.ended
+	on(func() {
+		o := &Open{c: c, req: &Request{}, erred: []uint32{c.names["s"]}}
+		o.meets(&call{store: 99, began: c.loop.Now()}, rules.OK)
+	})
+	want("the server's error", fmt.Sprint("s", rules.Errored))
+	on(func() {
+		o := &Open{c: c, req: &Request{}}
+		o.meets(&call{store: c.names["s"], began: c.loop.Now()}, rules.Cancelled)
+		o.ended = true
+		o.meets(&call{store: c.names["s"], began: c.loop.Now()}, rules.Cancelled)
+		o.meets(&call{store: c.names["s"], began: c.loop.Now()}, rules.Moot)
+	})
+	want("given up", fmt.Sprint("s", rules.Cancelled))
+	on(func() {
+		c.List(rules.ListDelta, []Member{{Name: "t", Addr: "t", Group: 3, State: rules.Ready}, {Name: "s", Addr: "s", State: rules.Draining}})
+		if got := fmt.Sprint(c.ReadyMembers()); got != "map[3:[t]]" {
+			t.Errorf("ready: %s", got)
+		}
+		c.Verdict("t", true)
+		c.Verdict("nobody", true)
+	})
+}
