Read the verdicts' part of deploy/fleet.json: off, checked with file, line and key

The verdicts need to be told how many observers in how many rooms convict, how much of a group may be left and for how long. deploy/fleet.json gets "verdicts", off by default; an error names the line of the key inside the object. Nothing reads it yet.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -46,7 +46,8 @@
 	SharedAddresses bool
 	Journal         JournalPart
 	Bound           time.Duration // as duty.Lists.Bound
-	LeastBuild      string        // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
+	Verdicts        VerdictsPart
+	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
 }
 
 // JournalPart is the pooler's journal of acts; File empty: it keeps none.
@@ -123,6 +124,7 @@
 		SharedAddresses   bool    `json:"shared_addresses"`
 		StragglerMs       float64 `json:"straggler_ms"`
 		LeastBuild        string  `json:"least_build"`
+		Verdicts          verdictsFile
 		Journal           struct {
 			File  string
 			MaxMB float64 `json:"max_mb"`
@@ -149,6 +151,11 @@
 		f.Journal.Keep = *file.Journal.Keep
 	}
 	f.Election = or(Milliseconds(file.ElectionMs), f.Term/3)
+	var key string
+	var err error
+	if f.Verdicts, key, err = file.Verdicts.part(); err != nil {
+		return nil, within(text, "verdicts", key), err
+	}
 	for _, check := range []struct {
 		key string
 		err error
@@ -173,6 +180,18 @@
 	return f, 0, nil
 }
 
+// within is where a key stands inside an object of the file: the object's own place if it is left out there.
+func within(text []byte, object, key string) int64 {
+	at := bytes.Index(text, []byte(`"`+object+`"`))
+	if at < 0 {
+		return 0
+	}
+	if in := bytes.Index(text[at:], []byte(`"`+key+`"`)); in > 0 {
+		at += in
+	}
+	return int64(at)
+}
+
 // jsonOffset is where a decoder's error lies, if it says; else fallback.
 func jsonOffset(err error, fallback int64) int64 {
 	var syntax *json.SyntaxError
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -28,6 +28,12 @@
 		{"{" + peers + ", " + stewards + ",\n\"journal\": {\"file\": \"j\", \"max_mb\": 0.001}}", ":2: journal.max_mb"},
 		{"{" + peers + ", " + stewards + ",\n\"least_build\": \"1.4\"}", ":2: least_build"},
 		{"{" + peers + ", " + stewards + ",\n\"straggler_ms\": 1000}", ":2: straggler_ms"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"enabled\": true, \"term_ms\": 1000, \"rooms\": 3}}", ""},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"enabled\": true,\n\"observers\": 1}}", ":3: verdicts.observers"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\n\"rooms\": 4}}", ":3: verdicts.rooms"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"share\": 1}}", ":2: verdicts.share"},
+		{"{" + peers + ", " + stewards + ",\n\"term_ms\": 3000, \"verdicts\": {\n\"term_ms\": 10}}", ":3: verdicts.term_ms"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"on\": true}}", `unknown field "on"`},
 		{"{\n\n\"enabled\": tru", ":3: "},
 		{`{} {}`, "text follows"},
 	} {
@@ -42,7 +48,8 @@
 	}
 	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1")
 	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
-		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second}
+		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second,
+		Verdicts: VerdictsPart{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second}}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
 		t.Error(d, err)
 	}
