Decide which purges there are, and when an edge may answer from its cache

One plan document names the calendars of all sites, the bounds of the fleet and what it took the place of; plans and orders by hand take effect only once every edge either has them or has stopped answering from its cache. An edge asks at answer time: its documents confirmed lately and taken in, its clock within half a guard of most others', no purge within a guard, and the answer asked for a guard behind the last one. Clocks are compared by rounds between poolers; each reading remembers how the wall clock stood to the monotonic one, so a step counts at the next look.

--- a/internal/fleet/audit/record.go
+++ b/internal/fleet/audit/record.go
@@ -34,6 +34,7 @@
 	Refused      Act = "refused"       // Token, Seq: a word or list older than one before it
 	VerdictBegun Act = "verdict-begun" // Server: the fleet holds it to be bad, by the evidence that this pooler has
 	VerdictEnded Act = "verdict-ended" // Server: and no longer
+	Purged       Act = "purged"        // Purge, Due: a cache was emptied, once for each purge
 )
 
 // Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
@@ -48,6 +49,8 @@
 	Act      Act    `json:"act"`
 	Group    int    `json:"group,omitempty"`
 	Server   string `json:"server,omitempty"`
+	Purge    string `json:"purge,omitempty"` // names the close, plan or order for good, at all poolers alike
+	Due      int64  `json:"due,omitempty"`   // its instant, Unix time in ns
 }
 
 // Time is At for people and sorting.
--- a/internal/fleet/calendar/calendar_test.go
+++ b/internal/fleet/calendar/calendar_test.go
@@ -80,7 +80,7 @@
 func easter(days int) *int { return &days }
 
 var budapest = Plan{"Europe/Budapest", Calendar{Close: map[string]string{"monday": "20:00", "tuesday": "20:00", "wednesday": "20:00", "thursday": "20:00", "friday": "25:30"},
-	Holidays: []Holiday{{Name: "Easter Monday", Easter: easter(1)}, {Name: "St Stephen", Month: 8, Day: 20}, {Name: "Christmas Eve", Month: 12, Day: 24, Close: "12:00"}},
+	Holidays:   []Holiday{{Name: "Easter Monday", Easter: easter(1)}, {Name: "St Stephen", Month: 8, Day: 20}, {Name: "Christmas Eve", Month: 12, Day: 24, Close: "12:00"}},
 	Exceptions: []Exception{{From: "2026-12-28", To: "2027-01-03"}, {From: "2026-12-19", Close: "14:00"}}}}
 
 var kingston = Plan{"America/Jamaica", Calendar{Close: map[string]string{"monday": "18:00", "saturday": "13:00"},
--- /dev/null
+++ b/internal/fleet/purge/edge.go
@@ -0,0 +1,260 @@
+// Package purge empties caches at the local close of business, at every edge (pooler) of a site at the same instant, and by
+// hand. It decides what purges there are (Timetable, from the fleet's documents), whether an edge may answer from its cache now
+// and since when an answer must have been asked for (Edge.Current), and which purges an edge still has to note (each once).
+//
+// What holds. Let a clock be right that is within Bounds.Guard of true time, and let an edge's clock be right if it agrees with
+// most of those that it measured within half of that. Then no edge serves a cached answer, after the instant of a purge of its
+// site, that was asked for before that instant: it serves none within a guard of the instant by its own clock, none that was asked for
+// earlier than a guard and Settle behind the last purge, and none at all without a copy of the documents that is younger than
+// Confirm. Orders and plans take effect late enough for that (Bounds.reach).
+//
+// It owns no cache: the caller asks Current before each cached answer, Fill before it keeps one, and owes the edge the
+// measurements of other clocks and each newer version of the documents. docs/purges.md has the derivation.
+package purge
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"threadsail/internal/fleet/shared"
+)
+
+// mostFired is how many purges an edge remembers that it has noted: a year of ten a day.
+const mostFired = 4096
+
+// Edge is one pooler's. It is safe for use by several goroutines and never waits.
+type Edge struct {
+	site string
+	view shared.View
+	note func(e Event, now int64) // of a purge that happens here; must not wait or call back
+	wall func() int64             // Unix ns
+	from time.Time                // of its monotonic time
+
+	mu     sync.Mutex
+	clock  clock
+	others int // other poolers that are held to be alive
+	// The timetable is of a version of the copy, or a later one.
+	version uint64
+	table   *Timetable
+	why     error
+	events  []Event // of the table, within span
+	span    [2]int64
+	first   int64 // purges before it are none of this edge's
+	fired   map[string]bool
+	order   []string      // of fired, the oldest first
+	floor   map[int]int64 // the generation: the last purge's instant, by cluster; it only grows
+}
+
+// History is what an edge has noted in earlier processes, by its journal.
+type History struct {
+	Since int64 // Unix ns of the oldest record; 0: there is none
+	Fired []string
+}
+
+// NewEdge is an edge of a site. note is called for each purge, once by all processes that share the history.
+func NewEdge(site string, v shared.View, h History, note func(e Event, now int64)) *Edge {
+	e := &Edge{site: site, view: v, note: note, wall: func() int64 { return time.Now().UnixNano() }, from: time.Now(),
+		fired: map[string]bool{}, floor: map[int]int64{}}
+	e.first = h.Since
+	if e.first == 0 {
+		e.first = e.wall()
+	}
+	for _, id := range h.Fired {
+		e.remember(id)
+	}
+	e.Take()
+	return e
+}
+
+// Take takes in the documents as the copy now has them. Documents that can't be used leave the edge without a timetable.
+func (e *Edge) Take() {
+	version := e.view.Version() // of the copy, before it is read: it may be newer then
+	plan, orders, err := read(e.view)
+	var t *Timetable
+	switch {
+	case err != nil:
+	case plan == nil:
+		err = errors.New("purge: the fleet has no plan")
+	default:
+		t, err = newTimetable(e.site, plan, orders)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version, e.table, e.why, e.span = version, t, err, [2]int64{}
+}
+
+// Why is what keeps the edge from having a timetable; nil: it has one.
+func (e *Edge) Why() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.why
+}
+
+// Measured takes in a reading of another pooler's clock, as in clock.measured.
+func (e *Edge) Measured(peer string, asked, got, sent, heard int64, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.clock.measured(peer, asked, got, sent, heard, took, time.Since(e.from))
+}
+
+// Others takes in how many other poolers are alive.
+func (e *Edge) Others(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.others = n
+}
+
+// Compared tells whether the clock was compared with enough others.
+func (e *Edge) Compared() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.clock.measures) >= max(min(enough, e.others), 1)
+}
+
+// Reason is why an edge does not answer from its cache.
+type Reason uint8
+
+// The reasons.
+const (
+	May       Reason = iota // it may
+	NoPlan                  // no plan is in force here, or the plan's time is over
+	Unheard                 // the copy of the documents was not confirmed for too long
+	OffClock                // the clock disagrees with most others, or was not compared with enough
+	NearPurge               // within a guard of a purge
+	Reasons                 // how many there are
+)
+
+func (r Reason) String() string {
+	return [...]string{"may", "no plan", "unheard", "clock", "near a purge"}[r]
+}
+
+// Current tells whether a cached answer for a cluster may be given now, and since when by this clock it must have been asked for.
+// All purges that are due are noted first, so that an edge that was stalled or cut off has caught up before its answer.
+func (e *Edge) Current(cluster int) (since int64, why Reason) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.wall()
+	if e.table == nil || now < e.table.from || now >= e.table.until {
+		return 0, NoPlan
+	}
+	if !e.trusts(now) {
+		return 0, OffClock
+	}
+	if e.stale() {
+		return 0, Unheard
+	}
+	e.fire(now)
+	last, near := e.last(now, cluster)
+	if near {
+		return 0, NearPurge
+	}
+	e.floor[cluster] = max(e.floor[cluster], last)
+	return e.floor[cluster] + int64(e.table.bounds.Guard+e.table.bounds.Settle), May
+}
+
+// Fill tells whether an answer that was asked for some time ago, and has just come, may be kept; asked is when that was, by
+// this clock. One that was under way across a purge is dropped.
+func (e *Edge) Fill(cluster int, ago time.Duration) (asked int64, ok bool) {
+	since, why := e.Current(cluster)
+	asked = e.wall() - int64(ago)
+	return asked, why == May && asked >= since
+}
+
+// Agrees tells whether this clock is right for a guard, and reads it.
+func (e *Edge) Agrees(guard time.Duration) (now int64, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now = e.wall()
+	off, ok := e.clock.off(now, time.Since(e.from), e.others, true)
+	return now, ok && off <= guard/2
+}
+
+// trusts tells whether this clock agrees with most others within half a guard, by what was measured and may have come since.
+func (e *Edge) trusts(now int64) bool {
+	off, ok := e.clock.off(now, time.Since(e.from), e.others, true)
+	return ok && off <= e.table.bounds.Guard/2
+}
+
+// stale tells whether the documents may have changed without this edge's knowledge for longer than an order waits. The copy may
+// have been brought up to date and confirmed just now, and its documents not be taken in yet: when it was confirmed is read first.
+func (e *Edge) stale() bool {
+	at := e.view.Confirmed()
+	return at.IsZero() || time.Since(at) > e.table.bounds.Confirm || e.view.Version() > e.version
+}
+
+// last is the instant of the last purge of a cluster that has come; near: now is within a guard of one.
+func (e *Edge) last(now int64, cluster int) (at int64, near bool) {
+	e.look(now)
+	guard := int64(e.table.bounds.Guard)
+	for _, ev := range slices.Backward(e.events) {
+		switch {
+		case ev.Cluster != All && ev.Cluster != cluster || ev.At > now+guard:
+		case ev.At >= now-guard:
+			return 0, true
+		default:
+			return ev.At, false
+		}
+	}
+	return 0, false
+}
+
+// look has the events at hand around now.
+func (e *Edge) look(now int64) {
+	const ahead, fresh = int64(48 * time.Hour), int64(24 * time.Hour)
+	if e.span[0] <= now-int64(remembered) && now <= e.span[1]-fresh {
+		return
+	}
+	e.span = [2]int64{now - int64(remembered+24*time.Hour), now + ahead}
+	e.events = e.table.Between(e.span[0], e.span[1])
+}
+
+// Due notes the purges that are due, and tells when to look again: at the next purge, in a second at the latest, as clocks and
+// documents change. A cut-off edge goes by its own clock; one whose clock disagrees with others waits until it is mended, and
+// serves nothing from its cache meanwhile.
+func (e *Edge) Due() (again time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	const most = time.Second
+	if e.table == nil {
+		return most
+	}
+	now := e.wall()
+	off, measured := e.clock.off(now, time.Since(e.from), e.others, false)
+	switch {
+	case measured && off > e.table.bounds.Guard/2:
+		return most
+	case !measured && time.Since(e.from) < e.table.bounds.Confirm: // it has just started: others may yet be heard
+		return most
+	}
+	e.fire(now)
+	for _, ev := range e.events {
+		if ev.At > now {
+			return min(most, time.Duration(ev.At-now))
+		}
+	}
+	return most
+}
+
+// fire notes each purge up to now that was not noted yet, from the edge's beginning on but no further back than is remembered.
+func (e *Edge) fire(now int64) {
+	e.look(now)
+	for _, ev := range e.events {
+		if ev.At > max(e.first-1, now-int64(remembered)) && ev.At <= now && !e.fired[ev.ID] {
+			e.remember(ev.ID)
+			e.note(ev, now)
+		}
+	}
+}
+
+func (e *Edge) remember(id string) {
+	if e.fired[id] {
+		return
+	}
+	e.fired[id] = true
+	if e.order = append(e.order, id); len(e.order) > mostFired {
+		delete(e.fired, e.order[0])
+		e.order = e.order[1:]
+	}
+}
--- /dev/null
+++ b/internal/fleet/purge/edge_test.go
@@ -0,0 +1,346 @@
+package purge
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"threadsail/internal/fleet/shared"
+	"threadsail/internal/fleet/shared/sharedtest"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+// lone is an edge without a Part, whose clock has been compared with three others; skew moves its clock.
+type lone struct {
+	*Edge
+	view  *sharedtest.View
+	reg   *sharedtest.Register
+	skew  time.Duration
+	noted []string
+}
+
+func newLone(t *testing.T, p Proposal, h History) *lone {
+	l := &lone{reg: sharedtest.New(drift)}
+	value, err := p.plan(nil, time.Now().Add(-bounds.reach()).UnixNano()) // in force now
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.put(t, planKey, 0, value)
+	l.view = l.reg.View()
+	l.Edge = NewEdge("a", l.view, h, func(e Event, _ int64) { l.noted = append(l.noted, e.ID) })
+	l.wall = func() int64 { return time.Now().Add(l.skew).UnixNano() }
+	l.compare()
+	return l
+}
+
+func (l *lone) compare() {
+	for i := range enough {
+		at := time.Now().UnixNano()
+		l.Measured(fmt.Sprint("m", i), l.wall(), at, at, l.wall(), 0)
+	}
+}
+
+func (l *lone) put(t *testing.T, key string, expect uint64, value []byte) uint64 {
+	t.Helper()
+	version, err := l.reg.Client("w").Put(t.Context(), key, expect, value, shared.Fence{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return version
+}
+
+func (l *lone) order(t *testing.T, o Order) uint64 {
+	value, err := json.Marshal(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	version := l.put(t, orderPrefix+o.Name, 0, value)
+	l.Take()
+	return version
+}
+
+func (l *lone) want(t *testing.T, what string, cluster int, want Reason) (since int64) {
+	t.Helper()
+	since, why := l.Current(cluster)
+	if why != want {
+		t.Errorf("%s: %s, want %s", what, why, want)
+	}
+	return since
+}
+
+// An edge that did nothing through a close notes it before its first cached answer, and gives none from before it.
+func TestCatchesUpBeforeItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLone(t, closing(1, 10), History{})
+		time.Sleep(time.Minute)
+		l.want(t, "before", 0, May)
+		asked, ok := l.Fill(0, 0)
+		if !ok {
+			t.Error("nothing may be kept")
+		}
+		time.Sleep(20 * time.Minute) // no timer runs
+		l.compare()
+		if since := l.want(t, "after", 0, May); asked >= since {
+			t.Error("an answer from before the close may be given")
+		}
+		if want := []string{"plan 1", "close a 2000-01-01 00:10"}; !slices.Equal(l.noted, want) {
+			t.Errorf("noted %q, want %q", l.noted, want)
+		}
+	})
+}
+
+// Around the instant of a purge nothing is given or kept, and nothing that was under way across it.
+func TestNearAPurge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLone(t, closing(1, 10), History{})
+		at := time.Date(2000, 1, 1, 0, 10, 0, 0, time.UTC)
+		sleepTo := func(d time.Duration) { time.Sleep(time.Until(at.Add(d))); l.compare() }
+		sleepTo(-bounds.Guard - time.Millisecond)
+		l.want(t, "just before the guard", 0, May)
+		sleepTo(-bounds.Guard)
+		l.want(t, "a guard before", 0, NearPurge)
+		sleepTo(bounds.Guard)
+		l.want(t, "a guard behind", 0, NearPurge)
+		sleepTo(bounds.Guard + time.Millisecond)
+		l.want(t, "behind the guard", 0, May)
+		if _, ok := l.Fill(0, 0); ok {
+			t.Error("kept while replicas may answer from before")
+		}
+		sleepTo(time.Second)
+		if _, ok := l.Fill(0, time.Second); ok {
+			t.Error("kept though it was asked for before the purge")
+		}
+		if _, ok := l.Fill(0, time.Second-bounds.Guard-bounds.Settle); !ok {
+			t.Error("not kept though it was asked for behind the purge")
+		}
+	})
+}
+
+// A clock that is set back has nothing noted twice and nothing revived; one that is off keeps the edge from its cache, and from
+// noting purges that have not come.
+func TestClockSteps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLone(t, closing(1, 10), History{})
+		time.Sleep(11 * time.Minute)
+		l.compare()
+		l.want(t, "right", 0, May)
+		l.skew = -5 * time.Minute
+		l.want(t, "set back", 0, OffClock)
+		l.Due()
+		l.skew = 24 * time.Hour
+		l.want(t, "a day ahead", 0, OffClock)
+		l.Due()
+		l.compare() // the others say so too
+		l.want(t, "a day ahead, compared", 0, OffClock)
+		l.Due()
+		l.skew = 0
+		l.want(t, "mended", 0, May)
+		if want := []string{"plan 1", "close a 2000-01-01 00:10"}; !slices.Equal(l.noted, want) {
+			t.Errorf("noted %q, want %q", l.noted, want)
+		}
+		l.skew = -bounds.Guard / 4 // within what is trusted
+		l.want(t, "a little back", 0, May)
+		time.Sleep(time.Hour)
+		l.want(t, "not compared for an hour", 0, OffClock)
+	})
+}
+
+// A copy that is old, or newer than what was taken in, keeps the edge from its cache.
+func TestUnheard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLone(t, closing(1, 10), History{})
+		time.Sleep(time.Minute)
+		l.compare()
+		l.view.Cut(true)
+		time.Sleep(bounds.Confirm)
+		l.want(t, "as old as it may be", 0, May)
+		time.Sleep(time.Millisecond)
+		l.want(t, "older", 0, Unheard)
+		l.put(t, "other/doc", 0, []byte("1"))
+		l.view.Cut(false)
+		l.want(t, "newer than what was taken in", 0, Unheard)
+		l.Take()
+		l.want(t, "taken in", 0, May)
+	})
+}
+
+// Orders purge their cluster or all, at their sites; what the documents forget does not bring older answers back.
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLone(t, closing(1, 59), History{})
+		time.Sleep(time.Minute)
+		l.compare()
+		two, at := 2, time.Now().Add(time.Minute).UnixNano()
+		version := l.order(t, Order{Name: "x", At: at, Cluster: &two})
+		l.order(t, Order{Name: "y", At: at, Site: "b"})
+		time.Sleep(2 * time.Minute)
+		l.compare()
+		margin := int64(bounds.Guard + bounds.Settle)
+		if since := l.want(t, "its cluster", 2, May); since != at+margin {
+			t.Errorf("since %d, want %d", since, at+margin)
+		}
+		if since := l.want(t, "another cluster", 1, May); since >= at {
+			t.Error("another cluster is purged")
+		}
+		if want := []string{"plan 1", "order x"}; !slices.Equal(l.noted, want) {
+			t.Errorf("noted %q, want %q", l.noted, want)
+		}
+		l.put(t, orderPrefix+"x", version, nil)
+		l.Take()
+		if since := l.want(t, "forgotten", 2, May); since != at+margin {
+			t.Errorf("the generation fell to %d", since)
+		}
+	})
+}
+
+// What stands in the journal is not noted again, what a crash kept from it is.
+func TestHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		since := time.Now().Add(-time.Hour).UnixNano()
+		l := newLone(t, closing(1, 10), History{Since: since, Fired: []string{"plan 1"}})
+		time.Sleep(20 * time.Minute)
+		l.Due()
+		if want := []string{"close a 2000-01-01 00:10"}; !slices.Equal(l.noted, want) {
+			t.Errorf("noted %q, want %q", l.noted, want)
+		}
+	})
+}
+
+// A plan is refused by an edge whose site it lacks, or whose zone data differ from its writer's.
+func TestPlanThatCantBeUsed(t *testing.T) {
+	p := closing(1, 10)
+	value, err := p.plan(nil, time.Now().UnixNano())
+	var plan Plan
+	if err == nil {
+		err = json.Unmarshal(value, &plan)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := newTimetable("a", &plan, nil); err != nil {
+		t.Error(err)
+	}
+	if _, err := newTimetable("c", &plan, nil); err == nil || !strings.Contains(err.Error(), "no site") {
+		t.Errorf("a site that is missing: %v", err)
+	}
+	plan.Zones["UTC"]++
+	if _, err := newTimetable("a", &plan, nil); err == nil || !strings.Contains(err.Error(), "rules of UTC") {
+		t.Errorf("other rules: %v", err)
+	}
+}
+
+// A plan takes effect a reach later; until then, and for whoever comes late, the one before it holds.
+func TestPlansOneAfterAnother(t *testing.T) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC).UnixNano()
+	doc := func(w *write) []shared.Doc { return []shared.Doc{{Key: w.key, Version: 1, Value: w.value}} }
+	first, _, err := closing(1, 10).next(nil, now)
+	if err != nil || first == nil || first.expect != 0 {
+		t.Fatalf("%+v %v", first, err)
+	}
+	if w, _, err := closing(1, 10).next(doc(first), now); w != nil || err != nil {
+		t.Errorf("written twice: %+v %v", w, err)
+	}
+	if _, _, err := closing(1, 11).next(doc(first), now); err != errTwoPlans {
+		t.Errorf("two plans of one revision: %v", err)
+	}
+	if w, again, _ := closing(2, 11).next(doc(first), now); w != nil || again <= 0 {
+		t.Error("a plan takes the place of one that is not in force yet")
+	}
+	later := now + int64(time.Hour)
+	second, _, err := closing(2, 70).next(doc(first), later)
+	if err == nil && second == nil {
+		t.Fatal("a newer plan is not written")
+	}
+	var plan Plan
+	if err = json.Unmarshal(second.value, &plan); err != nil {
+		t.Fatal(err)
+	}
+	if plan.At != later+int64(bounds.reach()) || plan.Was == nil || plan.Was.Was != nil || second.expect != 1 {
+		t.Errorf("%+v", plan)
+	}
+	table, err := newTimetable("a", &plan, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	for _, e := range table.Between(now, now+int64(2*time.Hour)) {
+		ids = append(ids, e.ID)
+	}
+	if want := []string{"plan 1", "close a 2026-12-02 00:10", "plan 2", "close a 2026-12-02 01:10"}; !slices.Equal(ids, want) {
+		t.Errorf("%q, want %q", ids, want)
+	}
+	wish := Wish{Name: "w", Issued: time.Unix(0, later)}
+	if w, _, _ := closing(1, 10, wish).next(doc(second), later); w == nil || w.key != orderPrefix+"w" {
+		t.Errorf("an order is not written: %+v", w)
+	}
+	if w, _, _ := closing(1, 10, wish).next(doc(second), later+int64(freshWish)+1); w != nil {
+		t.Errorf("an old order is written: %+v", w)
+	}
+	old := shared.Doc{Key: orderPrefix + "w", Version: 7, Value: []byte(`{"name":"w","at":1}`)}
+	if w, _, _ := closing(1, 10, wish).next(append(doc(second), old), later); w == nil || w.value != nil || w.expect != 7 {
+		t.Errorf("an order of long ago stays: %+v", w)
+	}
+}
+
+// Only reads that the operators named, that any member may answer and that leave nothing behind are kept.
+func TestCacheable(t *testing.T) {
+	c := New("a", Proposal{}).Cached(1<<20, []string{"any", "bounded"}, func(c int) rules.Class { return classes[c] }, nil)
+	for _, k := range []struct {
+		r    routing.Request
+		want bool
+	}{
+		{routing.Request{Class: 0, Text: "SELECT 1"}, true},
+		{routing.Request{Class: 1, Text: "SELECT 1"}, false}, // bounded in age
+		{routing.Request{Class: 2, Text: "SELECT 1"}, false}, // not named
+		{routing.Request{Class: 3, Text: "SELECT 1"}, false}, // may leave something behind
+		{routing.Request{Class: 0, Text: "SELECT 1", Keyed: true}, false},
+		{routing.Request{Class: 0, Text: "SELECT 1", After: 1}, false},
+		{routing.Request{Class: 0}, false},
+	} {
+		if _, ok := c.cacheable(&k.r); ok != k.want {
+			t.Errorf("%+v: %v", k.r, ok)
+		}
+	}
+}
+
+func TestClockByMajority(t *testing.T) {
+	var c clock
+	at, mono := int64(1e18), time.Hour
+	measure := func(peer string, ahead, round time.Duration) {
+		theirs := at - int64(ahead) + int64(round/2)
+		c.measured(peer, at, theirs, theirs, at+int64(round), round, mono+round)
+		at += int64(round)
+		mono += round
+	}
+	if _, ok := c.off(at, mono, 5, true); ok {
+		t.Error("nothing measured")
+	}
+	measure("a", time.Millisecond, 0)
+	measure("b", -2*time.Millisecond, 0)
+	if _, ok := c.off(at, mono, 5, true); ok {
+		t.Error("two are no majority of five others")
+	}
+	if off, ok := c.off(at, mono, 2, true); !ok || off != 2*time.Millisecond {
+		t.Errorf("of two others: %v %v", off, ok)
+	}
+	measure("liar", time.Hour, 0)
+	if off, ok := c.off(at, mono, 5, true); !ok || off != 2*time.Millisecond {
+		t.Errorf("with a liar: %v %v", off, ok)
+	}
+	measure("a", 0, time.Second) // a slow round says less than the one before
+	if off, _ := c.off(at, mono, 5, false); off != 2*time.Millisecond {
+		t.Errorf("behind a slow round: %v", off)
+	}
+	measure("a", time.Minute, time.Second) // but one that gainsays it counts
+	if off, _ := c.off(at, mono, 5, false); off < 59*time.Second {
+		t.Errorf("the peer's clock moved: %v", off)
+	}
+	if off, _ := c.off(at+int64(time.Second), mono, 2, false); off < time.Second-2*time.Millisecond {
+		t.Errorf("this clock stepped by a second: %v", off)
+	}
+}
--- /dev/null
+++ b/internal/fleet/purge/guard.go
@@ -0,0 +1,100 @@
+package purge
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"threadsail/internal/fleet/purge/answers"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+// Cached answers requests of one front from its cache, as its edge allows. It is a routing.Guard; its counts may be read on any
+// goroutine.
+type Cached struct {
+	part    *Part
+	cache   *answers.Cache
+	classes map[string]bool
+	info    func(class int) rules.Class
+	keep    func(answer any) (kept any, size int, ok bool)
+
+	hits, misses, filled atomic.Uint64
+	barred               [Reasons]atomic.Uint64
+}
+
+var _ routing.Guard = (*Cached)(nil)
+
+// Cached is a guard for one front, with a cache of at most so many bytes for the classes that are named. info tells of a class
+// by its number, and keep gives an answer as it may be given to another client, and its bytes; not ok: it can't be.
+func (p *Part) Cached(most uint64, classes []string, info func(class int) rules.Class, keep func(answer any) (kept any, size int, ok bool)) *Cached {
+	c := &Cached{part: p, cache: answers.New(most), classes: map[string]bool{}, info: info, keep: keep}
+	for _, name := range classes {
+		c.classes[name] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fronts = append(p.fronts, c)
+	return c
+}
+
+// cacheable tells whether a request's answer may be another's: a class that the operators named, that any member may answer, with
+// no bound on age, no session and no effect.
+func (c *Cached) cacheable(r *routing.Request) (answers.Key, bool) {
+	info := c.info(r.Class)
+	ok := c.classes[info.Name] && info.Need == rules.NeedAny && info.Effect == rules.Safe && !r.Keyed && r.After == 0 && r.Text != ""
+	return answers.Key{Cluster: r.Group, Class: r.Class, Statement: r.Text}, ok
+}
+
+// Admit is documented with routing.Guard.
+func (c *Cached) Admit(_ time.Duration, r *routing.Request) (a routing.Admission) {
+	key, ok := c.cacheable(r)
+	edge := c.part.edge.Load()
+	if !ok || edge == nil {
+		return a
+	}
+	since, why := edge.Current(r.Group)
+	if why != May {
+		c.barred[why].Add(1)
+		return a
+	}
+	if answer, ok := c.cache.Get(key, since); ok {
+		c.hits.Add(1)
+		return routing.Admission{Answer: answer}
+	}
+	c.misses.Add(1)
+	return a
+}
+
+// MaySend is documented with routing.Guard.
+func (c *Cached) MaySend(time.Duration, *routing.Request, string) routing.Sending {
+	return routing.Send
+}
+
+// Ended is documented with routing.Guard. The time that the request took is counted on the loop's clock, which never steps.
+func (c *Cached) Ended(_ time.Duration, r *routing.Request, e routing.Ending) {
+	key, ok := c.cacheable(r)
+	edge := c.part.edge.Load()
+	if !ok || edge == nil || !e.Served || e.Answer == nil {
+		return
+	}
+	kept, size, ok := c.keep(e.Answer)
+	if !ok {
+		return
+	}
+	if asked, ok := edge.Fill(r.Group, e.Ending-e.Arrived); ok {
+		c.filled.Add(1)
+		c.cache.Put(key, kept, size, asked)
+	}
+}
+
+// String tells what it has done, for the log.
+func (c *Cached) String() string {
+	text := fmt.Sprintf("hits %d, misses %d, kept %d, bytes %d", c.hits.Load(), c.misses.Load(), c.filled.Load(), c.cache.Bytes())
+	for why := NoPlan; why < Reasons; why++ {
+		if n := c.barred[why].Load(); n > 0 {
+			text += fmt.Sprintf(", not asked for %s %d", why, n)
+		}
+	}
+	return text
+}
