Ask for positions before bounded reads need them, and keep long reads to replicas behind

Positions come in probes alone there; they were asked for only while a read was held, and fresh() took a replica to keep the lag that it last showed, which no miss contradicted. And replicas were behind without any trouble: each holds the log up while a report runs, reports went by turns to all, and two thirds of them stood idle, too far behind for lookups. Ruled out: too little capacity (mean of 3 to 6 attempts held on 4 or 5 cores), the primary's finding, drains.

Where answers tell no positions, replicas are now asked once their position is half a bound old, and only those that have proved to be fresh get bounded reads; not where all fronts would ask a replica more often than a small fleet pings a primary, which leaves the fleets of 80 and 300 as they are. Reads for any member that take three times as long as bounded ones or more go to the replica furthest behind, then to others too far behind as well, then to the primary. spare, which did that by the least id and only made it half as likely, is gone.

--- a/rules/cold.go
+++ b/rules/cold.go
@@ -16,15 +16,6 @@
 	s.coldSince, s.budgetAt, s.budget, s.phase = since, r.now, 0, r.random()
 }
 
-func (r *Router) warmth(s *store) float64 {
-	if s.coldSince == 0 || r.set.ColdFor <= 0 || r.now >= s.coldSince+r.set.ColdFor {
-		s.coldSince = 0
-		return 1
-	}
-	f := max(r.set.ColdFrom, 0.05)
-	return f + (1-f)*float64(r.now-s.coldSince)/float64(r.set.ColdFor)
-}
-
 // coldRoom keeps a front inside its share of what a cold store may be sent.
 func (r *Router) coldRoom(s *store, class int) bool {
 	w := r.warmth(s)
--- a/rules/health.go
+++ b/rules/health.go
@@ -49,6 +49,7 @@
 	if o.HasPosition && !(q.c.Need == NeedWrite && o.Result == OK) {
 		r.proved(s, o.Position)
 	}
+	r.untold = r.untold || o.Result == OK && q.c.Need < NeedFresh && !o.HasPosition
 	switch o.Role {
 	case RolePrimary:
 		r.claim(s, r.now-r.set.Tick)
--- a/rules/primary.go
+++ b/rules/primary.go
@@ -74,9 +74,6 @@
 			asOf = rep.Position // exact as of the report
 		}
 	}
-	if s.role == RoleReplica && s.posAt == r.now && r.now-s.pos >= staleLag {
-		r.lagAt = r.now
-	}
 	if rep.Busy > 0 {
 		s.busy, s.busyAt = rep.Busy, r.now
 	}
--- a/rules/reads.go
+++ b/rules/reads.go
@@ -9,14 +9,13 @@
 // Other reads: to replicas by turns, as fresh as their class needs.
 
 const (
-	posSlack    = 2 * ms           // positions and ages are rounded on their way here
-	staleLag    = 500 * ms         // a replica this far behind is of no use to most reads
-	lagMemory   = 30 * time.Second // after that, reads for any member are kept to one replica
-	spareFresh  = 2.0              // cost of a replica that is not for this kind of read
-	positionOld = 2 * time.Second  // a position older than this is asked for before a replica is left out again
-	holdShare   = 0.25             // of the aim: how long a read waits before the primary may take it
-	awayCost    = 0.5              // of one request, for each replica that a front of a large fleet prefers
-	farCost     = 0.3              // of one request: crossing zones costs a little time and money
+	posSlack  = 2 * ms // positions and ages are rounded on their way here
+	proofAt   = 0.5    // of a bound: a position this old is asked for anew, in time for the next reads
+	proofGap  = 0.125  // of a bound: least time between two such questions
+	longRead  = 3      // times the time of a bounded read: one that long is kept apart from those
+	holdShare = 0.25   // of the aim: how long a read waits before the primary may take it
+	awayCost  = 0.5    // of one request, for each replica that a front of a large fleet prefers
+	farCost   = 0.3    // of one request: crossing zones costs a little time and money
 )
 
 // replicaFor gives a read to the replica whose turn it is: of those fresh enough and healthy the one
@@ -28,13 +27,18 @@
 	q.stale = false
 	soon, holdFor := false, time.Duration(holdShare*float64(q.c.Aim)) // soon: a replica is about to qualify
 	cost, turns := math.Inf(1), 0.0
-	spare, members, at, away := r.spare(g), g.members, g.cursor, 0.0
+	members, at, away := g.members, g.cursor, 0.0
 	if r.large {
 		members, at, away = r.replicas(g), 0, awayCost
 	}
+	apart, last := r.apart(q), g.furthest()
 	for i := range members {
 		s := members[(at+i)%len(members)]
-		if s == g.primary || s.Weight == NoReads || !r.usable(q, s) {
+		if s == g.primary {
+			continue
+		}
+		r.keepProof(q.c, s)
+		if s.Weight == NoReads || !r.usable(q, s) || apart > 0 && s != last && r.now-s.pos < apart {
 			continue
 		}
 		if !r.fresh(q, s) {
@@ -58,19 +62,18 @@
 			}
 			continue
 		}
-		share := 1.0
-		if spare != nil && (s == spare) != (q.c.Need == NeedAny) {
-			share /= spareFresh
-		}
-		c := r.cost(s) / share
+		c := r.cost(s)
 		if s.coldSince == 0 { // what cold ones may be sent is to come from all fronts
 			c += away * float64(i)
 		}
 		if g.weighed { // smooth turns; a store that is cold or jammed has fewer
-			w := float64(max(s.Weight, 1)) * share * r.warmth(s) / max(r.slowness(s)/jamRatio, 1)
+			w := float64(max(s.Weight, 1)) * r.warmth(s) / max(r.slowness(s)/jamRatio, 1)
 			s.credit, turns = s.credit+w, turns+w
 			c = -s.credit
 		}
+		if apart > 0 {
+			c = s.pos.Seconds()
+		}
 		if c < cost {
 			best, cost = s, c
 		}
@@ -91,18 +94,32 @@
 	return best
 }
 
-// spare is the replica that takes the reads any member may answer, the same at all fronts of a small fleet,
-// while replicas fall behind: no front knows where the long reads of others keep one from applying.
-func (r *Router) spare(g *group) (first *store) {
-	if r.lagAt == 0 || r.now > r.lagAt+lagMemory || r.large {
-		return nil
+// proves tells whether replicas are asked for positions ahead of bounded reads, so that none is turned away:
+// where answers tell none, and all fronts ask one replica no more often than a small fleet pings a primary.
+func (r *Router) proves(c *Class) bool {
+	return c.Need == NeedBounded && r.untold && r.set.MayProbe &&
+		float64(r.set.Balancers)*float64(pingEvery) <= smallFleet*proofGap*float64(c.Bound)
+}
+
+func (r *Router) keepProof(c *Class, s *store) {
+	old, gap := time.Duration(proofAt*float64(c.Bound)), time.Duration(proofGap*float64(c.Bound))
+	if r.proves(c) && s.State == Ready && !s.lost && r.now >= max(s.pos+old, s.askedAt+gap) {
+		s.askedAt = r.now
+		r.probe(s, "position")
 	}
-	for _, s := range g.members {
-		if s != g.primary && s.State == Ready && (first == nil || s.Store < first.Store) {
-			first = s
+}
+
+// apart is the lag from which on a replica is of no use to bounded reads, where this one may keep its replica
+// from applying the log for long. It goes to the replica furthest behind, which all fronts see alike, or one
+// behind by that, else to the primary, which applies nothing: spread out, such reads leave no replica fresh.
+func (r *Router) apart(q *request) time.Duration {
+	for i := range r.set.Classes {
+		c := &r.set.Classes[i]
+		if q.c.Need == NeedAny && r.proves(c) && r.base[q.class].time > longRead*r.base[i].time {
+			return c.Bound
 		}
 	}
-	return first
+	return 0
 }
 
 // usable tells whether a store may take the read but for its freshness.
@@ -134,19 +151,8 @@
 	if need <= 0 || s.pos >= need+posSlack {
 		return true
 	}
-	return r.set.Behind != BehindAnswers && (s.posAt == 0 && s.coldSince == 0 || r.behind(q, s) <= 0)
-}
-
-func (r *Router) needs(q *request) time.Duration {
-	if c := q.c; c.Need == NeedBounded {
-		return r.now - c.Bound
-	}
-	return q.needPos
-}
-
-// behind is how much a replica lacks for a read if it has kept the lag it last showed.
-func (r *Router) behind(q *request, s *store) time.Duration {
-	return r.needs(q) + posSlack - s.pos - (r.now - s.posAt)
+	return r.set.Behind != BehindAnswers &&
+		(s.posAt == 0 && s.coldSince == 0 || !r.proves(q.c) && r.behind(q, s) <= 0)
 }
 
 func (r *Router) cost(s *store) float64 {
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -56,12 +56,11 @@
 	if q.live > 0 && (!r.set.SecondCopies || q.c.Effect != Safe) || r.spent(q) {
 		return false
 	}
-	var s *store
+	choose := r.replicaFor
 	if q.c.Need == NeedWrite || q.c.Need == NeedFresh {
-		s = r.primaryFor(q)
-	} else {
-		s = r.replicaFor(q)
+		choose = r.primaryFor
 	}
+	s := choose(q)
 	if s != nil {
 		r.send(q, s)
 	}
--- a/rules/state.go
+++ b/rules/state.go
@@ -192,8 +192,8 @@
 	reqs    map[uint32]*request
 	mean    []time.Duration // per class: mean answer time
 	base    []base
-	least   float64       // least window of a store
-	lagAt   time.Duration // a replica last showed itself far behind
+	least   float64 // least window of a store
+	untold  bool    // answers to reads do not tell positions
 	pingGap time.Duration
 	askSpan time.Duration // over which the fronts of a large fleet spread their calls of the list service
 	forAll  bool          // this front repeats rounds for the whole fleet
@@ -510,6 +510,29 @@
 // ForAll has this front repeat rounds for all fronts, also of groups that it holds no work for, or leaves that to others.
 func (r *Router) ForAll(on bool) { r.forAll = on }
 
+// needs is the position that a read must see.
+func (r *Router) needs(q *request) time.Duration {
+	if c := q.c; c.Need == NeedBounded {
+		return r.now - c.Bound
+	}
+	return q.needPos
+}
+
+// behind is how much a replica lacks for a read if it has kept the lag it last showed.
+func (r *Router) behind(q *request, s *store) time.Duration {
+	return r.needs(q) + posSlack - s.pos - (r.now - s.posAt)
+}
+
+// furthest is the replica furthest behind, as far as this front knows.
+func (g *group) furthest() (last *store) {
+	for _, s := range g.members {
+		if s != g.primary && s.State == Ready && !s.lost && (last == nil || s.pos < last.pos) {
+			last = s
+		}
+	}
+	return last
+}
+
 // weigh finds out whether the members of a group differ in weight: where they do not, the least busy one is next.
 func (g *group) weigh() {
 	g.weighed = slices.ContainsFunc(g.members, func(s *store) bool { return max(s.Weight, 1) != max(g.members[0].Weight, 1) })
@@ -555,6 +578,16 @@
 	return 1 + (s.slow-1)*math.Exp2(-float64(r.now-s.slowAt)/float64(slowForgets))
 }
 
+// warmth is the share of its capacity that a store has at the least, by the time since its start.
+func (r *Router) warmth(s *store) float64 {
+	if s.coldSince == 0 || r.set.ColdFor <= 0 || r.now >= s.coldSince+r.set.ColdFor {
+		s.coldSince = 0
+		return 1
+	}
+	f := max(r.set.ColdFrom, 0.05)
+	return f + (1-f)*float64(r.now-s.coldSince)/float64(r.set.ColdFor)
+}
+
 // spend takes an attempt off a cold store's budget, or counts it to the work of warm ones.
 func (r *Router) spend(s *store, class int) {
 	if work := float64(r.mean[class]); s.coldSince > 0 {
--- a/rules/writes.go
+++ b/rules/writes.go
@@ -93,7 +93,8 @@
 	if r.set.MayProbe && !r.large && (soon || stale && r.now >= g.refreshAt) {
 		g.refreshAt = r.now + roundSeen // replicas far behind are asked as seldom as rounds are held
 		for _, s := range g.members {
-			if s != g.primary && s.listed && !s.lost && s.State == Ready && !s.inRound {
+			if s != g.primary && !s.lost && s.State == Ready && !s.inRound && r.now >= s.askedAt+refreshGap {
+				s.askedAt = r.now
 				r.probe(s, "refresh")
 			}
 		}
