Read sites, calendars and purges from deploy/fleet.json, checked with file, line and key

The operators' file proposes a plan (revision, bounds, calendars, sites) and orders by hand, and says which classes' answers this pooler may keep and in how many bytes. Off as shipped: no site. A purge's guard is one rule now: it counts from a guard before its instant on, which leaves nothing to give until a guard and the replicas' lag behind it; a rule of its own for that time was found idle by taking it out.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/mod/semver"
+
+	"threadsail/internal/fleet/calendar"
 )
 
 // FleetFile is where the file of the poolers' own fleet lies unless PROXY_FLEET names another.
@@ -47,6 +49,7 @@
 	Journal         JournalPart
 	Bound           time.Duration // as duty.Lists.Bound
 	Verdicts        VerdictsPart
+	Purges          PurgesPart
 	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
 }
 
@@ -104,6 +107,9 @@
 		return nil, err
 	}
 	f, offset, err := parseFleet(text, cfg.Name)
+	if err == nil && f != nil && f.Purges.Site != "" && f.Purges.Answers > cfg.MemoryBytes/answersShare {
+		offset, err = placeOf(text, []string{"purges", "answers_mb"}), fmt.Errorf("purges.answers_mb: more than an eighth of limits.memory_mb")
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s:%d: %w", path, 1+bytes.Count(text[:min(max(offset, 0), int64(len(text)))], []byte("\n")), err)
 	}
@@ -125,6 +131,9 @@
 		StragglerMs       float64 `json:"straggler_ms"`
 		LeastBuild        string  `json:"least_build"`
 		Verdicts          verdictsFile
+		Purges            purgesFile
+		Calendars         map[string]calendar.Calendar
+		Sites             map[string]calendar.Site
 		Journal           struct {
 			File  string
 			MaxMB float64 `json:"max_mb"`
@@ -156,6 +165,10 @@
 	if f.Verdicts, key, err = file.Verdicts.part(); err != nil {
 		return nil, within(text, "verdicts", key), err
 	}
+	var path []string
+	if f.Purges, path, err = file.Purges.part(calendar.Book{Calendars: file.Calendars, Sites: file.Sites}, f.Journal.File); err != nil {
+		return nil, placeOf(text, path), err
+	}
 	for _, check := range []struct {
 		key string
 		err error
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -13,6 +13,12 @@
 func TestFleet(t *testing.T) {
 	const peers = `"enabled": true, "listen": "127.0.0.1:7946", "peers": [{"name": "n2", "addr": "127.0.0.2:7946"}]`
 	const stewards = `"stewards": [{"name": "n1", "addr": "127.0.0.1:7950"}]`
+	const purges = `"journal": {"file": "j"}, "purges": {"site": "b", "revision": 3, "classes": ["any"],
+"clock_ms": 100, "answers_mb": 1,
+"orders": [{"name": "stock-1", "issued": "2026-12-02T10:00:00Z", "cluster": 2}]}, "calendars": {"c": {"close": {
+"monday": "20:00", "friday": "25:30"}, "holidays": [{"name": "Easter Monday", "easter": 1},
+{"name": "St Stephen", "month": 8, "day": 20}], "exceptions": [{"from": "2026-12-19", "to": "2027-01-03"}]}},
+"sites": {"b": {"zone": "Europe/Budapest", "calendar": "c"}}`
 	for _, c := range []struct{ text, want string }{
 		{`{` + peers + `, ` + stewards + `}`, ""},
 		{"{\n" + peers + ",\n" + stewards + ",\n\"term_msec\": 3}", `unknown field "term_msec"`},
@@ -34,6 +40,17 @@
 		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"share\": 1}}", ":2: verdicts.share"},
 		{"{" + peers + ", " + stewards + ",\n\"term_ms\": 3000, \"verdicts\": {\n\"term_ms\": 10}}", ":3: verdicts.term_ms"},
 		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"on\": true}}", `unknown field "on"`},
+		{"{" + peers + ", " + stewards + ",\n" + purges + "}", ""},
+		{"{" + peers + ", " + stewards + ",\n\"purges\": {\"site\": \"b\"}}", ":2: purges.site: it needs journal.file"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"site": "b"`, `"site": "x"`, 1) + "}", `:2: purges.site: "x"`},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"clock_ms": 100`, `"clock_ms": 1`, 1) + "}", ":3: purges.clock_ms"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"answers_mb": 1`, `"answers_mb": 33`, 1) + "}", ":3: purges.answers_mb: more than an eighth"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `stock-1`, `stock 1`, 1) + "}", ":4: purges.orders[0].name"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `20:00`, `8pm`, 1) + "}", ":5: calendars.c.close.monday"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"day": 20`, `"day": 32`, 1) + "}", ":6: calendars.c.holidays.1.day"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `Europe/Budapest`, `Europe/Buda`, 1) + "}", ":7: sites.b.zone"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"calendar": "c"`, `"calendar": "d"`, 1) + "}", ":7: sites.b.calendar"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"day"`, `"date"`, 1) + "}", `unknown field "date"`},
 		{"{\n\n\"enabled\": tru", ":3: "},
 		{`{} {}`, "text follows"},
 	} {
@@ -41,7 +58,7 @@
 		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		_, err := LoadFleet(func(string) string { return path }, &Config{Name: "n1"})
+		_, err := LoadFleet(func(string) string { return path }, &Config{Name: "n1", MemoryBytes: 256 << 20})
 		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || !strings.HasPrefix(err.Error(), path)) {
 			t.Errorf("%s: %v, want %q", c.text, err, c.want)
 		}
@@ -49,7 +66,8 @@
 	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1")
 	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
 		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second,
-		Verdicts: VerdictsPart{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second}}
+		Verdicts: VerdictsPart{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second},
+		Purges:   PurgesPart{Answers: 4 << 20, Guard: 500 * time.Millisecond, Confirm: 10 * time.Second, Settle: time.Second}}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
 		t.Error(d, err)
 	}
--- a/internal/fleet/purge/edge.go
+++ b/internal/fleet/purge/edge.go
@@ -118,20 +118,20 @@
 
 // The reasons.
 const (
-	May       Reason = iota // it may
-	NoPlan                  // no plan is in force here, or the plan's time is over
-	Unheard                 // the copy of the documents was not confirmed for too long
-	OffClock                // the clock disagrees with most others, or was not compared with enough
-	NearPurge               // within a guard of a purge
-	Reasons                 // how many there are
+	May      Reason = iota // it may
+	NoPlan                 // no plan is in force here, or the plan's time is over
+	Unheard                // the copy of the documents was not confirmed for too long
+	OffClock               // the clock disagrees with most others, or was not compared with enough
+	Reasons                // how many there are
 )
 
 func (r Reason) String() string {
-	return [...]string{"may", "no plan", "unheard", "clock", "near a purge"}[r]
+	return [...]string{"may", "no plan", "unheard", "clock"}[r]
 }
 
 // Current tells whether a cached answer for a cluster may be given now, and since when by this clock it must have been asked for.
-// All purges that are due are noted first, so that an edge that was stalled or cut off has caught up before its answer.
+// All purges that are due are noted first, so that an edge that was stalled or cut off has caught up before its answer. From a
+// guard before a purge until a guard and Settle behind it, nothing can have been asked for late enough: what comes goes to servers.
 func (e *Edge) Current(cluster int) (since int64, why Reason) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -146,11 +146,7 @@
 		return 0, Unheard
 	}
 	e.fire(now)
-	last, near := e.last(now, cluster)
-	if near {
-		return 0, NearPurge
-	}
-	e.floor[cluster] = max(e.floor[cluster], last)
+	e.floor[cluster] = max(e.floor[cluster], e.last(now, cluster))
 	return e.floor[cluster] + int64(e.table.bounds.Guard+e.table.bounds.Settle), May
 }
 
@@ -184,20 +180,15 @@
 	return at.IsZero() || time.Since(at) > e.table.bounds.Confirm || e.view.Version() > e.version
 }
 
-// last is the instant of the last purge of a cluster that has come; near: now is within a guard of one.
-func (e *Edge) last(now int64, cluster int) (at int64, near bool) {
+// last is the instant of the last purge of a cluster that may have come by now: by a clock that is ahead by a guard it has.
+func (e *Edge) last(now int64, cluster int) int64 {
 	e.look(now)
-	guard := int64(e.table.bounds.Guard)
 	for _, ev := range slices.Backward(e.events) {
-		switch {
-		case ev.Cluster != All && ev.Cluster != cluster || ev.At > now+guard:
-		case ev.At >= now-guard:
-			return 0, true
-		default:
-			return ev.At, false
+		if ev.At <= now+int64(e.table.bounds.Guard) && (ev.Cluster == All || ev.Cluster == cluster) {
+			return ev.At
 		}
 	}
-	return 0, false
+	return 0
 }
 
 // look has the events at hand around now.
--- a/internal/fleet/purge/edge_test.go
+++ b/internal/fleet/purge/edge_test.go
@@ -100,14 +100,16 @@
 		l := newLone(t, closing(1, 10), History{})
 		at := time.Date(2000, 1, 1, 0, 10, 0, 0, time.UTC)
 		sleepTo := func(d time.Duration) { time.Sleep(time.Until(at.Add(d))); l.compare() }
+		given := func() bool { since, why := l.Current(0); return why == May && l.wall() > since }
 		sleepTo(-bounds.Guard - time.Millisecond)
-		l.want(t, "just before the guard", 0, May)
-		sleepTo(-bounds.Guard)
-		l.want(t, "a guard before", 0, NearPurge)
-		sleepTo(bounds.Guard)
-		l.want(t, "a guard behind", 0, NearPurge)
-		sleepTo(bounds.Guard + time.Millisecond)
-		l.want(t, "behind the guard", 0, May)
+		if !given() {
+			t.Error("nothing is given a guard before")
+		}
+		for _, d := range []time.Duration{-bounds.Guard, 0, bounds.Guard, bounds.Guard + bounds.Settle - time.Millisecond} {
+			if sleepTo(d); given() {
+				t.Errorf("given %v behind the instant", d)
+			}
+		}
 		if _, ok := l.Fill(0, 0); ok {
 			t.Error("kept while replicas may answer from before")
 		}
