Watch pushed lists from the first moment, and leave a drain's grace what sends take

Ruled out: resting and held connections (StillFits is asked before each late write, reads stop at the news) and slow reading (no list was read at all).

Change: in push the program keeps the watch by itself (internal/program/push.go): asked once before the front listens, so that a new process knows what counts as told to it, opened again 5 to 80 ms after it breaks, moved at SIGHUP though the new agent is not up yet. What a watch tells first may have counted since the last word before it, so its drains get that much less of the grace. routing.Core measures each send from its choice to its last byte and tells the module the longest of the last 5 to 10 s (SendTakes), and how late a list was heard. In a fleet with leases the own agent goes before lists handed on. The MySQL front asks as the settings say, not always.

The new tests, on both wires, fail without the change.

--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -20,7 +20,8 @@
 	Recovery string  `json:"recovery,omitempty"` // "off": a primary
 }
 
-// Discovery is the list service. It keeps one list and tells its watches of changes.
+// Discovery is the list service, or the agent on a pooler's machine to which lists are pushed. It keeps one list and tells
+// its watches of changes.
 type Discovery struct {
 	*httptest.Server
 	mu       sync.Mutex
@@ -30,6 +31,8 @@
 	watches  int
 	since    string
 	out      bool
+	hush     bool
+	turned   int
 	open     map[int]time.Time // watches that are open, by number, with their beginnings
 }
 
@@ -59,6 +62,22 @@
 	d.changed = make(chan struct{})
 }
 
+// Hush has it say nothing to the watches that are open and those that come, or speak again.
+func (d *Discovery) Hush(hush bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hush = hush
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// TurnedAway tells how many calls were answered 503.
+func (d *Discovery) TurnedAway() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.turned
+}
+
 // Watches tells how many watches have been opened.
 func (d *Discovery) Watches() int {
 	d.mu.Lock()
@@ -92,6 +111,7 @@
 	}
 	d.mu.Lock()
 	if d.out {
+		d.turned++
 		d.mu.Unlock()
 		http.Error(w, "out", http.StatusServiceUnavailable)
 		return
@@ -109,11 +129,19 @@
 	for {
 		d.mu.Lock()
 		line, _ := json.Marshal(map[string]any{"revision": d.revision, "complete": true, "members": d.entries})
-		changed, out := d.changed, d.out
+		changed, out, hush := d.changed, d.out, d.hush
 		d.mu.Unlock()
 		if out {
 			return
 		}
+		if hush {
+			select {
+			case <-changed:
+			case <-r.Context().Done():
+				return
+			}
+			continue
+		}
 		fmt.Fprintf(w, "%s\n", line)
 		w.(http.Flusher).Flush()
 		for waiting := true; waiting; {
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -94,6 +94,9 @@
 		return nil, err
 	}
 	d.fleet, w.duty = fleet, d
+	if w.pushed { // else the module asks
+		w.loop.After(0, d.want)
+	}
 	core.OnPrimary(d.primary)
 	d.note(audit.Record{Act: audit.Started})
 	w.loop.After(0, func() { d.bar(fc.LeastBuild) })
@@ -230,7 +233,7 @@
 	do, ok := d.lists.Took(now, w)
 	if ok {
 		d.list, d.watcher.since = list, 0
-		d.watcher.list(rules.ListFull, members(list, d.watcher.zones))
+		d.watcher.list(rules.ListFull, members(list, d.watcher.zones), now)
 		d.log.Info().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Int64("at_ns", int64(now)).
 			Uint64("revision", list.Revision).Int("servers", len(list.Members)).Msg("list: taken from the fleet")
 		d.note(audit.Record{Act: audit.ListTaken, Token: w.Token, Seq: w.Seq})
@@ -243,7 +246,7 @@
 // carry carries out what was decided.
 func (d *listDuty) carry(do duty.Do) {
 	now := d.loop.Now()
-	if do.Close {
+	if do.Close && !d.watcher.pushed {
 		d.watcher.shut()
 		d.log.Info().Msg("list service: left to the holder")
 	}
@@ -273,7 +276,9 @@
 			})
 		}
 	}
-	if do.Fetch.Seq > 0 {
+	if do.Fetch.Seq > 0 && d.watcher.pushed { // the own agent has whatever counts as told here: nobody's list goes before it
+		d.loop.Post(func() { d.carry(d.lists.Own(d.loop.Now())) })
+	} else if do.Fetch.Seq > 0 {
 		d.fleet.Fetch(do.Fetch)
 		d.late = d.loop.After(d.lists.Term/2, func() { d.carry(d.lists.FetchFailed(d.loop.Now())) })
 	}
--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -60,13 +60,21 @@
 // begin gives the core its first list.
 func (s *source) begin(cfg *config.Config, core *routing.Core) error {
 	if s.watcher != nil {
-		s.watcher.list = core.List
+		w := s.watcher
+		w.list = core.ListTold
+		if w.pushed && w.first(cfg.Settings.DrainGrace, core.ListTold) {
+			w.open()
+			return nil
+		}
 		var known []routing.Member
 		if s.watcher.addr == cfg.Discovery { // another service's servers are not those that the configuration knows
 			known = members(cfg.Known, s.watcher.zones)
 			s.watcher.since = cfg.Known.Revision
 		}
 		core.List(rules.ListCached, known)
+		if w.pushed {
+			w.open()
+		}
 		return nil
 	}
 	return s.keeper.begin(cfg.Lists, core)
@@ -85,6 +93,7 @@
 	switch {
 	case s.watcher != nil && src.File == "":
 		s.watcher.move(src.Discovery)
+		s.watcher.push(!cfg.Settings.Asks)
 	case s.keeper != nil && src.File != "":
 		s.keeper.retune(cfg.Lists, src.File)
 	default:
@@ -105,7 +114,8 @@
 func newSource(cfg *config.Config, src config.ListSource, w wire, table *routes.Table, loop *routing.Loop, budget *transport.Budget,
 	log zerolog.Logger) *source {
 	if src.File == "" {
-		return &source{watcher: &watcher{loop: loop, budget: budget, addr: src.Discovery, log: said(log), zones: zones(cfg)}}
+		return &source{watcher: &watcher{loop: loop, budget: budget, addr: src.Discovery, log: said(log), zones: zones(cfg),
+			pushed: !cfg.Settings.Asks}}
 	}
 	return &source{keeper: &keeper{wire: w, path: src.File, rooms: cfg.Zones, zones: zones(cfg), routes: table, log: log, loop: loop, counts: admin.List{Front: w.name},
 		orders: make(chan func(), 16), quit: make(chan struct{}), ended: make(chan struct{})}}
--- /dev/null
+++ b/internal/program/push.go
@@ -0,0 +1,92 @@
+package program
+
+import (
+	"net"
+	"time"
+
+	"threadsail/internal/protocol/discovery"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+// Lists that are pushed come from an agent on the pooler's own machine, which answers at once and at no cost, and what it
+// has counts as told to the pooler whether or not a watch is open. So the watch does not wait until the module asks, is
+// opened again at once, and a process asks before it takes its first client.
+
+const (
+	// An agent that refuses or breaks off is called again after callFirst, ever later up to callMost: a drain's grace may
+	// be a quarter of a second, and a call on the own machine costs some 0.1 ms.
+	callFirst = 5 * time.Millisecond
+	callMost  = 80 * time.Millisecond
+	// startMost bounds how long a start waits for the agent, which is silent while discovery is down.
+	startMost = 500 * time.Millisecond
+)
+
+// told is since when what comes now may count as told. On a watch that has told a list that is when it came; what an agent
+// tells first it may have had since the last word before.
+func (w *watcher) told(at time.Duration) time.Duration {
+	if w.pushed && !w.fresh {
+		return w.heard
+	}
+	return at
+}
+
+// ended notes that a watch that has told all there was until now is over.
+func (w *watcher) ended() {
+	if w.fresh {
+		w.heard = w.loop.Now()
+	}
+}
+
+// callAgain opens the watch on an agent again.
+func (w *watcher) callAgain() {
+	w.wait = min(max(2*w.wait, callFirst), callMost)
+	w.again = w.loop.After(w.wait, w.open)
+}
+
+// push has the watcher keep to an agent from now on, or leave the calls to the module.
+func (w *watcher) push(on bool) {
+	if w.pushed = on; on {
+		w.open()
+	}
+}
+
+// first asks an agent for the list before the pooler serves, within a bound. What drains already has done so for longer
+// than anybody here knows.
+func (w *watcher) first(within time.Duration, list func(rules.ListKind, []routing.Member, time.Duration)) bool {
+	l, err := fetchList(w.addr, min(within, startMost))
+	if err != nil {
+		w.log("discovery: serving before the first list: " + err.Error())
+		return false
+	}
+	w.since = l.Revision
+	list(rules.ListFull, members(l, w.zones), 0)
+	return true
+}
+
+// fetchList asks a list service for the whole list and waits for it.
+func fetchList(addr string, within time.Duration) (discovery.List, error) {
+	until := time.Now().Add(within)
+	c, err := net.DialTimeout("tcp", addr, within)
+	if err != nil {
+		return discovery.List{}, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(until)
+	if _, err := c.Write(discovery.WatchRequest(addr, 0)); err != nil {
+		return discovery.List{}, err
+	}
+	var stream discovery.Stream
+	for b := make([]byte, 16<<10); ; {
+		n, err := c.Read(b)
+		lists, bad := stream.Feed(b[:n])
+		switch {
+		case len(lists) > 0:
+			return lists[0], nil
+		case bad != nil:
+			return discovery.List{}, bad
+		case err != nil:
+			return discovery.List{}, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/push_test.go
@@ -0,0 +1,174 @@
+package program_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"threadsail/internal/lab/standin"
+)
+
+// agent is the list that is pushed to a pooler's machine.
+type agent struct {
+	*standin.Discovery
+	fleet *standin.Fleet
+	phase map[string]string
+}
+
+func (a *agent) entries() []standin.Entry {
+	var out []standin.Entry
+	for _, s := range a.fleet.Servers {
+		phase := a.phase[s.Name]
+		if phase == "" {
+			phase = "Ready"
+		}
+		out = append(out, standin.Entry{ID: s.Name, HostPort: s.Addr, Locality: "a", Phase: phase})
+	}
+	return out
+}
+
+func (a *agent) drain(s *standin.Server) {
+	a.phase[s.Name] = "Terminating"
+	a.Change(a.entries())
+}
+
+// name has the configuration name the agent.
+func (a *agent) name() {
+	addr := strings.TrimPrefix(a.URL, "http://")
+	if a.fleet.Wire() == "mysql" {
+		a.fleet.Lists(map[string]any{"enabled": true, "mysql": map[string]any{"discovery": addr}})
+	} else {
+		a.fleet.Configure("discovery", addr)
+	}
+}
+
+func newAgent(t *testing.T, f *standin.Fleet) *agent {
+	a := &agent{fleet: f, phase: map[string]string{}}
+	a.Discovery = standin.NewDiscovery(a.entries())
+	t.Cleanup(a.Close)
+	t.Cleanup(a.CloseClientConnections)
+	return a
+}
+
+// overPushed runs a test on fronts of both wires to whose machine lists are pushed.
+func overPushed(t *testing.T, names []string, test func(t *testing.T, f *standin.Fleet, a *agent)) {
+	for _, wire := range []string{"postgres", "mysql"} {
+		t.Run(wire, func(t *testing.T) {
+			t.Parallel()
+			f := standin.NewFleet(t, wire == "mysql", func(s map[string]any) { s["discovery"] = "push" }, names...)
+			a := newAgent(t, f)
+			a.name()
+			test(t, f, a)
+		})
+	}
+}
+
+// readUntil reads until a condition holds.
+func readUntil(t *testing.T, c standin.Client, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(20 * time.Second); !ok(); {
+		if time.Now().After(until) {
+			t.Fatal(what)
+		}
+		served(t, c.Do(standin.Read("any", patience)))
+	}
+}
+
+// spared fails if one of a number of reads, enough for many turns, comes to a server.
+func spared(t *testing.T, c standin.Client, s *standin.Server) {
+	t.Helper()
+	had := len(s.Seen())
+	for range 40 {
+		served(t, c.Do(standin.Read("any", patience)))
+	}
+	if n := len(s.Seen()) - had; n > 0 {
+		t.Errorf("%d of 40 reads came to the server that drains", n)
+	}
+}
+
+// What the agent has counts as told from a process's first moment, whatever list that process was started with: no read
+// and no write goes to what drains already.
+func TestPushedListHoldsFromTheStart(t *testing.T) {
+	overPushed(t, []string{"p", "r1", "r2"}, func(t *testing.T, f *standin.Fleet, a *agent) {
+		a.drain(f.Servers[0])
+		a.drain(f.Servers[1])
+		c := dial(t, pooler(t, f))
+		if r := c.Do(standin.Write("k", patience)); r.Served() {
+			t.Errorf("a write was served: %+v", r)
+		}
+		spared(t, c, f.Servers[1])
+		if n := len(f.Servers[0].Seen()); n > 0 {
+			t.Errorf("%d statements came to a primary that drained before the start", n)
+		}
+	})
+}
+
+// While the agent is away the pooler serves from what it knows. What has changed meanwhile holds, without a grace, as soon
+// as the agent answers again, and later changes do too.
+func TestPushedListComesBack(t *testing.T) {
+	overPushed(t, []string{"p", "r1", "r2", "r3"}, func(t *testing.T, f *standin.Fleet, a *agent) {
+		c := dial(t, pooler(t, f))
+		a.Out(true)
+		readUntil(t, c, "the pooler does not call the agent again", func() bool { return a.TurnedAway() > 1 })
+		a.drain(f.Servers[1])
+		watches := a.Watches()
+		a.Out(false)
+		readUntil(t, c, "the watch is not opened again", func() bool { return a.Watches() > watches })
+		readUntil(t, c, "the change is not heard", func() bool { return quiet(c, f.Servers[1]) })
+		a.drain(f.Servers[2])
+		readUntil(t, c, "a later change is not heard", func() bool { return quiet(c, f.Servers[2]) })
+	})
+}
+
+// quiet tells whether a number of reads all go elsewhere.
+func quiet(c standin.Client, s *standin.Server) bool {
+	had := len(s.Seen())
+	for range 20 {
+		c.Do(standin.Read("any", patience))
+	}
+	return len(s.Seen()) == had
+}
+
+// A configuration that moves the lists to another agent holds, though that one can't be reached at first.
+func TestPushedListMoves(t *testing.T) {
+	overPushed(t, []string{"p", "r1", "r2"}, func(t *testing.T, f *standin.Fleet, a *agent) {
+		c := dial(t, pooler(t, f))
+		next := newAgent(t, f)
+		next.Out(true)
+		next.drain(f.Servers[1])
+		next.name()
+		f.Hup <- struct{}{}
+		readUntil(t, c, "the new agent is never called", func() bool { return next.TurnedAway() > 1 })
+		next.Out(false)
+		readUntil(t, c, "the new agent is not heard", func() bool { return quiet(c, f.Servers[1]) })
+	})
+}
+
+// An agent that is silent holds no start up for long: the pooler serves the servers that it was started with.
+func TestStartWithASilentAgent(t *testing.T) {
+	f := standin.NewFleet(t, false, func(s map[string]any) { s["discovery"] = "push" }, "p", "r")
+	a := newAgent(t, f)
+	a.Hush(true)
+	a.name()
+	c := dial(t, pooler(t, f))
+	served(t, c.Do(standin.Write("k", patience)))
+	a.drain(f.Servers[1])
+	a.Hush(false)
+	readUntil(t, c, "the agent is not heard", func() bool { return quiet(c, f.Servers[1]) })
+}
+
+// Lists may turn from asked to pushed under way.
+func TestAskedListTurnsPushed(t *testing.T) {
+	f := standin.NewFleet(t, false, nil, "p", "r1", "r2")
+	a := pooler(t, f)
+	c := dial(t, a)
+	settings := standin.Settings()
+	settings["discovery"] = "push"
+	f.Reload("settings", settings)
+	shows(t, a, "edge_proxy_config_reloads 1")
+	f.Discovery.Out(true)
+	readUntil(t, c, "the agent is not called", func() bool { return f.Discovery.TurnedAway() > 2 })
+	f.Drain(f.Servers[1])
+	f.Discovery.Out(false)
+	readUntil(t, c, "the agent is not heard", func() bool { return quiet(c, f.Servers[1]) })
+}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -342,7 +342,7 @@
 
 // probed are the settings for servers that tell of themselves only when probed.
 func probed(set rules.Settings) rules.Settings {
-	set.Asks, set.MayProbe, set.RoleReported, set.Behind = true, true, true, rules.BehindAnswers
+	set.MayProbe, set.RoleReported, set.Behind = true, true, rules.BehindAnswers
 	return set
 }
 
--- a/internal/program/watch.go
+++ b/internal/program/watch.go
@@ -27,8 +27,14 @@
 	addr   string
 	zones  map[string]int
 	log    func(string)
-	list   func(rules.ListKind, []routing.Member)
+	list   func(kind rules.ListKind, members []routing.Member, told time.Duration)
 	since  uint64
+	pushed bool // the service is an agent on this machine, which is never left: see push.go
+	again  *routing.Timer
+	wait   time.Duration // until the next call of an agent, after another that fails
+	fresh  bool          // the watch under way has told a list
+	// heard is when the last word came, or when a watch ended that had told everything until then.
+	heard  time.Duration
 	stop   func() // ends the watch under way; nil: there is none
 	c      *transport.Conn
 	stream *discovery.Stream
@@ -54,7 +60,7 @@
 			w.failed(err)
 			return
 		}
-		w.c, w.stream = c, &discovery.Stream{}
+		w.c, w.stream, w.fresh = c, &discovery.Stream{}, false
 		w.stop = c.Close
 		c.SetHandler(w)
 		c.Write(discovery.WatchRequest(w.addr, w.since))
@@ -70,6 +76,7 @@
 		return
 	}
 	open := w.stop != nil || w.duty == nil // else the holder's word tells what the new one lists
+	w.ended()
 	w.shut()
 	w.addr, w.since = addr, 0
 	if open {
@@ -80,10 +87,11 @@
 // shut ends the watch under way, if any, and tells nobody.
 func (w *watcher) shut() {
 	w.silent.Stop()
+	w.again.Stop()
 	if w.stop != nil {
 		w.stop()
 	}
-	w.stop = nil
+	w.stop, w.fresh = nil, false
 }
 
 // hear waits for the next word.
@@ -92,19 +100,29 @@
 	w.silent = w.loop.After(d, func() { w.failed(errSilent) })
 }
 
-func (w *watcher) Closed(err error) { w.failed(err) }
+// Closed ends a watch that its service ended: what came before has been heard.
+func (w *watcher) Closed(err error) {
+	w.ended()
+	w.failed(err)
+}
 
 func (w *watcher) failed(err error) {
 	w.shut()
 	w.log("discovery: " + err.Error())
+	if w.pushed {
+		w.callAgain()
+		return
+	}
 	if w.duty != nil {
 		w.duty.failed()
 	}
-	w.list(rules.ListFailed, nil)
+	w.list(rules.ListFailed, nil, w.loop.Now())
 }
 
-func (w *watcher) Data(_ time.Duration, b []byte) {
+func (w *watcher) Data(at time.Duration, b []byte) {
 	w.hear(watchSilence)
+	told := w.told(at)
+	w.heard = at
 	lists, err := w.stream.Feed(b)
 	for _, l := range lists {
 		kind := rules.ListDelta
@@ -112,7 +130,8 @@
 			kind = rules.ListFull
 		}
 		w.since = l.Revision
-		w.list(kind, members(l, w.zones))
+		w.wait, w.fresh = 0, true
+		w.list(kind, members(l, w.zones), told)
 		if w.duty != nil {
 			w.duty.own(l)
 		}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -157,6 +157,7 @@
 	primary  []func(kind rules.NewsKind, group int, server string, asOf time.Duration)
 	guards   []Guard
 	met      func(server string, class int, result rules.Result, took time.Duration)
+	spare    spare
 }
 
 // New returns a core that runs on a loop.
@@ -317,8 +318,14 @@
 	}
 }
 
-// List hands a list to the module.
-func (c *Core) List(kind rules.ListKind, members []Member) {
+// List hands a list to the module that counts as told now.
+func (c *Core) List(kind rules.ListKind, members []Member) { c.ListTold(kind, members, c.loop.Now()) }
+
+// ListTold hands a list to the module that may have counted as told to this pooler since a Unix time. As much of a drain's
+// grace has gone by.
+func (c *Core) ListTold(kind rules.ListKind, members []Member, told time.Duration) {
+	c.spare.late(c.loop.Now(), told, c.opt.Settings.DrainGrace)
+	c.router.SendTakes(c.spare.most(c.loop.Now()))
 	entries := make([]rules.Member, 0, len(members))
 	named := map[uint32]bool{}
 	for _, m := range members {
@@ -424,7 +431,9 @@
 func (a *actions) core() *Core { return (*Core)(a) }
 
 func (a *actions) Attempt(id, store uint32, timeout time.Duration) {
-	a.core().do(func() { a.core().attempt(id, store, timeout) })
+	c := a.core()
+	chosen := c.loop.Now()
+	c.do(func() { c.attempt(id, store, timeout, chosen) })
 }
 
 func (a *actions) Refuse(id uint32, after time.Duration) {
@@ -497,8 +506,8 @@
 }
 
 // attempt sends a request to a server. The time-out closes the connection before the module hears of it, so that
-// no second attempt can meet the first.
-func (c *Core) attempt(id, store uint32, timeout time.Duration) {
+// no second attempt can meet the first. chosen is when the module last said that it may go there.
+func (c *Core) attempt(id, store uint32, timeout, chosen time.Duration) {
 	o := c.open[id]
 	if o == nil {
 		return
@@ -539,9 +548,14 @@
 				o.stopped()
 				return false
 			}
+			chosen = c.loop.Now()
 			return true
 		},
-		Sent: func() { o.counts.Attempts++ },
+		Sent: func() {
+			o.counts.Attempts++
+			c.spare.sent(c.loop.Now(), chosen)
+			c.router.SendTakes(c.spare.most(c.loop.Now()))
+		},
 		Done: func(r Result) { o.outcome(n, r) }})
 	k.timer = c.loop.At(at, func() {
 		k.abort()
