Have a test fail for each rule of the verdicts that is taken out

Twenty rules were taken out one by one; without these tests three of them went unnoticed: that few poolers at a time try a convicted server, that a complaint is taken back, and that a slow server does not become the measure of itself. All twenty are found now.

--- a/internal/fleet/verdict/fleet_test.go
+++ b/internal/fleet/verdict/fleet_test.go
@@ -181,7 +181,7 @@
 // is good again all use it. No other server is convicted, and the fleet is silent before and after.
 func TestBadServerIsLeftByAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const n = 12
+		const n = 24
 		var mu sync.Mutex
 		ill := false
 		r := start(t, n, 1, 400*time.Millisecond, func(i int, s string) bool {
@@ -203,7 +203,7 @@
 			t.Errorf("%d leave b while it is bad", k)
 		}
 		after := r.sent("b", fell.Add(took), time.Now())
-		if rate := float64(after) / 20; rate > 3 { // trialLeast poolers each trialEvery, and turns that overlap
+		if rate := float64(after) / 20; rate > 3 { // six poolers each trialEvery, and turns that overlap; all would make 5
 			t.Errorf("%v requests a second go to b while it is left", rate)
 		}
 		set(false)
--- a/internal/fleet/verdict/verdict_test.go
+++ b/internal/fleet/verdict/verdict_test.go
@@ -268,7 +268,14 @@
 	if l := o.line(now, "a", span); !l.complains() {
 		t.Errorf("a slow server: %+v", l)
 	}
-	for range 60 { // the measure follows the day
+	for range 60 { // and it does not become the measure
+		see("a", 0, 300*time.Millisecond, 1)
+		see("b", 0, 10*time.Millisecond, 1)
+	}
+	if l := o.line(now, "a", span); !l.complains() {
+		t.Errorf("a server that stays slow: %+v", l)
+	}
+	for range 80 { // which follows the day
 		see("a", 0, 300*time.Millisecond, 1)
 		see("b", 0, 300*time.Millisecond, 1)
 	}
@@ -318,6 +325,33 @@
 	})
 }
 
+// A pooler speaks when it complains or is asked, at its own pace, and once more to take back what it said.
+func TestSay(t *testing.T) {
+	p, now := New(testRules, "z1", nil), time.Unix(1000, 0)
+	ill := Report{Seen: 2, Ill: 1, Lines: []Line{{Server: "a", Failed: 2}, {Server: "b", Good: 1}}}
+	well := Report{Seen: 2, Lines: []Line{{Server: "a", Good: 2}, {Server: "b", Good: 1}}}
+	for i, c := range []struct {
+		after   time.Duration
+		r       Report
+		accused map[string]bool
+		lines   int // -1: says nothing
+	}{{0, well, nil, -1}, {0, ill, nil, 1}, {leastEvery / 2, ill, nil, -1}, {leastEvery, well, nil, 0}, {2 * leastEvery, well, nil, -1},
+		{0, well, map[string]bool{"b": true}, 1}, {2 * leastEvery, well, map[string]bool{"c": true}, 0}, {2 * leastEvery, well, nil, -1}} {
+		now = now.Add(c.after)
+		c.r.Lines = slices.Clone(c.r.Lines)
+		text, lines := p.say(now, c.r, c.accused, 5), -1
+		if text != nil {
+			r, err := decode(text)
+			if lines = len(r.Lines); err != nil {
+				t.Error(err)
+			}
+		}
+		if lines != c.lines {
+			t.Errorf("%d: says %s, want %d lines", i, text, c.lines)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add((&Report{Born: 1, Seq: 2, At: 3, Room: "z1", Seen: 2, Ill: 1, Lines: []Line{{Server: "a", Failed: 3, Lost: true}, {Server: "b", Good: 1}}}).encode())
 	f.Add([]byte(`{"e":1,"l":[{"s":"a"},{"s":"a"}]}`))
