Let the laboratory move closes and order purges, and judge answers by their making

Scenarios deal poolers to sites and let them keep answers (fleet.purges); steps give the operators' files a newer plan that closes some seconds ahead (closes) or an order by hand (order). Reads ask for rows, some more often than others; stand-ins answer with the time at which they made the answer. A purge that most of a site's journals note binds the site: an answer made before it to a request that began behind it is stale, and a purge noted twice by a pooler is a fault. Closes may name seconds, so that a play need not wait for the next minute.

--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -38,6 +38,14 @@
 	Relays          bool          // a relay on each link between two poolers, for faults
 	SharedAddresses bool          // as Fleet.SharedAddresses
 	LeastBuild      string        // as Fleet.LeastBuild, at all poolers
+	Purges          ScenarioPurges
+}
+
+// ScenarioPurges is how the poolers of a scenario keep answers, and purge them; Sites 0: they don't. Poolers are dealt to sites in
+// turn. Reads ask for a row of Rows, some more often than others.
+type ScenarioPurges struct {
+	Sites, Rows            int
+	Guard, Confirm, Settle time.Duration // as PurgesPart
 }
 
 // GroupOf is the group of the server in place j, and whether that is its group's first.
@@ -107,6 +115,12 @@
 			Relays          bool
 			SharedAddresses bool   `json:"shared_addresses"`
 			LeastBuild      string `json:"least_build"`
+			Purges          struct {
+				Sites, Rows int
+				ClockMs     float64 `json:"clock_ms"`
+				ConfirmMs   float64 `json:"confirm_ms"`
+				SettleMs    float64 `json:"settle_ms"`
+			}
 		}
 		Steps []json.RawMessage
 	}
@@ -142,12 +156,16 @@
 	}
 	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
 		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild}
+	purges := file.Fleet.Purges
+	s.Fleet.Purges = ScenarioPurges{purges.Sites, or(purges.Rows, 1), or(ms(purges.ClockMs), defaultGuard), or(ms(purges.ConfirmMs), defaultConfirm), ms(purges.SettleMs)}
 	switch fl := s.Fleet; {
 	case fl.Stewards == 0:
 	case fl.Stewards%2 == 0 || fl.Stewards < 0 || fl.Stewards > min(mostStewards, s.Poolers):
 		return s, 0, fmt.Errorf("fleet.stewards: %d is not an odd number of the poolers, up to %d", fl.Stewards, mostStewards)
 	case fl.Term < leastTerm:
 		return s, 0, fmt.Errorf("fleet.term_ms: under %v", leastTerm)
+	case fl.Purges.Sites < 0 || fl.Purges.Sites > s.Poolers || fl.Purges.Rows < 1:
+		return s, 0, fmt.Errorf("fleet.purges.sites: %d is not from 0 to the number of poolers, or rows is under 1", fl.Purges.Sites)
 	case fl.Relays && s.Poolers > mostRelayed:
 		return s, 0, fmt.Errorf("fleet.relays: %d poolers are more than %d", s.Poolers, mostRelayed)
 	}
@@ -179,6 +197,8 @@
 			return s, at[i], fmt.Errorf("steps[%d].poolers: %w", i, err)
 		case holder && s.Fleet.Stewards == 0:
 			return s, at[i], fmt.Errorf("steps[%d].poolers: holder: the poolers have no stewards", i)
+		case act.OnPurges() && s.Fleet.Purges.Sites == 0:
+			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.purges", i, act)
 		case act.OnPeers() && !s.Fleet.Relays:
 			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.relays", i, act)
 		case act.OnLinks() && s.Direct:
--- a/internal/fleet/calendar/calendar.go
+++ b/internal/fleet/calendar/calendar.go
@@ -28,8 +28,8 @@
 
 // Calendar is when a kind of site closes, as its operators write it.
 type Calendar struct {
-	// Close has closing times by weekday in English, small letters, "HH:MM" on the local clock; a weekday that is not named has
-	// none. "25:30" is half past one in the night that follows: it belongs to the day on which the site opened.
+	// Close has closing times by weekday in English, small letters, "HH:MM" or "HH:MM:SS" on the local clock; a weekday that is
+	// not named has none. "25:30" is half past one in the night that follows: it belongs to the day on which the site opened.
 	Close      map[string]string `json:"close"`
 	Holidays   []Holiday         `json:"holidays,omitempty"`
 	Exceptions []Exception       `json:"exceptions,omitempty"` // they go before holidays and weekdays
@@ -200,11 +200,15 @@
 	if text == "" && mayBeClosed {
 		return closed, nil
 	}
-	hours, minutes, ok := strings.Cut(text, ":")
-	h, err1 := strconv.ParseUint(hours, 10, 8)
-	m, err2 := strconv.ParseUint(minutes, 10, 8)
-	d := time.Duration(h)*time.Hour + time.Duration(m)*time.Minute
-	if !ok || err1 != nil || err2 != nil || len(hours) != 2 || len(minutes) != 2 || m > 59 || d > MostClose {
+	parts := strings.Split(text, ":")
+	var d time.Duration
+	bad := len(parts) < 2 || len(parts) > 3
+	for i, unit := range []time.Duration{time.Hour, time.Minute, time.Second}[:min(len(parts), 3)] {
+		n, err := strconv.ParseUint(parts[i], 10, 8)
+		bad = bad || err != nil || len(parts[i]) != 2 || i > 0 && n > 59
+		d += time.Duration(n) * unit
+	}
+	if bad || d > MostClose {
 		return 0, fmt.Errorf("%q is no time of day from 00:00 to 36:00", text)
 	}
 	return d, nil
--- a/internal/fleet/calendar/calendar_test.go
+++ b/internal/fleet/calendar/calendar_test.go
@@ -102,6 +102,8 @@
 			[]string{"2026-03-28 26:30 2026-03-29T01:00:00Z", "2026-03-29 02:45 2026-03-29T01:00:00Z"}}, // both in the gap: two occurrences
 		{Plan{"Europe/Budapest", Calendar{Close: map[string]string{"saturday": "26:30"}}}, "2026-10-24T00:00:00Z", "2026-10-26T00:00:00Z",
 			[]string{"2026-10-24 26:30 2026-10-25T00:30:00Z"}}, // the repeated hour: once
+		{Plan{"America/Jamaica", Calendar{Close: map[string]string{"monday": "18:00:07"}}}, "2026-05-25T00:00:00Z", "2026-05-26T00:00:00Z",
+			[]string{"2026-05-25 18:00:07 2026-05-25T23:00:07Z"}},
 		{kingston, "2026-05-23T00:00:00Z", "2026-05-26T00:00:00Z", []string{"2026-05-23 13:00 2026-05-23T18:00:00Z"}},
 		{kingston, "2026-10-18T00:00:00Z", "2026-10-20T23:00:00Z", nil},
 	} {
@@ -154,6 +156,7 @@
 		{Plan{"UTC", Calendar{Close: map[string]string{"mon": "20:00"}}}, "close.mon: "},
 		{Plan{"UTC", Calendar{Close: map[string]string{"monday": "8pm"}}}, "close.monday: "},
 		{Plan{"UTC", Calendar{Close: map[string]string{"monday": "36:01"}}}, "close.monday: "},
+		{Plan{"UTC", Calendar{Close: map[string]string{"monday": "20:00:60"}}}, "close.monday: "},
 		{Plan{"UTC", Calendar{Holidays: []Holiday{{Name: "x", Month: 2, Day: 30}}}}, "holidays.0.day: "},
 		{Plan{"UTC", Calendar{Holidays: []Holiday{{Name: "x", Month: 13}}}}, "holidays.0.month: "},
 		{Plan{"UTC", Calendar{Holidays: []Holiday{{Name: "x", Month: 1, Weekday: "monday"}}}}, "holidays.0.weekday: "},
--- a/internal/fleet/calendar/occurrence.go
+++ b/internal/fleet/calendar/occurrence.go
@@ -26,13 +26,22 @@
 			continue
 		}
 		if at := First(s.Zone, day.Add(d)); at.After(from) && !at.After(to) {
-			out = append(out, Occurrence{day.Format(time.DateOnly), fmt.Sprintf("%02d:%02d", int(d.Hours()), int(d.Minutes())%60), at})
+			out = append(out, Occurrence{day.Format(time.DateOnly), reads(d), at})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Occurrence) int { return a.At.Compare(b.At) })
 	return out
 }
 
+// reads is a close as the operators write it.
+func reads(d time.Duration) string {
+	text := fmt.Sprintf("%02d:%02d", d/time.Hour, d/time.Minute%60)
+	if s := d / time.Second % 60; s != 0 {
+		text += fmt.Sprintf(":%02d", s)
+	}
+	return text
+}
+
 // closeOf is the close of a date (midnight UTC), from that midnight on, or closed. Exceptions go before holidays, and a holiday
 // as it is kept before the weekday's close.
 func (s *Schedule) closeOf(day time.Time) time.Duration {
@@ -55,7 +64,7 @@
 // in an hour that is skipped falls on the first instant behind the gap, one in an hour that comes twice on the first of the two,
 // and one on a date that the zone leaves out on the beginning of the next: each exactly once.
 func First(zone *time.Location, reading time.Time) time.Time {
-	want := time.Date(reading.Year(), reading.Month(), reading.Day(), reading.Hour(), reading.Minute(), 0, 0, time.UTC)
+	want := time.Date(reading.Year(), reading.Month(), reading.Day(), reading.Hour(), reading.Minute(), reading.Second(), 0, time.UTC)
 	for at := want.Add(-48 * time.Hour); ; { // no zone is or was as far from UTC, nor moved by more
 		local := at.In(zone)
 		_, offset := local.Zone()
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -40,9 +40,11 @@
 	Lag     Act = "lag"     // links of the poolers to all other poolers hold each piece back by Delay, up to Jitter more; For: rejoined after it
 	Rejoin  Act = "rejoin"  // those links pass all again
 	Move    Act = "move"    // the poolers get a new list service, named in their configuration, and a SIGHUP
+	Closes  Act = "closes"  // the poolers' files get a newer plan, by which all sites close Delay from now, and a SIGHUP
+	Order   Act = "order"   // the poolers' files get an order to purge all sites, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Isolate, Lag, Rejoin, Move}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Isolate, Lag, Rejoin, Move, Closes, Order}
 
 // undo is the step that ends a fault of some length.
 var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up,
@@ -61,6 +63,9 @@
 // OnPeers tells whether the act is on links between poolers.
 func (a Act) OnPeers() bool { return a == Isolate || a == Lag || a == Rejoin }
 
+// OnPurges tells whether the act is on the operators' files of purges.
+func (a Act) OnPurges() bool { return a == Closes || a == Order }
+
 // Step is one act at one time, on sets of poolers and servers, each by its index from 0.
 type Step struct {
 	At            time.Duration // from the start of the run
@@ -68,7 +73,7 @@
 	Poolers       []int
 	Servers       []int
 	For           time.Duration // how long the fault lasts; 0: until another step ends it
-	Delay, Jitter time.Duration // of Delay and Lag
+	Delay, Jitter time.Duration // of Delay and Lag; of Closes, Delay
 	// Holder stands for Poolers: whoever holds the fleet's list duty when the step comes, as the laboratory sees it. A fault's
 	// end has the index of its beginning, and is for the same pooler.
 	Holder bool
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -26,6 +26,7 @@
 	Outcome       Outcome
 	Write, Keyed  bool
 	Cause         string // of Broken and Failed, as the client was told
+	Made          int64  // of a served read: when its stand-in made the answer, Unix ns; 0: it did not say
 	WhileFaulting bool   // set by Judge: its pooler was down or stalled meanwhile
 }
 
--- /dev/null
+++ b/internal/lab/judge/purges.go
@@ -0,0 +1,82 @@
+package judge
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Noted is a purge as a pooler's journal has it.
+type Noted struct {
+	Pooler  int
+	Purge   string // its name, the same at all poolers
+	Due, At time.Time
+}
+
+// Purge is what came of one purge.
+type Purge struct {
+	Name        string
+	Due         time.Time
+	Poolers     int           // that noted it
+	First, Last time.Duration // when they did, from Due on
+	Twice       int           // poolers that noted it more than once
+	InTime      int           // poolers that noted it within a second
+	Stale       int           // answers from before it to requests that began behind it
+}
+
+// Purges weighs what journals noted and what clients were served. site tells a pooler's site, and sizes how many poolers a site
+// has. A purge that most poolers of a site noted binds all of the site: one that was noted by fewer was of a plan that they did not
+// know was out of force. What a client was served is from before a purge if its stand-in made it then.
+func Purges(noted []Noted, requests []Request, site func(pooler int) int, sizes []int) (out []Purge, broken []string) {
+	type of struct {
+		site int
+		name string
+	}
+	found := map[of]map[int]int{}
+	by := map[string]*Purge{}
+	for _, n := range noted {
+		k := of{site(n.Pooler), n.Purge}
+		if found[k] == nil {
+			found[k] = map[int]int{}
+		}
+		late := n.At.Sub(n.Due)
+		p := by[n.Purge]
+		if p == nil {
+			p = &Purge{Name: n.Purge, Due: n.Due, First: late, Last: late}
+			by[n.Purge] = p
+		}
+		p.First, p.Last = min(p.First, late), max(p.Last, late)
+		switch found[k][n.Pooler]++; found[k][n.Pooler] {
+		case 1:
+			p.Poolers++
+			if late < time.Second {
+				p.InTime++
+			}
+		case 2:
+			p.Twice++
+		}
+	}
+	for k, poolers := range found {
+		if len(poolers)*2 <= sizes[k.site] {
+			continue
+		}
+		p := by[k.name]
+		for _, r := range requests {
+			if r.Made > 0 && site(r.Pooler) == k.site && !r.Began.Before(p.Due) && r.Made < p.Due.UnixNano() {
+				p.Stale++
+			}
+		}
+	}
+	for _, p := range by {
+		out = append(out, *p)
+		if p.Twice > 0 {
+			broken = append(broken, fmt.Sprintf("%d poolers noted %s more than once", p.Twice, p.Name))
+		}
+		if p.Stale > 0 {
+			broken = append(broken, fmt.Sprintf("%d answers from before %s came behind it", p.Stale, p.Name))
+		}
+	}
+	slices.SortFunc(out, func(a, b Purge) int { return a.Due.Compare(b.Due) })
+	slices.Sort(broken)
+	return out, broken
+}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -29,6 +29,7 @@
 	block   int
 	links   map[[2]int][]*relay.Link // from pooler i to pooler j
 	claimed net.Listener             // holds the block
+	files   []map[string]any         // of the fleet, by pooler
 }
 
 func (n *peerNet) addr(i, port int) string {
@@ -49,7 +50,7 @@
 }
 
 // join writes each member's file of the fleet, with a relay on each link to another if the scenario wants them.
-func (n *peerNet) join(h standin.Host, s config.Scenario, members []*standin.Member) {
+func (n *peerNet) join(h standin.Host, s config.Scenario, members []*standin.Member, p purges) {
 	fleet := s.Fleet
 	if fleet.Stewards == 0 {
 		return
@@ -86,6 +87,8 @@
 		if i < fleet.Stewards {
 			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
 		}
+		p.into(file, i)
+		n.files = append(n.files, file)
 		m.File("PROXY_FLEET", file)
 	}
 }
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -68,6 +69,7 @@
 	login   Login
 	cancels []pgwire.Key
 	value   string
+	stamp   bool
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
@@ -235,9 +237,19 @@
 	s.value = value
 }
 
+// Stamp has reads get the time at which the answer was made, in Unix ns, from now on.
+func (s *Server) Stamp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stamp = true
+}
+
 func (s *Server) given() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stamp {
+		return strconv.FormatInt(time.Now().UnixNano(), 10)
+	}
 	if s.value != "" {
 		return s.value
 	}
