--- a/internal/fleet/verdict/board.go
+++ b/internal/fleet/verdict/board.go
@@ -52,11 +52,11 @@
 	return out
 }
 
-// accused are the servers that any voice complains of, or has lost as a primary.
-func accused(voices []voice) map[string]bool {
+// accused are the servers that any voice complains of, or has lost as a primary; or the same of tenants.
+func accused(voices []voice, of func(voice) []Line) map[string]bool {
 	out := map[string]bool{}
 	for _, v := range voices {
-		for _, l := range v.Lines {
+		for _, l := range of(v) {
 			if l.speaks() {
 				out[l.Server] = true
 			}
--- a/internal/fleet/verdict/judge.go
+++ b/internal/fleet/verdict/judge.go
@@ -52,13 +52,21 @@
 // convicted, which is what the share of a group would forbid anyway.
 func doubtful(r Report) bool { return 2*r.Ill > r.Seen }
 
-// weigh joins the evidence. Its outcome follows from the set of voices alone, in whatever order they came.
+// weigh joins the evidence on servers, and weighTenants that on tenants. Their outcome follows from the set of voices alone, in whatever order they came.
 func weigh(voices []voice) map[string]Finding {
+	return join(voices, func(v voice) []Line { return v.Lines }, doubtful)
+}
+
+func weighTenants(voices []voice) map[string]Finding {
+	return join(voices, func(v voice) []Line { return v.Tenants }, func(Report) bool { return false })
+}
+
+func join(voices []voice, of func(voice) []Line, doubtful func(Report) bool) map[string]Finding {
 	slices.SortFunc(voices, func(a, b voice) int { return strings.Compare(a.observer, b.observer) })
 	type rooms map[string]bool
-	found, of, lostOf := map[string]Finding{}, map[string]rooms{}, map[string]rooms{}
+	found, accusers, lostOf := map[string]Finding{}, map[string]rooms{}, map[string]rooms{}
 	for _, v := range voices {
-		for _, l := range v.Lines {
+		for _, l := range of(v) {
 			f := found[l.Server]
 			f.Server = l.Server
 			if l.Lost {
@@ -72,14 +80,14 @@
 			if w > 0 && !(l.complains() && doubtful(v.Report)) {
 				f.Good, f.Failed, f.Slow = f.Good+min(l.Good, recent), f.Failed+min(l.Failed, recent), f.Slow+min(l.Slow, recent)
 				if l.complains() {
-					if of[l.Server] == nil {
-						of[l.Server] = rooms{}
+					if accusers[l.Server] == nil {
+						accusers[l.Server] = rooms{}
 					}
-					of[l.Server][v.Room] = true
+					accusers[l.Server][v.Room] = true
 					if f.Accusers++; len(f.By) < maxNamed {
 						f.By = append(f.By, v.observer)
 					}
-					f.Rooms, f.against = len(of[l.Server]), f.against+w
+					f.Rooms, f.against = len(accusers[l.Server]), f.against+w
 				} else {
 					f.Others, f.inFavour = f.Others+1, f.inFavour+w
 				}
--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rs/zerolog"
-
 	"threadsail/internal/fleet"
 	"threadsail/internal/fleet/audit"
 	"threadsail/internal/routing"
@@ -49,6 +47,8 @@
 	own      own
 	board    board
 	standing verdicts
+	tenants  tenants
+	hot      verdicts            // by tenant
 	left     map[string]bool     // servers that the fleet leaves
 	others   map[string][]string // of each, the members of its group that it does not leave
 	trying   map[string]bool     // of those left, the ones that this pooler is to try now
@@ -62,7 +62,7 @@
 // New returns a part that has seen nothing. room is the pooler's zone.
 func New(r Rules, room string, host Host) *Part {
 	return &Part{rules: r, room: room, host: host, born: time.Now().UnixNano(), spread: rand.Float64(), own: newOwn(), board: board{heard: map[string]entry{}},
-		standing: verdicts{}, left: map[string]bool{}, others: map[string][]string{}, trying: map[string]bool{}, given: map[string]time.Time{}, suspect: map[int]time.Time{}}
+		standing: verdicts{}, hot: verdicts{}, left: map[string]bool{}, others: map[string][]string{}, trying: map[string]bool{}, given: map[string]time.Time{}, suspect: map[int]time.Time{}}
 }
 
 // Observe takes in the end of an attempt: what it met with, and how long it took.
@@ -79,8 +79,22 @@
 	p.own.lostPrimary(time.Now(), server)
 }
 
-// Admit passes every request.
-func (p *Part) Admit(time.Duration, *routing.Request) routing.Admission { return routing.Admission{} }
+// Admit passes every request, and counts it for its tenant: the key that it names, if any.
+func (p *Part) Admit(_ time.Duration, r *routing.Request) routing.Admission {
+	if r.Key != "" {
+		p.mu.Lock()
+		p.tenants.saw(time.Now(), r.Key)
+		p.mu.Unlock()
+	}
+	return routing.Admission{}
+}
+
+// Hot tells whether the fleet holds a tenant to make half of all requests or more. It is advice: nothing here acts by it.
+func (p *Part) Hot(tenant string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hot.bad(tenant)
+}
 
 // Ended has no use for final answers: attempts say more.
 func (p *Part) Ended(time.Duration, *routing.Request, routing.Ending) {}
@@ -134,12 +148,15 @@
 	report := Report{Born: p.born, At: now.UnixNano(), Room: p.room}
 	report.Lines, report.Seen = p.own.lines(now)
 	report.Ill = ill(report.Lines)
-	voices := p.board.voices(now)
-	found := weigh(append(voices, voice{g.Bus.Self(), report}))
+	others := p.board.voices(now)
+	report.Tenants = p.tenants.lines(now, accused(others, func(v voice) []Line { return v.Tenants }))
+	voices := append(others, voice{g.Bus.Self(), report})
+	found := weigh(voices)
 	changes := p.standing.step(now, p.rules, found, p.spread)
+	tenants := p.hot.step(now, p.rules, weighTenants(voices), p.spread)
 	p.leave(now, g.Bus.Self(), fleetOf, groups)
 	words, suspects := p.words(now), p.lostPrimaries(now, found, groups)
-	cast := p.say(now, report, accused(voices), len(fleetOf))
+	cast := p.say(now, report, accused(others, func(v voice) []Line { return v.Lines }), len(fleetOf))
 	p.mu.Unlock()
 
 	for server, bad := range words {
@@ -154,6 +171,9 @@
 	for _, c := range changes {
 		c.note(g)
 	}
+	for _, c := range tenants {
+		c.log(g, "tenant", "hot tenant: ")
+	}
 }
 
 // leave works out which servers the fleet leaves, with what is left of their groups, and which of them this pooler is to try.
@@ -224,11 +244,11 @@
 // another complains of or that is convicted, and once more to take back what it said: a calm fleet is silent.
 func (p *Part) say(now time.Time, r Report, accused map[string]bool, n int) []byte {
 	r.Lines = slices.DeleteFunc(r.Lines, func(l Line) bool { return !l.speaks() && !accused[l.Server] && !p.standing.bad(l.Server) })
-	if len(r.Lines) == 0 && p.told == 0 || now.Before(p.next) {
+	if len(r.Lines)+len(r.Tenants) == 0 && p.told == 0 || now.Before(p.next) {
 		return nil
 	}
 	p.seq++
-	r.Seq, p.told = p.seq, len(r.Lines)
+	r.Seq, p.told = p.seq, len(r.Lines)+len(r.Tenants)
 	p.next = now.Add(time.Duration((0.75 + rand.Float64()/2) * float64(every(n))))
 	return r.encode()
 }
@@ -242,8 +262,11 @@
 	if c.what != renewed {
 		g.Journal(audit.Record{Act: act, Server: c.server})
 	}
-	g.Log.WithLevel(zerolog.InfoLevel).Str("server", c.server).Str("evidence", c.finding.String()).Int("times", c.times).
-		Time("until", c.until).Msg("verdict: " + c.what)
+	c.log(g, "server", "verdict: ")
+}
+
+func (c change) log(g fleet.Ground, key, what string) {
+	g.Log.Info().Str(key, c.server).Str("evidence", c.finding.String()).Int("times", c.times).Time("until", c.until).Msg(what + c.what)
 }
 
 // FromResult is what an attempt's result, as routing.Core.OnOutcome tells it, says of its server; ok: anything.
--- a/internal/fleet/verdict/report.go
+++ b/internal/fleet/verdict/report.go
@@ -54,6 +54,8 @@
 	Seen  int    `json:"e"`
 	Ill   int    `json:"i,omitempty"`
 	Lines []Line `json:"l,omitempty"`
+	// Tenants are lines on tenants: Failed stands for a tenant's own part of the observer's requests, Good for that of all others.
+	Tenants []Line `json:"h,omitempty"`
 }
 
 // before tells whether r is older than o.
@@ -67,10 +69,14 @@
 		if err != nil {
 			panic(err) // it holds nothing that JSON lacks
 		}
-		if len(text) <= maxReport || len(r.Lines) == 0 {
+		switch {
+		case len(text) <= maxReport || len(r.Lines)+len(r.Tenants) == 0:
 			return text
+		case len(r.Tenants) > 0:
+			r.Tenants = r.Tenants[:len(r.Tenants)-1]
+		default:
+			r.Lines = r.Lines[:len(r.Lines)-1]
 		}
-		r.Lines = r.Lines[:len(r.Lines)-1]
 	}
 }
 
@@ -82,15 +88,17 @@
 	if err := json.Unmarshal(text, &r); err != nil {
 		return Report{}, fmt.Errorf("verdict: a report can't be read: %w", err)
 	}
-	if len(r.Lines) > maxLines || len(r.Room) > maxName || r.Seen < 0 || r.Ill < 0 || r.Ill > r.Seen || len(r.Lines) > r.Seen {
+	if len(r.Tenants) > maxTold || len(r.Lines) > maxLines || len(r.Room) > maxName || r.Seen < 0 || r.Ill < 0 || r.Ill > r.Seen || len(r.Lines) > r.Seen {
 		return Report{}, errors.New("verdict: a report's numbers don't fit each other")
 	}
-	seen := map[string]bool{}
-	for _, l := range r.Lines {
-		if l.Server == "" || len(l.Server) > maxName || seen[l.Server] {
-			return Report{}, errors.New("verdict: a report names a server twice, or none")
+	for _, lines := range [][]Line{r.Lines, r.Tenants} {
+		seen := map[string]bool{}
+		for _, l := range lines {
+			if l.Server == "" || len(l.Server) > maxName || seen[l.Server] {
+				return Report{}, errors.New("verdict: a report names a server or tenant twice, or none")
+			}
+			seen[l.Server] = true
 		}
-		seen[l.Server] = true
 	}
 	if ill(r.Lines) > r.Ill {
 		return Report{}, errors.New("verdict: a report complains of more servers than it says")
--- a/internal/fleet/verdict/verdict_test.go
+++ b/internal/fleet/verdict/verdict_test.go
@@ -301,6 +301,46 @@
 	}
 }
 
+// A tenant that makes most requests at most poolers is hot; one that does at a few is not, nor anybody in a calm; and it ends.
+func TestHotTenant(t *testing.T) {
+	for _, c := range []struct {
+		at   int // poolers where it is
+		want bool
+	}{{2, false}, {4, false}, {7, true}} {
+		var each [9]tenants
+		hot := verdicts{}
+		now, voices := time.Unix(1000, 0), []voice(nil)
+		step := func(busy bool) {
+			now = now.Add(span / 4)
+			told := accused(voices, func(v voice) []Line { return v.Tenants })
+			voices = voices[:0]
+			for i := range each {
+				for k := range 10 {
+					tenant := fmt.Sprint("other", k)
+					if busy && i < c.at && k > 2 {
+						tenant = "big"
+					}
+					each[i].saw(now, tenant)
+				}
+				voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i%3), Tenants: each[i].lines(now, told)}})
+			}
+			hot.step(now, testRules, weighTenants(voices), 0)
+		}
+		for range 12 {
+			step(true)
+		}
+		if hot.bad("big") != c.want || len(hot) > 1 {
+			t.Errorf("at %d of 9: hot %v, %d verdicts", c.at, hot.bad("big"), len(hot))
+		}
+		for range 30 {
+			step(false)
+		}
+		if hot.bad("big") {
+			t.Error("a tenant that asks nothing any more is still hot")
+		}
+	}
+}
+
 // What is cast fits into a datagram, complaints first, and comes back as it was.
 func TestReport(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
