Lay zones out in the laboratory, and report what became of servers bad for all

Verdicts ask for observers in several zones, and every pooler of the laboratory was in one. A scenario's fleet has "zones" (poolers by turns) and "verdicts".

--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -38,6 +38,8 @@
 	Relays          bool          // a relay on each link between two poolers, for faults
 	SharedAddresses bool          // as Fleet.SharedAddresses
 	LeastBuild      string        // as Fleet.LeastBuild, at all poolers
+	Zones           int           // poolers are in so many zones, by turns; 0: one
+	Verdicts        bool          // they find bad servers out together
 	Purges          ScenarioPurges
 }
 
@@ -63,6 +65,7 @@
 	mostPoolers = 400
 	mostServers = 120
 	mostLength  = 10 * time.Minute
+	mostZones   = 9
 	mostRelayed = 32 // poolers with relays between them: each pair takes two, of two sockets
 )
 
@@ -115,6 +118,8 @@
 			Relays          bool
 			SharedAddresses bool   `json:"shared_addresses"`
 			LeastBuild      string `json:"least_build"`
+			Zones           int
+			Verdicts        bool
 			Purges          struct {
 				Sites, Rows int
 				ClockMs     float64 `json:"clock_ms"`
@@ -155,13 +160,15 @@
 		return s, 0, fmt.Errorf("work_ms: %v is not from 0 to the patience", s.Work)
 	}
 	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
-		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild}
+		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild, Zones: file.Fleet.Zones, Verdicts: file.Fleet.Verdicts}
 	purges := file.Fleet.Purges
 	s.Fleet.Purges = ScenarioPurges{purges.Sites, or(purges.Rows, 1), or(ms(purges.ClockMs), defaultGuard), or(ms(purges.ConfirmMs), defaultConfirm), ms(purges.SettleMs)}
 	switch fl := s.Fleet; {
 	case fl.Stewards == 0:
 	case fl.Stewards%2 == 0 || fl.Stewards < 0 || fl.Stewards > min(mostStewards, s.Poolers):
 		return s, 0, fmt.Errorf("fleet.stewards: %d is not an odd number of the poolers, up to %d", fl.Stewards, mostStewards)
+	case fl.Zones < 0 || fl.Zones > mostZones:
+		return s, 0, fmt.Errorf("fleet.zones: %d is not from 0 to %d", fl.Zones, mostZones)
 	case fl.Term < leastTerm:
 		return s, 0, fmt.Errorf("fleet.term_ms: under %v", leastTerm)
 	case fl.Purges.Sites < 0 || fl.Purges.Sites > s.Poolers || fl.Purges.Rows < 1:
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -61,6 +61,8 @@
 	ReadsAtServers   int           // statements of reads that came to servers, repeats among them
 	Requests         []judge.Request
 	Outages          []judge.Outage
+	Bad              []Bad `json:",omitempty"`
+	FalseVerdicts    int   // on servers that were not bad for all poolers
 }
 
 // pooler is one process of the pooler, and the times it could not answer.
@@ -118,6 +120,7 @@
 	samples  int
 	ups      []up
 	replaced int
+	bad      []Bad
 	peers    peerNet
 	purges   purges
 	held     map[int][]int // by the index of a step on the holder, whom it was for
@@ -447,6 +450,7 @@
 		step.Poolers = r.held[step.Index]
 	}
 	r.say("%s, poolers %s, servers %s", step.Act, some(step.Poolers), some(step.Servers))
+	r.badFor(step)
 	links := func(fault relay.Fault) {
 		for _, p := range step.Poolers {
 			for _, s := range step.Servers {
@@ -710,6 +714,7 @@
 		}
 		rep.Met = append(rep.Met, met)
 	}
+	r.verdicts(&rep)
 	for _, server := range r.servers.Servers {
 		at := server.CameAt()
 		for _, t := range at {
@@ -765,6 +770,7 @@
 	fmt.Fprintf(out, "probes %d; requests at servers in their first second back %d\n", rep.Probes, rep.Cold)
 	fmt.Fprintf(out, "new connections at one server in its worst 100 ms: %.1f on the mean, %.0f at most; in its worst second %.1f, %.0f\n",
 		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
+	rep.badTable(out)
 	fmt.Fprintln(out, "second  served refused failed lost")
 	for i, c := range rep.Seconds {
 		fmt.Fprintf(out, "%6d  %6d %7d %6d %4d\n", i, c.Served, c.Refused, c.Failed, c.Lost)
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -87,6 +87,12 @@
 		if i < fleet.Stewards {
 			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
 		}
+		if fleet.Verdicts {
+			file["verdicts"] = map[string]any{"enabled": true}
+		}
+		if fleet.Zones > 0 {
+			m.Zone(i%fleet.Zones, fleet.Zones)
+		}
 		p.into(file, i)
 		n.files = append(n.files, file)
 		m.File("PROXY_FLEET", file)
--- a/internal/lab/standin/fleet.go
+++ b/internal/lab/standin/fleet.go
@@ -248,6 +248,17 @@
 	return m
 }
 
+// Zone puts the member into a zone of so many; it takes that over at its next start.
+func (m *Member) Zone(zone, of int) {
+	names := []string{}
+	for i := range of {
+		names = append(names, string(rune('a'+i)))
+	}
+	settings := m.config["settings"].(map[string]any)
+	settings["zone"], settings["zones"] = zone, names
+	m.f.file(m.Env["PROXY_CONFIG"], m.config)
+}
+
 // File writes a further file of the member and names it in its environment.
 func (m *Member) File(variable string, v any) {
 	m.f.t.Helper()
