--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -6,6 +6,7 @@
 
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/protocol"
+	"threadsail/internal/protocol/comment"
 	"threadsail/internal/protocol/pgwire"
 	"threadsail/internal/routing"
 	"threadsail/internal/transport"
@@ -27,7 +28,9 @@
 func (b *Backend) Send(addr string, payload any, left time.Duration, a routing.Attempt) routing.Call {
 	st := payload.(*Statement)
 	until := b.Loop.Now() + left
-	return b.start(addr, a, func() string { return st.Comment.WithPatience(st.Text, until-b.Loop.Now()) })
+	return b.start(addr, a, func() string {
+		return comment.WithEpoch(st.Comment.WithPatience(st.Text, until-b.Loop.Now()), st.epoch)
+	})
 }
 
 // Probe asks a server for its health.
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -25,8 +25,12 @@
 type Statement struct {
 	Text    string
 	Comment comment.Comment
+	epoch   uint64
 }
 
+// Stamp is documented with routing.Stamped.
+func (s *Statement) Stamp(epoch uint64) { s.epoch = epoch }
+
 // Front takes clients in. All of it runs on the core's loop.
 type Front struct {
 	loop     *routing.Loop
--- a/internal/protocol/comment/comment.go
+++ b/internal/protocol/comment/comment.go
@@ -119,6 +119,27 @@
 	return c.before + strconv.FormatInt(ms, 10) + c.behind
 }
 
+// WithEpoch is a statement whose comment names the epoch of the shard map that it was sent by, for servers that refuse an older
+// one; 0: as it is.
+func WithEpoch(statement string, epoch uint64) string {
+	if epoch == 0 {
+		return statement
+	}
+	end := strings.LastIndex(statement, "*/")
+	if end < 0 {
+		return statement
+	}
+	return strings.TrimRight(statement[:end], " ") + ",epoch=" + strconv.FormatUint(epoch, 10) + " " + statement[end:]
+}
+
+// Epoch is the epoch that a statement's comment names last; 0: none.
+func Epoch(statement string) uint64 {
+	_, rest, _ := strings.Cut(statement[max(strings.LastIndex(statement, ",epoch="), 0):], ",epoch=")
+	digits, _, _ := strings.Cut(rest, " ")
+	n, _ := strconv.ParseUint(digits, 10, 64)
+	return n
+}
+
 // Bare is a statement without the comment that it ends in, and without the space before it.
 func Bare(statement string) string {
 	if start := strings.LastIndex(statement, "/*"); start >= 0 {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -579,6 +579,14 @@
 	switch {
 	case long && o.ended:
 		stream.Drop()
+	case (long || r.Result == rules.OK) && !o.ended && !o.believed():
+		if long {
+			stream.Drop()
+		}
+		o.close()
+		o.counts.Failed++
+		o.c.do(func() { o.req.Reply.Fail() })
+		o.tell(Ending{})
 	case long:
 		o.ended = true
 		stream.OnEnd(o.streamed)
--- a/internal/routing/guard.go
+++ b/internal/routing/guard.go
@@ -17,6 +17,16 @@
 	Ended(now time.Duration, r *Request, e Ending)
 }
 
+// Witness is a guard that may hold a server's answer to be too late to be believed.
+type Witness interface {
+	// Counts is asked once an attempt has been answered, before the client is told. false: the request has failed, as it may
+	// have run and nobody can say what became of it.
+	Counts(now time.Duration, r *Request) bool
+}
+
+// Stamped is a payload that carries the epoch of the shard map to its server.
+type Stamped interface{ Stamp(epoch uint64) }
+
 // Admission is what a guard says of a request that has come. The zero value passes it.
 type Admission struct {
 	Answer any           // served with this, the backend's kind of answer; nil: not
@@ -88,6 +98,16 @@
 	return Send
 }
 
+// believed asks the guards of an answer.
+func (o *Open) believed() bool {
+	for _, g := range o.c.guards {
+		if w, ok := g.(Witness); ok && !w.Counts(o.c.loop.Now(), o.req) {
+			return false
+		}
+	}
+	return true
+}
+
 // stopped ends a request that a guard lets go nowhere, and tells the module that its client need not be thought of.
 func (o *Open) stopped() {
 	if o.ended {
