After SIGTERM let clients go one by one, between two requests, before SIGKILL

Need: after SIGTERM clients send on every connection that stays open, up to SIGKILL, which comes no sooner than the longest deadline (counted as 3 s where it is longer) and 0.7 s. What is taken and not answered by then is lost.

Seen in the code, and then in tests: a client that sends its next statement ahead of an answer had no moment without a command under way and stayed until 4.5 s after SIGTERM (serve.go: drainAfter+drainMost), 1.8 s after SIGKILL with deadlines of 2 s; the end of the loop then cut what it had taken. A command that had come whole behind the one under way was dropped with the close (mysqlside: answer, finish without a look at the buffer; pgside: send, without one at the socket). All idle clients were closed in one turn at 0.5 s. A close with bytes unread reset the connection: of an answer of 256 KiB 128,000 bytes came.

Now: from 0.4 to 0.65 s each client has a turn of its own to go (door.Part), and goes once all that has come from it has its answer. The listener is closed behind them, once none has come since the last look. Of a client that never stops sending no more is read then; its own half is closed behind the last answer (transport.Part), and no reset follows. Requests that come after SIGTERM have until 0.15 s before SIGKILL at most (core.Until); what is still open then is failed, not cut (End). The end waits for what is on its way out, as the descriptors tell.

Shown by: clients that never stop sending, some four statements ahead, on both wires; a write of 20 s before silent servers; a peer that sends on under a close. Each fails, or waits for good, without the change.

--- a/internal/lab/standin/oldclient.go
+++ b/internal/lab/standin/oldclient.go
@@ -60,10 +60,21 @@
 
 // Do sends a command and reads its answer. Some commands have none.
 func (o *OldClient) Do(command []byte) ([][]byte, error) {
-	if _, err := o.Write(mysql.Append(nil, 0, command)); err != nil {
+	if err := o.Send(command); err != nil {
 		return nil, err
 	}
-	return ReadAnswer(command[0], func() (p []byte, err error) { p, _, err = o.r.my(); return p, err })
+	return o.Receive(command[0])
+}
+
+// Send writes a command, Receive reads one answer.
+func (o *OldClient) Send(command []byte) error {
+	_, err := o.Write(mysql.Append(nil, 0, command))
+	return err
+}
+
+// Receive reads the answer to a command.
+func (o *OldClient) Receive(command byte) ([][]byte, error) {
+	return ReadAnswer(command, func() (p []byte, err error) { p, _, err = o.r.my(); return p, err })
 }
 
 // ReadAnswer reads the packets of the answer to a command.
--- a/internal/program/door/door.go
+++ b/internal/program/door/door.go
@@ -3,6 +3,7 @@
 package door
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"threadsail/internal/routing"
@@ -40,6 +41,7 @@
 	bytes int
 	held  int
 	in    map[*Guest]bool
+	parts float64 // share of the guests that are to leave
 }
 
 // Client is what the door asks of a front. It must call Leave for each client that is gone.
@@ -56,6 +58,7 @@
 	state  State
 	since  time.Duration // when it came, or its state began
 	held   int
+	place  float64 // from 0 to 1: its turn to leave
 }
 
 // New lets most clients in at once, whose incomplete messages hold at most so many bytes together.
@@ -70,7 +73,7 @@
 	if len(d.in) >= d.most && !d.makeRoom() {
 		return nil
 	}
-	g := &Guest{d: d, client: c, since: d.loop.Now()}
+	g := &Guest{d: d, client: c, since: d.loop.Now(), place: rand.Float64()}
 	d.in[g] = true
 	return g
 }
@@ -132,6 +135,13 @@
 	most.client.TurnOut()
 }
 
+// Part has a share of the clients, from 0 to 1 (all), leave as soon as they are between requests: the program is ending. All at
+// once they would meet the other poolers together.
+func (d *Door) Part(share float64) { d.parts = share }
+
+// Parts tells whether a guest is to leave now. One that has asked nothing yet is about to: it is among the last.
+func (g *Guest) Parts() bool { return g.d.parts >= 1 || g.state != Entering && g.place < g.d.parts }
+
 // Leave tells that a guest's connection is closed.
 func (g *Guest) Leave() {
 	if g.d.in[g] {
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -86,7 +86,9 @@
 	lastID   uint32
 	sessions map[*session]bool
 	ids      map[string]bool // of open requests
-	draining bool
+	draining bool            // each client goes behind its next answer
+	last     bool            // no new clients are taken, and all are to go
+	came     bool            // a client has come since the last look
 	routes   *routes.Table
 	threads  map[uint32]*session // by the number that each was told at its login
 }
@@ -113,13 +115,32 @@
 	f.ln.Close()
 }
 
-// Drain does as Yield, and closes the clients that are idle now. One whose next command has come and only not been seen
-// yet stays, for that would be lost.
-func (f *Front) Drain() {
+// Part closes a share of the clients, from 0 to 1 (all), each between two commands: those that are idle now, and the others
+// behind an answer. It is called again and again while the program ends. Once all are to go and no more come it takes no new
+// ones. Of a client that never stops sending no more is read then than has been.
+func (f *Front) Part(share float64) {
+	f.door.Part(share)
+	if share >= 1 && !f.last && !f.came {
+		f.last = true
+		f.Yield()
+	}
+	f.came = false
+	for s := range f.sessions {
+		s.part(false)
+	}
+}
+
+// End gives what is still open its final answer, a failure, and closes all clients: there is no more time.
+func (f *Front) End() {
 	f.Yield()
 	for s := range f.sessions {
-		if !s.busy && len(s.buf) == 0 && s.Quiet() {
-			s.finish()
+		if s.open != nil {
+			s.open.Gone()
+			s.Fail()
+		}
+		if f.sessions[s] {
+			s.c.Part()
+			s.Closed(nil)
 		}
 	}
 }
@@ -127,7 +148,7 @@
 func (f *Front) accept(c *transport.Conn) {
 	s := &session{f: f, c: c, challenge: newChallenge(), stmts: map[uint32]*statement{}}
 	c.SetHandler(s)
-	f.sessions[s] = true
+	f.sessions[s], f.came = true, true
 	if s.guest = f.door.Enter(s); s.guest == nil {
 		s.send(0, mysql.Error(mysql.ErrConCount, "08004", "Too many connections"))
 		s.finish()
@@ -181,6 +202,7 @@
 	open      *routing.Open
 	stmts     map[uint32]*statement
 	lastStmt  uint32
+	paused    bool // no more of its commands are read
 }
 
 func (s *session) Closed(error) {
@@ -237,6 +259,31 @@
 	}
 	s.work(at)
 	s.settle()
+	s.part(true)
+}
+
+// part closes the client if it is to go and this is between two commands: all that has come has its answer. behind: it has
+// just got one.
+func (s *session) part(behind bool) {
+	switch {
+	case !s.f.sessions[s] || !s.guest.Parts() && !(behind && s.f.draining):
+	case s.busy:
+		if s.f.last && !s.paused && !s.Quiet() { // it sends on before it has its answers, and would for good
+			s.paused = true
+			s.c.Pause(true)
+		}
+	case len(s.buf) == 0 && s.Quiet():
+		s.finish()
+	case s.paused && s.c.Seen() && !s.whole():
+		s.c.Part()
+		s.Closed(nil)
+	}
+}
+
+// whole tells that a command has come that is not taken in yet.
+func (s *session) whole() bool {
+	_, _, n, err := mysql.Next(s.buf, mysql.MaxCommand)
+	return n > 0 || err != nil
 }
 
 // work takes packets until a command must wait for its answer.
@@ -647,17 +694,16 @@
 		return
 	}
 	s.c.Write(out)
-	if s.f.draining {
-		s.finish()
-		return
-	}
 	s.settle()
 	if len(s.buf) > 0 {
 		s.f.loop.Post(func() {
 			s.work(s.f.loop.Now())
 			s.settle()
+			s.part(true)
 		})
+		return
 	}
+	s.part(true)
 }
 
 // Serve passes on the server's answer to this statement.
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -39,7 +39,9 @@
 	door     *door.Door
 	sessions map[*session]bool
 	ids      map[string]bool // of open requests
-	draining bool
+	draining bool            // each client goes behind its next answer
+	last     bool            // no new clients are taken, and all are to go
+	came     bool            // a client has come since the last look
 	lastID   uint32
 	keys     map[pgwire.Key]*session
 	fit      func(text string, group int) error
@@ -64,14 +66,30 @@
 	f.ln.Close()
 }
 
-// Drain does as Yield, and closes the clients that are idle now. One whose next request has come and only not been seen
-// yet stays, for that would be lost.
-func (f *Front) Drain() {
+// Part closes a share of the clients, from 0 to 1 (all), each between two requests: those that are idle now, and the others
+// behind an answer. It is called again and again while the program ends. Once all are to go and no more come it takes no new
+// ones. Of a client that never stops sending no more is read then than has been.
+func (f *Front) Part(share float64) {
+	f.door.Part(share)
+	if share >= 1 && !f.last && !f.came {
+		f.last = true
+		f.Yield()
+	}
+	f.came = false
+	for s := range f.sessions {
+		s.part(false)
+	}
+}
+
+// End gives what is still open its final answer, a failure, and closes all clients: there is no more time.
+func (f *Front) End() {
 	f.Yield()
 	for s := range f.sessions {
-		if len(s.slots) == 0 && len(s.buf) == 0 && s.Quiet() {
-			s.finish()
+		if len(s.slots) == 0 || !s.slots[0].begun() { // no word fits into the middle of an answer
+			s.c.Write(s.failAll())
 		}
+		s.c.Part()
+		s.Closed(nil)
 	}
 }
 
@@ -81,7 +99,7 @@
 func (f *Front) accept(c *transport.Conn) {
 	s := &session{f: f, c: c}
 	c.SetHandler(s)
-	f.sessions[s] = true
+	f.sessions[s], f.came = true, true
 	if s.guest = f.door.Enter(s); s.guest == nil {
 		s.TurnOut() // with no error, as its first query may be on the way
 	}
@@ -99,7 +117,9 @@
 	erred   bool       // a command has met an error: alone that is no reason to stay
 	skip    bool       // after an error in an extended query: until its Sync
 	slots   []*slot
-	held    int // bytes in slots
+	held    int  // bytes in slots
+	reading bool // commands that have come are being taken in
+	paused  bool // no more of them are read
 }
 
 // slot is a command whose answer is due.
@@ -160,7 +180,12 @@
 		s.finish()
 		return
 	}
-	var out []byte
+	s.c.Write(pgwire.AppendError(s.failAll(), "FATAL", code, text, ""))
+	s.finish()
+}
+
+// failAll is the final answers of all commands that still wait: failures.
+func (s *session) failAll() (out []byte) {
 	for _, w := range s.slots {
 		if !w.done {
 			w.abandon()
@@ -169,12 +194,30 @@
 		out = append(out, w.out...)
 	}
 	s.slots = nil
-	s.c.Write(pgwire.AppendError(out, "FATAL", code, text, ""))
-	s.finish()
+	return out
+}
+
+// part closes the client if it is to go and this is between two requests: all that has come has its answer. behind: it has
+// just got one.
+func (s *session) part(behind bool) {
+	switch {
+	case !s.f.sessions[s] || s.reading || !s.guest.Parts() && !(behind && s.f.draining):
+	case len(s.slots) > 0:
+		if s.f.last && !s.paused && !s.Quiet() { // it sends on before it has its answers, and would for good
+			s.paused = true
+			s.c.Pause(true)
+		}
+	case len(s.buf) == 0 && s.Quiet():
+		s.finish()
+	case s.paused && s.c.Seen():
+		s.c.Part()
+		s.Closed(nil)
+	}
 }
 
 func (s *session) Data(at time.Duration, b []byte) {
 	s.buf = append(s.buf, b...)
+	s.reading = true
 	rest := s.buf
 	for s.f.sessions[s] {
 		n, ok := s.next(at, rest)
@@ -188,7 +231,9 @@
 	} else {
 		s.buf = append([]byte(nil), rest...)
 	}
+	s.reading = false
 	s.settle()
+	s.part(true)
 }
 
 // next takes one message off b.
@@ -331,7 +376,7 @@
 	s.answer(pgwire.AppendError(nil, "ERROR", pgwire.CodeProtocol, text, ""), true)
 }
 
-// send writes the answers that are due in order. While draining, a client without open commands is closed.
+// send writes the answers that are due in order.
 func (s *session) send() {
 	for len(s.slots) > 0 && s.slots[0].done {
 		s.c.Write(s.slots[0].out)
@@ -343,11 +388,8 @@
 		s.slots[0].relay.start(s.slots[0])
 		return
 	}
-	if s.f.draining && len(s.slots) == 0 {
-		s.finish()
-		return
-	}
 	s.settle()
+	s.part(true)
 }
 
 // cancel ends the command that is under way, at once: the first that has no answer yet. Without one nothing happens, so that
--- /dev/null
+++ b/internal/program/restart_test.go
@@ -0,0 +1,176 @@
+package program_test
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/program"
+	"threadsail/internal/protocol/mysql"
+)
+
+// talker is a client's connection on which statements may be sent ahead of their answers.
+type talker interface {
+	Send(text string) error
+	Receive() standin.Result
+	net.Conn
+}
+
+type oldTalker struct{ *standin.OldClient }
+
+func (o oldTalker) Send(text string) error {
+	return o.OldClient.Send(append([]byte{mysql.ComQuery}, text...))
+}
+
+func (o oldTalker) Receive() (r standin.Result) {
+	_, r.Err = o.OldClient.Receive(mysql.ComQuery)
+	return r
+}
+
+// talk connects a client that waits a bounded time in all: the end of the program inside the test closes no connection.
+func talk(t *testing.T, a program.Addrs) (c talker) {
+	t.Helper()
+	if a.MySQL == "" {
+		c = dial(t, a).(*standin.Postgres)
+	} else {
+		old, err := standin.DialOld(a.MySQL, standin.ClientUser, standin.ClientPassword, standin.Latin2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { old.Close() })
+		c = oldTalker{old}
+	}
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+// restarts runs a test of a planned restart on both wires.
+func restarts(t *testing.T, test func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error)) {
+	for _, wire := range []string{"postgres", "mysql"} {
+		t.Run(wire, func(t *testing.T) {
+			t.Parallel()
+			f := standin.NewFleet(t, wire == "mysql", nil, "p", "r")
+			a, terminate, ended, err := launch(f.Getenv, f.Hup)
+			if err != nil {
+				t.Fatal(err)
+			}
+			test(t, f, a, terminate, ended)
+		})
+	}
+}
+
+// sigkill is when SIGKILL may come after SIGTERM: the stand-ins' longest deadline and 0.7 s.
+const sigkill = 2700 * time.Millisecond
+
+func endsInTime(t *testing.T, told time.Time, ended chan error) {
+	t.Helper()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if d := time.Since(told); d > sigkill {
+		t.Errorf("the program ended %v after SIGTERM, later than SIGKILL", d)
+	}
+}
+
+func idOf(text string) string {
+	_, rest, _ := strings.Cut(text, "id=")
+	id, _, _ := strings.Cut(rest, ",")
+	return id
+}
+
+// After SIGTERM clients go on sending, some with several statements ahead, for as long as their connections stay open. Each
+// statement that a server has seen is answered: what crosses a close is safe to send again. The connections end one by one,
+// and not with a reset, which could take answers with it.
+func TestClientsThatNeverStopSending(t *testing.T) {
+	restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
+		const clients, ahead = 24, 4
+		var mu sync.Mutex
+		open := map[string]bool{}
+		var ends []time.Time
+		var all, warm sync.WaitGroup
+		for i := range clients {
+			c, depth := talk(t, a), 1
+			if i%ahead == 0 {
+				depth = ahead
+			}
+			all.Add(1)
+			warm.Add(1)
+			go func() {
+				defer all.Done()
+				var sent []string
+				for n := 0; ; n++ {
+					if n == 8 {
+						warm.Done()
+					}
+					for failed := false; len(sent) < depth && !failed; {
+						text := standin.Read("any", patience)
+						sent = append(sent, idOf(text))
+						mu.Lock()
+						open[idOf(text)] = true
+						mu.Unlock()
+						failed = c.Send(text) != nil // the answers to earlier ones may still come
+					}
+					r := c.Receive()
+					mu.Lock()
+					if r.Err != nil {
+						ends = append(ends, time.Now())
+						mu.Unlock()
+						return
+					}
+					delete(open, sent[0])
+					mu.Unlock()
+					sent = sent[1:]
+				}
+			}()
+		}
+		warm.Wait()
+		told := time.Now()
+		close(terminate)
+		endsInTime(t, told, ended)
+		all.Wait()
+		for _, s := range f.Servers {
+			for _, seen := range s.Seen() {
+				if open[seen.ID] {
+					t.Errorf("statement %s has run and has no answer", seen.ID)
+				}
+			}
+		}
+		first, last := ends[0], ends[len(ends)-1]
+		if first.Sub(told) < 300*time.Millisecond {
+			t.Errorf("a client was closed %v after SIGTERM, before the news of it had spread", first.Sub(told))
+		}
+		if last.Sub(first) < 80*time.Millisecond {
+			t.Errorf("%d clients were closed within %v", clients, last.Sub(first))
+		}
+	})
+}
+
+// What has a longer time than is left before SIGKILL gets its answer before that, whether it came before SIGTERM or after.
+func TestAnswersBeforeSigkill(t *testing.T) {
+	restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
+		for _, s := range f.Servers {
+			s.Do(always(standin.Hang))
+		}
+		before, after := talk(t, a), talk(t, a)
+		if err := before.Send(standin.Write("k", 20*time.Second)); err != nil || !f.Servers[0].Wait(1) {
+			t.Fatal("the write never came", err)
+		}
+		told := time.Now()
+		close(terminate)
+		if err := after.Send(standin.Write("k", 20*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		for i, c := range []talker{before, after} {
+			if r := c.Receive(); r.Err != nil {
+				t.Errorf("write %d has no answer: %v", i, r.Err)
+			}
+			if r := c.Receive(); r.Err == nil {
+				t.Errorf("connection %d stays open", i)
+			}
+		}
+		endsInTime(t, told, ended)
+	})
+}
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -32,31 +32,40 @@
 
 // tryServe runs the program until the test ends, if it starts.
 func tryServe(t testing.TB, getenv func(string) string, hup <-chan struct{}) (program.Addrs, error) {
+	a, terminate, ended, err := launch(getenv, hup)
+	if err == nil {
+		t.Cleanup(func() {
+			close(terminate)
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	return a, err
+}
+
+// launch runs the program until terminate is closed; ended tells how it ended.
+func launch(getenv func(string) string, hup <-chan struct{}) (a program.Addrs, terminate chan struct{}, ended chan error, err error) {
 	cfg, err := config.Load(getenv)
 	if err != nil {
-		return program.Addrs{}, err
+		return a, nil, nil, err
 	}
 	my, err := config.LoadMySQL(getenv, cfg)
 	if err != nil {
-		return program.Addrs{}, err
+		return a, nil, nil, err
 	}
-	terminate, ready, ended := make(chan struct{}), make(chan program.Addrs, 1), make(chan error, 1)
+	ready := make(chan program.Addrs, 1)
+	terminate, ended = make(chan struct{}), make(chan error, 1)
 	control := program.Control{Terminate: terminate, Reload: hup,
 		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(getenv) }}
 	go func() {
 		ended <- program.Serve(cfg, my, zerolog.Nop(), control, func(a program.Addrs) { ready <- a })
 	}()
 	select {
-	case a := <-ready:
-		t.Cleanup(func() {
-			close(terminate)
-			if err := <-ended; err != nil {
-				t.Error(err)
-			}
-		})
-		return a, nil
-	case err := <-ended:
-		return program.Addrs{}, err
+	case a = <-ready:
+		return a, terminate, ended, nil
+	case err = <-ended:
+		return a, nil, nil, err
 	}
 }
 
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -28,9 +28,16 @@
 )
 
 const (
-	// After SIGTERM new connections come for up to 0.4 s, and clients use theirs as long as they stay open.
-	drainAfter = 500 * time.Millisecond
-	drainMost  = 4 * time.Second // the longest deadline, and some
+	// After SIGTERM new connections come for up to 0.4 s, and clients use theirs as long as they stay open. Sent more than 0.7 s
+	// after it, a request is lost if SIGKILL finds it open: by then all clients have gone, or have their last answer to come.
+	partAfter = 400 * time.Millisecond
+	partOver  = 250 * time.Millisecond // not all at once: they turn to the other poolers
+	// SIGKILL comes no sooner than the longest deadline, counted as killCounts where it is longer, and killAfter. All is over
+	// endBefore; what is written last has flushFor to go out.
+	killCounts = 3 * time.Second
+	killAfter  = 700 * time.Millisecond
+	endBefore  = 150 * time.Millisecond
+	flushFor   = 50 * time.Millisecond
 
 	idleShare   = 0.6 // of the time after which servers close idle connections: reuse none that is about to go
 	memoryShare = 0.7 // of the limit: the rest is for stacks, the runtime and the kernel's buffers
@@ -47,8 +54,9 @@
 type front interface {
 	Addr() string
 	Clients() int
-	Yield() // takes no new clients, and closes each that there is behind its next answer
-	Drain() // does so too, and closes those that are idle now
+	Yield()             // takes no new clients, and closes each that there is behind its next answer
+	Part(share float64) // closes a share of the clients, from 0 to 1, between two requests each; at 1 it takes no new ones
+	End()               // fails what is open, and closes all
 }
 
 // side is one front with all that is behind it, on a loop of its own.
@@ -57,6 +65,8 @@
 	loop  *routing.Loop
 	core  *routing.Core
 	front front
+	// clients counts the connections of clients, with those that are on their way in or out.
+	clients *transport.Budget
 	// retune takes over a configuration under way, on the loop.
 	retune func(*config.Config)
 	source *source
@@ -285,7 +295,7 @@
 		}
 		src.retune(cfg, postgresSource(cfg))
 	}
-	return &side{name: "postgres", loop: loop, core: core, front: front, source: src, retune: retune, replaced: cfg.Inherited > 0}, nil
+	return &side{name: "postgres", loop: loop, core: core, front: front, clients: in, source: src, retune: retune, replaced: cfg.Inherited > 0}, nil
 }
 
 // withPoll is a configuration whose files are looked at as often as the MySQL front's own file says.
@@ -337,7 +347,7 @@
 		}
 		src.retune(cfg, mysqlSource(cfg, my))
 	}
-	return &side{name: "mysql", loop: loop, core: core, front: front, source: src, retune: retune}, nil
+	return &side{name: "mysql", loop: loop, core: core, front: front, clients: in, source: src, retune: retune}, nil
 }
 
 // probed are the settings for servers that tell of themselves only when probed.
@@ -380,21 +390,31 @@
 	return out
 }
 
-// drain serves on while the news of the restart spreads, and ends once all that was taken is answered. Where another
-// process serves on the same socket new clients are left to it at once.
+// drain serves on while the news of the restart spreads, has the clients leave one by one, and ends once all that was taken
+// is answered and gone out, or shortly before SIGKILL. Where another process serves on the same socket new clients are left
+// to it at once.
 func (s *side) drain() {
 	if s.replaced {
 		s.front.Yield()
 	}
-	until := s.loop.Now() + drainAfter + drainMost
+	began := s.loop.Now()
+	until := began + min(s.core.LongestDeadline(), killCounts) + killAfter - endBefore
+	s.core.Until(until)
 	var look func()
 	look = func() {
-		s.front.Drain()
-		if s.core.Open() == 0 && s.front.Clients() == 0 || s.loop.Now() >= until {
+		now := s.loop.Now()
+		if now >= until {
+			s.front.End()
+			s.loop.After(flushFor, s.loop.Stop)
+			return
+		}
+		share := min(float64(now-began-partAfter)/float64(partOver), 1)
+		s.front.Part(share)
+		if share == 1 && s.core.Open() == 0 && s.front.Clients() == 0 && s.clients.Used() == 0 {
 			s.loop.Stop()
 			return
 		}
-		s.loop.After(10*time.Millisecond, look)
+		s.loop.After(min(10*time.Millisecond, until-now), look)
 	}
-	s.loop.After(drainAfter, look)
+	s.loop.After(partAfter, look)
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -158,6 +158,7 @@
 	guards   []Guard
 	met      func(server string, class int, result rules.Result, took time.Duration)
 	spare    spare
+	until    time.Duration // by when all requests must have their answers; 0: by their own time alone
 }
 
 // New returns a core that runs on a loop.
@@ -194,6 +195,17 @@
 // been taken are carried on.
 func (c *Core) TakeWrites(on bool) { c.noWrites = !on }
 
+// Until has each request that comes from now on end by a Unix time, if its own time is not over before.
+func (c *Core) Until(at time.Duration) { c.until = at }
+
+// LongestDeadline is that of the classes in the settings.
+func (c *Core) LongestDeadline() (d time.Duration) {
+	for _, i := range c.classes {
+		d = max(d, c.opt.Settings.Classes[i].Deadline)
+	}
+	return d
+}
+
 // Suspect takes in that another pooler has lost a group's primary.
 func (c *Core) Suspect(group int) { c.router.Suspect(c.loop.Now(), group) }
 
@@ -255,6 +267,9 @@
 	now := c.loop.Now()
 	o := &Open{c: c, req: r, counts: c.countsOf(c.opt.Settings.Classes[r.Class].Name),
 		deadline: r.Arrived + r.Patience - replyMargin, live: map[int]*call{}}
+	if c.until > 0 {
+		o.deadline = min(o.deadline, c.until)
+	}
 	if len(c.open) >= c.opt.MaxOpen || c.noWrites && c.opt.Settings.Classes[r.Class].Need == rules.NeedWrite {
 		o.ended = true
 		o.counts.Refused++
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -89,6 +89,7 @@
 	unsent  []byte
 	writing bool
 	closing bool         // close once all is written
+	parting bool         // and only the own half at first
 	written func()       // is told once all bytes given to Write are with the network; nil: nobody waits
 	hungUp  bool         // the peer has closed while a write was under way
 	deaf    atomic.Bool  // what still comes is thrown away
@@ -184,7 +185,7 @@
 			f()
 		}
 		if c.closing {
-			c.Close()
+			c.depart()
 		} else if c.hungUp {
 			c.end(io.EOF)
 		}
@@ -212,10 +213,25 @@
 func (c *Conn) Finish() {
 	c.deaf.Store(true)
 	if c.closing = true; c.Written() {
-		c.Close()
+		c.depart()
 	}
 }
 
+// Part closes the connection after what is queued has been written, while its peer may still be sending: it closes the own
+// half and reads no further, so that the peer meets the end of the stream behind the last answer. Closed outright with bytes
+// unread, the connection would be reset, and the reset may overtake that answer.
+func (c *Conn) Part() {
+	c.parting = true
+	c.Finish()
+}
+
+func (c *Conn) depart() {
+	if c.parting {
+		c.Pause(true) // what it becomes closes one half at a time
+	}
+	c.Close()
+}
+
 // Reset closes the connection at once and lets the peer know that what it may just be sending is not read: after an
 // ordinary close it sees the end of the stream, and can't tell.
 func (c *Conn) Reset() {
@@ -252,6 +268,9 @@
 	return quiet && c.socket.ahead() == 0 && c.unheard.Load() == 0
 }
 
+// Seen tells that all that has been read off the connection has come to its owner. The kernel may hold more.
+func (c *Conn) Seen() bool { return c.closed || c.socket.ahead() == 0 && c.unheard.Load() == 0 }
+
 // silent tells whether the kernel holds neither bytes of the peer nor its close.
 func silent(fd int) bool {
 	var b [1]byte
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -351,6 +351,31 @@
 	f.free(0)
 }
 
+// A peer that is still sending when its connection is closed gets all that was written to it, and then the end of the
+// stream: a reset would take with it what the peer has not read yet.
+func TestPartFromAPeerThatSendsOn(t *testing.T) {
+	f := newFixture(t, 8)
+	c, err := net.Dial("tcp", f.ln.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	s := receive(t, f.accepted)
+	const size = 256 << 10
+	f.on(func() {
+		if _, err := c.Write([]byte("not read")); err != nil {
+			t.Error(err)
+		}
+		s.Write(make([]byte, size))
+		s.Part()
+	})
+	_ = c.SetDeadline(time.Now().Add(late))
+	if got, err := io.ReadAll(c); len(got) != size || err != nil {
+		t.Errorf("%d of %d bytes come, and then %v", len(got), size, err)
+	}
+	f.free(0)
+}
+
 type closer func()
 
 func (c closer) Data(time.Duration, []byte) {}
