--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -18,7 +18,7 @@
 
 const (
 	topic = "verdict"
-	tick  = 100 * time.Millisecond // looks at the evidence
+	tick  = 100 * time.Millisecond // looks at the evidence; a fleet of more than 100 each 1 ms a pooler, as each look costs so much more
 	again = time.Second            // a word that stands is given to the module again: it may not have been able to take it
 )
 
@@ -128,13 +128,11 @@
 		defer p.mu.Unlock()
 		p.board.take(time.Now(), from, r, life(len(g.Bus.Members())))
 	})
-	t := time.NewTicker(tick)
-	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case <-time.After(max(tick, time.Duration(len(g.Bus.Members()))*time.Millisecond)):
 			p.round(time.Now(), g)
 		}
 	}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -34,6 +34,8 @@
 	Heal    Act = "heal"    // links pass all again
 	Down    Act = "down"    // servers refuse and break their connections; For: up after it
 	Up      Act = "up"      // servers listen again
+	Err     Act = "err"     // servers answer each statement with an error; For: right again after it
+	Right   Act = "right"   // they answer as ever
 	Promote Act = "promote" // the one server named becomes primary, all others of its group replicas
 	Replace Act = "replace" // a new server, a replica, takes each one's place under a new name; the old goes down
 	Isolate Act = "isolate" // links between the poolers and all other poolers, stewards among them, drop all; For: rejoined after it
@@ -44,15 +46,15 @@
 	Order   Act = "order"   // the poolers' files get an order to purge all sites, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Isolate, Lag, Rejoin, Move, Closes, Order}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Isolate, Lag, Rejoin, Move, Closes, Order}
 
 // undo is the step that ends a fault of some length.
-var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up,
+var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up, Err: Right,
 	Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
 
 // Ends tells whether the act ends faults that another began.
 func (a Act) Ends() bool {
-	return a == Restart || a == Cont || a == Heal || a == Up || a == Rejoin || a == Lists
+	return a == Restart || a == Cont || a == Heal || a == Up || a == Right || a == Rejoin || a == Lists
 }
 
 // OnLinks tells whether the act is on links between poolers and servers.
@@ -115,7 +117,7 @@
 		return fmt.Errorf("for_ms: %s lasts no time", s.Act)
 	}
 	onLinks := s.Act.OnLinks()
-	onServers := s.Act == Down || s.Act == Up || s.Act == Promote || s.Act == Replace
+	onServers := s.Act == Down || s.Act == Up || s.Act == Err || s.Act == Right || s.Act == Promote || s.Act == Replace
 	switch {
 	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder:
 		return fmt.Errorf("poolers: %s needs some", s.Act)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -533,6 +533,15 @@
 		links(relay.Fault{Refuse: true})
 	case faults.Heal:
 		links(relay.Fault{})
+	case faults.Err:
+		for _, j := range step.Servers {
+			r.servers.Servers[j].Do(func(standin.Seen) standin.Act { return standin.Fault })
+		}
+	case faults.Right:
+		for _, j := range step.Servers {
+			r.servers.Servers[j].Do(nil)
+			r.work(r.servers.Servers[j])
+		}
 	case faults.Down:
 		for _, s := range step.Servers {
 			r.servers.Servers[s].Down()
--- a/internal/lab/verdicts.go
+++ b/internal/lab/verdicts.go
@@ -29,9 +29,9 @@
 		name := r.servers.Servers[j].Name
 		i := slices.IndexFunc(r.bad, func(b Bad) bool { return b.Server == name && b.For == 0 })
 		switch {
-		case i < 0 && (all || step.Act == faults.Down):
+		case i < 0 && (all || step.Act == faults.Down || step.Act == faults.Err):
 			r.bad = append(r.bad, Bad{Server: name, At: now})
-		case i >= 0 && (step.Act == faults.Heal || step.Act == faults.Up):
+		case i >= 0 && (step.Act == faults.Heal || step.Act == faults.Up || step.Act == faults.Right):
 			r.bad[i].For = now - r.bad[i].At
 		}
 	}
