Read the shard map and its moves from deploy/fleet.json, checked with file, line and key

The map, its copier, moves and bounds need a place in the operators' file. shards.ranges is checked whole (gaps, overlaps, clusters that the start list does not name), shards.moves against it; off as shipped, with no range.

What a whole map is stands in a package of its own, so that the configuration needs none of the fleet's parts; an array's element is now told by its own line, not by that of the one before.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -14,6 +14,8 @@
 
 	"golang.org/x/mod/semver"
 
+	"threadsail/internal/protocol/discovery"
+
 	"threadsail/internal/fleet/calendar"
 )
 
@@ -50,6 +52,7 @@
 	Bound           time.Duration // as duty.Lists.Bound
 	Verdicts        VerdictsPart
 	Purges          PurgesPart
+	Shards          ShardsPart
 	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
 }
 
@@ -106,7 +109,7 @@
 	if text == nil {
 		return nil, err
 	}
-	f, offset, err := parseFleet(text, cfg.Name)
+	f, offset, err := parseFleet(text, cfg.Name, knownClusters(cfg))
 	if err == nil && f != nil && f.Purges.Site != "" && f.Purges.Answers > cfg.MemoryBytes/answersShare {
 		offset, err = placeOf(text, []string{"purges", "answers_mb"}), fmt.Errorf("purges.answers_mb: more than an eighth of limits.memory_mb")
 	}
@@ -116,8 +119,18 @@
 	return f, nil
 }
 
+// knownClusters tells the clusters of the list that the pooler starts with; nil: it starts with none.
+func knownClusters(cfg *Config) func(cluster int) bool {
+	if !cfg.Known.Complete || len(cfg.Known.Members) == 0 {
+		return nil
+	}
+	return func(cluster int) bool {
+		return slices.ContainsFunc(cfg.Known.Members, func(m discovery.Member) bool { return m.Group == cluster })
+	}
+}
+
 // parseFleet returns the fleet's part, nil if it is off, or an error with the offset in text of what it is about.
-func parseFleet(text []byte, name string) (*Fleet, int64, error) {
+func parseFleet(text []byte, name string, clusters func(cluster int) bool) (*Fleet, int64, error) {
 	var file struct {
 		Enabled           bool
 		Name              string
@@ -132,6 +145,7 @@
 		LeastBuild        string  `json:"least_build"`
 		Verdicts          verdictsFile
 		Purges            purgesFile
+		Shards            shardsFile
 		Calendars         map[string]calendar.Calendar
 		Sites             map[string]calendar.Site
 		Journal           struct {
@@ -190,6 +204,9 @@
 			return nil, int64(bytes.Index(text, []byte(`"`+check.key+`"`))), check.err
 		}
 	}
+	if f.Shards, path, err = file.Shards.part(f.Term, f.Drift, clusters); err != nil {
+		return nil, placeOf(text, path), err
+	}
 	return f, 0, nil
 }
 
--- a/internal/config/fleet_purges.go
+++ b/internal/config/fleet_purges.go
@@ -130,6 +130,9 @@
 			}
 			if found {
 				place = dec.InputOffset()
+				for open == json.Delim('[') && strings.ContainsRune(" \t\r\n,", rune(text[place])) {
+					place++ // an element begins behind them
+				}
 			} else {
 				var skip json.RawMessage
 				_ = dec.Decode(&skip)
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -51,6 +51,13 @@
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `Europe/Budapest`, `Europe/Buda`, 1) + "}", ":7: sites.b.zone"},
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"calendar": "c"`, `"calendar": "d"`, 1) + "}", ":7: sites.b.calendar"},
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"day"`, `"date"`, 1) + "}", `unknown field "date"`},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [\n{\"to\": \"m\"},\n{\"from\": \"n\"}]}}", ":4: shards.ranges[1]: gap"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [\n{\"to\": \"m\"},\n{\"from\": \"l\"}]}}", ":4: shards.ranges[1]: overlap"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [\n{\"cluster\": -1}]}}", ":3: shards.ranges[0]: \"\" to \"\": cluster -1 is not known"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [{}],\n\"copier\": \"ftp://x\"}}", ":3: shards.copier"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [{}],\n\"moves\": [{\"name\": \"m\"}]}}", ":3: shards.moves: they need"},
+		{"{" + peers + ", " + stewards + ", \"shards\": {\"ranges\": [{}], \"copier\": \"http://127.0.0.1:1\", \"moves\": [\n{\"name\": \"m\", \"target\": 1, \"from\": \"b\",\n\"to\": \"a\"}]}}", ":3: shards.moves[0].to"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"fenced_ms\": 100}}", ":2: shards.fenced_ms"},
 		{"{\n\n\"enabled\": tru", ":3: "},
 		{`{} {}`, "text follows"},
 	} {
@@ -63,9 +70,9 @@
 			t.Errorf("%s: %v, want %q", c.text, err, c.want)
 		}
 	}
-	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1")
+	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1", nil)
 	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
-		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second,
+		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second, Shards: ShardsPart{PreparedMost: 10 * time.Minute, FencedMost: 9 * time.Second},
 		Verdicts: VerdictsPart{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second},
 		Purges:   PurgesPart{Answers: 4 << 20, Guard: 500 * time.Millisecond, Confirm: 10 * time.Second, Settle: time.Second}}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
@@ -75,11 +82,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if f, _, err := parseFleet(shipped, "n1"); f != nil || err != nil {
+	if f, _, err := parseFleet(shipped, "n1", nil); f != nil || err != nil {
 		t.Errorf("the shipped file is not off: %+v %v", f, err)
 	}
 	on := strings.Replace(string(shipped), "false", "true", 1)
-	if f, _, err := parseFleet([]byte(on), "n1"); f == nil || err != nil {
+	if f, _, err := parseFleet([]byte(on), "n1", nil); f == nil || err != nil {
 		t.Errorf("the shipped file can't be turned on: %v", err)
 	}
 }
--- a/internal/fleet/shardmap/part_test.go
+++ b/internal/fleet/shardmap/part_test.go
@@ -76,7 +76,7 @@
 		view = f.reg.View()
 	}
 	p := &pooler{bus: f.net.Join(name), view: view, client: f.reg.Client(fmt.Sprintf("%s/%d", name, f.n)), ended: make(chan struct{})}
-	p.part = New(Options{Name: name, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{"", "m", 0}, {"m", "", 1}}, Copier: f.c})
+	p.part = New(Options{Name: name, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{To: "m"}, {From: "m", Cluster: 1}}, Copier: f.c})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	p.end = cancel
 	ground := Ground{Bus: p.bus, View: p.view, Store: p.client, Log: zerolog.Nop(),
@@ -164,7 +164,7 @@
 	return w.Home
 }
 
-var toOne = Order{Name: "first", Range: Range{"a", "c", 1}, Source: 0}
+var toOne = Order{Name: "first", Range: Range{From: "a", To: "c", Cluster: 1}, Source: 0}
 
 // Without a fault a move goes through all states, no router is refused before its fence or behind its switch, and the fence
 // lasts for a few words.
@@ -322,7 +322,7 @@
 		f.until(10*term, "fenced", func() bool { return f.state("first") == Fenced })
 		f.until(7*term, "undone by its time", func() bool { return f.state("first") == Undone })
 		f.c.stop[Copy] = true
-		second := Order{Name: "second", Range: Range{"a", "c", 1}}
+		second := Order{Name: "second", Range: Range{From: "a", To: "c", Cluster: 1}}
 		f.order(second)
 		f.until(10*term, "copying", func() bool { return f.state("second") == Copying })
 		second.Undo = true
@@ -337,7 +337,7 @@
 		f.net.Isolate("n2", true)
 		f.p[1].view.Cut(true)
 		f.p[1].client.Cut(true)
-		f.order(Order{Name: "third", Range: Range{"a", "c", 1}})
+		f.order(Order{Name: "third", Range: Range{From: "a", To: "c", Cluster: 1}})
 		f.until(30*term, "undone, as one router does not know of it", func() bool { return f.state("third") == Undone })
 	})
 }
--- a/internal/fleet/shardmap/shardmap.go
+++ b/internal/fleet/shardmap/shardmap.go
@@ -16,11 +16,10 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
-	"strings"
 
 	"threadsail/internal/fleet/lease"
+	"threadsail/internal/fleet/shardmap/ranges"
 )
 
 // Where things stand in the shared documents.
@@ -36,47 +35,8 @@
 // keptMoves bounds the finished moves that the document remembers, so that an order is not carried out twice.
 const keptMoves = 64
 
-// Range is the keys from From up to, but not with, To, compared byte by byte; To "" is the end of all keys.
-type Range struct {
-	From    string `json:"from"`
-	To      string `json:"to"`
-	Cluster int    `json:"cluster"`
-}
-
-// Holds tells whether a key is in the range.
-func (r Range) Holds(key string) bool { return key >= r.From && (r.To == "" || key < r.To) }
-
-// overlaps tells whether two ranges have a key in common.
-func (r Range) overlaps(o Range) bool {
-	return (o.To == "" || r.From < o.To) && (r.To == "" || o.From < r.To)
-}
-
-func (r Range) String() string { return fmt.Sprintf("%q to %q", r.From, r.To) }
-
-// Check tells what is wrong with the ranges of a whole map, and at which of them: they must be in order, hold every key once, and
-// go to known clusters.
-func Check(ranges []Range, known func(cluster int) bool) (at int, err error) {
-	next := ""
-	for i, r := range ranges {
-		switch {
-		case i > 0 && next == "":
-			return i, fmt.Errorf("overlap: the range before %v has no end", r)
-		case r.From > next:
-			return i, fmt.Errorf("gap: no range holds the keys from %q to %q", next, r.From)
-		case r.From < next:
-			return i, fmt.Errorf("overlap: the keys from %q are in the range before too", r.From)
-		case r.To != "" && r.To <= r.From:
-			return i, fmt.Errorf("%v: it holds no key", r)
-		case !known(r.Cluster):
-			return i, fmt.Errorf("%v: cluster %d is not known", r, r.Cluster)
-		}
-		next = r.To
-	}
-	if len(ranges) == 0 || next != "" {
-		return max(len(ranges)-1, 0), fmt.Errorf("gap: no range holds the keys from %q on", next)
-	}
-	return 0, nil
-}
+// Range is the keys of a range, and its cluster.
+type Range = ranges.Range
 
 // Document is the map and its moves, as they stand at an epoch. The zero Document is no map: everything routes as without one.
 type Document struct {
@@ -106,12 +66,7 @@
 
 // Home is the cluster of a key; ok: there is a map.
 func (d Document) Home(key string) (cluster int, ok bool) {
-	for _, r := range d.Ranges {
-		if r.Holds(key) {
-			return r.Cluster, true
-		}
-	}
-	return 0, false
+	return ranges.Home(d.Ranges, key)
 }
 
 // moving is the move under way, before its switch, that a key's range is in.
@@ -196,7 +151,7 @@
 		return d, errOverlap
 	}
 	for _, r := range d.Ranges {
-		if r.overlaps(o.Range) && r.Cluster != o.Source {
+		if r.Overlaps(o.Range) && r.Cluster != o.Source {
 			return d, errSource
 		}
 	}
@@ -224,7 +179,7 @@
 // mayNotBegin is the rule that no key is in two moves before their ends.
 func mayNotBegin(d Document, r Range) bool {
 	return slices.ContainsFunc(d.Moves, func(m Move) bool {
-		return m.State != Done && m.State != Undone && m.Range.overlaps(r)
+		return m.State != Done && m.State != Undone && m.Range.Overlaps(r)
 	})
 }
 
@@ -240,7 +195,7 @@
 	d.Moves[i].State, d.Moves[i].Since = to, d.Epoch
 	if to == Switched {
 		d.Moves[i].Moved = d.Epoch
-		d.Ranges = place(d.Ranges, d.Moves[i].Range)
+		d.Ranges = ranges.Place(d.Ranges, d.Moves[i].Range)
 	}
 	return d
 }
@@ -262,23 +217,3 @@
 	d.Ranges, d.Moves = slices.Clone(d.Ranges), slices.Clone(d.Moves)
 	return d
 }
-
-// place puts a range with its cluster over what the map says of its keys.
-func place(ranges []Range, r Range) []Range {
-	var out []Range
-	for _, old := range ranges {
-		if !old.overlaps(r) {
-			out = append(out, old)
-			continue
-		}
-		if old.From < r.From {
-			out = append(out, Range{old.From, r.From, old.Cluster})
-		}
-		if r.To != "" && (old.To == "" || r.To < old.To) {
-			out = append(out, Range{r.To, old.To, old.Cluster})
-		}
-	}
-	out = append(out, r)
-	slices.SortFunc(out, func(a, b Range) int { return strings.Compare(a.From, b.From) })
-	return out
-}
--- a/internal/fleet/shardmap/shardmap_test.go
+++ b/internal/fleet/shardmap/shardmap_test.go
@@ -1,50 +1,26 @@
 package shardmap
 
 import (
-	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
-)
 
-func TestCheck(t *testing.T) {
-	known := func(c int) bool { return c < 2 }
-	for _, c := range []struct {
-		ranges []Range
-		at     int
-		want   string
-	}{
-		{[]Range{{"", "", 0}}, 0, ""},
-		{[]Range{{"", "m", 0}, {"m", "", 1}}, 0, ""},
-		{nil, 0, "gap"},
-		{[]Range{{"a", "", 0}}, 0, "gap"},
-		{[]Range{{"", "m", 0}, {"n", "", 1}}, 1, "gap"},
-		{[]Range{{"", "m", 0}}, 0, "gap"},
-		{[]Range{{"", "m", 0}, {"l", "", 1}}, 1, "overlap"},
-		{[]Range{{"", "", 0}, {"l", "", 1}}, 1, "overlap"},
-		{[]Range{{"", "m", 0}, {"m", "m", 1}, {"m", "", 1}}, 1, "no key"},
-		{[]Range{{"", "m", 0}, {"m", "", 2}}, 1, "cluster 2"},
-	} {
-		at, err := Check(c.ranges, known)
-		if at != c.at || (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
-			t.Errorf("%v: %d, %v, want %d, %q", c.ranges, at, err, c.at, c.want)
-		}
-	}
-}
+	"threadsail/internal/fleet/shardmap/ranges"
+)
 
 // Whatever moves are begun, taken on and undone, the map stays whole, each key's home changes by switches alone, no two moves of
 // one key are under way, and each step has an epoch of its own.
 func TestDocumentStaysWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		keys := []string{"", "a", "b", "c", "d", "e"}
-		d := Document{Epoch: 1, Ranges: []Range{{"", "c", 0}, {"c", "", 1}}}
+		d := Document{Epoch: 1, Ranges: []Range{{To: "c"}, {From: "c", Cluster: 1}}}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			before := d
 			switched := Range{From: "-", To: "-"}
 			switch n := rapid.IntRange(0, 3).Draw(t, "act"); {
 			case n == 0 || len(d.Moves) == 0:
 				o := Order{Name: rapid.StringMatching("m[0-9]").Draw(t, "name"), Source: rapid.IntRange(0, 2).Draw(t, "source"),
-					Range: Range{rapid.SampledFrom(keys).Draw(t, "from"), rapid.SampledFrom(keys).Draw(t, "to"), rapid.IntRange(0, 2).Draw(t, "target")}}
+					Range: Range{From: rapid.SampledFrom(keys).Draw(t, "from"), To: rapid.SampledFrom(keys).Draw(t, "to"), Cluster: rapid.IntRange(0, 2).Draw(t, "target")}}
 				var err error
 				if d, err = d.Begin(o); err == nil {
 					for _, k := range keys[1:] {
@@ -62,7 +38,7 @@
 				}
 				d = d.Advance(m.Name)
 			}
-			if at, err := Check(d.Ranges, func(int) bool { return true }); err != nil {
+			if at, err := ranges.Check(d.Ranges, func(int) bool { return true }); err != nil {
 				t.Fatalf("%d: %v", at, err)
 			}
 			for _, k := range keys[1:] {
