--- a/internal/fleet/purge/part.go
+++ b/internal/fleet/purge/part.go
@@ -321,12 +321,12 @@
 		}
 	}
 	for {
+		docs, err := p.docs(ctx)
 		token, _, ok := tenure.Token()
-		now, agrees := e.Agrees(p.bounds().Guard)
+		now, agrees := e.Agrees(p.bounds().Guard) // last: an instant is counted from here on
 		if !ok || !agrees {
 			return
 		}
-		docs, err := p.docs(ctx)
 		var w *write
 		if err == nil {
 			w, _, err = p.wish().next(docs, now)
