Ask limits before requests, cold sends, dials and probes; read deploy/fleet.json

The decisions of package quota had nobody to ask them. quota.Guard answers a front's core: it refuses a request over its class's or tenant's limit at once, with when to return, and sends an attempt elsewhere while a cold server's budget here is spent. routing.Gate is the same for new connections and probes: an exchange without leave to dial waits for up to half the time to connect, takes a connection that comes back meanwhile, and ends as sent away unseen else, which says nothing of the server's health. A request that waited for its connection pays once. Without a gate one nil is looked at for each new connection.

Tests: the file's mistakes, the guard on a clock of its own, an exchange that waits, is overtaken by a connection put back, and gives up.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -53,6 +53,7 @@
 	Verdicts        VerdictsPart
 	Purges          PurgesPart
 	Shards          ShardsPart
+	Limits          Limits
 	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
 }
 
@@ -146,6 +147,7 @@
 		Verdicts          verdictsFile
 		Purges            purgesFile
 		Shards            shardsFile
+		Limits            json.RawMessage
 		Calendars         map[string]calendar.Calendar
 		Sites             map[string]calendar.Site
 		Journal           struct {
@@ -179,6 +181,10 @@
 	if f.Verdicts, key, err = file.Verdicts.part(); err != nil {
 		return nil, within(text, "verdicts", key), err
 	}
+	var at int64
+	if f.Limits, at, err = parseLimits(file.Limits); err != nil {
+		return nil, int64(bytes.Index(text, file.Limits)) + at, err
+	}
 	var path []string
 	if f.Purges, path, err = file.Purges.part(calendar.Book{Calendars: file.Calendars, Sites: file.Sites}, f.Journal.File); err != nil {
 		return nil, placeOf(text, path), err
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -19,7 +19,21 @@
 "monday": "20:00", "friday": "25:30"}, "holidays": [{"name": "Easter Monday", "easter": 1},
 {"name": "St Stephen", "month": 8, "day": 20}], "exceptions": [{"from": "2026-12-19", "to": "2027-01-03"}]}},
 "sites": {"b": {"zone": "Europe/Budapest", "calendar": "c"}}`
+	limit := func(text string) string {
+		return "{" + peers + ", " + stewards + ",\n\"limits\": {\"revision\": 1, \"list\": [\n{\"name\": \"a\", \"on\": \"probes\", \"rate\": 1},\n" + text + "]}}"
+	}
 	for _, c := range []struct{ text, want string }{
+		{limit(`{"name": "b", "on": "requests", "tenants": true, "rate": 100, "burst": 5, "reserve": 0.5}`), ""},
+		{limit(`{"name": "a", "on": "cold", "rate": 1}`), ":4: limits.list[1].name"},
+		{limit(`{"name": "b/c", "on": "cold", "rate": 1}`), ":4: limits.list[1].name"},
+		{limit(`{"name": "b", "on": "probes", "rate": 1}`), ":4: limits.list[1].on: probes has a limit"},
+		{limit(`{"name": "b", "on": "cold", "class": "c", "rate": 1}`), ":4: limits.list[1].on: cold has no class"},
+		{limit(`{"name": "b", "on": "writes", "rate": 1}`), ":4: limits.list[1].on"},
+		{limit("{\"name\": \"b\",\n\"on\": \"requests\",\n\"rate\": 0}"), ":6: limits.list[1].rate"},
+		{limit(`{"name": "b", "on": "requests", "rate": 1, "burst": -1}`), ":4: limits.list[1].burst"},
+		{limit(`{"name": "b", "on": "requests", "rate": 1, "reserve": 1}`), ":4: limits.list[1].reserve"},
+		{limit(`{"name": "b", "on": "requests", "rates": 1}`), `:4: limits.list[1]: json: unknown field "rates"`},
+		{"{" + peers + ", " + stewards + ",\n\"limits\": {\"list\": [{\"name\": \"a\", \"on\": \"probes\", \"rate\": 1}]}}", ":2: limits.revision"},
 		{`{` + peers + `, ` + stewards + `}`, ""},
 		{"{\n" + peers + ",\n" + stewards + ",\n\"term_msec\": 3}", `unknown field "term_msec"`},
 		{"{\n" + peers + ",\n" + stewards + ",\n\"term_ms\": 10}", ":4: term_ms"},
--- /dev/null
+++ b/internal/fleet/quota/guard.go
@@ -0,0 +1,147 @@
+package quota
+
+import (
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"threadsail/internal/config"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+// Guard holds one front's requests, attempts, connections and probes to the limits. Its calls are on that front's loop, and it
+// is that loop's; fronts of one process share a Taker.
+type Guard struct {
+	taker    *Taker
+	class    func(int) rules.Class
+	settings rules.Settings
+	started  map[string]time.Duration // of servers that may be cold, Unix times
+}
+
+var (
+	_ routing.Guard = (*Guard)(nil)
+	_ routing.Gate  = (*Guard)(nil)
+)
+
+// NewGuard returns a front's guard. class tells of a request's class; settings say how a server warms, and what clients may be
+// told of when to return.
+func NewGuard(t *Taker, class func(int) rules.Class, settings rules.Settings) *Guard {
+	return &Guard{taker: t, class: class, settings: settings, started: map[string]time.Duration{}}
+}
+
+// Admit implements routing.Guard: a request needs a token of each limit that is on it.
+func (g *Guard) Admit(_ time.Duration, r *routing.Request) routing.Admission {
+	class := g.class(r.Class)
+	var taken []func()
+	for _, l := range g.taker.Limits().List {
+		if l.On != config.LimitRequests || l.Class != "" && l.Class != class.Name {
+			continue
+		}
+		key := ""
+		if l.Tenants {
+			key = tenant(class, r)
+		}
+		after, ok := g.taker.Take(l, key, 1)
+		if !ok {
+			for _, spare := range taken {
+				spare()
+			}
+			return routing.Admission{Refuse: true, After: g.after(after)}
+		}
+		taken = append(taken, func() { g.taker.Spare(l, key) })
+	}
+	return routing.Admission{}
+}
+
+// tenant is whom a request is counted for: the session that its quoted key names, where its class has sessions or writes for
+// them, else its group. Keys are told to other poolers as numbers: they are the clients'.
+func tenant(class rules.Class, r *routing.Request) string {
+	if (class.Need == rules.NeedSession || class.Need == rules.NeedWrite) && r.Key != "" {
+		h := fnv.New64a()
+		h.Write([]byte(r.Key))
+		return "s" + strconv.FormatUint(h.Sum64(), 36)
+	}
+	return "g" + strconv.Itoa(r.Group)
+}
+
+// after is when a refused client is told to return: when there will be a token here, or when the next answer of the holder is
+// here, which may bring a larger slice; as far as the settings let clients be told.
+func (g *Guard) after(d time.Duration) time.Duration {
+	if !g.settings.RetryAfter {
+		return 0
+	}
+	if holder, _ := g.taker.Holder(); holder != "" {
+		d = min(d, g.taker.term/3)
+	}
+	return min(max(d, time.Millisecond), g.settings.MaxRetryAfter)
+}
+
+// MaySend implements routing.Guard: an attempt for a cold server needs a token of its limit, more the colder it is. The rules'
+// own share for each front holds beside it.
+func (g *Guard) MaySend(now time.Duration, r *routing.Request, server string) routing.Sending {
+	if r.Waited { // its token was taken before it waited
+		return routing.Send
+	}
+	warmth, cold := g.warmth(now, server)
+	if l, ok := g.limit(config.LimitCold); ok && cold {
+		if _, ok := g.taker.Take(l, server, warmth); !ok {
+			return routing.Elsewhere
+		}
+	}
+	return routing.Send
+}
+
+// Ended implements routing.Guard.
+func (g *Guard) Ended(time.Duration, *routing.Request, routing.Ending) {}
+
+// Listed implements routing.Gate.
+func (g *Guard) Listed(server string, started time.Duration) {
+	if started > 0 && g.settings.ColdFor > 0 {
+		g.started[server] = started
+	}
+}
+
+// warmth is the share of its work that a server bears that the list says has started a while ago, by the rules' own line.
+func (g *Guard) warmth(now time.Duration, server string) (warmth float64, cold bool) {
+	started, ok := g.started[server]
+	if !ok {
+		return 1, false
+	}
+	if now >= started+g.settings.ColdFor {
+		delete(g.started, server)
+		return 1, false
+	}
+	f := max(g.settings.ColdFrom, leastWarmth)
+	return f + (1-f)*float64(max(now-started, 0))/float64(g.settings.ColdFor), true
+}
+
+const leastWarmth = 0.05 // as in rules/cold.go
+
+// MayDial implements routing.Gate.
+func (g *Guard) MayDial(_ time.Duration, server string) (time.Duration, bool) {
+	l, ok := g.limit(config.LimitConnections)
+	if !ok {
+		return 0, true
+	}
+	return g.taker.Take(l, server, 1)
+}
+
+// MayProbe implements routing.Gate.
+func (g *Guard) MayProbe(_ time.Duration, server string) bool {
+	l, ok := g.limit(config.LimitProbes)
+	if !ok {
+		return true
+	}
+	_, ok = g.taker.Take(l, server, 1)
+	return ok
+}
+
+func (g *Guard) limit(on string) (config.Limit, bool) {
+	for _, l := range g.taker.Limits().List {
+		if l.On == on {
+			return l, true
+		}
+	}
+	return config.Limit{}, false
+}
--- /dev/null
+++ b/internal/fleet/quota/guard_test.go
@@ -0,0 +1,71 @@
+package quota
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"threadsail/internal/config"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+func TestGuard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		taker := NewTaker("a/1", term, 10, config.Limits{Revision: 1, List: []config.Limit{
+			{Name: "all", On: config.LimitRequests, Rate: 100, Burst: 80, Reserve: 0.5},
+			{Name: "tenant", On: config.LimitRequests, Tenants: true, Rate: 10, Reserve: 0.5},
+			{Name: "cold", On: config.LimitCold, Rate: 100, Burst: 40, Reserve: 0.5},
+			{Name: "dials", On: config.LimitConnections, Rate: 10, Reserve: 0.5},
+			{Name: "probes", On: config.LimitProbes, Rate: 10, Reserve: 0.5},
+		}})
+		classes := []rules.Class{{Name: "any"}, {Name: "own", Need: rules.NeedSession}}
+		g := NewGuard(taker, func(i int) rules.Class { return classes[i] },
+			rules.Settings{RetryAfter: true, MaxRetryAfter: 300 * time.Millisecond, ColdFrom: 0.5, ColdFor: 10 * time.Second})
+		admit := func(want bool, class int, key string, group int) {
+			t.Helper()
+			a := g.Admit(0, &routing.Request{Class: class, Key: key, Group: group})
+			if a.Refuse == want || want == false && a.After != 300*time.Millisecond {
+				t.Errorf("class %d, key %q, group %d: %+v", class, key, group, a)
+			}
+		}
+		admit(true, 1, "x", 1)
+		admit(false, 1, "x", 2) // its session is the tenant
+		admit(true, 1, "y", 1)
+		admit(true, 0, "x", 1) // no sessions there: its group is
+		admit(false, 0, "y", 1)
+		now := 100 * time.Second
+		g.Listed("s", now-time.Second)
+		r := &routing.Request{}
+		if r.Waited = true; g.MaySend(now, r, "s") != routing.Send {
+			t.Error("an attempt is stopped behind its connection, whose token it has")
+		}
+		if r.Waited = false; g.MaySend(now, r, "warm") != routing.Send {
+			t.Error("nothing is sent to a warm server")
+		}
+		sent, dialled, probed := 0, 0, 0
+		for range 1000 { // 10 s at the safe share of half a connection a second
+			if _, ok := g.MayDial(0, "s"); ok {
+				dialled++
+			}
+			if g.MayProbe(0, "s") {
+				probed++
+			}
+			if g.MaySend(now, &routing.Request{}, "s") == routing.Send {
+				sent++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if sent < 25 || sent > 30 { // at a warmth of 0.55
+			t.Errorf("%d attempts sent to a cold server in 10 s at five a second, want about 27", sent)
+		}
+		for range 10 {
+			if g.MaySend(now+9*time.Second, r, "s") != routing.Send {
+				t.Error("nothing is sent to a server that has warmed")
+			}
+		}
+		if dialled < 4 || dialled > 6 || probed < 4 || probed > 6 {
+			t.Errorf("%d connections and %d probes in 10 s at half a second, want 5 or 6", dialled, probed)
+		}
+	})
+}
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -17,6 +17,8 @@
 	Budget         *transport.Budget
 	Pool           *transport.Pool
 	ConnectTimeout time.Duration // for all that goes before the request itself
+	// MayDial is asked before each new connection; nil: none need be. Of a no: after how long to ask again.
+	MayDial func(addr string) (after time.Duration, ok bool)
 }
 
 // CloseIdle closes the idle connections to a server.
@@ -31,6 +33,7 @@
 	attempt routing.Attempt
 	cancel  func() // of the dial
 	connect *routing.Timer
+	wait    *routing.Timer // for leave to dial
 	rest    *routing.Timer // of an answer that has begun
 	over    bool
 }
@@ -43,16 +46,43 @@
 func (x *Exchange) Start(s *Servers, addr string, h transport.Handler, a routing.Attempt, idle func(state any),
 	fresh func()) {
 	x.servers, x.addr, x.attempt = s, addr, a
-	x.connect = s.Loop.After(s.ConnectTimeout, func() {
-		x.Abort()
-		x.End(rules.NoConnect)
-	})
+	x.begin(s.Loop.Now()+time.Duration(dialWait*float64(s.ConnectTimeout)), false, h, idle, fresh)
+}
+
+// Waiting for leave to dial: a part of the time to connect, in which a connection may come back to the pool. What is still
+// without leave ends as sent away unseen: it says nothing of the server's health.
+const (
+	dialWait  = 0.5
+	dialLeast = 2 * time.Millisecond
+	dialMost  = 20 * time.Millisecond // leave may come sooner than was told
+)
+
+func (x *Exchange) begin(until time.Duration, waited bool, h transport.Handler, idle func(state any), fresh func()) {
+	s, addr := x.servers, x.addr
 	if c, state := s.Pool.Get(addr, s.Loop.Now()); c != nil {
+		if waited && !x.attempt.Fits() {
+			s.Pool.Put(addr, c, state)
+			x.End(rules.Missed)
+			return
+		}
 		x.Conn = c
+		x.timed()
 		c.SetHandler(h)
 		idle(state)
 		return
 	}
+	if s.MayDial != nil {
+		if after, ok := s.MayDial(addr); !ok {
+			wait := min(max(after, dialLeast), dialMost)
+			if s.Loop.Now()+wait > until {
+				x.wait = s.Loop.After(0, func() { x.End(rules.Full) })
+			} else {
+				x.wait = s.Loop.After(wait, func() { x.begin(until, true, h, idle, fresh) })
+			}
+			return
+		}
+	}
+	x.timed()
 	if s.Budget.Full() {
 		s.Pool.Shed()
 	}
@@ -72,6 +102,14 @@
 	})
 }
 
+// timed starts the time to connect.
+func (x *Exchange) timed() {
+	x.connect = x.servers.Loop.After(x.servers.ConnectTimeout, func() {
+		x.Abort()
+		x.End(rules.NoConnect)
+	})
+}
+
 // Begun tells that the request itself has been given to Write: the time to connect no longer binds, and its last byte
 // is reported.
 func (x *Exchange) Begun() {
@@ -108,6 +146,7 @@
 
 // Abort closes the connection, which is how an attempt is given up.
 func (x *Exchange) Abort() {
+	x.wait.Stop()
 	x.connect.Stop()
 	x.rest.Stop()
 	if x.cancel != nil {
--- /dev/null
+++ b/internal/program/exchange/exchange_test.go
@@ -0,0 +1,66 @@
+package exchange
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"threadsail/internal/routing"
+	"threadsail/internal/transport"
+	"threadsail/rules"
+)
+
+// handler notes nothing: only the beginning of exchanges is looked at.
+type handler struct{}
+
+func (handler) Closed(error)               {}
+func (handler) Data(time.Duration, []byte) {}
+
+// An exchange without leave to dial asks again; with leave it dials, with a connection put back meanwhile it takes that, and
+// with neither it ends as sent away unseen, in time.
+func TestLeaveToDial(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	loop := routing.NewLoop()
+	go loop.Run()
+	defer loop.Stop()
+	asked, leave := 0, 3 // asked on the loop alone
+	s := &Servers{Loop: loop, Budget: transport.NewBudget(4), Pool: transport.NewPool(time.Minute, 4), ConnectTimeout: 2 * time.Second,
+		MayDial: func(string) (time.Duration, bool) {
+			asked++
+			return time.Millisecond, asked == leave
+		}}
+	ends := make(chan string, 1)
+	start := func() {
+		x := &Exchange{}
+		a := routing.Attempt{Fits: func() bool { return true }, Sent: func() {}, Done: func(r routing.Result) {
+			if ends <- "ended"; r.Result != rules.Full {
+				t.Errorf("ends as %v", r.Result)
+			}
+		}}
+		x.Start(s, ln.Addr().String(), handler{}, a, func(any) { ends <- "idle" }, func() {
+			ends <- "fresh"
+			x.connect.Stop()
+			loop.After(20*time.Millisecond, func() { x.Put(true, nil) })
+		})
+	}
+	loop.Post(start)
+	if end := <-ends; end != "fresh" {
+		t.Errorf("with leave at last: %s", end)
+	}
+	loop.Post(start) // before the connection is back
+	if end := <-ends; end != "idle" {
+		t.Errorf("with a connection put back: %s", end)
+	}
+	loop.Post(func() {
+		s.Pool.CloseIdle(ln.Addr().String())
+		s.ConnectTimeout = 50 * time.Millisecond
+		start()
+	})
+	if end := <-ends; end != "ended" {
+		t.Errorf("without leave: %s", end)
+	}
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -37,6 +37,8 @@
 	Reply        Replier
 	// Text is the statement without its comment, and Key the quoted key that it names; "": none. Only where the core is guarded.
 	Text, Key string
+	// Waited is set while a guard is asked of an attempt once more, behind the wait for its connection.
+	Waited bool
 }
 
 // Result is the end of an attempt or a probe, as the backend saw it.
@@ -156,6 +158,7 @@
 	noWrites bool
 	primary  []func(kind rules.NewsKind, group int, server string, asOf time.Duration)
 	guards   []Guard
+	gate     Gate // nil: none
 	met      func(server string, class int, result rules.Result, took time.Duration)
 	spare    spare
 	until    time.Duration // by when all requests must have their answers; 0: by their own time alone
@@ -556,7 +559,10 @@
 			if !c.router.StillFits(c.loop.Now(), id, n) {
 				return false
 			}
-			switch o.maySend(store) {
+			o.req.Waited = true
+			sending := o.maySend(store)
+			o.req.Waited = false
+			switch sending {
 			case Elsewhere:
 				return false
 			case Stop:
@@ -643,6 +649,10 @@
 		c.loop.Post(func() { done(Result{Result: rules.NoConnect}) })
 		return
 	}
+	if c.gate != nil && !c.gate.MayProbe(c.loop.Now(), c.name(store)) {
+		c.loop.Post(func() { done(Result{Result: rules.Full}) })
+		return
+	}
 	call := c.backend.Probe(addr, done)
 	timer = c.loop.After(c.opt.ProbeTimeout+probeSlack, func() {
 		call.Abort()
