--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -41,6 +41,25 @@
 	Zones           int           // poolers are in so many zones, by turns; 0: one
 	Verdicts        bool          // they find bad servers out together
 	Purges          ScenarioPurges
+	Shards          ScenarioShards
+}
+
+// ScenarioShards is the rows that a scenario's clients write and read by key, in a map of as many ranges as there are groups; Keys
+// 0: they ask for one row, and there is no map.
+type ScenarioShards struct {
+	Keys    int
+	Lenient bool // servers take writes of any epoch: routers alone keep order
+	Faults  []ScenarioMoveFault
+}
+
+// ScenarioMoveFault is a fault that meets a move in a state.
+type ScenarioMoveFault struct {
+	Move    int    // the first is 1
+	On      string // "prepared", or the act that servers are being told
+	Act     faults.Act
+	Mover   bool  // it is whoever takes the move on that it meets,
+	Poolers []int // or these
+	For     time.Duration
 }
 
 // ScenarioPurges is how the poolers of a scenario keep answers, and purge them; Sites 0: they don't. Poolers are dealt to sites in
@@ -126,6 +145,15 @@
 				ConfirmMs   float64 `json:"confirm_ms"`
 				SettleMs    float64 `json:"settle_ms"`
 			}
+			Shards struct {
+				Keys    int
+				Lenient bool
+				Faults  []struct {
+					Move             int
+					On, Act, Poolers string
+					ForMs            float64 `json:"for_ms"`
+				}
+			}
 		}
 		Steps []json.RawMessage
 	}
@@ -177,6 +205,21 @@
 		return s, 0, fmt.Errorf("fleet.relays: %d poolers are more than %d", s.Poolers, mostRelayed)
 	}
 	rng := rand.New(rand.NewPCG(s.Seed, 0xfa17))
+	s.Fleet.Shards = ScenarioShards{Keys: file.Fleet.Shards.Keys, Lenient: file.Fleet.Shards.Lenient}
+	if n := s.Fleet.Shards.Keys; n != 0 && (n < 2*s.Groups || n > 1000 || s.Groups < 2 || s.Fleet.Stewards == 0) {
+		return s, 0, fmt.Errorf("fleet.shards.keys: %d is not from two a group to 1000, or there are no two groups, or no stewards", n)
+	}
+	for i, f := range file.Fleet.Shards.Faults {
+		one := ScenarioMoveFault{Move: f.Move, On: f.On, Act: faults.Act(f.Act), Mover: f.Poolers == "mover", For: ms(f.ForMs)}
+		var err error
+		if !one.Mover {
+			one.Poolers, err = faults.Pick(f.Poolers, s.Poolers, rng)
+		}
+		if err != nil || one.Act.Undo() == "" || one.For <= 0 || one.Act.OnPeers() && !s.Fleet.Relays {
+			return s, 0, fmt.Errorf("fleet.shards.faults[%d]: no poolers, no fault that ends, or no relays for it: %v", i, err)
+		}
+		s.Fleet.Shards.Faults = append(s.Fleet.Shards.Faults, one)
+	}
 	hot, err := faults.Pick(file.Hot, s.Poolers, rng)
 	if s.Hot, s.HotClients = hot, or(file.HotClients, s.Clients); err != nil {
 		return s, 0, fmt.Errorf("hot: %w", err)
@@ -206,6 +249,8 @@
 			return s, at[i], fmt.Errorf("steps[%d].poolers: holder: the poolers have no stewards", i)
 		case act.OnPurges() && s.Fleet.Purges.Sites == 0:
 			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.purges", i, act)
+		case act == faults.Reshard && s.Fleet.Shards.Keys == 0:
+			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.shards", i, act)
 		case act.OnPeers() && !s.Fleet.Relays:
 			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.relays", i, act)
 		case act.OnLinks() && s.Direct:
--- a/internal/fleet/shardmap/copier.go
+++ b/internal/fleet/shardmap/copier.go
@@ -10,8 +10,8 @@
 )
 
 // Copier moves a range's data between clusters: the servers' own affair, told act by act. It owes that an act can come again, and
-// that one behind which a newer instruction for the move has been carried out is refused (Instruction.Newer): it may have been on
-// its way since before the switch.
+// that one is refused behind which a newer instruction for any of its keys has been carried out (Instruction.Newer): it may have
+// been on its way since before the switch.
 type Copier interface {
 	// Do returns nil once the act is done: for Copy, when the target is nearly up to the source; for Finish, wholly.
 	Do(ctx context.Context, i Instruction) error
--- a/internal/fleet/shardmap/holder.go
+++ b/internal/fleet/shardmap/holder.go
@@ -124,11 +124,12 @@
 // Instruction is an act as whoever copies is told it. Token and Seq put all that any holder ever tells in an order: an act behind
 // which a newer one has been carried out is refused, for it may have been on its way since before the switch.
 type Instruction struct {
-	Act   Act    `json:"act"`
-	Move  Move   `json:"move"`
-	Epoch uint64 `json:"epoch"` // of the document when it was told
-	Token uint64 `json:"token"`
-	Seq   uint64 `json:"seq"`
+	Act    Act    `json:"act"`
+	Move   Move   `json:"move"`
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"` // of the document when it was told
+	Token  uint64 `json:"token"`
+	Seq    uint64 `json:"seq"`
 }
 
 // Newer tells whether an instruction may be carried out behind another, or behind none.
@@ -141,7 +142,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.seq++
-	return Instruction{Act: s.Act, Move: s.Move, Epoch: h.doc.Epoch, Token: h.token, Seq: h.seq}
+	return Instruction{Act: s.Act, Move: s.Move, Holder: h.Name, Epoch: h.doc.Epoch, Token: h.token, Seq: h.seq}
 }
 
 // Step is what is to be done next about a move: the act, then, if it has succeeded, the write of Next. Without Next the act alone.
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -43,15 +43,19 @@
 	Rejoin  Act = "rejoin"  // those links pass all again
 	Move    Act = "move"    // the poolers get a new list service, named in their configuration, and a SIGHUP
 	Closes  Act = "closes"  // the poolers' files get a newer plan, by which all sites close Delay from now, and a SIGHUP
+	Reshard Act = "reshard" // the poolers' files get an order to move a range of keys, and a SIGHUP
 	Order   Act = "order"   // the poolers' files get an order to purge all sites, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Isolate, Lag, Rejoin, Move, Closes, Order}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Isolate, Lag, Rejoin, Move, Closes, Order, Reshard}
 
 // undo is the step that ends a fault of some length.
 var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up, Err: Right,
 	Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
 
+// Undo is the act that ends a fault of some length; empty: it has none.
+func (a Act) Undo() Act { return undo[a] }
+
 // Ends tells whether the act ends faults that another began.
 func (a Act) Ends() bool {
 	return a == Restart || a == Cont || a == Heal || a == Up || a == Right || a == Rejoin || a == Lists
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -57,6 +57,7 @@
 	Met              [][]bool      `json:"-"`          // by pooler, then server place: whether a connection came to who stands there last
 	Journals         []string      `json:",omitempty"` // of a fleet that knows its members; they are gone with the run
 	Purges           []judge.Purge `json:",omitempty"`
+	Shards           *Shards       `json:",omitempty"`
 	Reads            int           // served to clients, where purges are played
 	ReadsAtServers   int           // statements of reads that came to servers, repeats among them
 	Requests         []judge.Request
@@ -123,6 +124,7 @@
 	bad      []Bad
 	peers    peerNet
 	purges   purges
+	shards   shards
 	held     map[int][]int // by the index of a step on the holder, whom it was for
 	rss      [3]float64    // summed over poolers: first sample, last sample; and the most of one
 
@@ -140,7 +142,7 @@
 // Run plays the scenario and judges it. It fails h if a pooler does not start.
 func (f Fleet) Run(h standin.Host) FleetReport {
 	s := f.Scenario
-	r := &fleetRun{Fleet: f, h: h, purges: purges{ScenarioPurges: s.Fleet.Purges}, held: map[int][]int{}, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	r := &fleetRun{Fleet: f, h: h, purges: purges{ScenarioPurges: s.Fleet.Purges}, shards: shards{ScenarioShards: s.Fleet.Shards}, held: map[int][]int{}, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
 	names := make([]string, s.Servers)
 	for i := range names {
 		names[i] = fmt.Sprintf("db%d", i+1)
@@ -171,7 +173,8 @@
 		r.members, r.lists = append(r.members, m), append(r.lists, m.Discovery)
 		r.poolers = append(r.poolers, &pooler{i: i, env: m.Env})
 	}
-	r.peers.join(h, s, r.members, r.purges)
+	r.shards.open(h, r.servers.Servers)
+	r.peers.join(h, s, r.members, r.purges, &r.shards)
 	h.Cleanup(r.endAll)
 	r.began = time.Now()
 	r.each(r.poolers, func(p *pooler) { r.start(p) })
@@ -197,6 +200,10 @@
 		for _, step := range s.Plan.Due(elapsed) {
 			r.act(step)
 		}
+		for _, l := range r.shards.due() {
+			r.act(l.step)
+			r.shards.came(l)
+		}
 		r.failed()
 		select {
 		case <-f.Stop:
@@ -378,6 +385,7 @@
 }
 
 func (r *fleetRun) log(i int, line string) {
+	r.shards.heard(i, line)
 	if r.Logs == nil {
 		return
 	}
@@ -503,6 +511,13 @@
 			r.members[i].File("PROXY_FLEET", r.peers.files[i])
 		}
 		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
+	case faults.Reshard:
+		r.shards.reshard(r.Scenario.Groups)
+		for _, i := range step.Poolers {
+			r.shards.into(r.peers.files[i], r.Scenario.Groups, r.Scenario.Fleet.Term)
+			r.members[i].File("PROXY_FLEET", r.peers.files[i])
+		}
+		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
 	case faults.NoList, faults.Lists:
 		for _, i := range step.Poolers {
 			r.members[i].Discovery.Out(step.Act == faults.NoList)
@@ -601,6 +616,10 @@
 			text = standin.Write(fmt.Sprintf("%016x", rng.Uint64()), s.Patience)
 		}
 		text = standin.At(rng.IntN(s.Groups), text)
+		var row judge.RowOp
+		if s.Fleet.Shards.Keys > 0 {
+			text, row = r.shards.ask(rng, q.Write, fmt.Sprintf("%016x", rng.Uint64()), s.Groups, s.Patience)
+		}
 		_ = c.SetDeadline(time.Now().Add(s.Patience + lateBy))
 		began := time.Now()
 		res := c.Do(text)
@@ -621,6 +640,7 @@
 		if q.Outcome == judge.Served && !q.Write {
 			q.Made = r.purges.made(res.Value)
 		}
+		r.shards.note(row, q, res.Value)
 		r.note(q, q.Ended.Sub(began))
 		if res.Err != nil {
 			_ = c.Close()
@@ -737,6 +757,7 @@
 		}
 	}
 	r.purged(&rep)
+	r.shards.judge(&rep, r.Scenario.Groups)
 	return rep
 }
 
@@ -787,6 +808,9 @@
 	if rep.Reads > 0 {
 		fmt.Fprintf(out, "reads served %d, at servers %d: %.3f of the servers' work saved\n", rep.Reads, rep.ReadsAtServers, 1-float64(rep.ReadsAtServers)/float64(rep.Reads))
 	}
+	if rep.Shards != nil {
+		rep.Shards.table(out)
+	}
 	for _, p := range rep.Purges {
 		fmt.Fprintf(out, "%s: noted by %d poolers, %d within a second, the first %v and the last %v behind it; stale answers %d, noted twice %d\n",
 			p.Name, p.Poolers, p.InTime, p.First.Round(time.Millisecond), p.Last.Round(time.Millisecond), p.Stale, p.Twice)
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -50,7 +50,7 @@
 }
 
 // join writes each member's file of the fleet, with a relay on each link to another if the scenario wants them.
-func (n *peerNet) join(h standin.Host, s config.Scenario, members []*standin.Member, p purges) {
+func (n *peerNet) join(h standin.Host, s config.Scenario, members []*standin.Member, p purges, sh *shards) {
 	fleet := s.Fleet
 	if fleet.Stewards == 0 {
 		return
@@ -94,6 +94,7 @@
 			m.Zone(i%fleet.Zones, fleet.Zones)
 		}
 		p.into(file, i)
+		sh.into(file, s.Groups, fleet.Term)
 		n.files = append(n.files, file)
 		m.File("PROXY_FLEET", file)
 	}
