--- a/internal/fleet/purge/documents.go
+++ b/internal/fleet/purge/documents.go
@@ -34,8 +34,8 @@
 
 // reach is how far ahead of its writing an order or a plan takes effect. An edge whose copy lacks it by then must have stopped
 // serving from its cache: its copy is as of a time before the write was applied, Lead after it was sent at most, and good for
-// Confirm. The writer's clock may be behind by a guard, the edge's ahead by one, and the edge begins a guard early.
-func (b Bounds) reach() time.Duration { return b.Confirm + b.Lead + 3*b.Guard }
+// Confirm. The writer's clock may be behind by a guard.
+func (b Bounds) reach() time.Duration { return b.Confirm + b.Lead + b.Guard }
 
 // Plan is the calendars of all sites, one document for the fleet. It names what it took the place of, so that whoever comes late
 // to a change knows both sides of it.
--- a/internal/fleet/purge/edge_test.go
+++ b/internal/fleet/purge/edge_test.go
@@ -200,6 +200,33 @@
 	})
 }
 
+// An edge that was cut off just before an order was applied, as late as that may be, has stopped answering from its cache when the
+// order takes effect, though its writer's clock is behind.
+func TestReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := closing(1, 59, Wish{Name: "x", Issued: time.Unix(0, 0).AddDate(29, 11, 31)})
+		p.Bounds.Lead = 2 * time.Second
+		l := newLone(t, p, History{})
+		time.Sleep(time.Minute)
+		w, _, err := p.next(l.view.Under("purge/"), time.Now().Add(-bounds.Guard).UnixNano())
+		var o Order
+		if err == nil {
+			err = json.Unmarshal(w.value, &o)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(p.Bounds.Lead)
+		l.compare()
+		l.view.Cut(true)
+		l.put(t, w.key, 0, w.value)
+		time.Sleep(time.Until(time.Unix(0, o.At)))
+		l.want(t, "as the copy's age just allows", 0, May)
+		time.Sleep(time.Nanosecond)
+		l.want(t, "when the order takes effect", 0, Unheard)
+	})
+}
+
 // What stands in the journal is not noted again, what a crash kept from it is.
 func TestHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
