Carry the shard map's epoch to MySQL servers too, and test the guard and late answers

What one wire's servers are told the other's are: plain queries and statements translated for PostgreSQL carry the epoch in their comment where there is a map; a prepared statement's text stays as it was prepared.

--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -40,8 +40,12 @@
 	utf8   *mysql.Execute // Exec with its texts in UTF-8, where the client's are not; nil: they are
 
 	translate func() (*Translated, error)
+	epoch     uint64
 }
 
+// Stamp is documented with routing.Stamped. A prepared statement's text stays as it was prepared, without an epoch.
+func (c *Command) Stamp(epoch uint64) { c.epoch = epoch }
+
 // ForPostgres is the command as PostgreSQL servers get it. It may have come while none was in its cluster, and be sent, after
 // a wait for a primary, when one is: what can't be translated is turned down then, before anything is sent.
 func (c *Command) ForPostgres() (*Translated, error) {
@@ -52,6 +56,7 @@
 		}
 		c.Other = other
 	}
+	c.Other.epoch = c.epoch
 	return c.Other, nil
 }
 
@@ -59,21 +64,22 @@
 type Translated struct {
 	translate.Statement
 	comment *comment.Comment
+	epoch   uint64
 }
 
-// Text is its SQL, with the time that is left in its comment, if it has one.
+// Text is its SQL, with the time that is left in its comment, if it has one, and the epoch of the shard map, if there is one.
 func (t *Translated) Text(left time.Duration) string {
 	if t.comment == nil {
 		return t.SQL
 	}
-	return t.comment.WithPatience(t.SQL, left)
+	return comment.WithEpoch(t.comment.WithPatience(t.SQL, left), t.epoch)
 }
 
 func (c *Command) query(left time.Duration) string {
 	if c.Comment == nil {
 		return c.Text
 	}
-	return c.Comment.WithPatience(c.Text, left)
+	return comment.WithEpoch(c.Comment.WithPatience(c.Text, left), c.epoch)
 }
 
 // Front takes clients in. All of it runs on the core's loop.
--- a/internal/protocol/comment/comment_test.go
+++ b/internal/protocol/comment/comment_test.go
@@ -47,6 +47,18 @@
 	}
 }
 
+func TestEpoch(t *testing.T) {
+	for text, want := range map[string]string{
+		"S /* id=1,c=a */":   "S /* id=1,c=a,epoch=7 */",
+		"S /* id=1, c=a*/ ;": "S /* id=1, c=a,epoch=7 */ ;",
+	} {
+		got := WithEpoch(text, 7)
+		if c, err := Parse(got); got != want || err != nil || c.Class != "a" || Epoch(got) != 7 || Epoch(text) != 0 || WithEpoch(text, 0) != text {
+			t.Errorf("%s: %s, %v", text, got, err)
+		}
+	}
+}
+
 func TestSession(t *testing.T) {
 	a, b := Session("x WHERE uid = '7f' /* */"), Session("INSERT ('7f', 'y')")
 	if a == 0 || a != b || Session("no key") != 0 || Session("open '") != 0 {
@@ -62,6 +74,9 @@
 		if err != nil {
 			return
 		}
+		if n := Epoch(WithEpoch(text, 1<<63)); n != 1<<63 {
+			t.Fatalf("%q names the epoch %d", WithEpoch(text, 1<<63), n)
+		}
 		again, err := Parse(c.WithPatience(text, time.Duration(left)%MaxPatience))
 		if err != nil || again.ID != c.ID || again.Key != c.Key || again.Class != c.Class {
 			t.Fatalf("%q becomes %+v, %v", text, again, err)
--- a/internal/routing/guard_test.go
+++ b/internal/routing/guard_test.go
@@ -96,3 +96,27 @@
 		}
 	})
 }
+
+// doubter is a guard that believes no answer.
+type doubter struct{ script }
+
+func (*doubter) Counts(time.Duration, *Request) bool { return false }
+
+// An answer that a guard holds to be too late is not served: the request has failed, once, and is not sent again.
+func TestGuardDoubtsAnAnswer(t *testing.T) {
+	c, b, r, on := guarded(t, &script{})
+	d := &doubter{}
+	on(func() { c.Guard(d) })
+	on(r.submit(c))
+	w := <-b.calls
+	on(func() { w.Done(Result{Result: rules.OK, Answer: "too late"}) })
+	end := <-r.ended
+	on(func() {
+		if end != "failed" || c.Open() != 0 || len(b.calls) != 0 || len(d.ended) != 1 || d.ended[0].Served {
+			t.Errorf("%s, %d open, %d further attempts; the guard heard of %+v", end, c.Open(), len(b.calls), d.ended)
+		}
+	})
+	if len(r.ended) > 0 {
+		t.Error("a second answer")
+	}
+}
