Have the laboratory play limits, find who deals them, and judge what was taken over them

A scenario gives its poolers limits (fleet.limits), its steps may be on whoever deals them ("poolers": "dealer", by the poolers' logs), and the judge holds requests taken in and new connections against the stated bound: requests over spans that hold them whole, connections at each stand-in. New connections in the worst 100 ms are told from the first kill on too, as those of the start hid them. A front is given its limiter by program.FleetPart.

--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -40,6 +40,7 @@
 	LeastBuild      string        // as Fleet.LeastBuild, at all poolers
 	Zones           int           // poolers are in so many zones, by turns; 0: one
 	Verdicts        bool          // they find bad servers out together
+	Limits          Limits        // as Fleet.Limits, at all poolers
 	Purges          ScenarioPurges
 	Shards          ScenarioShards
 }
@@ -139,6 +140,7 @@
 			LeastBuild      string `json:"least_build"`
 			Zones           int
 			Verdicts        bool
+			Limits          json.RawMessage
 			Purges          struct {
 				Sites, Rows int
 				ClockMs     float64 `json:"clock_ms"`
@@ -204,6 +206,11 @@
 	case fl.Relays && s.Poolers > mostRelayed:
 		return s, 0, fmt.Errorf("fleet.relays: %d poolers are more than %d", s.Poolers, mostRelayed)
 	}
+	limits, offset, err := parseLimits(file.Fleet.Limits)
+	if err != nil {
+		return s, int64(bytes.Index(text, file.Fleet.Limits)) + offset, fmt.Errorf("fleet.%w", err)
+	}
+	s.Fleet.Limits = limits
 	rng := rand.New(rand.NewPCG(s.Seed, 0xfa17))
 	s.Fleet.Shards = ScenarioShards{Keys: file.Fleet.Shards.Keys, Lenient: file.Fleet.Shards.Lenient}
 	if n := s.Fleet.Shards.Keys; n != 0 && (n < 2*s.Groups || n > 1000 || s.Groups < 2 || s.Fleet.Stewards == 0) {
@@ -237,9 +244,9 @@
 		if err := one.Decode(&st); err != nil {
 			return s, at[i], fmt.Errorf("steps[%d]: %w", i, jsonError(err))
 		}
-		holder := st.Poolers == "holder"
+		holder, dealer := st.Poolers == "holder", st.Poolers == "dealer"
 		var poolers []int
-		if !holder {
+		if !holder && !dealer {
 			poolers, err = faults.Pick(st.Poolers, s.Poolers, rng)
 		}
 		switch act := faults.Act(st.Act); {
@@ -247,6 +254,8 @@
 			return s, at[i], fmt.Errorf("steps[%d].poolers: %w", i, err)
 		case holder && s.Fleet.Stewards == 0:
 			return s, at[i], fmt.Errorf("steps[%d].poolers: holder: the poolers have no stewards", i)
+		case dealer && (s.Fleet.Stewards == 0 || len(s.Fleet.Limits.List) == 0):
+			return s, at[i], fmt.Errorf("steps[%d].poolers: dealer: the poolers have no limits", i)
 		case act.OnPurges() && s.Fleet.Purges.Sites == 0:
 			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.purges", i, act)
 		case act == faults.Reshard && s.Fleet.Shards.Keys == 0:
@@ -261,7 +270,7 @@
 			return s, at[i], fmt.Errorf("steps[%d].servers: %w", i, err)
 		}
 		steps = append(steps, faults.Step{At: ms(st.AtMs), Act: faults.Act(st.Act), Poolers: poolers, Servers: servers,
-			Holder: holder, For: ms(st.ForMs), Delay: ms(st.DelayMs), Jitter: ms(st.JitterMs)})
+			Holder: holder, Dealer: dealer, For: ms(st.ForMs), Delay: ms(st.DelayMs), Jitter: ms(st.JitterMs)})
 		if steps[i].At > s.Length {
 			return s, at[i], fmt.Errorf("steps[%d].at_ms: after the end of the run", i)
 		}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -83,6 +83,8 @@
 	// Holder stands for Poolers: whoever holds the fleet's list duty when the step comes, as the laboratory sees it. A fault's
 	// end has the index of its beginning, and is for the same pooler.
 	Holder bool
+	// Dealer is the same for whoever deals the fleet's limits.
+	Dealer bool
 	Index  int // of the step as given
 }
 
@@ -103,7 +105,7 @@
 		s.Index = i
 		all = append(all, s)
 		if s.For > 0 {
-			all = append(all, Step{At: s.At + s.For, Act: undo[s.Act], Poolers: s.Poolers, Servers: s.Servers, Holder: s.Holder, Index: i})
+			all = append(all, Step{At: s.At + s.For, Act: undo[s.Act], Poolers: s.Poolers, Servers: s.Servers, Holder: s.Holder, Dealer: s.Dealer, Index: i})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Step) int { return int(a.At - b.At) })
@@ -123,7 +125,7 @@
 	onLinks := s.Act.OnLinks()
 	onServers := s.Act == Down || s.Act == Up || s.Act == Err || s.Act == Right || s.Act == Promote || s.Act == Replace
 	switch {
-	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder:
+	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder && !s.Dealer:
 		return fmt.Errorf("poolers: %s needs some", s.Act)
 	case (onLinks || onServers) && len(s.Servers) == 0:
 		return fmt.Errorf("servers: %s needs some", s.Act)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -52,6 +52,8 @@
 	Cold             int           // requests' statements at servers in the first second after they came up again
 	Worst100ms       [2]float64    // new connections at one server in its worst 100 ms: mean over servers, most
 	WorstSecond      [2]float64    // the same in its worst second
+	AfterKill        [2]float64    // new connections at one server from the first kill on, in the worst 100 ms and second; 0: none
+	Over             []Over        `json:",omitempty"`
 	ListCalls        int           // watches opened at the list services, all poolers
 	Starts           int           // pooler processes started, restarts among them
 	Met              [][]bool      `json:"-"`          // by pooler, then server place: whether a connection came to who stands there last
@@ -125,6 +127,8 @@
 	peers    peerNet
 	purges   purges
 	shards   shards
+	dealer   dealer
+	killed   time.Time     // the first kill
 	held     map[int][]int // by the index of a step on the holder, whom it was for
 	rss      [3]float64    // summed over poolers: first sample, last sample; and the most of one
 
@@ -386,6 +390,7 @@
 
 func (r *fleetRun) log(i int, line string) {
 	r.shards.heard(i, line)
+	r.dealer.heard(i, line)
 	if r.Logs == nil {
 		return
 	}
@@ -451,9 +456,12 @@
 
 // act carries out one step of the plan.
 func (r *fleetRun) act(step faults.Step) {
-	if step.Holder {
+	if step.Holder || step.Dealer {
 		if !step.Act.Ends() {
 			r.held[step.Index] = r.holder()
+			if step.Dealer {
+				r.held[step.Index] = r.dealer.now()
+			}
 		}
 		step.Poolers = r.held[step.Index]
 	}
@@ -471,6 +479,9 @@
 		some = append(some, r.poolers[i])
 	}
 	each := func(do func(p *pooler)) { r.each(some, do) }
+	if step.Act == faults.Kill && r.killed.IsZero() {
+		r.killed = time.Now()
+	}
 	switch step.Act {
 	case faults.Kill, faults.Term:
 		sig := map[faults.Act]syscall.Signal{faults.Kill: syscall.SIGKILL, faults.Term: syscall.SIGTERM}[step.Act]
@@ -756,6 +767,7 @@
 			worstOf[1] = max(worstOf[1], n)
 		}
 	}
+	r.limited(&rep)
 	r.purged(&rep)
 	r.shards.judge(&rep, r.Scenario.Groups)
 	return rep
@@ -800,6 +812,7 @@
 	fmt.Fprintf(out, "probes %d; requests at servers in their first second back %d\n", rep.Probes, rep.Cold)
 	fmt.Fprintf(out, "new connections at one server in its worst 100 ms: %.1f on the mean, %.0f at most; in its worst second %.1f, %.0f\n",
 		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
+	rep.limitsTable(out)
 	rep.badTable(out)
 	fmt.Fprintln(out, "second  served refused failed lost")
 	for i, c := range rep.Seconds {
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -90,6 +90,9 @@
 		if fleet.Verdicts {
 			file["verdicts"] = map[string]any{"enabled": true}
 		}
+		if fleet.Limits.Revision > 0 {
+			file["limits"] = fleet.Limits
+		}
 		if fleet.Zones > 0 {
 			m.Zone(i%fleet.Zones, fleet.Zones)
 		}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -94,6 +94,27 @@
 	Config *config.Fleet
 	Build  string // version of the program
 	Open   func(FleetEvents) (Fleet, error)
+	// Limit returns what holds a front to the fleet's limits; nil: there are none.
+	Limit func(class func(int) rules.Class, set rules.Settings) Limiter
+}
+
+// Limiter lets a front's requests, attempts, new connections and probes pass, or not now.
+type Limiter interface {
+	routing.Guard
+	routing.Gate
+}
+
+// limit holds a front to the fleet's limits, with all that it dials by. It must be called before the first list comes.
+func (p *FleetPart) limit(core *routing.Core, set rules.Settings, dialled ...*exchange.Servers) {
+	if p == nil || p.Limit == nil {
+		return
+	}
+	l := p.Limit(core.ClassInfo, set)
+	core.Guard(l)
+	core.Gate(l)
+	for _, s := range dialled {
+		s.MayDial = core.MayDial
+	}
 }
 
 // Addrs is where the pooler listens; MySQL and Admin are empty while they are off.
@@ -119,7 +140,7 @@
 		sockets -= descriptors(mysqlSource(cfg, my))
 		sockets /= 2 // each front has its own share: neither can starve the other
 	}
-	pg, err := newPostgres(cfg, log, sockets)
+	pg, err := newPostgres(cfg, control.Fleet, log, sockets)
 	if err != nil {
 		return err
 	}
@@ -131,7 +152,7 @@
 	}()
 	addrs := Addrs{Postgres: pg.front.Addr()}
 	if my != nil {
-		m, err := newMySQL(cfg, my, log, sockets)
+		m, err := newMySQL(cfg, my, control.Fleet, log, sockets)
 		if err != nil {
 			return fmt.Errorf("mysql: %w", err)
 		}
@@ -245,7 +266,7 @@
 	return cfg
 }
 
-func newPostgres(cfg *config.Config, log zerolog.Logger, sockets int) (*side, error) {
+func newPostgres(cfg *config.Config, fleet *FleetPart, log zerolog.Logger, sockets int) (*side, error) {
 	log = log.With().Str("front", "postgres").Logger()
 	loop := routing.NewLoop()
 	d, in, budget := newDoor(cfg, loop, sockets)
@@ -257,11 +278,13 @@
 	table := routes.NewTable(routes.Postgres)
 	fit := func(string, int) error { return nil }
 	src := newSource(cfg, postgresSource(cfg), postgresWire, table, loop, budget, log)
+	dialled := []*exchange.Servers{&own.Servers}
 	if src.keeper != nil { // only a file can name servers of the other wire
 		my := cfg.Lists.MySQLServers
-		backend = &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.Postgres: own, routes.MySQL: &crossside.Back{Echo: my.Echo,
-			Backend: &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
-				Version: func(addr string) routes.Version { return table.At(addr).Version }, Log: said(log)}}}}
+		other := &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
+			Version: func(addr string) routes.Version { return table.At(addr).Version }, Log: said(log)}
+		dialled = append(dialled, &other.Servers)
+		backend = &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.Postgres: own, routes.MySQL: &crossside.Back{Echo: my.Echo, Backend: other}}}
 		fit = func(text string, group int) error {
 			if !table.Needs(group).Translation {
 				return nil
@@ -275,6 +298,7 @@
 	if err != nil {
 		return nil, err
 	}
+	fleet.limit(core, cfg.Settings, dialled...)
 	if err := src.begin(cfg, core); err != nil {
 		return nil, err
 	}
@@ -307,7 +331,7 @@
 
 // newMySQL sets up the second front: the inventory is its discovery, probes tell roles and positions, and servers
 // answer reads from whatever they have.
-func newMySQL(cfg *config.Config, my *config.MySQL, log zerolog.Logger, sockets int) (*side, error) {
+func newMySQL(cfg *config.Config, my *config.MySQL, fleet *FleetPart, log zerolog.Logger, sockets int) (*side, error) {
 	log = log.With().Str("front", "mysql").Logger()
 	loop := routing.NewLoop()
 	d, in, budget := newDoor(cfg, loop, sockets)
@@ -326,6 +350,7 @@
 	if err != nil {
 		return nil, err
 	}
+	fleet.limit(core, cfg.Settings, &own.Servers, &other.Servers)
 	if cfg.Lists.MySQL == (config.ListSource{}) {
 		cfg = withPoll(cfg, my.Reload)
 	}
