Let a watch that was opened again without news count as caught up after a second

Need: an agent with nothing new says nothing but empty lines when a watch is opened with its revision, so the next change, seconds later, counted as told since the word before and its drain got no grace.

Change: a second after its first word a watch has told what the agent had; and a first list that comes in pieces keeps the beginning of the gap.

--- a/internal/program/push.go
+++ b/internal/program/push.go
@@ -18,13 +18,20 @@
 	// be a quarter of a second, and a call on the own machine costs some 0.1 ms.
 	callFirst = 5 * time.Millisecond
 	callMost  = 80 * time.Millisecond
+	// caughtUp after its first word a watch has told all that the agent had when it was opened: that comes at once, and not at
+	// all where there is nothing new.
+	caughtUp = time.Second
 	// startMost bounds how long a start waits for the agent, which is silent while discovery is down.
 	startMost = 500 * time.Millisecond
 )
 
-// told is since when what comes now may count as told. On a watch that has told a list that is when it came; what an agent
-// tells first it may have had since the last word before.
+// told is since when what has come at a time may count as told. On a watch that has caught up that is when it came; what an
+// agent tells first it may have had since the last word before.
 func (w *watcher) told(at time.Duration) time.Duration {
+	if w.spoke == 0 {
+		w.spoke = at
+	}
+	w.fresh = w.fresh || at >= w.spoke+caughtUp
 	if w.pushed && !w.fresh {
 		return w.heard
 	}
--- a/internal/program/watch.go
+++ b/internal/program/watch.go
@@ -32,7 +32,8 @@
 	pushed bool // the service is an agent on this machine, which is never left: see push.go
 	again  *routing.Timer
 	wait   time.Duration // until the next call of an agent, after another that fails
-	fresh  bool          // the watch under way has told a list
+	spoke  time.Duration // when the watch under way said its first word; 0: not yet
+	fresh  bool          // it has told a list, or had none to tell
 	// heard is when the last word came, or when a watch ended that had told everything until then.
 	heard  time.Duration
 	stop   func() // ends the watch under way; nil: there is none
@@ -61,6 +62,7 @@
 			return
 		}
 		w.c, w.stream, w.fresh = c, &discovery.Stream{}, false
+		w.spoke = 0
 		w.stop = c.Close
 		c.SetHandler(w)
 		c.Write(discovery.WatchRequest(w.addr, w.since))
@@ -122,7 +124,6 @@
 func (w *watcher) Data(at time.Duration, b []byte) {
 	w.hear(watchSilence)
 	told := w.told(at)
-	w.heard = at
 	lists, err := w.stream.Feed(b)
 	for _, l := range lists {
 		kind := rules.ListDelta
@@ -136,6 +137,9 @@
 			w.duty.own(l)
 		}
 	}
+	if w.fresh {
+		w.heard = at
+	}
 	if err != nil {
 		if len(lists) == 0 {
 			w.since = 0 // it may be the list after this one that can't be read: ask for all of it
