--- /dev/null
+++ b/cmd/threadsail-fleet/shards.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+
+	"threadsail/internal/config"
+	"threadsail/internal/fleet"
+	"threadsail/internal/fleet/shardmap"
+)
+
+// shardPart is the shard map's part, on the fleet's ground.
+type shardPart struct{ *shardmap.Part }
+
+// newShards is the part that routes by key and moves ranges between clusters; nil: there is no map.
+func newShards(c *config.Fleet) *shardPart {
+	if len(c.Shards.Ranges) == 0 {
+		return nil
+	}
+	return &shardPart{shardmap.New(shardOptions(c))}
+}
+
+// Run is documented with fleet.Part.
+func (p *shardPart) Run(ctx context.Context, g fleet.Ground) error {
+	return p.Part.Run(ctx, shardmap.Ground{Bus: g.Bus, View: g.View, Store: g.Store, Tenure: g.Stand(ctx, shardmap.Duty), Log: g.Log})
+}
+
+// shardOptions is what the operators' file has of the map and its moves.
+func shardOptions(c *config.Fleet) shardmap.Options {
+	file := c.Shards
+	opt := shardmap.Options{Name: c.Name, Term: c.Term, Drift: c.Drift, PreparedMost: file.PreparedMost, FencedMost: file.FencedMost,
+		Ranges: file.Ranges, Retired: file.Retired}
+	if file.Copier != "" {
+		opt.Copier = shardmap.Hook{URL: file.Copier}
+	}
+	for _, m := range file.Moves {
+		opt.Orders = append(opt.Orders, shardmap.Order{Name: m.Name, Range: shardmap.Range{From: m.From, To: m.To, Cluster: m.Target},
+			Source: m.Source, Undo: m.Undo})
+	}
+	return opt
+}
--- a/internal/fleet/shardmap/holder.go
+++ b/internal/fleet/shardmap/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,8 +28,8 @@
 
 // Enrolled is the poolers whose processes may write, as a copy of the shared documents has them.
 type Enrolled struct {
-	Version uint64
-	Names   []string
+	Version   uint64
+	Instances map[string]string // processes by their poolers' names
 }
 
 // Take begins a time in office by a token, with the document as the stewards have it then. Rights that earlier holders gave were
@@ -195,19 +196,23 @@
 	return s, false
 }
 
-// Missing is the routers whose word a move waits for, by name.
-func (h *Holder) Missing(name string, e Enrolled) []string {
+// Waits is the processes whose word a move still waits for, once it has waited for a term: until then most are on their way.
+func (h *Holder) Waits(name string, e Enrolled) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	m, _ := h.doc.Move(name)
+	m, ok := h.doc.Move(name)
+	if !ok || time.Since(h.since[name]) < h.Term {
+		return nil
+	}
 	return h.missing(m, e)
 }
 
 func (h *Holder) missing(m Move, e Enrolled) (names []string) {
-	for _, name := range e.Names {
+	for name, instance := range e.Instances {
 		if h.known[name].Known < m.Since {
-			names = append(names, name)
+			names = append(names, instance)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
--- a/internal/fleet/shardmap/model_test.go
+++ b/internal/fleet/shardmap/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -119,7 +118,7 @@
 }
 
 func (w *world) enrolledAt(at int) Enrolled {
-	return Enrolled{Version: w.log[at].version, Names: slices.Sorted(maps.Keys(w.log[at].routers))}
+	return Enrolled{Version: w.log[at].version, Instances: w.log[at].routers}
 }
 
 // take has a candidate win the duty, if the stewards may give it.
--- a/internal/fleet/shardmap/office.go
+++ b/internal/fleet/shardmap/office.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -118,14 +119,20 @@
 	if stepped, err = p.obey(ctx, g, token); stepped || err != nil {
 		return stepped, err
 	}
-	enrolled := Enrolled{Version: g.View.Version()}
+	enrolled := Enrolled{Version: g.View.Version(), Instances: map[string]string{}}
 	for _, doc := range g.View.Under(Routers) {
-		enrolled.Names = append(enrolled.Names, strings.TrimPrefix(doc.Key, Routers))
+		enrolled.Instances[strings.TrimPrefix(doc.Key, Routers)] = string(doc.Value)
 	}
 	d, _ := p.holder.Document()
 	for _, m := range d.Moves {
 		s, ok := p.holder.Next(m.Name, enrolled, p.actedFor(m).act)
 		switch {
+		case !ok && (m.State == Prepared || m.State == Fenced):
+			if lacks := p.holder.Waits(m.Name, enrolled); len(lacks) > 0 {
+				p.once(fmt.Sprint(m.Since, lacks), func() {
+					g.Log.Info().Str("move", m.Name).Str("state", string(m.State)).Strs("waits for", lacks).Msg("shards: a move waits for poolers")
+				})
+			}
 		case !ok:
 		case s.Next == nil:
 			p.act(ctx, g, s)
--- a/internal/fleet/shardmap/part.go
+++ b/internal/fleet/shardmap/part.go
@@ -234,7 +234,9 @@
 				doc, ok := g.View.Get(key)
 				struck = !first && !ok && g.View.Version() > 0
 				if !first && ok && string(doc.Value) != p.router.Instance {
-					g.Log.Debug().Str("other", string(doc.Value)).Msg("shards: another process has enrolled under this name")
+					p.once(string(doc.Value), func() {
+						g.Log.Warn().Str("other", string(doc.Value)).Msg("shards: another process has enrolled under this name; this one takes no writes of mapped keys")
+					})
 				}
 			}
 		}
