--- a/internal/fleet/shardmap/ranges/ranges.go
+++ b/internal/fleet/shardmap/ranges/ranges.go
@@ -52,12 +52,16 @@
 
 // Home is the cluster of a key by a whole map; ok: there is one.
 func Home(ranges []Range, key string) (cluster int, ok bool) {
-	for _, r := range ranges {
-		if r.Holds(key) {
-			return r.Cluster, true
-		}
+	if len(ranges) == 0 {
+		return 0, false
 	}
-	return 0, false
+	behind, _ := slices.BinarySearchFunc(ranges, key, func(r Range, key string) int { // the first that begins behind the key
+		if r.From <= key {
+			return -1
+		}
+		return 1
+	})
+	return ranges[behind-1].Cluster, true
 }
 
 // Place puts a range with its cluster over what the map says of its keys.
--- a/internal/fleet/shardmap/router.go
+++ b/internal/fleet/shardmap/router.go
@@ -131,7 +131,7 @@
 	home, _ := r.doc.Home(key)
 	w := &Write{Key: key, Home: home, epoch: r.doc.Epoch, until: until}
 	if !r.mayWrite(w) {
-		return nil, r.again(key)
+		return nil, r.again()
 	}
 	if r.writes == nil {
 		r.writes = map[*Write]bool{}
@@ -142,7 +142,7 @@
 
 // again is when a client may come again: a fence without faults lasts as long as all routers take to see it, and a right is asked
 // for three times a term.
-func (r *Router) again(string) time.Duration { return r.Term / askEvery }
+func (r *Router) again() time.Duration { return r.Term / askEvery }
 
 // Send tells whether a write may be sent to its home right now, and as of which epoch.
 func (r *Router) Send(w *Write) (epoch uint64, ok bool) {
