Tell where a list ends by its brackets, so that indented lists are taken

Need: lists may come indented. The stream of the list service took each line for an object (discovery.go, lines): the first line of an indented list is an open bracket, so each such watch ended with "unexpected end of JSON input" and the pooler never had a list; an agent was called again and again.

Now the end of an object is told by its brackets outside strings, over lines and chunks, and bytes that can be part of no list are an error at once, as before: a raw line end within a string, a bracket where none may stand, words between lists. What is cut short elsewhere shows when the object is parsed, or, if its end never comes, as silence.

Shown by: indented lists whole, cut anywhere and byte by byte, brackets within names, and the fuzzer from an indented seed.

--- a/internal/protocol/discovery/discovery.go
+++ b/internal/protocol/discovery/discovery.go
@@ -1,4 +1,5 @@
-// Package discovery reads what the node list's service says: HTTP/1.1 answers, chunked, a JSON object a line.
+// Package discovery reads what the node list's service says: HTTP/1.1 answers, chunked, one JSON object after the other, each on a
+// line of its own or indented over many.
 package discovery
 
 import (
@@ -16,7 +17,7 @@
 // Limits of what is taken in.
 const (
 	maxHead = 16 << 10
-	maxLine = 4 << 20
+	maxText = 4 << 20
 )
 
 // Member is one entry of the list.
@@ -97,11 +98,18 @@
 type Stream struct {
 	buf     []byte
 	headed  bool
-	left    int // of the chunk under way, its line end included
-	line    []byte
-	scanned int
+	left    int    // of the chunk under way, its line end included
+	text    []byte // the object under way, or the space before it
+	scanned int    // of text
+	depth   int    // open brackets; 0: no object has begun
+	quoted  bool   // a string is open
+	escaped bool   // and its next byte is taken as it is
+	last    byte   // of the object under way, space left out
 }
 
+// Begun tells that a list has begun and is not whole.
+func (s *Stream) Begun() bool { return s.depth > 0 }
+
 // Feed takes in bytes. An error means that the watch is over.
 func (s *Stream) Feed(b []byte) ([]List, error) {
 	s.buf = append(s.buf, b...)
@@ -124,7 +132,7 @@
 		if err != nil {
 			return out, err
 		}
-		if out, err = s.lines(out); err != nil || !more {
+		if out, err = s.lists(out); err != nil || !more {
 			return out, err
 		}
 	}
@@ -149,7 +157,7 @@
 	return errors.New("discovery: the answer is not chunked")
 }
 
-// chunk moves bytes from the chunked form to the line under way; false: more must come first.
+// chunk moves bytes from the chunked form to the text under way; false: more must come first.
 func (s *Stream) chunk() (bool, error) {
 	if s.left == 0 {
 		end := bytes.Index(s.buf, []byte("\r\n"))
@@ -161,7 +169,7 @@
 		}
 		size, _, _ := bytes.Cut(s.buf[:end], []byte(";"))
 		n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
-		if err != nil || n > maxLine {
+		if err != nil || n > maxText {
 			return false, fmt.Errorf("discovery: chunk size %.16q", size)
 		}
 		s.buf = s.buf[end+2:]
@@ -175,31 +183,61 @@
 	}
 	n := min(len(s.buf), s.left)
 	if text := min(n, s.left-2); text > 0 { // the last two bytes end the chunk
-		s.line = append(s.line, s.buf[:text]...)
+		s.text = append(s.text, s.buf[:text]...)
 	}
 	s.buf = s.buf[n:]
 	s.left -= n
 	return len(s.buf) > 0, nil
 }
 
-func (s *Stream) lines(out []List) ([]List, error) {
-	for {
-		end := bytes.IndexByte(s.line[s.scanned:], '\n')
-		if end < 0 {
-			if s.scanned = len(s.line); s.scanned > maxLine {
-				return out, errors.New("discovery: a line is too long")
-			}
-			return out, nil
+// lists takes whole objects off the text. Where one ends is told by its brackets, for a line may end within it.
+func (s *Stream) lists(out []List) ([]List, error) {
+	for s.scanned < len(s.text) {
+		if err := s.scan(s.text[s.scanned]); err != nil {
+			return out, err
+		}
+		s.scanned++
+		if s.depth > 0 {
+			continue
 		}
-		end += s.scanned
-		text := bytes.TrimSpace(s.line[:end])
-		if len(text) > 0 {
+		if text := bytes.TrimSpace(s.text[:s.scanned]); len(text) > 0 {
 			l, err := ParseList(text)
 			if err != nil {
 				return out, fmt.Errorf("discovery: %w", err)
 			}
 			out = append(out, l)
 		}
-		s.line, s.scanned = append(s.line[:0], s.line[end+1:]...), 0
+		s.text, s.scanned = append(s.text[:0], s.text[s.scanned:]...), 0
+	}
+	if s.scanned > maxText {
+		return out, errors.New("discovery: a list is too long")
+	}
+	return out, nil
+}
+
+// scan takes in one byte. What can't be part of a list is an error at once: it would hold up all that comes after it.
+func (s *Stream) scan(b byte) error {
+	switch {
+	case s.quoted && b < ' ':
+		return errors.New("discovery: a string is cut short")
+	case s.escaped:
+		s.escaped = false
+	case s.quoted:
+		s.escaped, s.quoted = b == '\\', b != '"'
+	case b == ' ' || b == '\n' || b == '\r' || b == '\t':
+		return nil
+	case b == '{' || b == '[' && s.depth > 0:
+		if s.depth > 0 && s.last != ':' && s.last != ',' && s.last != '[' {
+			return errors.New("discovery: a list is cut short")
+		}
+		s.depth++
+	case (b == '}' || b == ']') && s.depth > 0:
+		s.depth--
+	case b == '"' && s.depth > 0:
+		s.quoted = true
+	case s.depth == 0:
+		return fmt.Errorf("discovery: %q where a list should begin", b)
 	}
+	s.last = b
+	return nil
 }
--- a/internal/protocol/discovery/discovery_test.go
+++ b/internal/protocol/discovery/discovery_test.go
@@ -1,7 +1,10 @@
 package discovery
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,9 +42,22 @@
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
+// indented is a list as services with a taste for it write them.
+func indented(line string) string {
+	var b bytes.Buffer
+	if err := json.Indent(&b, []byte(line), "", "  "); err != nil {
+		panic(err)
+	}
+	return b.String()
+}
+
 func TestStream(t *testing.T) {
 	full, drain := line(41, true, "Ready"), line(42, false, "Terminating")
 	one, two := list(41, true, rules.Ready), list(42, false, rules.Draining)
+	odd := one
+	odd.Members = []Member{one.Members[0]}
+	odd.Members[0].Name = `s{"]\`
+	said := strings.Replace(full, "s-1", `s{\"]\\`, 1)
 	for name, c := range map[string]struct {
 		in   string
 		want []List
@@ -50,6 +66,12 @@
 		"head only":       {in: okHead},
 		"two lists":       {in: okHead + chunk(full) + chunk("\n") + chunk(drain), want: []List{one, two}},
 		"in one chunk":    {in: okHead + chunk(full+"\n"+drain), want: []List{one, two}},
+		"indented":        {in: okHead + chunk(indented(full)+"\n") + chunk("\n") + chunk(indented(drain)), want: []List{one, two}},
+		"indented, cut":   {in: okHead + chunk(indented(full)[:90]) + chunk(indented(full)[90:]+full), want: []List{one, one}},
+		"indented tight":  {in: okHead + chunk(indented(full)+indented(drain)), want: []List{one, two}},
+		"brackets quoted": {in: okHead + chunk(indented(said)) + chunk(said), want: []List{odd, odd}},
+		"cut short":       {in: okHead + chunk(full[:30]+"\n"+full), bad: true},
+		"no list":         {in: okHead + chunk("[]\n"), bad: true},
 		"over chunks":     {in: okHead + chunk(full[:20]) + chunk(full[20:]), want: []List{one}},
 		"ended":           {in: okHead + chunk(full) + "0\r\n\r\n", want: []List{one}, bad: true},
 		"status":          {in: "HTTP/1.1 503 no\r\n\r\n", bad: true},
@@ -57,7 +79,7 @@
 		"not http":        {in: "hello\r\n\r\n", bad: true},
 		"bad chunk size":  {in: okHead + "zz\r\n", bad: true},
 		"huge chunk size": {in: okHead + "7fffffff\r\n", bad: true},
-		"bad list":        {in: okHead + chunk("{\n"), bad: true},
+		"bad list":        {in: okHead + chunk("{]\n"), bad: true},
 	} {
 		whole := &Stream{}
 		got, err := whole.Feed([]byte(c.in))
@@ -80,6 +102,7 @@
 
 func FuzzStream(f *testing.F) {
 	f.Add([]byte(okHead+chunk(line(41, true, "Ready"))), 7)
+	f.Add([]byte(okHead+chunk(indented(line(41, true, "Ready")))), 99)
 	f.Fuzz(func(t *testing.T, b []byte, cut int) {
 		s := &Stream{}
 		if cut < 0 || cut > len(b) {
