Open a silent watch anew in time for what it misses

Need: a watch that has fallen silent is broken; what it misses counts as told 6 s after it fell silent, or 2 s after the wait of a call is over.

Seen: silence was noticed after 3 s and reported as a failed call (watch.go, hear and failed). The module then spreads the next call as it does after one that was turned down, over up to 24 s in a fleet of 300 or the time that the settings give for asking (rules/list.go, askSpan). With 6 s given, a drain was heard of 7.1 s after the silence began; with the 10 s that settings give the next call begins 8 to 13 s after it. A call that stays silent itself was given up after 4 s. And a list that came behind the HTTP head on a new watch counted as told with that head, not with the last word before (Data, heard).

Now silence is noticed after 2.5 s (a line comes every 2), the next call begins within 1 s and is answered or turned down within 2: half a second before the bound. While the service can't be reached at all it is called on like this, which costs it nothing; a call that it turns down is repeated by the module as before. What is read later than 6 s after the silence began counts from then, so drains get that much less of the grace. An agent, which answers at once, is called again after 0.5 s without a word, doubling up to 2.5 s. A list that has begun must be whole within 2.5 s.

Shown by: a watch that hears nothing more while a server drains, lists asked for (300 poolers) and pushed.

--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -32,6 +32,8 @@
 	since    string
 	out      bool
 	hush     bool
+	stranded int  // so many first watches get no further word
+	indented bool // lists take many lines
 	turned   int
 	open     map[int]time.Time // watches that are open, by number, with their beginnings
 }
@@ -71,6 +73,22 @@
 	d.changed = make(chan struct{})
 }
 
+// Strand has the watches that are open now hear nothing more, while new ones are answered.
+func (d *Discovery) Strand() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stranded = d.watches
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Indent has lists come indented, over many lines.
+func (d *Discovery) Indent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.indented = true
+}
+
 // TurnedAway tells how many calls were answered 503.
 func (d *Discovery) TurnedAway() int {
 	d.mu.Lock()
@@ -128,12 +146,20 @@
 	}()
 	for {
 		d.mu.Lock()
-		line, _ := json.Marshal(map[string]any{"revision": d.revision, "complete": true, "members": d.entries})
-		changed, out, hush := d.changed, d.out, d.hush
+		list := map[string]any{"revision": d.revision, "complete": true, "members": d.entries}
+		line, _ := json.Marshal(list)
+		if d.indented {
+			line, _ = json.MarshalIndent(list, "", "  ")
+		}
+		changed, out, hush, stranded := d.changed, d.out, d.hush, n <= d.stranded
 		d.mu.Unlock()
 		if out {
 			return
 		}
+		if stranded {
+			<-r.Context().Done()
+			return
+		}
 		if hush {
 			select {
 			case <-changed:
--- a/internal/program/push.go
+++ b/internal/program/push.go
@@ -26,18 +26,33 @@
 )
 
 // told is since when what has come at a time may count as told. On a watch that has caught up that is when it came; what an
-// agent tells first it may have had since the last word before.
+// agent tells first it may have had since the last word before, and what a watch missed that fell silent counts after a time.
 func (w *watcher) told(at time.Duration) time.Duration {
 	if w.spoke == 0 {
 		w.spoke = at
 	}
 	w.fresh = w.fresh || at >= w.spoke+caughtUp
-	if w.pushed && !w.fresh {
+	switch {
+	case w.fresh:
+		return at
+	case w.pushed:
 		return w.heard
+	case w.lost:
+		return min(at, w.heard+missedAfter)
 	}
 	return at
 }
 
+// firstWord is how long a call may stay silent. An agent answers at once, and may not write to a call that it has kept silent
+// to: it is called again soon, ever later while it stays silent.
+func (w *watcher) firstWord() time.Duration {
+	if !w.pushed {
+		return watchSilence
+	}
+	w.allow = min(max(2*w.allow, startMost), watchSilence)
+	return w.allow
+}
+
 // ended notes that a watch that has told all there was until now is over.
 func (w *watcher) ended() {
 	if w.fresh {
--- a/internal/program/watch.go
+++ b/internal/program/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"math/rand/v2"
+	"net"
 	"time"
 
 	"threadsail/internal/protocol/discovery"
@@ -10,11 +12,14 @@
 	"threadsail/rules"
 )
 
-// The list service gives up a call after 2 s, and while a watch lives a line comes at least every 2 s. What it has
-// to tell counts as told 6 s later, so silence must be noticed well before.
+// While a watch lives a line comes at least every 2 s, and a call is answered or turned down within 2 s of waiting for its
+// turn. What a watch that has fallen silent misses counts as told 6 s later: it is given up after 2.5 s, the next call begins
+// within 1 s and is answered within 2 s, half a second before.
 const (
 	watchDial    = time.Second
-	watchSilence = 3 * time.Second
+	watchSilence = 2500 * time.Millisecond
+	watchAgain   = time.Second
+	missedAfter  = 6 * time.Second
 )
 
 var errSilent = errors.New("discovery: silent for too long")
@@ -34,6 +39,8 @@
 	wait   time.Duration // until the next call of an agent, after another that fails
 	spoke  time.Duration // when the watch under way said its first word; 0: not yet
 	fresh  bool          // it has told a list, or had none to tell
+	lost   bool          // the last watch fell silent, and no other has caught up since
+	allow  time.Duration // for the first word of a call
 	// heard is when the last word came, or when a watch ended that had told everything until then.
 	heard  time.Duration
 	stop   func() // ends the watch under way; nil: there is none
@@ -66,6 +73,7 @@
 		w.stop = c.Close
 		c.SetHandler(w)
 		c.Write(discovery.WatchRequest(w.addr, w.since))
+		w.hear(w.firstWord())
 	})
 	w.stop = cancel
 	w.hear(watchDial + watchSilence)
@@ -108,13 +116,28 @@
 	w.failed(err)
 }
 
+// broken tells that a watch is to be opened anew at once, spread a little, as others may have been cut off with it: it fell
+// silent, or did so before and the service can't be reached. A call that is turned down is the module's to repeat, for each
+// costs the service a turn; one that never reached it does not.
+func broken(err error, before bool) bool {
+	var e net.Error
+	return err == errSilent || before && errors.As(err, &e) && e.Timeout()
+}
+
 func (w *watcher) failed(err error) {
 	w.shut()
 	w.log("discovery: " + err.Error())
 	if w.pushed {
+		if err == errSilent {
+			w.since = 0 // with nothing new to tell, an agent's first word could be an empty line, 2 s later
+		}
 		w.callAgain()
 		return
 	}
+	if w.lost = w.duty == nil && broken(err, w.lost); w.lost {
+		w.again = w.loop.After(rand.N(watchAgain), w.open)
+		return
+	}
 	if w.duty != nil {
 		w.duty.failed()
 	}
@@ -122,9 +145,11 @@
 }
 
 func (w *watcher) Data(at time.Duration, b []byte) {
-	w.hear(watchSilence)
-	told := w.told(at)
 	lists, err := w.stream.Feed(b)
+	told := w.told(at)
+	if len(lists) > 0 || !w.stream.Begun() { // a list that has begun is owed whole
+		w.hear(watchSilence)
+	}
 	for _, l := range lists {
 		kind := rules.ListDelta
 		if l.Complete {
@@ -138,7 +163,7 @@
 		}
 	}
 	if w.fresh {
-		w.heard = at
+		w.heard, w.lost, w.allow = at, false, 0
 	}
 	if err != nil {
 		if len(lists) == 0 {
