Take documents of other parts for no change, and fuzz what a plan may hold

Each change of any part's document had every edge parse the plan and compile its site's, and answer nothing from its cache meanwhile; now the purges' own documents' versions are compared first.

--- a/internal/fleet/purge/documents.go
+++ b/internal/fleet/purge/documents.go
@@ -13,6 +13,7 @@
 
 // The documents of purges.
 const (
+	prefix      = "purge/"
 	planKey     = "purge/plan"
 	orderPrefix = "purge/order/"
 )
@@ -73,20 +74,21 @@
 	return out, nil
 }
 
-// read takes the documents of purges from a copy. plan is nil while there is none.
-func read(v shared.View) (plan *Plan, orders []Order, err error) {
-	if d, ok := v.Get(planKey); ok {
-		plan = &Plan{}
-		if err := json.Unmarshal(d.Value, plan); err != nil {
-			return nil, nil, fmt.Errorf("%s: %w", planKey, err)
-		}
-	}
-	for _, d := range v.Under(orderPrefix) {
+// read reads the documents of purges. plan is nil while there is none.
+func read(docs []shared.Doc) (plan *Plan, orders []Order, err error) {
+	for _, d := range docs {
 		var o Order
-		if err := json.Unmarshal(d.Value, &o); err != nil {
+		switch {
+		case d.Key == planKey:
+			plan = &Plan{}
+			err = json.Unmarshal(d.Value, plan)
+		case strings.HasPrefix(d.Key, orderPrefix):
+			err = json.Unmarshal(d.Value, &o)
+			orders = append(orders, o)
+		}
+		if err != nil {
 			return nil, nil, fmt.Errorf("%s: %w", d.Key, err)
 		}
-		orders = append(orders, o)
 	}
 	return plan, orders, nil
 }
--- a/internal/fleet/purge/edge.go
+++ b/internal/fleet/purge/edge.go
@@ -37,6 +37,7 @@
 	others int // other poolers that are held to be alive
 	// The timetable is of a version of the copy, or a later one.
 	version uint64
+	docs    []shared.Doc
 	table   *Timetable
 	why     error
 	events  []Event // of the table, within span
@@ -68,10 +69,21 @@
 	return e
 }
 
-// Take takes in the documents as the copy now has them. Documents that can't be used leave the edge without a timetable.
+// Take takes in the documents as the copy now has them. Documents that can't be used leave the edge without a timetable; a change of
+// other parts' documents costs next to nothing.
 func (e *Edge) Take() {
 	version := e.view.Version() // of the copy, before it is read: it may be newer then
-	plan, orders, err := read(e.view)
+	docs := e.view.Under(prefix)
+	e.mu.Lock()
+	same := e.docs != nil && slices.EqualFunc(e.docs, docs, func(a, b shared.Doc) bool { return a.Key == b.Key && a.Version == b.Version })
+	if same {
+		e.version = version
+	}
+	e.mu.Unlock()
+	if same {
+		return
+	}
+	plan, orders, err := read(docs)
 	var t *Timetable
 	switch {
 	case err != nil:
@@ -82,7 +94,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.version, e.table, e.why, e.span = version, t, err, [2]int64{}
+	e.version, e.docs, e.table, e.why, e.span = version, docs, t, err, [2]int64{}
 }
 
 // Why is what keeps the edge from having a timetable; nil: it has one.
--- a/internal/fleet/purge/edge_test.go
+++ b/internal/fleet/purge/edge_test.go
@@ -373,3 +373,30 @@
 		t.Errorf("this clock stepped by a second: %v", off)
 	}
 }
+
+// A document that holds anything is refused, or gives a timetable whose events are in order and within what was asked for.
+func FuzzPlan(f *testing.F) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC).UnixNano()
+	value, err := closing(1, 70).plan(nil, now)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value, []byte(`{"name":"x","at":1,"cluster":2}`))
+	f.Fuzz(func(t *testing.T, plan, order []byte) {
+		p, orders, err := read([]shared.Doc{{Key: planKey, Value: plan}, {Key: orderPrefix + "x", Value: order}})
+		if err != nil {
+			return
+		}
+		table, err := newTimetable("a", p, orders)
+		if err != nil {
+			return
+		}
+		last := now
+		for _, e := range table.Between(now, now+int64(48*time.Hour)) {
+			if e.At < last || e.At > now+int64(48*time.Hour) {
+				t.Fatalf("%+v", e)
+			}
+			last = e.At
+		}
+	})
+}
--- a/internal/fleet/purge/part.go
+++ b/internal/fleet/purge/part.go
@@ -207,7 +207,7 @@
 
 // bounds are the fleet's, or this pooler's own while it knows of none.
 func (p *Part) bounds() Bounds {
-	if plan, _, err := read(p.g.View); err == nil && plan != nil {
+	if plan, _, err := read(p.g.View.Under(prefix)); err == nil && plan != nil {
 		return plan.Bounds
 	}
 	return p.wish().Bounds
@@ -288,7 +288,7 @@
 	if !ok || p.g.View.Confirmed().IsZero() {
 		return nil, firstRounds, nil
 	}
-	return wish.next(p.g.View.Under("purge/"), now)
+	return wish.next(p.g.View.Under(prefix), now)
 }
 
 // write stands for the duty and writes all that is lacking. A write that may yet be applied is given up together with the lease
--- a/internal/fleet/purge/purge_test.go
+++ b/internal/fleet/purge/purge_test.go
@@ -80,7 +80,7 @@
 	go func() {
 		for t.Context().Err() == nil {
 			changed := w.seen.Changed()
-			if p, _, err := read(w.seen); err == nil && p != nil {
+			if p, _, err := read(w.seen.Under(prefix)); err == nil && p != nil {
 				w.mu.Lock()
 				w.plans[p.Revision] = *p
 				w.mu.Unlock()
@@ -180,7 +180,7 @@
 
 // purges are all of a site's in true time, by the plans that were in force one after another.
 func (w *world) purges(site string) (out []Event) {
-	_, orders, _ := read(w.seen)
+	_, orders, _ := read(w.seen.Under(prefix))
 	end := time.Now().UnixNano()
 	revisions := slices.Sorted(maps.Keys(w.plans))
 	for i, rev := range revisions {
@@ -230,7 +230,7 @@
 				faults = append(faults, fmt.Sprintf("%s: %s was noted twice", e.name, id))
 			}
 		}
-		plan, orders, _ := read(w.seen)
+		plan, orders, _ := read(w.seen.Under(prefix))
 		if plan == nil || e.end == nil {
 			continue
 		}
