Deal what lies unused to those with wants, and ask early only with news

Tests: a tenant at fifteen times its limit gets its limit, and the others theirs; what a pooler says does not grow with the fleet.

--- a/internal/fleet/quota/bucket.go
+++ b/internal/fleet/quota/bucket.go
@@ -22,6 +22,7 @@
 	waiting bool      // it was found short, and has not been taken from since
 	tried   float64   // wants since the last ask
 	before  float64   // wants a second, between the asks before that
+	told    float64   // the want that the holder was told last
 }
 
 // paced limits are on what comes as a herd after a failure: there poolers must not all have a token put by.
--- a/internal/fleet/quota/dealer.go
+++ b/internal/fleet/quota/dealer.go
@@ -102,7 +102,7 @@
 	d.wish(from, p, a.Wants)
 	g = Grant{Token: d.token, Number: a.Number, Term: d.term, Slices: map[string]float64{}}
 	for key, want := range a.Wants {
-		slice := min(want, d.fair(key, from, now), d.free(key, from, now))
+		slice := min(d.fair(key, from, now), d.free(key, from, now))
 		if learns {
 			slice = min(slice, a.Held[key], want)
 			if a.Have > 0 { // it goes by an answer of this holder's already, which was within what it held
@@ -193,8 +193,9 @@
 	return max(left, 0)
 }
 
-// fair is a pooler's max-min fair part of a key: nobody can have more but from one who has no more. Who has not asked for a
-// term wants nothing.
+// fair is a pooler's max-min fair part of a key: nobody can have more but from one who has no more. Where all have what they
+// want, half of what is left goes to them in equal parts, as wants come unevenly; the other half is for who wants next, whom
+// the others' slices would keep waiting. Who has not asked for a term wants nothing.
 func (d *Dealer) fair(key, from string, now time.Time) float64 {
 	var wants []float64
 	for name, want := range d.wants[key] {
@@ -202,7 +203,14 @@
 			wants = append(wants, want)
 		}
 	}
-	return min(d.wants[key][from], level(d.cap(key), wants))
+	total, want := d.cap(key), d.wants[key][from]
+	if l := level(total, wants); want > l || !math.IsInf(l, 1) {
+		return min(want, l)
+	}
+	for _, w := range wants {
+		total -= w
+	}
+	return want + total/2/float64(len(wants))
 }
 
 // level is the water level of max-min fairness: each gets its want or this, whichever is less.
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +46,7 @@
 var limits = config.Limits{Revision: 1, List: []config.Limit{
 	{Name: "hot", On: config.LimitRequests, Tenants: true, Rate: 200, Burst: 40, Reserve: 0.25},
 	{Name: "new", On: config.LimitConnections, Rate: 100, Burst: 5, Reserve: 0.4},
+	tenantLimit,
 }}
 
 // stalled is a bus whose process can be stopped: what it was about to say goes out when it goes on, and what comes waits. Its
@@ -52,6 +54,7 @@
 type stalled struct {
 	*bustest.Bus
 	skew time.Duration
+	said *atomic.Int64 // bytes
 
 	mu   sync.Mutex
 	wait chan struct{} // closed when it goes on; nil: it runs
@@ -85,6 +88,7 @@
 
 func (s *stalled) Send(ctx context.Context, to, topic string, body []byte) error {
 	s.runs()
+	s.said.Add(int64(len(body)))
 	return s.Bus.Send(context.WithoutCancel(ctx), to, topic, body)
 }
 
@@ -119,12 +123,13 @@
 	rng      *rand.Rand
 	running  sync.WaitGroup
 	fresh    int // processes started again
+	bytes    atomic.Int64
 }
 
 func (w *world) start(n *node) {
 	n.starts++
 	instance := fmt.Sprint(n.name, "/", n.starts)
-	n.bus = &stalled{Bus: w.net.Join(n.name), skew: time.Duration(w.rng.Int64N(int64(drift)))}
+	n.bus = &stalled{Bus: w.net.Join(n.name), skew: time.Duration(w.rng.Int64N(int64(drift))), said: &w.bytes}
 	n.steward = w.register.Client(instance)
 	n.part = New(Options{Instance: instance, Term: term, Drift: drift, Fleet: len(w.nodes), Limits: limits})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -209,7 +214,7 @@
 		}
 		rates := [2]float64{}
 		wanted = [2]float64{}
-		for i, l := range limits.List {
+		for i, l := range limits.List[:2] {
 			got := 0
 			for _, n := range w.nodes {
 				if n.part == nil {
@@ -241,7 +246,7 @@
 		time.Sleep(step)
 		synctest.Wait()
 	}
-	for i, l := range limits.List { // all is healed, and wants have stood for two terms
+	for i, l := range limits.List[:2] { // all is healed, and wants have stood for two terms
 		if least := 0.95 * (1 - l.Reserve) * l.Rate; size > 2 && wanted[i] < least {
 			return fmt.Errorf("%s: who has wants may take %.1f of %v a second: more lies unused than the reserve", l.Name, wanted[i], l.Rate)
 		}
--- a/internal/fleet/quota/taker.go
+++ b/internal/fleet/quota/taker.go
@@ -28,7 +28,7 @@
 	number  uint64
 	asked   map[uint64]time.Time
 	rolled  time.Time // since when wants are counted
-	short   bool      // since the last ask something was refused, or a slice became smaller
+	short   bool      // Short
 	refused map[string]uint64
 }
 
@@ -38,6 +38,9 @@
 		rolled: time.Now(), refused: map[string]uint64{}}
 }
 
+// news is by how much a want must have grown for an ask out of turn.
+const news = 1.25
+
 // Set puts a newer set of limits in force; an older one changes nothing. Tokens put by of a limit that has changed are gone:
 // they were another limit's.
 func (t *Taker) Set(set config.Limits) bool {
@@ -91,7 +94,7 @@
 	}
 	after, ok = b.take(now, 1/min(max(weigh, 0.05), 1))
 	if !ok {
-		t.short = true
+		t.short = t.short || b.want(now.Sub(t.rolled), false) > news*b.told
 		t.refused[l.Name]++
 	}
 	return after, ok
@@ -142,8 +145,8 @@
 	return t.holder, t.token
 }
 
-// Short tells that something was refused since the last ask, or a slice became smaller: an ask now is worth more than one in
-// its turn. The holder can deal what a pooler gave up only once it is told so.
+// Short tells that since the last ask something was refused that is wanted more than the holder knows, or a slice became
+// smaller: an ask now is worth more than one in its turn. The holder can deal what a pooler gave up only once it is told so.
 func (t *Taker) Short() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,8 +161,9 @@
 	next := now.Sub(t.rolled) >= t.term/3
 	a = Ask{Instance: t.instance, Wants: map[string]float64{}}
 	for key, b := range t.buckets {
-		if w := b.want(now.Sub(t.rolled), next); w > 0 {
-			a.Wants[key] = w
+		b.told = b.want(now.Sub(t.rolled), next)
+		if b.told > 0 {
+			a.Wants[key] = b.told
 		}
 	}
 	if next {
