Put shared documents into the stewards' log, and bring copies to all poolers

The fleet's parts need documents that all poolers agree on, a way to each other, and leases of their own. A read goes to the leader, which asks a majority (VerifyLeader) instead of writing to its log; a lease that another holds is denied by the leader alone, so that hundreds that stand for a duty write nothing. A write whose first try got no answer is never called refused.

Copies are brought by the leading steward's words, fetched whole from any pooler, then from the one that spoke, then from a steward; a copy is confirmed as of when a majority of the stewards was asked. The copy on disk is written beside the old one, synced and renamed; a disk that is full is told of, tried again each second, and harms nothing.

The store now has the engine wait until the disk takes the term, and stand for no office meanwhile. SIGXFSZ no longer ends a process.

program/fleet.go is split by duty; parts are attached to both fronts before their loops run, also where servers come from a file.

--- a/cmd/threadsail-fleet/main.go
+++ b/cmd/threadsail-fleet/main.go
@@ -62,12 +62,40 @@
 		if info, ok := debug.ReadBuildInfo(); ok && build == "" {
 			build = info.Main.Version // "(devel)" where it was built from a working tree: below every least_build
 		}
-		control.Fleet = &program.FleetPart{Config: part, Build: build, Open: func(events program.FleetEvents) (program.Fleet, error) {
-			return fleet.Open(part, log, events)
-		}}
+		control.Fleet = wire(cfg, part, build, log)
 	}
 	return program.Serve(cfg, my, log, control, func(program.Addrs) {})
 }
 
+// wire puts the parts that the files ask for between the pooler and its fleet.
+func wire(cfg *config.Config, c *config.Fleet, build string, log zerolog.Logger) *program.FleetPart {
+	all := parts(cfg, c)
+	o := fleet.Options{Config: c, Spread: program.Spread(cfg), Log: log}
+	for _, p := range all {
+		o.Parts = append(o.Parts, p.Part)
+	}
+	return &program.FleetPart{Config: c, Build: build,
+		Open: func(events program.FleetEvents) (program.Fleet, error) { return fleet.Open(o, events) },
+		Attach: func(f program.Front) {
+			for _, p := range all {
+				if p.attach != nil {
+					p.attach(f)
+				}
+			}
+		},
+		Reload: func(cfg *config.Config) {
+			next, err := config.LoadFleet(os.Getenv, cfg)
+			if err != nil || next == nil {
+				log.Error().Err(err).Msg("reload: the fleet's old file stands; its parts are turned off by a restart alone")
+				return
+			}
+			for _, p := range all {
+				if p.reload != nil {
+					p.reload(cfg, next)
+				}
+			}
+		}}
+}
+
 // leastMemory is twice what the program takes at rest with its fleet's parts.
 const leastMemory = 32 << 20
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -55,6 +55,7 @@
 	Shards          ShardsPart
 	Limits          Limits
 	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
+	Shared          SharedPart
 }
 
 // JournalPart is the pooler's journal of acts; File empty: it keeps none.
@@ -64,6 +65,11 @@
 	Keep  int   // files put aside
 }
 
+// SharedPart is the pooler's copy of the fleet's documents; Dir empty: it is kept in memory alone.
+type SharedPart struct {
+	Dir string `json:"dir"`
+}
+
 // Peer is a pooler and the address at which it is reached from here.
 type Peer struct {
 	Name string `json:"name"`
@@ -150,6 +156,7 @@
 		Limits            json.RawMessage
 		Calendars         map[string]calendar.Calendar
 		Sites             map[string]calendar.Site
+		Shared            SharedPart
 		Journal           struct {
 			File  string
 			MaxMB float64 `json:"max_mb"`
--- a/internal/fleet/audit/record.go
+++ b/internal/fleet/audit/record.go
@@ -35,6 +35,9 @@
 	VerdictBegun Act = "verdict-begun" // Server: the fleet holds it to be bad, by the evidence that this pooler has
 	VerdictEnded Act = "verdict-ended" // Server: and no longer
 	Purged       Act = "purged"        // Purge, Due: a cache was emptied, once for each purge
+	Unkept       Act = "unkept"        // its copy of the shared documents can't be written to its disk
+	Kept         Act = "kept"          // and can be again
+	Dropped      Act = "dropped"       // Seq: acts that could not be written here, since the record before
 )
 
 // Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 	"threadsail/internal/fleet/duty"
 	"threadsail/internal/fleet/lease"
 	"threadsail/internal/fleet/peers"
+	"threadsail/internal/fleet/shared"
 	"threadsail/internal/fleet/steward"
 	"threadsail/internal/program"
 )
@@ -53,10 +55,20 @@
 	giving  chan struct{}
 	log     zerolog.Logger
 	done    sync.WaitGroup
+	ground  *ground
 }
 
-// Open starts the pooler's part and returns at once; errors are of its addresses and the steward's folder.
-func Open(c *config.Fleet, log zerolog.Logger, events program.FleetEvents) (*Fleet, error) {
+// Options of a pooler's part in its fleet.
+type Options struct {
+	Config *config.Fleet
+	Spread float64 // from 0 up to 1, by the pooler's own seed
+	Parts  []Part
+	Log    zerolog.Logger
+}
+
+// Open starts the pooler's part and returns at once; errors are of its addresses and folders.
+func Open(o Options, events program.FleetEvents) (*Fleet, error) {
+	c, log := o.Config, o.Log
 	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), asks: make(chan func(), queuedAsks), words: make(chan func(), queuedActs), ending: make(chan struct{}),
 		giving: make(chan struct{}, gives), log: log.With().Str("part", "fleet").Logger()}
 	say := func(line string) { f.log.Warn().Msg(line) }
@@ -64,13 +76,16 @@
 	for _, p := range c.Stewards {
 		stewards = append(stewards, steward.Peer(p))
 	}
+	var err error
+	if f.ground, err = newGround(o, f.holder, stewards, events); err != nil {
+		return nil, err
+	}
 	if c.Steward.Listen != "" {
 		if err := os.MkdirAll(c.Steward.Dir, 0o700); err != nil {
 			return nil, err
 		}
-		var err error
 		f.steward, err = steward.Start(steward.Options{Name: c.Name, Listen: c.Steward.Listen, Dir: c.Steward.Dir, Stewards: stewards,
-			Drift: c.Drift, Election: c.Election, Log: say})
+			Drift: c.Drift, Election: c.Election, Log: say, Changed: func(s shared.State) { f.ground.copy.Take(s) }})
 		if err != nil {
 			return nil, err
 		}
@@ -79,7 +94,6 @@
 	for _, p := range c.Peers {
 		others = append(others, peers.Peer(p))
 	}
-	var err error
 	if f.peers, err = peers.Start(peers.Options{Name: c.Name, Listen: c.Listen, Advertise: c.Advertise, Peers: others,
 		Heard: func(text []byte) { f.heard(text, events) }, Log: say}, peers.Meta{}); err != nil {
 		if f.steward != nil {
@@ -97,6 +111,7 @@
 		for f.next(f.asks) {
 		}
 	})
+	f.ground.begin(f.peers.Bus(), f.steward)
 	return f, nil
 }
 
@@ -158,12 +173,12 @@
 
 // Acquire asks for the list duty's lease.
 func (f *Fleet) Acquire(done func(g lease.Grant, ok bool, err error)) {
-	f.ask(func(c *steward.Client) { done(c.Acquire(duty.ListsDuty, f.c.Term)) })
+	f.ask(func(c *steward.Client) { done(c.Acquire(context.Background(), duty.ListsDuty, f.c.Term)) })
 }
 
 // Release gives it up. If that fails the lease runs out by itself.
 func (f *Fleet) Release() {
-	f.ask(func(c *steward.Client) { _ = c.Release(duty.ListsDuty) })
+	f.ask(func(c *steward.Client) { _ = c.Release(context.Background(), duty.ListsDuty) })
 }
 
 // Tell passes a word on to all, and TellFound which server the holder found to be a group's primary; empty: none yet.
@@ -233,6 +248,7 @@
 
 // Close leaves the fleet. What waits for the stewards, a release above all, is said first.
 func (f *Fleet) Close() {
+	f.ground.end()
 	close(f.ending) // and not the queues: the loop may still be running where the start has failed
 	f.done.Wait()
 	f.peers.Close()
--- /dev/null
+++ b/internal/fleet/ground.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/fleet/audit"
+	"threadsail/internal/fleet/bus"
+	"threadsail/internal/fleet/lease"
+	"threadsail/internal/fleet/shared"
+	"threadsail/internal/fleet/steward"
+	"threadsail/internal/program"
+)
+
+const (
+	storeClients = 1 // asks of documents under way at once: a connection each
+	standClients = 1 // and of leases, which must not wait behind a write that is slow
+	endWithin    = time.Second
+)
+
+// ground is what the parts stand on, and the parts themselves as they run.
+type ground struct {
+	o       Options
+	copy    *shared.Copy
+	keeper  *shared.Keeper // nil: the copy is kept in memory alone
+	store   *steward.Clients
+	leases  *steward.Clients
+	events  program.FleetEvents
+	log     zerolog.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// newGround begins with the copy on disk. A damaged one is set aside by the first that replaces it, and none is begun with.
+func newGround(o Options, holder string, stewards []steward.Peer, events program.FleetEvents) (*ground, error) {
+	g := &ground{o: o, events: events, log: o.Log.With().Str("part", "shared").Logger()}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	timeout := o.Config.Term / 4 // so that a renewal, a third of the term in, can be tried twice
+	g.leases = steward.NewClients(standClients, holder, stewards, timeout)
+	g.store = steward.NewClients(storeClients, holder, stewards, o.Config.Term)
+	var begun shared.State
+	if dir := o.Config.Shared.Dir; dir != "" {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return nil, err
+		}
+		state, asOf, err := shared.Load(dir)
+		if err != nil {
+			g.log.Error().Err(err).Str("dir", dir).Msg("shared: the copy on disk can't be used")
+		}
+		if begun = state; state.Version > 0 {
+			g.log.Info().Uint64("version", state.Version).Int("documents", len(state.Docs)).Time("as_of", asOf).Msg("shared: begun with the copy on disk")
+		}
+	}
+	g.copy = shared.NewCopy(begun)
+	return g, nil
+}
+
+// begin has the copy brought and kept, and runs the parts.
+func (g *ground) begin(way bus.Bus, own *steward.Steward) {
+	say := func(line string) { g.log.Warn().Msg(line) }
+	var confirm func() (uint64, time.Time, bool)
+	if own != nil {
+		confirm = own.Confirm
+	}
+	if dir := g.o.Config.Shared.Dir; dir != "" {
+		g.keeper = shared.Keep(g.ctx, dir, g.copy, g.kept)
+	}
+	shared.Bring(g.ctx, shared.Bringing{Bus: way, Copy: g.copy, Stewards: g.store, Confirm: confirm, Beat: g.o.Config.Term / 3,
+		Spread: g.o.Spread, Log: say})
+	terms := shared.Terms{Term: g.o.Config.Term, Drift: g.o.Config.Drift, Spread: g.o.Spread}
+	for _, p := range g.o.Parts {
+		g.running.Go(func() {
+			err := p.Run(g.ctx, Ground{Bus: way, View: g.copy, Store: g.store, Journal: g.events.Acted, Log: g.o.Log,
+				Stand: func(ctx context.Context, d lease.Duty) shared.Tenure { return shared.Stand(ctx, g.leases, d, terms) }})
+			if err != nil && g.ctx.Err() == nil {
+				g.events.Failed(fmt.Errorf("%T: %w", p, err))
+			}
+		})
+	}
+}
+
+// kept tells that the copy can't be written to the disk, or can again. The pooler goes on from memory.
+func (g *ground) kept(err error) {
+	if err != nil {
+		g.log.Error().Err(err).Str("dir", g.o.Config.Shared.Dir).Msg("shared: the copy can't be written; it is kept in memory alone")
+		g.events.Acted(audit.Record{Act: audit.Unkept})
+		return
+	}
+	g.log.Info().Msg("shared: the copy is written again")
+	g.events.Acted(audit.Record{Act: audit.Kept})
+}
+
+// end ends the parts. One that does not is left behind: the process ends.
+func (g *ground) end() {
+	g.cancel()
+	ended := make(chan struct{})
+	go func() {
+		g.running.Wait()
+		g.store.Close()
+		g.leases.Close()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(endWithin):
+		g.log.Warn().Msg("shared: a part or an ask does not end")
+	}
+}
--- /dev/null
+++ b/internal/fleet/peers/bus_test.go
@@ -0,0 +1,71 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"threadsail/internal/fleet/bus"
+)
+
+// Messages to one and to all arrive with their sender, the newest of a topic at the last.
+func TestBus(t *testing.T) {
+	f := start(t, 3)
+	heard := make(chan string, 1000)
+	for i, p := range f.members {
+		p.Bus().Handle("t", func(from string, body []byte) { heard <- fmt.Sprint(from, ">", i, " ", string(body)) })
+	}
+	until(t, "all know all", f.all(3))
+	if err := f.members[0].Bus().Send(t.Context(), "n2", "t", []byte("to one")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-heard; got != "n0>2 to one" {
+		t.Error(got)
+	}
+	if err := f.members[0].Bus().Send(t.Context(), "n0", "t", []byte("to itself")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-heard; got != "n0>0 to itself" {
+		t.Error(got)
+	}
+	if err := f.members[0].Bus().Send(t.Context(), "nobody", "t", nil); !errors.Is(err, bus.ErrUnknown) {
+		t.Errorf("to nobody: %v", err)
+	}
+	over, end := context.WithCancel(t.Context())
+	end()
+	if err := f.members[0].Bus().Send(over, "n1", "none", nil); !errors.Is(err, context.Canceled) {
+		t.Errorf("with an ended context: %v", err)
+	}
+	for i := range 20 {
+		f.members[1].Bus().Cast("t", fmt.Append(nil, i))
+	}
+	for last := map[string]bool{}; !last["n1>0 19"] || !last["n1>2 19"]; {
+		last[<-heard] = true
+	}
+	if got := f.members[0].Bus().Members(); len(got) == 0 || got[0] != "n0" {
+		t.Errorf("members %v", got)
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	sealed, _ := seal("n1", "t", []byte("body"))
+	f.Add(sealed)
+	f.Add([]byte{busMark, 200, 1})
+	f.Add([]byte("{}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		from, topic, body, err := open(text)
+		if err != nil {
+			return
+		}
+		again, err := seal(from, topic, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f2, t2, b2, err := open(again)
+		if err != nil || f2 != from || t2 != topic || !bytes.Equal(b2, body) {
+			t.Errorf("%q %q %q becomes %q %q %q, %v", from, topic, body, f2, t2, b2, err)
+		}
+	})
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -45,7 +45,7 @@
 	Listen    string // host:port, TCP and UDP
 	Advertise string // host:port that others reach it at; empty: as Listen
 	Peers     []Peer
-	// Heard takes a message of another pooler. It is called on memberlist's goroutines and must not wait; the bytes are its own.
+	// Heard takes a message of another pooler that is not of the Bus. It is called on memberlist's goroutines and must not wait; the bytes are its own.
 	Heard func(text []byte)
 	Log   func(string) // nil: nowhere
 }
@@ -69,6 +69,7 @@
 	list   *memberlist.Memberlist
 	size   atomic.Pointer[memberlist.Memberlist] // list, for goroutines of its own that run before it is returned
 	queue  *memberlist.TransmitLimitedQueue
+	bus    *Bus
 	ending chan struct{}
 	done   sync.WaitGroup
 
@@ -88,6 +89,7 @@
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	p := &Peers{o: o, meta: meta, alive: map[string]*memberlist.Node{}, ending: make(chan struct{})}
+	p.bus = newBus(p)
 	c := memberlist.DefaultLANConfig()
 	c.Logger = nil
 	c.LogOutput = lines(p.say)
@@ -127,6 +129,7 @@
 	}
 	p.size.Store(p.list)
 	p.done.Go(p.keep)
+	p.done.Go(p.bus.cast)
 	return p, nil
 }
 
@@ -282,7 +285,11 @@
 }
 
 func (d *delegate) NotifyMsg(b []byte) {
-	if len(b) > 0 {
+	switch {
+	case len(b) == 0:
+	case b[0] == busMark:
+		d.bus.heard(slices.Clone(b))
+	default:
 		d.o.Heard(slices.Clone(b))
 	}
 }
--- /dev/null
+++ b/internal/fleet/steward/disk_test.go
@@ -0,0 +1,94 @@
+package steward
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/raft"
+)
+
+// fullStore takes nothing while it is full.
+type fullStore struct {
+	*raft.InmemStore
+	mu   sync.Mutex
+	full bool
+}
+
+var errFull = errors.New("no space left")
+
+func (f *fullStore) set(full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = full
+}
+
+func (f *fullStore) room() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return errFull
+	}
+	return nil
+}
+
+func (f *fullStore) StoreLogs(l []*raft.Log) error {
+	return errors.Join(f.room(), f.InmemStore.StoreLogs(l))
+}
+
+func (f *fullStore) SetUint64(key []byte, val uint64) error {
+	if err := f.room(); err != nil {
+		return err
+	}
+	return f.InmemStore.SetUint64(key, val)
+}
+
+// A term waits for the disk and never goes back; a vote and a log fail at once; at the end nothing waits.
+func TestFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner, said, ending := &fullStore{InmemStore: raft.NewInmemStore()}, []string{}, make(chan struct{})
+		d := &disk{store: inner, ending: ending, say: func(line string) { said = append(said, line) }}
+		if err := errors.Join(d.SetUint64(termKey, 3), d.StoreLogs([]*raft.Log{{Index: 1}})); err != nil {
+			t.Fatal(err)
+		}
+		inner.set(true)
+		if err := d.StoreLogs([]*raft.Log{{Index: 2}}); !errors.Is(err, errFull) || !d.Full() {
+			t.Error(err)
+		}
+		if err := d.SetUint64([]byte("LastVoteTerm"), 4); !errors.Is(err, errFull) {
+			t.Error("a vote:", err)
+		}
+		var wrote []uint64
+		for _, term := range []uint64{5, 4} { // of the engine, and of a heartbeat that is late
+			go func() {
+				if err := d.SetUint64(termKey, term); err != nil {
+					t.Error(err)
+				}
+				wrote = append(wrote, term)
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(time.Minute)
+		if len(wrote) > 0 {
+			t.Errorf("terms %v were taken on a full disk", wrote)
+		}
+		inner.set(false)
+		time.Sleep(time.Second)
+		if term, err := d.GetUint64(termKey); term != 5 || err != nil || d.Full() || len(wrote) != 2 {
+			t.Errorf("term %d %v, full %v, %v returned", term, err, d.Full(), wrote)
+		}
+		inner.set(true)
+		go func() { wrote = append(wrote, 0); _ = d.SetUint64(termKey, 6); wrote = append(wrote, 6) }()
+		synctest.Wait()
+		close(ending)
+		synctest.Wait()
+		if len(wrote) != 4 {
+			t.Error("a term still waits at the end")
+		}
+		if len(said) != 3 {
+			t.Errorf("said %q", said)
+		}
+	})
+}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -6,17 +6,34 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/mod/semver"
 
 	"threadsail/internal/config"
 	"threadsail/internal/fleet/audit"
 	"threadsail/internal/fleet/duty"
 	"threadsail/internal/fleet/lease"
-	"threadsail/internal/protocol/discovery"
 	"threadsail/internal/routing"
 	"threadsail/rules"
 )
 
+// FleetPart is the pooler's part in the fleet of poolers.
+type FleetPart struct {
+	Config *config.Fleet
+	Build  string // version of the program
+	Open   func(FleetEvents) (Fleet, error)
+	Attach func(Front) // has the parts put their guards on a front; nil: there are none
+	// Limit returns what holds a front to the fleet's limits; nil: there are none.
+	Limit  func(class func(int) rules.Class, set rules.Settings) Limiter
+	Reload func(*config.Config) // has the parts take their files over again, beside the pooler's own; it must not wait long; nil: they don't
+}
+
+// Front is a front as the fleet's parts meet it, before its loop runs. Each front has a loop of its own: what a part shares
+// between two of them it keeps behind a lock.
+type Front struct {
+	Name string // "postgres" or "mysql"
+	Core *routing.Core
+	Loop *routing.Loop // Post is for any goroutine
+}
+
 // Fleet is the way to the other poolers and to the stewards of the leases. None of its calls waits. The program knows only
 // this interface, so that the libraries behind it stay out of a pooler that is on its own.
 type Fleet interface {
@@ -41,310 +58,110 @@
 	List   func(w duty.Word, list []byte)
 	Lost   func(group int)
 	Found  func(token uint64, group int, server string, asOf time.Duration)
+	Acted  func(audit.Record) // for the journal; what the pooler knows of itself is filled in
+	Failed func(error)        // the pooler must not serve on
 }
 
 // fleetDescriptors is how many a fleet may hold: listeners, the log, connections to and from other poolers.
 const fleetDescriptors = 48
 
-// listDuty plays the fleet's list duty for a watcher: the decisions are duty.Lists'. It runs on the watcher's loop.
-type listDuty struct {
+// member is this pooler in its fleet: the way to the others and the journal of its acts. It runs on the loop of the PostgreSQL
+// front.
+type member struct {
 	loop    *routing.Loop
-	watcher *watcher
-	core    *routing.Core
 	fleet   Fleet
-	lists   duty.Lists
 	log     zerolog.Logger
-	shared  bool // config.Fleet.SharedAddresses
 	build   string
-	digest  string
+	digest  string // of the configuration in force
 	holder  string // this process, in the journal
 	journal *journal
-	ready   func(bool)     // tells the operators' door
-	shut    bool           // takes no writes
-	left    bool           // it has ended its part: what follows is the drain
-	token   uint64         // of the lease held when the journal was told last; 0: none
-	last    duty.Word      // the last word told
-	list    discovery.List // the whole list as last told, by whomever
-	timer   *routing.Timer
-	late    *routing.Timer // of a fetch
-}
-
-// joinFleet has the watcher take part in the list duty. It must be called before the loop runs.
-func joinFleet(w *watcher, core *routing.Core, cfg *config.Config, part *FleetPart, ready func(bool), log zerolog.Logger) (*listDuty, error) {
-	fc := part.Config
-	d := &listDuty{loop: w.loop, watcher: w, core: core, log: log.With().Str("part", "fleet").Logger(), shared: fc.SharedAddresses, build: part.Build, ready: ready,
-		digest: cfg.Digest, list: discovery.List{Complete: true, Revision: cfg.Known.Revision, Members: cfg.Known.Members},
-		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Bound: fc.Bound, Spread: float64(cfg.Seed%1024) / 1024, Fleet: max(cfg.Settings.Balancers, 1)}}
-	journal, err := openJournal(fc.Journal, d.log)
-	if err != nil {
-		return nil, err
+	lists   *listDuty  // nil: the servers are taken from a file, which is each pooler's own
+	left    bool       // it has ended its part: what follows is the drain
+	failed  chan error // at most one
+}
+
+// joinFleet has a pooler take part: all its fronts ask the parts' guards, and the PostgreSQL front's watcher, if there is one, the
+// list duty. It must be called before the loops run.
+func joinFleet(sides []*side, cfg *config.Config, part *FleetPart, ready func(bool), log zerolog.Logger) (*member, error) {
+	pg, fc := sides[0], part.Config
+	m := &member{loop: pg.loop, log: log.With().Str("part", "fleet").Logger(), build: part.Build, digest: cfg.Digest,
+		holder: fmt.Sprintf("%s/%d", fc.Name, os.Getpid()), failed: make(chan error, 1)}
+	if part.Attach != nil {
+		for _, s := range sides {
+			part.Attach(Front{s.name, s.core, s.loop})
+		}
 	}
-	d.journal, d.holder = journal, fmt.Sprintf("%s/%d", fc.Name, os.Getpid())
-	fleet, err := part.Open(FleetEvents{
-		Word:   func(word duty.Word, least string) { d.loop.Post(func() { d.heard(word, least) }) },
-		Wanted: func(from string) { d.loop.Post(func() { d.wanted(from) }) },
-		List:   func(word duty.Word, list []byte) { d.loop.Post(func() { d.took(word, list) }) },
-		Lost:   func(group int) { d.loop.Post(func() { d.core.Suspect(group) }) },
-		Found: func(token uint64, group int, server string, asOf time.Duration) {
-			d.loop.Post(func() { d.told(token, group, server, asOf) })
-		},
-	})
-	if err != nil {
-		journal.close()
+	var err error
+	if m.journal, err = openJournal(fc.Journal, m.log); err != nil {
 		return nil, err
 	}
-	d.fleet, w.duty = fleet, d
-	if w.pushed { // else the module asks
-		w.loop.After(0, d.want)
+	events := FleetEvents{Word: func(duty.Word, string) {}, Wanted: func(string) {}, List: func(duty.Word, []byte) {}, Lost: func(int) {},
+		Found: func(uint64, int, string, time.Duration) {}}
+	if pg.source.watcher != nil {
+		m.lists = newListDuty(m, pg.source.watcher, pg.core, cfg, fc, ready)
+		events = m.lists.events()
 	}
-	core.OnPrimary(d.primary)
-	d.note(audit.Record{Act: audit.Started})
-	w.loop.After(0, func() { d.bar(fc.LeastBuild) })
-	return d, nil
-}
-
-// close ends the pooler's part, after the loop has ended.
-func (d *listDuty) close() {
-	d.fleet.Close()
-	d.journal.close()
-}
-
-// note writes an act down, with the versions that it was done on.
-func (d *listDuty) note(r audit.Record) {
-	if d.left {
-		return
+	events.Acted = func(r audit.Record) {
+		r.At = time.Now().UnixNano()
+		m.loop.Post(func() { m.note(r) })
 	}
-	r.At, r.Instance, r.Build, r.Config, r.Revision = int64(d.loop.Now()), d.holder, d.build, d.digest, d.list.Revision
-	d.journal.note(r)
-}
-
-// retune takes over a configuration under way.
-func (d *listDuty) retune(cfg *config.Config) {
-	if d.digest != cfg.Digest {
-		d.digest = cfg.Digest
-		d.note(audit.Record{Act: audit.ConfigTaken})
-		d.carry(duty.Do{})
-	}
-}
-
-// primary takes in news of a group's primary.
-func (d *listDuty) primary(kind rules.NewsKind, group int, server string, asOf time.Duration) {
-	switch kind {
-	case rules.PrimaryFound:
-		d.note(audit.Record{Act: audit.PrimaryTaken, Group: group, Server: server})
-		if server != "" { // else its name was forgotten meanwhile
-			d.found(group, server, asOf)
+	events.Failed = func(err error) {
+		select {
+		case m.failed <- err:
+		default: // the first one ends it
 		}
-	case rules.PrimaryListed:
-		d.note(audit.Record{Act: audit.PrimaryTaken, Group: group, Server: server})
-	case rules.PrimaryLost:
-		d.note(audit.Record{Act: audit.PrimaryLeft, Group: group, Server: server})
-		if w := d.lists.Have(); w.Source != "" && w.Source != d.lists.Name {
-			d.fleet.Report(w.Source, group)
-		}
-	case rules.PrimaryUnknown:
-		d.found(group, "", asOf)
 	}
-}
-
-// found takes in that this pooler has found a group's primary by itself, or that a round of it has found none (""). The
-// holder tells the others.
-func (d *listDuty) found(group int, server string, asOf time.Duration) {
-	began := d.loop.Now()
-	token, ok := d.lists.Token(began)
-	if !ok {
-		return
-	}
-	level := zerolog.InfoLevel
-	if server == "" {
-		level = zerolog.DebugLevel
-	}
-	d.fleet.TellFound(token, group, server, asOf, d.lists.Until()-began, func(all bool) {
-		d.acted(level, "primary: told", token, began, all, func(e *zerolog.Event) { e.Int("group", group).Str("server", server) })
-	})
-}
-
-// told takes in what the holder found of a group.
-func (d *listDuty) told(token uint64, group int, server string, asOf time.Duration) {
-	now := d.loop.Now()
-	do, ok := d.lists.Act(now, token)
-	if ok {
-		d.core.Told(group, server, min(asOf, now))
-	} else {
-		d.log.Warn().Uint64("token", token).Str("server", server).Msg("primary: refused, a newer holder was heard")
-	}
-	d.carry(do)
-}
-
-func (d *listDuty) want()   { d.carry(d.lists.Want(d.loop.Now())) }
-func (d *listDuty) failed() { d.carry(d.lists.Failed(d.loop.Now())) }
-
-// own takes in what the own watch has brought.
-func (d *listDuty) own(l discovery.List) {
-	d.list = d.list.With(l)
-	do := d.lists.Own(d.loop.Now())
-	if have := d.lists.Have(); do.Tell.Token == 0 { // else it is noted as handed on
-		d.note(audit.Record{Act: audit.ListTaken, Token: have.Token, Seq: have.Seq})
-	}
-	d.carry(do)
-}
-
-func (d *listDuty) heard(w duty.Word, least string) {
-	do, refused := d.lists.Heard(d.loop.Now(), w)
-	if refused {
-		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("word: refused, a newer one was heard")
-		d.note(audit.Record{Act: audit.Refused, Token: w.Token, Seq: w.Seq})
-	}
-	d.carry(do)
-	if !refused {
-		d.bar(least)
+	if m.fleet, err = part.Open(events); err != nil {
+		m.journal.close()
+		return nil, err
 	}
+	m.note(audit.Record{Act: audit.Started})
+	return m, nil
 }
 
-// bar gives the duties up where this build is below the least that is allowed.
-func (d *listDuty) bar(least string) {
-	d.carry(d.lists.Bar(d.loop.Now(), least != "" && semver.Compare(d.build, least) < 0))
-}
+// Spread is from 0 up to 1, by the pooler's seed: when it does what all poolers do.
+func Spread(cfg *config.Config) float64 { return float64(cfg.Seed%1024) / 1024 }
 
-// wanted sends another pooler the list here, if it is one that was handed on.
-func (d *listDuty) wanted(from string) {
-	if w := d.lists.Have(); w.Seq > 0 {
-		d.fleet.Give(from, w, d.list.Format())
-	}
+// close ends the pooler's part, after the loop has ended.
+func (m *member) close() {
+	m.fleet.Close()
+	m.journal.close()
 }
 
-// took takes in a list that was handed on: whole, or not at all.
-func (d *listDuty) took(w duty.Word, text []byte) {
-	d.late.Stop()
-	now := d.loop.Now()
-	list, err := discovery.ParseList(text)
-	if err == nil && !d.shared {
-		var known bool
-		if list, known = list.At(d.list); !known { // a server that was never seen from here: its address here is asked for
-			d.carry(d.lists.Blind(now))
-			return
-		}
-	}
-	if err != nil || !list.Complete {
-		d.log.Error().Err(err).Str("from", w.Source).Msg("list: what was handed on can't be used")
-		d.carry(d.lists.FetchFailed(now))
+// note writes an act down, with the versions that it was done on. At is now unless it is set.
+func (m *member) note(r audit.Record) {
+	if m.left {
 		return
 	}
-	do, ok := d.lists.Took(now, w)
-	if ok {
-		d.list, d.watcher.since = list, 0
-		d.watcher.list(rules.ListFull, members(list, d.watcher.zones), now)
-		d.log.Info().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Int64("at_ns", int64(now)).
-			Uint64("revision", list.Revision).Int("servers", len(list.Members)).Msg("list: taken from the fleet")
-		d.note(audit.Record{Act: audit.ListTaken, Token: w.Token, Seq: w.Seq})
-	} else {
-		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("list: not newer than the one in force")
-	}
-	d.carry(do)
-}
-
-// carry carries out what was decided.
-func (d *listDuty) carry(do duty.Do) {
-	now := d.loop.Now()
-	if do.Close && !d.watcher.pushed {
-		d.watcher.shut()
-		d.log.Info().Msg("list service: left to the holder")
-	}
-	if do.Release {
-		d.fleet.Release()
-	}
-	if do.Open {
-		token, holds := d.lists.Token(now)
-		d.log.Info().Bool("holder", holds).Uint64("token", token).Msg("list service: called")
-		d.watcher.open()
-	}
-	if do.Ask {
-		d.fleet.Acquire(func(g lease.Grant, ok bool, err error) { d.loop.Post(func() { d.answer(g, ok, err) }) })
+	if r.At == 0 {
+		r.At = int64(m.loop.Now())
 	}
-	if do.Tell.Token > 0 {
-		// The token is looked at once more, right before the act: the loop may have been late.
-		began := d.loop.Now()
-		if token, ok := d.lists.Token(began); ok && token == do.Tell.Token {
-			level := zerolog.DebugLevel // the same word again, so that the others hear of a holder
-			if do.Tell != d.last {
-				level = zerolog.InfoLevel
-				d.note(audit.Record{Act: audit.HandedOn, Token: do.Tell.Token, Seq: do.Tell.Seq})
-			}
-			d.last = do.Tell
-			d.fleet.Tell(do.Tell, d.lists.Until()-began, func(all bool) {
-				d.acted(level, "list: handed on", token, began, all, func(e *zerolog.Event) { e.Uint64("seq", do.Tell.Seq).Str("holder", do.Tell.Holder) })
-			})
-		}
-	}
-	if do.Fetch.Seq > 0 && d.watcher.pushed { // the own agent has whatever counts as told here: nobody's list goes before it
-		d.loop.Post(func() { d.carry(d.lists.Own(d.loop.Now())) })
-	} else if do.Fetch.Seq > 0 {
-		d.fleet.Fetch(do.Fetch)
-		d.late = d.loop.After(d.lists.Term/2, func() { d.carry(d.lists.FetchFailed(d.loop.Now())) })
+	r.Instance, r.Build, r.Config = m.holder, m.build, m.digest
+	if m.lists != nil {
+		r.Revision = m.lists.list.Revision
 	}
-	d.fleet.Show(d.lists.Have(), d.build, d.digest)
-	d.timer.Stop()
-	now = d.loop.Now()
-	d.shutOut(d.lists.ShutOut(now))
-	token, holds := d.lists.Token(now)
-	d.core.ForAll(holds)
-	if token != d.token {
-		if d.token > 0 {
-			d.note(audit.Record{Act: audit.LeaseLost, Token: d.token})
-		}
-		if token > 0 {
-			d.note(audit.Record{Act: audit.LeaseHeld, Token: token})
-		}
-		d.token = token
-	}
-	d.timer = d.loop.After(max(d.lists.Due(now)-now, time.Millisecond), func() { d.carry(d.lists.Timer(d.loop.Now())) })
+	m.journal.note(r)
 }
 
-// shutOut takes no writes any more, or again, and says so wherever it is looked for.
-func (d *listDuty) shutOut(shut bool) {
-	if shut == d.shut {
+// retune takes over a configuration under way.
+func (m *member) retune(cfg *config.Config) {
+	if m.digest == cfg.Digest {
 		return
 	}
-	d.shut = shut
-	d.core.TakeWrites(!shut)
-	d.ready(!shut)
-	if shut {
-		d.log.Error().Str("build", d.build).Msg("shut out: the fleet has left this pooler's build or list behind; writes are refused")
-		d.note(audit.Record{Act: audit.ShutOut})
+	m.digest = cfg.Digest
+	m.note(audit.Record{Act: audit.ConfigTaken})
+	if m.lists != nil {
+		m.lists.carry(duty.Do{})
 	} else {
-		d.log.Info().Msg("brought up: writes are taken again")
-		d.note(audit.Record{Act: audit.BroughtUp})
+		m.fleet.Show(duty.Word{}, m.build, m.digest)
 	}
 }
 
-// acted logs an act of the holder's once it is over, with its beginning and end and whether it reached all.
-func (d *listDuty) acted(level zerolog.Level, what string, token uint64, began time.Duration, all bool, more func(*zerolog.Event)) {
-	e := d.log.WithLevel(level).Uint64("token", token).Int64("began_ns", int64(began)).Int64("ended_ns", int64(d.loop.Now())).Bool("all", all)
-	more(e)
-	e.Msg(what)
-}
-
-func (d *listDuty) answer(g lease.Grant, ok bool, err error) {
-	now := d.loop.Now()
-	_, had := d.lists.Token(now)
-	do := d.lists.Answer(now, g, ok, err)
-	switch token, has := d.lists.Token(now); {
-	case err != nil:
-		d.log.Warn().Err(err).Msg("lease: the stewards decide nothing")
-	case has:
-		level := zerolog.DebugLevel
-		if !had {
-			level = zerolog.InfoLevel
-		}
-		d.log.WithLevel(level).Uint64("token", token).Str("holder", g.Holder).Bool("renewed", had).Int64("at_ns", int64(now)).
-			Int64("until_ns", int64(d.lists.Until())).Msg("lease: held")
+// leave ends the pooler's part before its last answers.
+func (m *member) leave() {
+	if m.lists != nil {
+		m.lists.leave()
 	}
-	d.carry(do)
-}
-
-// leave ends the pooler's part: another may act at once.
-func (d *listDuty) leave() {
-	d.carry(d.lists.Leave(d.loop.Now()))
-	d.note(audit.Record{Act: audit.Ended})
-	d.left = true
+	m.note(audit.Record{Act: audit.Ended})
+	m.left = true
 }
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -89,34 +89,6 @@
 	Fleet     *FleetPart                                           // nil: the pooler is on its own
 }
 
-// FleetPart is the pooler's part in the fleet of poolers.
-type FleetPart struct {
-	Config *config.Fleet
-	Build  string // version of the program
-	Open   func(FleetEvents) (Fleet, error)
-	// Limit returns what holds a front to the fleet's limits; nil: there are none.
-	Limit func(class func(int) rules.Class, set rules.Settings) Limiter
-}
-
-// Limiter lets a front's requests, attempts, new connections and probes pass, or not now.
-type Limiter interface {
-	routing.Guard
-	routing.Gate
-}
-
-// limit holds a front to the fleet's limits, with all that it dials by. It must be called before the first list comes.
-func (p *FleetPart) limit(core *routing.Core, set rules.Settings, dialled ...*exchange.Servers) {
-	if p == nil || p.Limit == nil {
-		return
-	}
-	l := p.Limit(core.ClassInfo, set)
-	core.Guard(l)
-	core.Gate(l)
-	for _, s := range dialled {
-		s.MayDial = core.MayDial
-	}
-}
-
 // Addrs is where the pooler listens; MySQL and Admin are empty while they are off.
 type Addrs struct{ Postgres, MySQL, Admin string }
 
@@ -162,12 +134,14 @@
 	state := &state{sides: sides}
 	state.serving.Store(true)
 	state.allowed.Store(true)
-	var lists *listDuty
-	if control.Fleet != nil && pg.source.watcher != nil { // a file is each pooler's own
-		if lists, err = joinFleet(pg.source.watcher, pg.core, cfg, control.Fleet, state.allowed.Store, log); err != nil {
+	var joined *member
+	var failed chan error
+	if control.Fleet != nil {
+		if joined, err = joinFleet(sides, cfg, control.Fleet, state.allowed.Store, log); err != nil {
 			return fmt.Errorf("fleet: %w", err)
 		}
-		defer lists.close()
+		defer joined.close()
+		failed = joined.failed
 	}
 	var running sync.WaitGroup
 	for _, s := range sides {
@@ -195,26 +169,35 @@
 		running.Wait()
 		close(ended)
 	}()
-	for terminate := control.Terminate; ; {
+	var why error
+	terminate := control.Terminate
+	for {
 		select {
 		case <-control.Reload: // also while terminating: servers may still drain
-			if cfg = state.reload(cfg, control.Load, log); lists != nil {
+			if cfg = state.reload(cfg, control.Load, log); joined != nil {
 				inForce := cfg
-				pg.loop.Post(func() { lists.retune(inForce) })
+				pg.loop.Post(func() { joined.retune(inForce) })
+				if control.Fleet.Reload != nil {
+					control.Fleet.Reload(inForce)
+				}
 			}
+			continue
+		case why = <-failed:
+			log.Error().Err(why).Msg("fleet: a part has failed, without which the pooler must not serve")
 		case <-terminate:
 			terminate = nil
-			state.serving.Store(false)
+		case <-ended:
+			log.Info().Msg("ended")
+			return why
+		}
+		if state.serving.CompareAndSwap(true, false) {
 			log.Info().Msg("terminating")
 			for _, s := range sides {
 				s.loop.Post(s.drain)
 			}
-			if lists != nil {
-				pg.loop.Post(lists.leave)
+			if joined != nil {
+				pg.loop.Post(joined.leave)
 			}
-		case <-ended:
-			log.Info().Msg("ended")
-			return nil
 		}
 	}
 }
--- a/internal/program/signals.go
+++ b/internal/program/signals.go
@@ -12,6 +12,7 @@
 // configuration again.
 func Signals() Control {
 	signals := make(chan os.Signal, 4)
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error of the write, not the end of the process
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	terminate, reload := make(chan struct{}), make(chan struct{}, 1)
 	go func() {
