Pass over a replica that has just turned a read away

Where servers turn away reads that they are too far behind for, fresh() takes a replica whose position is old to have kept the lag that it last showed. Fleets that ask for positions ahead no longer meet that; others still did: fleets too large for it, and deployments without probes.

A replica that has turned a read away is now passed over for one round's time, unless it proves a newer position.

--- a/rules/health.go
+++ b/rules/health.go
@@ -44,6 +44,9 @@
 	if !o.Result.NeverRan() && q.risk == nil {
 		q.risk = a
 	}
+	if o.Result == Missed && q.c.Need != NeedWrite {
+		s.turned = r.now
+	}
 	q.reached = q.reached || o.Result != NoConnect && o.Result != Moot
 	r.health(s, a, o)
 	if o.HasPosition && !(q.c.Need == NeedWrite && o.Result == OK) {
--- a/rules/lag_test.go
+++ b/rules/lag_test.go
@@ -72,3 +72,26 @@
 		sent(4, 3)
 	}
 }
+
+// A replica that has just turned a read away is no longer taken to keep the lag that it last showed: further reads go
+// past it for a while, or until it proves a newer position.
+func TestTurnedAwayReadsAreNotFollowed(t *testing.T) {
+	f := lagging(t, 80) // too many to ask for positions ahead
+	f.until(start + 4*time.Second)
+	f.request(2, cBounded)
+	if len(f.sends[2]) != 1 {
+		t.Fatalf("a read went to %v, want one replica that may have kept its lag", f.sends[2])
+	}
+	behind := f.sends[2][0]
+	f.outcome(2, 0, Missed, RoleReplica)
+	for id := uint32(3); id < 6; id++ {
+		f.request(id, cBounded)
+		if s := f.sends[id]; len(s) > 0 && s[0] == behind {
+			t.Errorf("read %d followed one that store %d turned away", id, behind)
+		}
+	}
+	f.report(behind, false, f.now)
+	if s := f.r.stores[behind]; !f.r.fresh(&request{c: &f.r.set.Classes[cBounded]}, s) {
+		t.Error("a replica that proved a new position is passed over for what it turned away before")
+	}
+}
--- a/rules/reads.go
+++ b/rules/reads.go
@@ -151,7 +151,8 @@
 	if need <= 0 || s.pos >= need+posSlack {
 		return true
 	}
-	return r.set.Behind != BehindAnswers &&
+	turned := s.turned >= max(s.posAt, ms) && r.now < s.turned+roundSeen // with no newer position
+	return r.set.Behind != BehindAnswers && !turned &&
 		(s.posAt == 0 && s.coldSince == 0 || !r.proves(q.c) && r.behind(q, s) <= 0)
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -60,6 +60,7 @@
 	pos     time.Duration // proven position, a lower bound that never goes back
 	posAt   time.Duration
 	askedAt time.Duration
+	turned  time.Duration // it last turned a read away that it was too far behind for
 
 	out       []*attempt    // in the order of their sends
 	heard     time.Duration // last answer on the request path
