--- /dev/null
+++ b/internal/fleet/shared/bring_test.go
@@ -0,0 +1,96 @@
+package shared_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"threadsail/internal/fleet/bus/bustest"
+	"threadsail/internal/fleet/shared"
+)
+
+// source is the stewards, as bringing needs them.
+type source struct {
+	mu    sync.Mutex
+	state shared.State
+	out   bool
+	asked int
+}
+
+func (s *source) Fetch(_ context.Context, since uint64, _ bool) (shared.State, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	if s.out {
+		return shared.State{}, false, errors.New("out")
+	}
+	return s.state, s.state.Version > since, nil
+}
+
+// Twelve poolers, one of them the leading steward's, in a network that loses and doubles datagrams: a change reaches all from
+// each other; one that is cut off from the others asks a steward; one cut off from all grows old and says so, and is brought up
+// after it.
+func TestBring(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const beat = time.Second
+		n := bustest.New(7)
+		n.Delay(time.Millisecond, 5*time.Millisecond)
+		n.Drop(0.2, 0.2)
+		stewards, cut := &source{}, &source{out: true}
+		ctx, end := context.WithCancel(t.Context())
+		var copies []*shared.Copy
+		for i := range 12 {
+			c := shared.NewCopy(shared.State{})
+			copies = append(copies, c)
+			o := shared.Bringing{Bus: n.Join(fmt.Sprint("n", i)), Copy: c, Stewards: stewards, Beat: beat, Spread: float64(i) / 12, Log: func(string) {}}
+			if i == 0 {
+				o.Confirm = func() (uint64, time.Time, bool) { return c.Version(), time.Now(), true }
+			}
+			if i == 11 {
+				o.Stewards = cut
+			}
+			shared.Bring(ctx, o)
+		}
+		change := func(version uint64) {
+			s := shared.State{Version: version, Docs: map[string]shared.Doc{"p/a": {Key: "p/a", Version: version, Value: []byte("x")}}}
+			stewards.mu.Lock()
+			stewards.state = s
+			stewards.mu.Unlock()
+			copies[0].Take(s)
+		}
+		are := func(what string, version uint64, whom ...*shared.Copy) {
+			t.Helper()
+			for i, c := range whom {
+				if d, _ := c.Get("p/a"); c.Version() != version || d.Version != version || time.Since(c.Confirmed()) > 5*beat {
+					t.Errorf("%s: copy %d is at %d, confirmed %v ago", what, i, c.Version(), time.Since(c.Confirmed()))
+				}
+			}
+		}
+		change(5)
+		time.Sleep(5 * beat)
+		are("a change", 5, copies...)
+		if stewards.asked > 0 {
+			t.Errorf("the stewards were asked %d times", stewards.asked)
+		}
+		n.Isolate("n10", true)
+		n.Isolate("n11", true)
+		since := time.Now()
+		time.Sleep(beat)
+		change(9)
+		time.Sleep(8 * beat)
+		are("in a cut", 9, copies[:11]...)
+		if c := copies[11]; c.Version() != 5 || c.Confirmed().After(since) {
+			t.Errorf("cut off from all: version %d, confirmed %v after the cut", c.Version(), c.Confirmed().Sub(since))
+		}
+		n.Isolate("n10", false)
+		n.Isolate("n11", false)
+		time.Sleep(5 * beat)
+		are("healed", 9, copies...)
+		end()
+		time.Sleep(time.Minute)
+	})
+}
