Split the laboratory's fleet into start, act and report

Processes and how they are started stand in start.go, the steps of a plan in act.go, what came of a run in report.go; nothing is changed.

--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,208 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"threadsail/internal/lab/judge"
+)
+
+// FleetReport is what came of it, by what clients, relays and stand-ins recorded.
+type FleetReport struct {
+	judge.Verdict
+	Poolers, Servers int
+	Length           time.Duration
+	Began            time.Time // of the clients and the plan
+	Seconds          []Counts  // by the second in which requests ended
+	NewBySecond      []int     // new connections at all servers, by the second
+	P50, P99         time.Duration
+	Connections      [3]float64    // new connections a server over the run: least, mean, most
+	Open             [3]float64    // connections open at a server, its mean over the run's seconds: least, mean, most
+	OpenReplicas     [3]float64    // the same at those that are replicas at the end
+	OpenMost         int           // connections open at one server at any sampled second
+	Resident         [3]float64    // resident memory of a pooler in MB, mean over poolers: at the first sample, at the last, most of any
+	Probes           int           // health asked for at servers, all servers
+	ProbesBySecond   []int         // the same by the second
+	Cold             int           // requests' statements at servers in the first second after they came up again
+	Worst100ms       [2]float64    // new connections at one server in its worst 100 ms: mean over servers, most
+	WorstSecond      [2]float64    // the same in its worst second
+	AfterKill        [2]float64    // new connections at one server from the first kill on, in the worst 100 ms and second; 0: none
+	Over             []Over        `json:",omitempty"`
+	ListCalls        int           // watches opened at the list services, all poolers
+	Starts           int           // pooler processes started, restarts among them
+	Met              [][]bool      `json:"-"`          // by pooler, then server place: whether a connection came to who stands there last
+	Journals         []string      `json:",omitempty"` // of a fleet that knows its members; they are gone with the run
+	Purges           []judge.Purge `json:",omitempty"`
+	Shards           *Shards       `json:",omitempty"`
+	Reads            int           // served to clients, where purges are played
+	ReadsAtServers   int           // statements of reads that came to servers, repeats among them
+	Requests         []judge.Request
+	Outages          []judge.Outage
+	Bad              []Bad `json:",omitempty"`
+	FalseVerdicts    int   // on servers that were not bad for all poolers
+}
+
+func (r *fleetRun) report() FleetReport {
+	var outages []judge.Outage
+	for _, p := range r.poolers {
+		p.mu.Lock()
+		outages = append(outages, p.outages...)
+		p.mu.Unlock()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rep := FleetReport{Verdict: judge.Judge(r.requests, outages, r.servers.Ledger.Overlaps()), Poolers: len(r.poolers),
+		Servers: len(r.servers.Servers), Length: r.Scenario.Length, Began: r.began, Journals: r.peers.journals(r.members), P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
+		P99: time.Duration(r.took.ValueAtQuantile(99)) * time.Microsecond, Starts: r.starts,
+		Requests: r.requests, Outages: outages}
+	for _, q := range r.requests {
+		sec := int(q.Ended.Sub(r.began) / time.Second)
+		if sec < 0 {
+			continue
+		}
+		for len(rep.Seconds) <= sec {
+			rep.Seconds = append(rep.Seconds, Counts{})
+		}
+		switch c := &rep.Seconds[sec]; {
+		case q.Outcome == judge.Served:
+			c.Served++
+		case q.Outcome == judge.Refused:
+			c.Refused++
+		case q.Outcome == judge.Failed:
+			c.Failed++
+		case !q.WhileFaulting:
+			c.Lost++
+		}
+	}
+	rep.Open, rep.OpenReplicas = [3]float64{-1, 0, 0}, [3]float64{-1, 0, 0}
+	replicas := 0
+	for _, s := range r.servers.Servers {
+		if !s.Primary() {
+			replicas++
+		}
+	}
+	spread := func(of *[3]float64, mean float64, n int) {
+		if of[0] < 0 || mean < of[0] {
+			of[0] = mean
+		}
+		of[1] += mean / float64(n)
+		of[2] = max(of[2], mean)
+	}
+	for j, s := range r.servers.Servers {
+		mean := float64(r.open[j]) / float64(max(r.samples, 1))
+		if spread(&rep.Open, mean, len(r.servers.Servers)); !s.Primary() {
+			spread(&rep.OpenReplicas, mean, replicas)
+		}
+		probed := s.ProbedAt()
+		rep.Probes += len(probed)
+		for _, t := range probed {
+			count(&rep.ProbesBySecond, t.Sub(r.began))
+		}
+		for _, seen := range s.Seen() {
+			for _, u := range r.ups {
+				if u.server == j && !seen.At.Before(u.at) && seen.At.Sub(u.at) < time.Second {
+					rep.Cold++
+				}
+			}
+		}
+	}
+	n := float64(len(r.poolers))
+	rep.Resident = [3]float64{r.rss[0] / n, r.rss[1] / n, r.rss[2]}
+	least, most, sum := -1, 0, 0
+	for _, s := range r.servers.Servers {
+		n := s.Came()
+		if least < 0 || n < least {
+			least = n
+		}
+		most, sum = max(most, n), sum+n
+	}
+	rep.Connections = [3]float64{float64(least), float64(sum) / float64(len(r.servers.Servers)), float64(most)}
+	for _, l := range r.lists {
+		rep.ListCalls += l.Watches()
+	}
+	for i := range r.relays {
+		met := make([]bool, len(r.relays[i]))
+		for j, link := range r.relays[i] {
+			met[j] = link.Accepted() > 0
+		}
+		rep.Met = append(rep.Met, met)
+	}
+	r.verdicts(&rep)
+	for _, server := range r.servers.Servers {
+		at := server.CameAt()
+		for _, t := range at {
+			count(&rep.NewBySecond, t.Sub(r.began))
+		}
+		for k, span := range []time.Duration{100 * time.Millisecond, time.Second} {
+			n := float64(worst(at, span))
+			worstOf := [...]*[2]float64{&rep.Worst100ms, &rep.WorstSecond}[k]
+			worstOf[0] += n / float64(len(r.servers.Servers))
+			worstOf[1] = max(worstOf[1], n)
+		}
+	}
+	r.limited(&rep)
+	r.purged(&rep)
+	r.shards.judge(&rep, r.Scenario.Groups)
+	return rep
+}
+
+// count adds one to the second in which something came; what came before the beginning is left out.
+func count(bySecond *[]int, at time.Duration) {
+	if at < 0 {
+		return
+	}
+	for len(*bySecond) <= int(at/time.Second) {
+		*bySecond = append(*bySecond, 0)
+	}
+	(*bySecond)[at/time.Second]++
+}
+
+// worst is the most of the sorted times within any span.
+func worst(at []time.Time, span time.Duration) (most int) {
+	from := 0
+	for to := range at {
+		for at[to].Sub(at[from]) >= span {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	return most
+}
+
+// Table writes the report for a person.
+func (rep FleetReport) Table(out io.Writer) {
+	fmt.Fprintf(out, "%d poolers (%d starts), %d servers\n", rep.Poolers, rep.Starts, rep.Servers)
+	fmt.Fprintf(out, "served %d, refused %d, failed %d, lost %d, excused by an outage of their pooler %d; overlapping attempts %d\n",
+		rep.Served, rep.Refused, rep.Failed, rep.Lost, rep.Excused, rep.Overlaps)
+	fmt.Fprintf(out, "served in %v at the median, %v at the 99th percentile\n", rep.P50, rep.P99)
+	fmt.Fprintf(out, "new connections a server: least %.0f, mean %.1f, most %.0f; list calls %d\n",
+		rep.Connections[0], rep.Connections[1], rep.Connections[2], rep.ListCalls)
+	fmt.Fprintf(out, "connections open at a server, its mean over the seconds: least %.1f, mean %.1f, most %.1f\n",
+		rep.Open[0], rep.Open[1], rep.Open[2])
+	fmt.Fprintf(out, "the same at replicas: least %.1f, mean %.1f, most %.1f\n", rep.OpenReplicas[0], rep.OpenReplicas[1], rep.OpenReplicas[2])
+	fmt.Fprintf(out, "resident memory of a pooler: %.1f MB at the first second, %.1f MB at the last, %.1f MB at most\n",
+		rep.Resident[0], rep.Resident[1], rep.Resident[2])
+	fmt.Fprintf(out, "probes %d; requests at servers in their first second back %d\n", rep.Probes, rep.Cold)
+	fmt.Fprintf(out, "new connections at one server in its worst 100 ms: %.1f on the mean, %.0f at most; in its worst second %.1f, %.0f\n",
+		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
+	rep.limitsTable(out)
+	rep.badTable(out)
+	fmt.Fprintln(out, "second  served refused failed lost")
+	for i, c := range rep.Seconds {
+		fmt.Fprintf(out, "%6d  %6d %7d %6d %4d\n", i, c.Served, c.Refused, c.Failed, c.Lost)
+	}
+	if rep.Reads > 0 {
+		fmt.Fprintf(out, "reads served %d, at servers %d: %.3f of the servers' work saved\n", rep.Reads, rep.ReadsAtServers, 1-float64(rep.ReadsAtServers)/float64(rep.Reads))
+	}
+	if rep.Shards != nil {
+		rep.Shards.table(out)
+	}
+	for _, p := range rep.Purges {
+		fmt.Fprintf(out, "%s: noted by %d poolers, %d within a second, the first %v and the last %v behind it; stale answers %d, noted twice %d\n",
+			p.Name, p.Poolers, p.InTime, p.First.Round(time.Millisecond), p.Last.Round(time.Millisecond), p.Stale, p.Twice)
+	}
+	for _, b := range rep.Broken {
+		fmt.Fprintln(out, "BROKEN:", b)
+	}
+}
