Run the shard map in threadsail-fleet where the operators' file has one

The part was there and nothing ran it. With shards.ranges set the pooler puts its guard on each front's core, runs the part on the fleet's ground, and takes orders at SIGHUP; without it nothing is different.

--- a/cmd/threadsail-fleet/parts.go
+++ b/cmd/threadsail-fleet/parts.go
@@ -16,5 +16,8 @@
 // parts are those that the operators' files ask for, in the order in which their guards are asked.
 func parts(cfg *config.Config, c *config.Fleet) (out []part) {
 	// Each part has its place here: if its key asks for it, out = append(out, part{...}).
+	if p := newShards(c); p != nil {
+		out = append(out, part{Part: p, attach: p.attach, reload: p.reload})
+	}
 	return out
 }
--- a/cmd/threadsail-fleet/shards.go
+++ b/cmd/threadsail-fleet/shards.go
@@ -6,6 +6,8 @@
 	"threadsail/internal/config"
 	"threadsail/internal/fleet"
 	"threadsail/internal/fleet/shardmap"
+	"threadsail/internal/program"
+	"threadsail/rules"
 )
 
 // shardPart is the shard map's part, on the fleet's ground.
@@ -24,6 +26,14 @@
 	return p.Part.Run(ctx, shardmap.Ground{Bus: g.Bus, View: g.View, Store: g.Store, Tenure: g.Stand(ctx, shardmap.Duty), Log: g.Log})
 }
 
+// attach puts the guard on a front's core.
+func (p *shardPart) attach(f program.Front) {
+	f.Core.Guard(p.Guard(func(class int) bool { return f.Core.ClassInfo(class).Need == rules.NeedWrite }))
+}
+
+// reload takes over what the operators order.
+func (p *shardPart) reload(_ *config.Config, c *config.Fleet) { p.Part.Reload(shardOptions(c)) }
+
 // shardOptions is what the operators' file has of the map and its moves.
 func shardOptions(c *config.Fleet) shardmap.Options {
 	file := c.Shards
