Convict only what is by far worse than the other servers are

Sixty poolers on a machine with a load of 88 convicted five servers of eight, two of them servers with no fault on them: every server failed and was slow now and then, observers with one attempt each made complaints of it, and a dozen of them were the majority (14 observers with 18 bad attempts of 37).

A report tells how many of all its observer's attempts were bad; a server's share must now exceed the median observer's share elsewhere by half of what is left, as rules has it for one pooler's failures, and rest on two bad attempts for each observer that is asked for. A liar's totals move the median by one place. Half as many attempts renew a verdict, as few poolers try a convicted server.

Writes are left to the caller of MaySend: classes are numbered by front.

--- a/internal/fleet/verdict/fleet_test.go
+++ b/internal/fleet/verdict/fleet_test.go
@@ -45,7 +45,6 @@
 }
 func (p *pooler) Suspect(int)               {}
 func (p *pooler) Members() map[int][]string { return map[int][]string{0: {"a", "b", "c", "d"}} }
-func (p *pooler) Reads(int) bool            { return true }
 
 // left tells whether the pooler leaves a server by the fleet's word.
 func (p *pooler) left(server string) bool {
--- a/internal/fleet/verdict/judge.go
+++ b/internal/fleet/verdict/judge.go
@@ -19,6 +19,9 @@
 	// badShare of an observer's attempts at a server, failed or slow, make a complaint of it: what rules.failLimit is to one
 	// pooler alone.
 	badShare = 0.5
+	// leastBad attempts, in times Rules.Observers, make a case: two failures of three poolers, or one of six that see less. Half
+	// as many renew it, as few try a convicted server.
+	leastBad = 2
 	// appealLeast observers with good answers end a verdict: one could be the only one whose link is good.
 	appealLeast = 2
 	maxNamed    = 8 // observers that a finding names
@@ -33,12 +36,14 @@
 	Lost, LostRooms    int    // observers for which it was a primary and lost that place, and their zones
 	By                 []string
 	against, inFavour  float64 // weights
+	// Elsewhere is the median over observers of the share of their attempts at other servers that failed or were slow.
+	Elsewhere float64
 }
 
 // String names the evidence.
 func (f Finding) String() string {
-	return fmt.Sprintf("%d observers in %d rooms against %d others; %d failed, %d slow, %d good; %s",
-		f.Accusers, f.Rooms, f.Others, f.Failed, f.Slow, f.Good, strings.Join(f.By, ","))
+	return fmt.Sprintf("%d observers in %d rooms against %d others; %d failed, %d slow, %d good; elsewhere %.2f bad; %s",
+		f.Accusers, f.Rooms, f.Others, f.Failed, f.Slow, f.Good, f.Elsewhere, strings.Join(f.By, ","))
 }
 
 // voice is what one observer says now.
@@ -54,7 +59,32 @@
 
 // weigh joins the evidence on servers, and weighTenants that on tenants. Their outcome follows from the set of voices alone, in whatever order they came.
 func weigh(voices []voice) map[string]Finding {
-	return join(voices, func(v voice) []Line { return v.Lines }, doubtful)
+	found := join(voices, func(v voice) []Line { return v.Lines }, doubtful)
+	for server, f := range found {
+		f.Elsewhere = elsewhere(voices, server)
+		found[server] = f
+	}
+	return found
+}
+
+// elsewhere is how bad all other servers are to the median observer: on a day when everything is slow or fails, as on machines
+// that are overloaded, no one server is the cause.
+func elsewhere(voices []voice, server string) float64 {
+	var shares []float64
+	for _, v := range voices {
+		var l Line
+		if i := slices.IndexFunc(v.Lines, func(l Line) bool { return l.Server == server }); i >= 0 {
+			l = v.Lines[i]
+		}
+		if share, ok := v.elsewhere(l); ok {
+			shares = append(shares, share)
+		}
+	}
+	if len(shares) == 0 {
+		return 0
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/2]
 }
 
 func weighTenants(voices []voice) map[string]Finding {
@@ -98,11 +128,20 @@
 	return found
 }
 
-// convicts tells whether the evidence is enough against a server: enough observers in enough rooms, and the median observer,
-// by weight, among them. Fewer liars or bad links than Observers never are enough; more of them are not while observers with
+// convicts tells whether the evidence is enough against a server: enough observers in enough rooms, the median observer, by
+// weight, among them, and by far worse than the other servers are, as rules.failed has it for one pooler. Fewer liars or bad links than Observers never are enough; more of them are not while observers with
 // good answers outweigh them.
-func (r Rules) convicts(f Finding) bool {
-	return f.Accusers >= r.Observers && f.Rooms >= r.Rooms && f.against > f.inFavour
+func (r Rules) convicts(f Finding, renew bool) bool {
+	return f.Accusers >= r.Observers && f.Rooms >= r.Rooms && f.against > f.inFavour && r.stands(f, renew)
+}
+
+// stands tells whether a server's attempts, of all observers that count, are enough and bad enough beside those elsewhere.
+func (r Rules) stands(f Finding, renew bool) bool {
+	bad, least := float64(f.Failed)+float64(f.Slow), leastBad*r.Observers
+	if renew {
+		least = r.Observers
+	}
+	return bad >= float64(least) && bad/(bad+float64(f.Good))-f.Elsewhere >= badShare*(1-f.Elsewhere)
 }
 
 // acquits tells whether it ends a verdict: good answers of several observers outweigh the complaints.
--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -30,12 +30,11 @@
 	Suspect(group int)
 	// Members are the servers that are listed as ready, by group, as of lately.
 	Members() map[int][]string
-	// Reads tells whether a class of requests can be served by several members of a group.
-	Reads(class int) bool
 }
 
-// Part is one pooler's share in the fleet's verdicts. It is a fleet.Part, and a routing.Guard that keeps requests from trying a
-// convicted server while others do. It is safe for use by several goroutines.
+// Part is one pooler's share in the fleet's verdicts. It is a fleet.Part, and a routing.Guard that keeps reads from trying a
+// convicted server while others do. MaySend must not be asked of a request that one member of its group alone can serve: a
+// write, or a read of what was written just now. It is safe for use by several goroutines.
 type Part struct {
 	rules  Rules
 	room   string
@@ -101,11 +100,11 @@
 
 // MaySend keeps a read off a server that the fleet leaves, trials of the module's among them, unless this pooler is one that
 // tries it now, has good answers of it, or knows of no other member that answers: it is then no worse than none.
-func (p *Part) MaySend(_ time.Duration, r *routing.Request, server string) routing.Sending {
+func (p *Part) MaySend(_ time.Duration, _ *routing.Request, server string) routing.Sending {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if !p.left[server] || p.trying[server] || !p.host.Reads(r.Class) || p.own.outranks(now, server) {
+	if !p.left[server] || p.trying[server] || p.own.outranks(now, server) {
 		return routing.Send
 	}
 	for _, m := range p.others[server] {
@@ -146,6 +145,9 @@
 	report := Report{Born: p.born, At: now.UnixNano(), Room: p.room}
 	report.Lines, report.Seen = p.own.lines(now)
 	report.Ill = ill(report.Lines)
+	for _, l := range report.Lines {
+		report.Bad, report.All = report.Bad+int(l.Failed+l.Slow), report.All+int(l.Good+l.Failed+l.Slow)
+	}
 	others := p.board.voices(now)
 	report.Tenants = p.tenants.lines(now, accused(others, func(v voice) []Line { return v.Tenants }))
 	voices := append(others, voice{g.Bus.Self(), report})
--- a/internal/fleet/verdict/report.go
+++ b/internal/fleet/verdict/report.go
@@ -51,8 +51,11 @@
 	At   int64  `json:"t"` // Unix ns
 	Room string `json:"r"` // the observer's zone
 	// Seen is the number of servers that it has evidence of, and Ill how many of them it complains of, told or not.
-	Seen  int    `json:"e"`
-	Ill   int    `json:"i,omitempty"`
+	Seen int `json:"e"`
+	Ill  int `json:"i,omitempty"`
+	// Bad of its last All attempts, up to recent at each server, failed or were slow, at servers told and others.
+	Bad   int    `json:"d,omitempty"`
+	All   int    `json:"a,omitempty"`
 	Lines []Line `json:"l,omitempty"`
 	// Tenants are lines on tenants: Failed stands for a tenant's own part of the observer's requests, Good for that of all others.
 	Tenants []Line `json:"h,omitempty"`
@@ -61,6 +64,15 @@
 // before tells whether r is older than o.
 func (r Report) before(o Report) bool { return r.Born < o.Born || r.Born == o.Born && r.Seq < o.Seq }
 
+// elsewhere is the share of the observer's attempts at all servers but one that failed or were slow; ok: there were any.
+func (r Report) elsewhere(l Line) (share float64, ok bool) {
+	bad, all := float64(r.Bad)-float64(l.Failed)-float64(l.Slow), float64(r.All)-float64(l.Good)-float64(l.Failed)-float64(l.Slow)
+	if all < 1 || bad < 0 {
+		return 0, false
+	}
+	return min(bad/all, 1), true
+}
+
 // encode writes a report, with fewer lines if it would be too long for a datagram: the last ones, which matter least, go.
 func (r Report) encode() []byte {
 	r.Lines = r.Lines[:min(len(r.Lines), maxLines)]
@@ -88,7 +100,7 @@
 	if err := json.Unmarshal(text, &r); err != nil {
 		return Report{}, fmt.Errorf("verdict: a report can't be read: %w", err)
 	}
-	if len(r.Tenants) > maxTold || len(r.Lines) > maxLines || len(r.Room) > maxName || r.Seen < 0 || r.Ill < 0 || r.Ill > r.Seen || len(r.Lines) > r.Seen {
+	if len(r.Tenants) > maxTold || len(r.Lines) > maxLines || len(r.Room) > maxName || r.Seen < 0 || r.Ill < 0 || r.Bad < 0 || r.Bad > r.All || r.Ill > r.Seen || len(r.Lines) > r.Seen {
 		return Report{}, errors.New("verdict: a report's numbers don't fit each other")
 	}
 	for _, lines := range [][]Line{r.Lines, r.Tenants} {
--- a/internal/fleet/verdict/standing.go
+++ b/internal/fleet/verdict/standing.go
@@ -38,13 +38,13 @@
 // stood for hold, lasts for its term, a longer one each time, and ends before where an appeal has been heard.
 func (vs verdicts) step(now time.Time, r Rules, found map[string]Finding, spread float64) (out []change) {
 	for server, f := range found {
-		if vs[server] == nil && r.convicts(f) && len(vs) < maxServers {
+		if vs[server] == nil && r.convicts(f, false) && len(vs) < maxServers {
 			vs[server] = &verdict{}
 		}
 	}
 	for server, v := range vs {
 		f := found[server]
-		enough := r.convicts(f)
+		enough := r.convicts(f, v.on)
 		switch {
 		case !enough:
 			v.since = time.Time{}
--- a/internal/fleet/verdict/verdict_test.go
+++ b/internal/fleet/verdict/verdict_test.go
@@ -101,7 +101,7 @@
 			voices = append(voices, voice{fmt.Sprint("n", i), r})
 		}
 		for s, f := range weigh(voices) {
-			if testRules.convicts(f) || testRules.primaryLost(f) {
+			if testRules.convicts(f, false) || testRules.primaryLost(f) {
 				t.Fatalf("%s is convicted: %v", s, f)
 			}
 		}
@@ -118,7 +118,7 @@
 		}
 		voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i), Seen: 10, Lines: []Line{l}}})
 	}
-	if f := weigh(voices)["a"]; testRules.convicts(f) || f.against != f.inFavour {
+	if f := weigh(voices)["a"]; testRules.convicts(f, false) || f.against != f.inFavour {
 		t.Errorf("%v, %v against %v", f, f.against, f.inFavour)
 	}
 }
@@ -131,7 +131,7 @@
 			Lines: []Line{{Server: "a", Failed: 3}, {Server: "b", Failed: 3}, {Server: "c", Good: 3}}}})
 	}
 	found := weigh(voices)
-	if f := found["a"]; f.Accusers > 0 || testRules.convicts(f) {
+	if f := found["a"]; f.Accusers > 0 || testRules.convicts(f, false) {
 		t.Errorf("a: %v", f)
 	}
 	if f := found["c"]; f.Others != 4 {
@@ -139,6 +139,32 @@
 	}
 }
 
+// Where everything fails and is slow no server is convicted; one that is by far the worst is, and a few failures are no case.
+func TestEverythingIsBad(t *testing.T) {
+	for _, c := range []struct {
+		line     Line
+		bad, all int
+		want     bool
+	}{
+		{Line{Failed: 3, Good: 3}, 3, 20, true},
+		{Line{Failed: 3, Good: 3}, 9, 20, false}, // 6 of 14 elsewhere
+		{Line{Slow: 3, Good: 2}, 10, 20, false},
+		{Line{Failed: 5}, 12, 20, true},
+		{Line{Failed: 1}, 1, 20, false},
+		{Line{Failed: 2}, 2, 2, true}, // nothing else is seen
+	} {
+		var voices []voice
+		for i := range 3 {
+			c.line.Server = "a"
+			voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i), Seen: 4, Ill: 1, Bad: c.bad, All: c.all, Lines: []Line{c.line}}})
+		}
+		voices = append(voices, voice{"liar", Report{Seen: 4, Bad: 1 << 30, All: 1 << 30}})
+		if f := weigh(voices)["a"]; testRules.convicts(f, false) != c.want {
+			t.Errorf("%+v, %d of %d: convicted %v", c.line, c.bad, c.all, !c.want)
+		}
+	}
+}
+
 // Of a group's members at most the share is left, never the last one, and all poolers leave the same.
 func TestLeave(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -168,7 +194,7 @@
 // A verdict needs evidence that stands, lasts for its term, longer each time, ends by an appeal, and is forgotten.
 func TestStanding(t *testing.T) {
 	vs, now := verdicts{}, time.Unix(1000, 0)
-	against := Finding{Server: "a", Accusers: 3, Rooms: 2, against: 9}
+	against := Finding{Server: "a", Accusers: 3, Rooms: 2, Failed: 9, against: 9}
 	for _, c := range []struct {
 		after time.Duration
 		f     Finding
@@ -214,7 +240,7 @@
 		b.take(now, fmt.Sprint(i), Report{Born: 1, Seq: 1, At: now.UnixNano()}, time.Second)
 		o.saw(now, fmt.Sprint(i), i, Failed, 0)
 		o.lostPrimary(now, fmt.Sprint(i))
-		vs.step(now, testRules, map[string]Finding{fmt.Sprint(i): {Accusers: 3, Rooms: 2, against: 1}}, 0)
+		vs.step(now, testRules, map[string]Finding{fmt.Sprint(i): {Accusers: 3, Rooms: 2, Failed: 6, against: 1}}, 0)
 	}
 	if len(b.heard) > maxObservers || len(o.servers) > maxServers || len(o.lost) > maxLost || len(vs) > maxServers {
 		t.Errorf("%d reports, %d servers, %d lost, %d verdicts", len(b.heard), len(o.servers), len(o.lost), len(vs))
@@ -408,7 +434,7 @@
 			t.Errorf("%+v: %v", again, err)
 		}
 		for s, f := range weigh([]voice{{"n", r}}) {
-			if testRules.convicts(f) {
+			if testRules.convicts(f, false) {
 				t.Errorf("%s is convicted by one", s)
 			}
 		}
