Tell the log what the verdicts said and heard

What gossip costs has to be seen where it is paid: each 10 s in which anything was said or heard, one line with reports and bytes both ways. A calm fleet has nothing to tell.

--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -19,6 +19,7 @@
 const (
 	topic = "verdict"
 	tick  = 100 * time.Millisecond // looks at the evidence; a fleet of more than 100 each 1 ms a pooler, as each look costs so much more
+	tell  = 10 * time.Second       // tells the log of what was said and heard, if anything was
 	again = time.Second            // a word that stands is given to the module again: it may not have been able to take it
 )
 
@@ -56,6 +57,9 @@
 	next     time.Time            // not before the next one
 	given    map[string]time.Time // words given to the host, and when last
 	suspect  map[int]time.Time
+
+	// Reports said and heard since the log was told last, and their bytes.
+	said, saidBytes, heard, heardBytes int
 }
 
 // New returns a part that has seen nothing. room is the pooler's zone.
@@ -125,12 +129,17 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		p.heard, p.heardBytes = p.heard+1, p.heardBytes+len(body)
 		p.board.take(time.Now(), from, r, life(len(g.Bus.Members())))
 	})
+	told := time.NewTicker(tell)
+	defer told.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-told.C:
+			p.account(g)
 		case <-time.After(max(tick, time.Duration(len(g.Bus.Members()))*time.Millisecond)):
 			p.round(time.Now(), g)
 		}
@@ -240,6 +249,17 @@
 	return out
 }
 
+// account tells the log what was said and heard lately; a calm fleet has nothing to tell.
+func (p *Part) account(g fleet.Ground) {
+	p.mu.Lock()
+	said, saidBytes, heard, heardBytes := p.said, p.saidBytes, p.heard, p.heardBytes
+	p.said, p.saidBytes, p.heard, p.heardBytes = 0, 0, 0, 0
+	p.mu.Unlock()
+	if said+heard > 0 {
+		g.Log.Info().Int("said", said).Int("said_bytes", saidBytes).Int("heard", heard).Int("heard_bytes", heardBytes).Dur("in", tell).Msg("verdict: reports")
+	}
+}
+
 // say is the report that is due now, or nil. A pooler speaks while it complains, while it has evidence of a server that
 // another complains of or that is convicted, and once more to take back what it said: a calm fleet is silent.
 func (p *Part) say(now time.Time, r Report, accused map[string]bool, n int) []byte {
@@ -249,8 +269,10 @@
 	}
 	p.seq++
 	r.Seq, p.told = p.seq, len(r.Lines)+len(r.Tenants)
+	text := r.encode()
+	p.said, p.saidBytes = p.said+1, p.saidBytes+len(text)
 	p.next = now.Add(time.Duration((0.75 + rand.Float64()/2) * float64(every(n))))
-	return r.encode()
+	return text
 }
 
 // note writes a change to the log and the journal.
