--- a/cmd/threadsail-fleet/parts.go
+++ b/cmd/threadsail-fleet/parts.go
@@ -19,5 +19,8 @@
 	if p := newShards(c); p != nil {
 		out = append(out, part{Part: p, attach: p.attach, reload: p.reload})
 	}
+	if c.Verdicts.Enabled {
+		out = append(out, newVerdicts(cfg, c.Verdicts))
+	}
 	return out
 }
--- a/internal/fleet/verdict/evidence.go
+++ b/internal/fleet/verdict/evidence.go
@@ -120,12 +120,12 @@
 		if o.late(class, took, math.MaxInt64) {
 			kind = slow
 		}
-		if class >= 0 && class < maxClasses {
-			p := r.paces[class]
-			if p == nil {
-				p = &pace{}
-				r.paces[class] = p
-			}
+		p := r.paces[class]
+		if p == nil && len(r.paces) < maxClasses {
+			p = &pace{}
+			r.paces[class] = p
+		}
+		if p != nil {
 			p.saw(took)
 		}
 	}
--- a/internal/fleet/verdict/report.go
+++ b/internal/fleet/verdict/report.go
@@ -10,7 +10,7 @@
 const (
 	maxLines  = 12
 	maxName   = 128
-	maxReport = 1200 // bytes; memberlist's packets hold 1400
+	maxReport = 1000 // bytes; peers.maxWord is the most that gossip passes on
 )
 
 // Line is what an observer has seen of one server within its span.
