Play pushed lists, drains and replicas that a report stops in the laboratory

Need: the laboratory knew only what the first deployment has: asked lists, keyed writes, replicas that answer from whatever they have.

Steps drain and ready; the report counts what came to a draining server later than the grace and 50 ms.

--- a/cmd/threadsail/fleet_test.go
+++ b/cmd/threadsail/fleet_test.go
@@ -113,3 +113,40 @@
 		t.Errorf("lost %d, answered %d, broken %q: want all lost", rep.Lost, rep.Served+rep.Refused+rep.Failed, rep.Broken)
 	}
 }
+
+// Lists are pushed, replicas follow the log, and reports stop it: servers drain while poolers serve, while one starts and
+// after their lists have moved. Nothing may come to them long after the grace; how long exactly is not judged here.
+func TestFleetOfPushedLists(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s, err := config.ParseScenario("scenario", []byte(`{"poolers": 2, "servers": 6, "length_ms": 9000, "seed": 7, "clients": 4, "rest_ms": 30,
+	  "writes": 0.1, "unkeyed": true, "work_ms": 5, "patience_ms": 1500, "push": true, "grace_ms": 250,
+	  "log": {"wait_ms": 50, "bound_ms": 300, "reports": 0.1, "report_ms": 400}, "steps": [
+		{"at_ms": 1000, "act": "drain", "servers": "1"},
+		{"at_ms": 1000, "act": "kill", "poolers": "0", "for_ms": 300},
+		{"at_ms": 3500, "act": "move", "poolers": "1"},
+		{"at_ms": 4000, "act": "drain", "servers": "2"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := lab.Fleet{Scenario: s, Command: func() *exec.Cmd {
+		cmd := exec.Command(os.Args[0], "serve")
+		cmd.Env = append(os.Environ(), "THREADSAIL_TEST_RUN=1")
+		return cmd
+	}, Progress: func(line string) { t.Log(line) }}.Run(t)
+	var table strings.Builder
+	rep.Table(&table)
+	t.Log("\n" + table.String())
+	for _, b := range rep.Broken {
+		t.Error(b)
+	}
+	if len(rep.Drained) != 2 || rep.Served == 0 {
+		t.Errorf("%d servers drained, %d requests served", len(rep.Drained), rep.Served)
+	}
+	for _, d := range rep.Drained {
+		if d.Last > s.Grace+2*time.Second {
+			t.Errorf("a statement came to %s %v after the news", d.Server, d.Last)
+		}
+	}
+}
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -29,6 +29,18 @@
 	Work             time.Duration // a server takes over a statement, half of it to one and a half
 	Plan             *faults.Plan
 	Fleet            ScenarioFleet
+	Push             bool          // lists are pushed to an agent on each pooler's machine
+	Grace            time.Duration // of a drain; 0: as the stand-ins' settings have it
+	Unkeyed          bool          // writes carry no key, and must never run twice
+	Log              ScenarioLog
+}
+
+// ScenarioLog is how replicas follow their primary's log; Wait 0: they answer from what they have.
+type ScenarioLog struct {
+	Wait    time.Duration // a bounded read waits so long for a replica that is too far behind
+	Bound   time.Duration // how old such a read's data may be
+	Reports float64       // share of the reads that any member answers and that stop a replica's log meanwhile
+	Report  time.Duration // how long those take
 }
 
 // ScenarioFleet is how the poolers of a scenario know each other; Stewards 0: they don't.
@@ -157,6 +169,14 @@
 				}
 			}
 		}
+		Push, Unkeyed bool
+		GraceMs       float64 `json:"grace_ms"`
+		Log           struct {
+			WaitMs   float64 `json:"wait_ms"`
+			BoundMs  float64 `json:"bound_ms"`
+			Reports  float64
+			ReportMs float64 `json:"report_ms"`
+		}
 		Steps []json.RawMessage
 	}
 	dec := json.NewDecoder(bytes.NewReader(text))
@@ -167,7 +187,8 @@
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Groups: or(file.Groups, 1), Roles: file.Roles, Direct: file.Direct, Length: ms(file.LengthMs), Seed: file.Seed,
 		Clients: 1, Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000)),
-		Work: ms(file.WorkMs)}
+		Work: ms(file.WorkMs), Push: file.Push, Unkeyed: file.Unkeyed, Grace: ms(file.GraceMs),
+		Log: ScenarioLog{ms(file.Log.WaitMs), ms(or(file.Log.BoundMs, 800)), file.Log.Reports, ms(file.Log.ReportMs)}}
 	if file.Clients != nil {
 		s.Clients = *file.Clients
 	}
@@ -188,6 +209,10 @@
 		return s, 0, errors.New("rest_ms: under 1, or patience_ms under 10")
 	case s.Work < 0 || s.Work > s.Patience:
 		return s, 0, fmt.Errorf("work_ms: %v is not from 0 to the patience", s.Work)
+	case s.Grace < 0 || s.Grace > s.Length:
+		return s, 0, fmt.Errorf("grace_ms: %v is not from 0 to the length", s.Grace)
+	case s.Log.Wait < 0 || s.Log.Bound < 0 || s.Log.Reports < 0 || s.Log.Reports > 1 || s.Log.Report < 0 || s.Log.Report > s.Patience:
+		return s, 0, errors.New("log: wait_ms or bound_ms is below 0, reports no share from 0 to 1, or report_ms not from 0 to the patience")
 	}
 	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
 		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild, Zones: file.Fleet.Zones, Verdicts: file.Fleet.Verdicts}
--- a/internal/lab/act.go
+++ b/internal/lab/act.go
@@ -163,6 +163,8 @@
 			r.servers.Servers[j].Do(nil)
 			r.work(r.servers.Servers[j])
 		}
+	case faults.Drain, faults.Ready:
+		r.drain(step)
 	case faults.Down:
 		for _, s := range step.Servers {
 			r.servers.Servers[s].Down()
--- /dev/null
+++ b/internal/lab/drains.go
@@ -0,0 +1,126 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"threadsail/internal/config"
+	"threadsail/internal/lab/faults"
+	"threadsail/internal/lab/standin"
+)
+
+// drainSlack is what a statement may come later than a drain's grace: the machines of a laboratory are busy.
+const drainSlack = 50 * time.Millisecond
+
+// Drained is a server that the lists said drains, and what came to it after the grace.
+type Drained struct {
+	Server  string
+	At, For time.Duration // from the clients' beginning; For 0: to the end
+	Late    int           // statements later than the grace and drainSlack after the news
+	Last    time.Duration // after the news, of all
+}
+
+// settle puts what a scenario says of the deployment into the poolers' settings.
+func settle(s config.Scenario, settings map[string]any) {
+	settings["balancers"] = s.Poolers
+	if s.Push {
+		settings["discovery"] = "push"
+	}
+	if s.Grace > 0 {
+		settings["contract"].(map[string]any)["drainGraceMs"] = s.Grace.Milliseconds()
+	}
+	if s.Log.Wait > 0 {
+		info := settings["familyInfo"].(map[string]any)
+		info["behind"], info["waitMs"], info["lagAllowedMs"] = "await", s.Log.Wait.Milliseconds(), []float64{float64(s.Log.Bound.Milliseconds()), 0, 0}
+	}
+}
+
+// follow has a server's replicas follow the log as the scenario says.
+func (r *fleetRun) follow(server *standin.Server) {
+	if l := r.Scenario.Log; l.Wait > 0 {
+		server.Follow(standin.Lag{Wait: l.Wait, Bounds: map[string]time.Duration{"view": l.Bound}, Stops: "any"})
+	}
+}
+
+// read is a client's next read.
+func (r *fleetRun) read(rng *rand.Rand) string {
+	s := r.Scenario
+	if s.Log.Wait == 0 {
+		return r.purges.read(rng, s.Patience)
+	}
+	if rng.Float64() < s.Log.Reports {
+		return standin.Read("any", s.Patience)
+	}
+	return standin.Read("view", s.Patience)
+}
+
+// takes is how long a statement takes on the mean.
+func (r *fleetRun) takes(seen standin.Seen, usual time.Duration) time.Duration {
+	if l := r.Scenario.Log; l.Report > 0 && strings.Contains(seen.Text, "c=any,") {
+		return l.Report
+	}
+	return usual
+}
+
+// drain has every list service say that servers drain, or are ready again.
+func (r *fleetRun) drain(step faults.Step) {
+	phase := map[faults.Act]string{faults.Drain: "Terminating", faults.Ready: "Ready"}[step.Act]
+	for _, j := range step.Servers {
+		r.servers.Phase(r.servers.Servers[j], phase)
+	}
+	for _, m := range r.members {
+		m.List()
+	}
+	now := time.Since(r.began)
+	for _, j := range step.Servers {
+		name := r.servers.Servers[j].Name
+		if step.Act == faults.Drain {
+			r.drained = append(r.drained, Drained{Server: name, At: now})
+			continue
+		}
+		for i := range r.drained {
+			if d := &r.drained[i]; d.Server == name && d.For == 0 {
+				d.For = now - d.At
+			}
+		}
+	}
+}
+
+// drains counts what came to servers after their grace, and what replicas turned away.
+func (r *fleetRun) drains(rep *FleetReport) {
+	for _, d := range r.drained {
+		for _, s := range r.servers.Servers {
+			if s.Name != d.Server {
+				continue
+			}
+			for _, seen := range s.Seen() {
+				after := seen.At.Sub(r.began) - d.At
+				if after < 0 || d.For > 0 && after >= d.For {
+					continue
+				}
+				d.Last = max(d.Last, after)
+				if after > r.Scenario.Grace+drainSlack {
+					d.Late++
+				}
+			}
+		}
+		rep.Drained = append(rep.Drained, d)
+	}
+	for _, s := range r.servers.Servers {
+		rep.Turned += s.Turned()
+	}
+}
+
+// drainTable writes it for a person.
+func (rep FleetReport) drainTable(out io.Writer) {
+	for _, d := range rep.Drained {
+		fmt.Fprintf(out, "%s listed as draining at %v: %d statements came after the grace, the last %v after the news\n", d.Server,
+			d.At.Round(time.Millisecond), d.Late, d.Last.Round(time.Millisecond))
+	}
+	if rep.Turned > 0 {
+		fmt.Fprintf(out, "%d reads turned away by replicas too far behind\n", rep.Turned)
+	}
+}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -38,6 +38,8 @@
 	Right   Act = "right"   // they answer as ever
 	Promote Act = "promote" // the one server named becomes primary, all others of its group replicas
 	Replace Act = "replace" // a new server, a replica, takes each one's place under a new name; the old goes down
+	Drain   Act = "drain"   // the lists say that servers drain; For: that they are ready again after it
+	Ready   Act = "ready"   // the lists say that they are ready
 	Isolate Act = "isolate" // links between the poolers and all other poolers, stewards among them, drop all; For: rejoined after it
 	Lag     Act = "lag"     // links of the poolers to all other poolers hold each piece back by Delay, up to Jitter more; For: rejoined after it
 	Rejoin  Act = "rejoin"  // those links pass all again
@@ -47,10 +49,10 @@
 	Order   Act = "order"   // the poolers' files get an order to purge all sites, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Isolate, Lag, Rejoin, Move, Closes, Order, Reshard}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Drain, Ready, Isolate, Lag, Rejoin, Move, Closes, Order, Reshard}
 
 // undo is the step that ends a fault of some length.
-var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up, Err: Right,
+var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up, Err: Right, Drain: Ready,
 	Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
 
 // Undo is the act that ends a fault of some length; empty: it has none.
@@ -58,7 +60,7 @@
 
 // Ends tells whether the act ends faults that another began.
 func (a Act) Ends() bool {
-	return a == Restart || a == Cont || a == Heal || a == Up || a == Right || a == Rejoin || a == Lists
+	return a == Restart || a == Cont || a == Heal || a == Up || a == Right || a == Rejoin || a == Lists || a == Ready
 }
 
 // OnLinks tells whether the act is on links between poolers and servers.
@@ -123,7 +125,7 @@
 		return fmt.Errorf("for_ms: %s lasts no time", s.Act)
 	}
 	onLinks := s.Act.OnLinks()
-	onServers := s.Act == Down || s.Act == Up || s.Act == Err || s.Act == Right || s.Act == Promote || s.Act == Replace
+	onServers := s.Act == Down || s.Act == Up || s.Act == Err || s.Act == Right || s.Act == Promote || s.Act == Replace || s.Act == Drain || s.Act == Ready
 	switch {
 	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder && !s.Dealer:
 		return fmt.Errorf("poolers: %s needs some", s.Act)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -47,6 +47,7 @@
 	ups      []up
 	replaced int
 	bad      []Bad
+	drained  []Drained
 	peers    peerNet
 	purges   purges
 	shards   shards
@@ -74,7 +75,7 @@
 	for i := range names {
 		names[i] = fmt.Sprintf("db%d", i+1)
 	}
-	r.servers = standin.NewFleet(h, false, func(settings map[string]any) { settings["balancers"] = s.Poolers }, names...)
+	r.servers = standin.NewFleet(h, false, func(settings map[string]any) { settle(s, settings) }, names...)
 	r.servers.Roles = s.Roles
 	for j, server := range r.servers.Servers {
 		var first bool
@@ -237,9 +238,11 @@
 				continue
 			}
 		}
-		text := r.purges.read(rng, s.Patience)
-		if q.Keyed = q.Write; q.Write {
+		text := r.read(rng)
+		if q.Keyed = q.Write && !s.Unkeyed; q.Keyed {
 			text = standin.Write(fmt.Sprintf("%016x", rng.Uint64()), s.Patience)
+		} else if q.Write {
+			text = standin.Write("", s.Patience)
 		}
 		text = standin.At(rng.IntN(s.Groups), text)
 		var row judge.RowOp
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -39,8 +39,10 @@
 	ReadsAtServers   int           // statements of reads that came to servers, repeats among them
 	Requests         []judge.Request
 	Outages          []judge.Outage
-	Bad              []Bad `json:",omitempty"`
-	FalseVerdicts    int   // on servers that were not bad for all poolers
+	Drained          []Drained `json:",omitempty"`
+	Turned           int       // reads that replicas too far behind turned away
+	Bad              []Bad     `json:",omitempty"`
+	FalseVerdicts    int       // on servers that were not bad for all poolers
 }
 
 func (r *fleetRun) report() FleetReport {
@@ -129,6 +131,7 @@
 		rep.Met = append(rep.Met, met)
 	}
 	r.verdicts(&rep)
+	r.drains(&rep)
 	for _, server := range r.servers.Servers {
 		at := server.CameAt()
 		for _, t := range at {
@@ -188,6 +191,7 @@
 		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
 	rep.limitsTable(out)
 	rep.badTable(out)
+	rep.drainTable(out)
 	fmt.Fprintln(out, "second  served refused failed lost")
 	for i, c := range rep.Seconds {
 		fmt.Fprintf(out, "%6d  %6d %7d %6d %4d\n", i, c.Served, c.Refused, c.Failed, c.Lost)
--- a/internal/lab/standin/fleet.go
+++ b/internal/lab/standin/fleet.go
@@ -192,10 +192,13 @@
 
 // Drain lists a server as draining.
 func (f *Fleet) Drain(s *Server) {
-	f.phase[s.Name] = "Terminating"
+	f.Phase(s, "Terminating")
 	f.List()
 }
 
+// Phase sets what the next list says of a server.
+func (f *Fleet) Phase(s *Server, phase string) { f.phase[s.Name] = phase }
+
 // List tells the pooler of the servers as they now are, by the list service or the inventory.
 func (f *Fleet) List() {
 	f.Discovery.Change(f.entries())
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -44,6 +44,7 @@
 	Full       // turned away
 	Wrong      // the statement breaks a key
 	Check      // or a check that only newer MySQL servers have
+	Behind     // turned away untouched: too far behind
 )
 
 // Seen is a statement that has reached a server whole.
@@ -78,6 +79,11 @@
 	probes  []time.Time   // of each time that health was asked for
 	changed chan struct{} // closed at the next statement
 	unsent  map[net.Conn]bool
+	lag     Lag
+	stops   int // reads that stop its log now
+	turned  int
+	// Since a read first stopped its log: how far that was, and when it went on.
+	stoppedAt, goesOn time.Time
 }
 
 // Ledger is what servers share: the requests under way at any of them.
@@ -349,6 +355,11 @@
 	s.changed = make(chan struct{})
 	do, spoil := s.act, s.spoil
 	s.mu.Unlock()
+	read, tooOld := s.reads(text)
+	defer read()
+	if tooOld {
+		return end, Behind, readOnly, nil
+	}
 	if do != nil {
 		act = do(one) // it may wait
 	}
@@ -365,7 +376,7 @@
 	if s.behind < 0 {
 		return s.primary, 0
 	}
-	return s.primary, time.Now().Add(-s.behind).UnixMilli()
+	return s.primary, s.applied(time.Now()).UnixMilli()
 }
 
 // buffered reads messages by a parser of the protocol.
@@ -477,6 +488,8 @@
 			out = pgwire.AppendError(nil, "ERROR", "XX000", "fault", "")
 		case act == Full:
 			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeTooMany, "full", "")
+		case act == Behind:
+			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeBehind, "too far behind", "")
 		case readOnly:
 			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeReadOnly, "read-only", "")
 		default:
--- a/internal/lab/start.go
+++ b/internal/lab/start.go
@@ -70,8 +70,10 @@
 	if r.purges.Sites > 0 {
 		server.Stamp()
 	}
+	r.follow(server)
 	if w := r.Scenario.Work; w > 0 {
-		server.Do(func(standin.Seen) standin.Act {
+		server.Do(func(seen standin.Seen) standin.Act {
+			w := r.takes(seen, w)
 			time.Sleep(w/2 + time.Duration(rand.Int64N(int64(w))))
 			return standin.Answer
 		})
