--- /dev/null
+++ b/cmd/threadsail-fleet/limits_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"testing"
+
+	"threadsail/internal/lab/judge"
+)
+
+// Eight poolers before three servers want several times what two limits let pass. Whoever deals is stalled, killed and cut off,
+// and a steward's process is gone for a while. Clients and stand-ins tell that neither limit was exceeded by more than its bound,
+// that what is not reserved was used, and that nothing was lost.
+func TestLimitsUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts eight processes")
+	}
+	rep, lines, s := play(t, `{"poolers": 8, "servers": 3, "length_ms": 12000, "seed": 5, "clients": 3, "rest_ms": 10, "writes": 0.1, "roles": true,
+	  "patience_ms": 1500, "fleet": {"stewards": 3, "term_ms": 900, "relays": true, "limits": {"revision": 1, "list": [
+		{"name": "all", "on": "requests", "rate": 200, "burst": 20, "reserve": 0.3},
+		{"name": "dials", "on": "connections", "rate": 20, "burst": 4, "reserve": 0.4}]}}, "steps": [
+		{"at_ms": 2500, "act": "stop", "poolers": "dealer", "for_ms": 1300},
+		{"at_ms": 5500, "act": "kill", "poolers": "dealer", "for_ms": 800},
+		{"at_ms": 8500, "act": "isolate", "poolers": "dealer", "for_ms": 2000}]}`)
+	dealt := map[uint64]bool{}
+	for _, l := range lines {
+		if l.Message == "limits: dealt here from now on" {
+			dealt[l.Token] = true
+		}
+	}
+	if len(dealt) < 3 {
+		t.Errorf("%d poolers dealt, want one more after each of the dealer's ends", len(dealt))
+	}
+	if len(rep.Over) != 2 {
+		t.Errorf("judged %+v, want two limits", rep.Over)
+	}
+	served := map[int]int{}
+	for _, q := range rep.Requests {
+		if q.Outcome == judge.Served {
+			served[q.Pooler]++
+		}
+	}
+	for i := range s.Poolers {
+		if served[i] == 0 {
+			t.Errorf("pooler %d served nothing", i)
+		}
+	}
+	// The safe shares alone let 60 a second pass.
+	if least := 80 * int(s.Length.Seconds()); rep.Served < least || rep.Refused == 0 {
+		t.Errorf("%d served and %d refused at a limit of 200 a second, want %d at least", rep.Served, rep.Refused, least)
+	}
+}
--- a/cmd/threadsail-fleet/main.go
+++ b/cmd/threadsail-fleet/main.go
@@ -15,6 +15,7 @@
 	"threadsail/internal/config"
 	"threadsail/internal/fleet"
 	"threadsail/internal/program"
+	"threadsail/rules"
 )
 
 // version is what -ldflags "-X main.version=v1.4.0" gives a build; empty: what the Go command knows.
@@ -71,10 +72,14 @@
 func wire(cfg *config.Config, c *config.Fleet, build string, log zerolog.Logger) *program.FleetPart {
 	all := parts(cfg, c)
 	o := fleet.Options{Config: c, Spread: program.Spread(cfg), Log: log}
+	var limit func(func(int) rules.Class, rules.Settings) program.Limiter
 	for _, p := range all {
 		o.Parts = append(o.Parts, p.Part)
+		if p.limit != nil {
+			limit = p.limit
+		}
 	}
-	return &program.FleetPart{Config: c, Build: build,
+	return &program.FleetPart{Config: c, Build: build, Limit: limit,
 		Open: func(events program.FleetEvents) (program.Fleet, error) { return fleet.Open(o, events) },
 		Attach: func(f program.Front) {
 			for _, p := range all {
--- a/cmd/threadsail-fleet/parts.go
+++ b/cmd/threadsail-fleet/parts.go
@@ -4,18 +4,23 @@
 	"threadsail/internal/config"
 	"threadsail/internal/fleet"
 	"threadsail/internal/program"
+	"threadsail/rules"
 )
 
 // part is a part of the fleet as this program wires it. A field that a part has no use for is nil.
 type part struct {
 	fleet.Part
-	attach func(program.Front)                 // puts guards and the like on each front's core, before its loop runs
+	attach func(program.Front) // puts guards and the like on each front's core, before its loop runs
+	limit  func(func(int) rules.Class, rules.Settings) program.Limiter
 	reload func(*config.Config, *config.Fleet) // takes over the files as they are read again at SIGHUP
 }
 
 // parts are those that the operators' files ask for, in the order in which their guards are asked.
 func parts(cfg *config.Config, c *config.Fleet) (out []part) {
 	// Each part has its place here: if its key asks for it, out = append(out, part{...}).
+	if p := newLimits(c, cfg); p != nil {
+		out = append(out, part{Part: p, limit: limiter(p), reload: func(_ *config.Config, c *config.Fleet) { p.Propose(c.Limits) }})
+	}
 	if p := newShards(c); p != nil {
 		out = append(out, part{Part: p, attach: p.attach, reload: p.reload})
 	}
--- a/internal/fleet/audit/record.go
+++ b/internal/fleet/audit/record.go
@@ -40,6 +40,9 @@
 	Dropped      Act = "dropped"       // Seq: acts that could not be written here, since the record before
 )
 
+// LimitsDealt: Token; this pooler deals the fleet's limits from now on.
+const LimitsDealt Act = "limits-dealt"
+
 // Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
 type Record struct {
 	At       int64  `json:"at"`       // Unix time in ns, by the pooler's clock
--- a/internal/fleet/quota/part.go
+++ b/internal/fleet/quota/part.go
@@ -11,6 +11,7 @@
 
 	"threadsail/internal/config"
 	"threadsail/internal/fleet"
+	"threadsail/internal/fleet/audit"
 	"threadsail/internal/fleet/bus"
 	"threadsail/internal/fleet/shared"
 )
@@ -44,7 +45,7 @@
 	*Taker
 	o Options
 
-	mu     sync.Mutex // guards dealer
+	mu     sync.Mutex // guards what is below, and o.Limits
 	dealer *Dealer    // nil: another holds the duty, or none
 }
 
@@ -55,6 +56,15 @@
 	return &Part{Taker: NewTaker(o.Instance, o.Term, o.Fleet, o.Limits), o: o}
 }
 
+// Propose takes over the operators' file as it is read again: where its revision is the highest it holds here at once, and for
+// all once the holder has it.
+func (p *Part) Propose(set config.Limits) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.o.Limits = set
+	p.Set(set)
+}
+
 // Run implements fleet.Part. It never returns an error: without holder, bus or documents safe shares stand.
 func (p *Part) Run(ctx context.Context, g fleet.Ground) error {
 	tenure := g.Stand(ctx, Duty)
@@ -146,6 +156,7 @@
 	if p.dealer == nil || p.dealer.token != token {
 		p.dealer = NewDealer(token, p.o.Term, p.o.Drift, p.size(g.Bus), p.Limits())
 		g.Log.Info().Uint64("token", token).Msg("limits: dealt here from now on")
+		g.Journal(audit.Record{Act: audit.LimitsDealt, Token: token})
 	}
 	p.Hear(g.Bus.Self(), token)
 	body, _ := json.Marshal(token)
@@ -226,8 +237,11 @@
 		return
 	}
 	d.Set(p.Limits())
-	if p.o.Limits.Revision > set.Revision {
-		body, _ := json.Marshal(p.o.Limits)
+	p.mu.Lock()
+	file := p.o.Limits
+	p.mu.Unlock()
+	if file.Revision > set.Revision {
+		body, _ := json.Marshal(file)
 		within, cancel := context.WithTimeout(ctx, p.o.Term/3)
 		defer cancel()
 		if _, err := g.Store.Put(within, Document, doc.Version, body, shared.Fence{Duty: Duty, Token: d.token}); err != nil && !errors.Is(err, shared.ErrConflict) {
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -20,6 +20,7 @@
 
 	"threadsail/internal/config"
 	"threadsail/internal/fleet"
+	"threadsail/internal/fleet/audit"
 	"threadsail/internal/fleet/bus"
 	"threadsail/internal/fleet/bus/bustest"
 	"threadsail/internal/fleet/lease"
@@ -135,7 +136,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.end = cancel
 	steward, spread := n.steward, w.rng.Float64()
-	ground := fleet.Ground{Bus: n.bus, View: w.register.View(), Store: steward, Log: zerolog.Nop(),
+	ground := fleet.Ground{Bus: n.bus, View: w.register.View(), Store: steward, Log: zerolog.Nop(), Journal: func(audit.Record) {},
 		Stand: func(ctx context.Context, d lease.Duty) shared.Tenure {
 			return steward.Stand(ctx, d, shared.Terms{Term: term, Drift: drift, Spread: spread})
 		}}
