--- a/internal/fleet/verdict/fleet_test.go
+++ b/internal/fleet/verdict/fleet_test.go
@@ -25,17 +25,18 @@
 // by the fleet's word, and then tries it each three seconds.
 type pooler struct {
 	*Part
-	name   string
-	idle   atomic.Bool
-	rest   time.Duration // between two reads
-	bad    func(server string) bool
-	stop   context.CancelFunc
-	mu     sync.Mutex
-	told   map[string]bool // the fleet's word
-	record []audit.Record
-	tried  map[string]time.Time
-	failed map[string]int
-	sent   map[string][]time.Time // to servers that were bad for it
+	name     string
+	idle     atomic.Bool
+	suspects atomic.Int32
+	rest     time.Duration // between two reads
+	bad      func(server string) bool
+	stop     context.CancelFunc
+	mu       sync.Mutex
+	told     map[string]bool // the fleet's word
+	record   []audit.Record
+	tried    map[string]time.Time
+	failed   map[string]int
+	sent     map[string][]time.Time // to servers that were bad for it
 }
 
 func (p *pooler) Verdict(server string, bad bool) {
@@ -43,7 +44,7 @@
 	defer p.mu.Unlock()
 	p.told[server] = bad
 }
-func (p *pooler) Suspect(int)               {}
+func (p *pooler) Suspect(int)               { p.suspects.Add(1) }
 func (p *pooler) Members() map[int][]string { return map[int][]string{0: {"a", "b", "c", "d"}} }
 
 // left tells whether the pooler leaves a server by the fleet's word.
@@ -388,6 +389,26 @@
 	})
 }
 
+// Where enough poolers have lost a primary all hear of it, those too that never asked it; two of them are not enough.
+func TestPrimaryLost(t *testing.T) {
+	for lost := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			r := start(t, 5, 7, time.Hour, func(int, string) bool { return false })
+			for _, p := range r.poolers[:lost] {
+				p.LostPrimary("a")
+			}
+			time.Sleep(span + life(5) + time.Second)
+			var heard []int32
+			for _, p := range r.poolers {
+				heard = append(heard, p.suspects.Load())
+			}
+			if told := slices.Min(heard) > 0; told != (lost >= testRules.Observers) || slices.Max(heard) > 6 { // once a second
+				t.Errorf("%d of 5 have lost it: told %v times", lost, heard)
+			}
+		})
+	}
+}
+
 // A verdict that nobody can appeal, as no client asks anything any more, still ends, at all poolers within their spread.
 func TestEndsByItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
