Let a disk fill up and a machine drop in the laboratory, and say so at the pooler

'full' sets a file size limit of 0 on the running process, so that every write of a file fails, 'room' takes it off; 'machine' cuts all links of all poolers on a machine before it kills them, so that nobody hears a connection close, 'boot' undoes it ('machines' deals poolers out by turns).

Each write now begins by mending what the last one left; the first act after a gap says how many are missing ('dropped').

--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -27,6 +27,7 @@
 	Writes           float64       // share of the requests that are keyed writes
 	Patience         time.Duration // a request's deadline
 	Work             time.Duration // a server takes over a statement, half of it to one and a half
+	Machines         int           // poolers are on so many machines, by turns; 0: each on its own
 	Plan             *faults.Plan
 	Fleet            ScenarioFleet
 	Push             bool          // lists are pushed to an agent on each pooler's machine
@@ -82,6 +83,23 @@
 	Guard, Confirm, Settle time.Duration // as PurgesPart
 }
 
+// Machine are the poolers that are on the machines of a set of poolers.
+func (s Scenario) Machine(poolers []int) (out []int) {
+	if s.Machines == 0 {
+		return poolers
+	}
+	down := map[int]bool{}
+	for _, i := range poolers {
+		down[i%s.Machines] = true
+	}
+	for i := range s.Poolers {
+		if down[i%s.Machines] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // GroupOf is the group of the server in place j, and whether that is its group's first.
 func (s Scenario) GroupOf(j int) (group int, first bool) {
 	group = j * s.Groups / s.Servers
@@ -135,6 +153,7 @@
 		Poolers, Servers int
 		Groups           int
 		Roles, Direct    bool
+		Machines         int
 		Clients          *int // 0: idle poolers
 		Hot              string
 		HotClients       int     `json:"hot_clients"`
@@ -187,7 +206,7 @@
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Groups: or(file.Groups, 1), Roles: file.Roles, Direct: file.Direct, Length: ms(file.LengthMs), Seed: file.Seed,
 		Clients: 1, Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000)),
-		Work: ms(file.WorkMs), Push: file.Push, Unkeyed: file.Unkeyed, Grace: ms(file.GraceMs),
+		Work: ms(file.WorkMs), Machines: file.Machines, Push: file.Push, Unkeyed: file.Unkeyed, Grace: ms(file.GraceMs),
 		Log: ScenarioLog{ms(file.Log.WaitMs), ms(or(file.Log.BoundMs, 800)), file.Log.Reports, ms(file.Log.ReportMs)}}
 	if file.Clients != nil {
 		s.Clients = *file.Clients
@@ -199,6 +218,8 @@
 		return s, 0, fmt.Errorf("servers: %d is not from 1 to %d", s.Servers, mostServers)
 	case s.Groups < 1 || s.Groups > s.Servers:
 		return s, 0, fmt.Errorf("groups: %d is not from 1 to the number of servers", s.Groups)
+	case s.Machines < 0 || s.Machines > s.Poolers:
+		return s, 0, fmt.Errorf("machines: %d is not from 0 to the number of poolers", s.Machines)
 	case s.Length <= 0 || s.Length > mostLength:
 		return s, 0, fmt.Errorf("length_ms: %v is not above 0 and within %v", s.Length, mostLength)
 	case s.Clients < 0 || s.Clients > 16:
--- a/internal/fleet/audit/audit_test.go
+++ b/internal/fleet/audit/audit_test.go
@@ -55,6 +55,42 @@
 	}
 }
 
+// What a full disk leaves behind a write that failed is cut off before the next one, and a file that could not be opened after it
+// was put aside is opened later: each act that can be written is whole.
+func TestAfterAFullDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "acts")
+	j, _, err := Open(path, 1<<20, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Write(record(1)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := j.file.WriteString("half a rec"); err != nil {
+		t.Fatal(err)
+	}
+	j.torn = true
+	if err := j.Write(record(2)); err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(j.rotate(), os.Mkdir(path, 0o700)); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Write(record(3)); err == nil {
+		t.Error("written into a folder")
+	}
+	if err := errors.Join(os.Remove(path), j.Write(record(4)), j.Close()); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string][]Record{path + ".1": {record(1), record(2)}, path: {record(4)}} {
+		text, _ := os.ReadFile(name)
+		got, problems := Parse(name, text)
+		if d := cmp.Diff(want, got); d != "" || len(problems) > 0 {
+			t.Errorf("%s: %s %v", name, d, problems)
+		}
+	}
+}
+
 // Problems name file and place, and the rest is still read.
 func TestProblems(t *testing.T) {
 	var b []byte
--- a/internal/fleet/audit/journal.go
+++ b/internal/fleet/audit/journal.go
@@ -7,13 +7,15 @@
 	"os"
 )
 
-// Journal is a pooler's journal on disk. It is not safe for use by several goroutines.
+// Journal is a pooler's journal on disk. It is not safe for use by several goroutines. What holds: a write that fails leaves no
+// part of its record, and the next one is tried on its own, whatever had failed.
 type Journal struct {
 	path string
-	most int64 // bytes of one file
-	keep int   // older files kept beside it: path.1 is the youngest
-	file *os.File
+	most int64    // bytes of one file
+	keep int      // older files kept beside it: path.1 is the youngest
+	file *os.File // nil: it could not be opened after it was put aside
 	size int64
+	torn bool // half a record is behind size, and could not be cut off
 }
 
 // Open opens a journal for writing, or makes it. A torn tail is cut; cut tells how many bytes that was. A file that is no
@@ -58,24 +60,41 @@
 			return err
 		}
 	}
+	if err := j.ready(); err != nil {
+		return err
+	}
 	n, err := j.file.Write(b)
 	if err != nil && n > 0 { // a full disk: no half record stays
-		if terr := j.file.Truncate(j.size); terr != nil {
-			return errors.Join(err, terr)
-		}
-		if _, serr := j.file.Seek(j.size, 0); serr != nil {
-			return errors.Join(err, serr)
-		}
-		return err
+		j.torn = true
+		return errors.Join(err, j.ready())
 	}
 	j.size += int64(n)
 	return err
 }
 
-func (j *Journal) rotate() error {
-	if err := j.file.Close(); err != nil {
-		return err
+// ready has the file open and ending behind its last whole record.
+func (j *Journal) ready() (err error) {
+	if j.file == nil {
+		if j.file, err = os.OpenFile(j.path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600); err != nil {
+			j.file = nil
+			return err
+		}
+		j.size, j.torn = 0, false
 	}
+	if j.torn {
+		if err := j.file.Truncate(j.size); err != nil {
+			return err
+		}
+		if _, err := j.file.Seek(j.size, 0); err != nil {
+			return err
+		}
+		j.torn = false
+	}
+	return nil
+}
+
+// rotate puts the file aside. Where that fails the act is not written, and the next one tries again.
+func (j *Journal) rotate() error {
 	for i := j.keep; i > 0; i-- {
 		from := j.path
 		if i > 1 {
@@ -85,13 +104,15 @@
 			return err
 		}
 	}
-	file, err := os.OpenFile(j.path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	j.file, j.size = file, 0
-	return nil
+	err := j.file.Close()
+	j.file, j.size = nil, 0
+	return err
 }
 
 // Close closes the file.
-func (j *Journal) Close() error { return j.file.Close() }
+func (j *Journal) Close() error {
+	if j.file == nil {
+		return nil
+	}
+	return j.file.Close()
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"threadsail/internal/fleet/shared"
 	"threadsail/internal/fleet/steward"
 	"threadsail/internal/program"
+	"threadsail/internal/program/admin"
 )
 
 const (
@@ -246,6 +247,13 @@
 	f.peers.Show(peers.Meta{Build: build, Config: config, Token: w.Token, Seq: w.Seq})
 }
 
+// Figures are documented with program.Fleet.
+func (f *Fleet) Figures() admin.Fleet {
+	out := f.ground.figures()
+	out.StewardFails = f.steward != nil && f.steward.Full()
+	return out
+}
+
 // Close leaves the fleet. What waits for the stewards, a release above all, is said first.
 func (f *Fleet) Close() {
 	f.ground.end()
--- a/internal/fleet/ground.go
+++ b/internal/fleet/ground.go
@@ -15,6 +15,7 @@
 	"threadsail/internal/fleet/shared"
 	"threadsail/internal/fleet/steward"
 	"threadsail/internal/program"
+	"threadsail/internal/program/admin"
 )
 
 const (
@@ -112,3 +113,16 @@
 		g.log.Warn().Msg("shared: a part or an ask does not end")
 	}
 }
+
+// figures may be called on any goroutine.
+func (g *ground) figures() admin.Fleet {
+	f := admin.Fleet{Version: g.copy.Version(), Age: -1}
+	if at := g.copy.Confirmed(); !at.IsZero() {
+		f.Age = time.Since(at)
+	}
+	if g.keeper != nil {
+		_, err := g.keeper.Kept()
+		f.CopyFails = err != nil
+	}
+	return f
+}
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -147,6 +147,9 @@
 	}
 }
 
+// Full tells whether the last write to its log failed.
+func (s *Steward) Full() bool { return s.disk.Full() }
+
 // lines gives a writer's lines to a function.
 type lines func(string)
 
--- a/internal/lab/act.go
+++ b/internal/lab/act.go
@@ -60,6 +60,9 @@
 		}
 		step.Poolers = r.held[step.Index]
 	}
+	if step.Act == faults.Machine || step.Act == faults.Boot {
+		step.Poolers = r.Scenario.Machine(step.Poolers)
+	}
 	r.say("%s, poolers %s, servers %s", step.Act, some(step.Poolers), some(step.Servers))
 	r.badFor(step)
 	links := func(fault relay.Fault) {
@@ -96,6 +99,14 @@
 				r.start(p)
 			}
 		})
+	case faults.Full, faults.Room:
+		each(func(p *pooler) {
+			if err := p.room(step.Act == faults.Room); err != nil {
+				r.fail(err.Error())
+			}
+		})
+	case faults.Machine, faults.Boot:
+		r.machine(step.Poolers, some, step.Act == faults.Boot)
 	case faults.Hup:
 		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
 	case faults.Retune:
@@ -185,3 +196,29 @@
 		}
 	}
 }
+
+// machine drops whole machines, or boots them. A machine that drops says nothing any more: its links are cut before its
+// processes end, so that nobody hears connections close.
+func (r *fleetRun) machine(poolers []int, processes []*pooler, boots bool) {
+	var fault relay.Fault
+	fault.Drop = !boots
+	r.peers.set(poolers, fault, false)
+	if !r.Scenario.Direct {
+		for _, i := range poolers {
+			for _, l := range r.relays[i] {
+				l.Set(fault)
+			}
+		}
+	}
+	r.each(processes, func(p *pooler) {
+		switch {
+		case !boots:
+			p.goOut()
+			if exited := p.signal(syscall.SIGKILL); exited != nil {
+				<-exited
+			}
+		case p.up() == "":
+			r.start(p)
+		}
+	})
+}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -40,6 +40,10 @@
 	Replace Act = "replace" // a new server, a replica, takes each one's place under a new name; the old goes down
 	Drain   Act = "drain"   // the lists say that servers drain; For: that they are ready again after it
 	Ready   Act = "ready"   // the lists say that they are ready
+	Full    Act = "full"    // files of the poolers' processes may not be written: a full disk; For: they may again after it
+	Room    Act = "room"    // they may again
+	Machine Act = "machine" // the poolers' machines drop: all links first, then all processes; For: booted after it
+	Boot    Act = "boot"    // those machines are there again, and their processes started
 	Isolate Act = "isolate" // links between the poolers and all other poolers, stewards among them, drop all; For: rejoined after it
 	Lag     Act = "lag"     // links of the poolers to all other poolers hold each piece back by Delay, up to Jitter more; For: rejoined after it
 	Rejoin  Act = "rejoin"  // those links pass all again
@@ -49,18 +53,18 @@
 	Order   Act = "order"   // the poolers' files get an order to purge all sites, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Drain, Ready, Isolate, Lag, Rejoin, Move, Closes, Order, Reshard}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Drain, Ready, Full, Room, Machine, Boot, Isolate, Lag, Rejoin, Move, Closes, Order, Reshard}
 
 // undo is the step that ends a fault of some length.
 var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up, Err: Right, Drain: Ready,
-	Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
+	Full: Room, Machine: Boot, Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
 
 // Undo is the act that ends a fault of some length; empty: it has none.
 func (a Act) Undo() Act { return undo[a] }
 
 // Ends tells whether the act ends faults that another began.
 func (a Act) Ends() bool {
-	return a == Restart || a == Cont || a == Heal || a == Up || a == Right || a == Rejoin || a == Lists || a == Ready
+	return a == Restart || a == Cont || a == Room || a == Boot || a == Heal || a == Up || a == Right || a == Rejoin || a == Lists || a == Ready
 }
 
 // OnLinks tells whether the act is on links between poolers and servers.
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -83,7 +83,8 @@
 		}
 		file := map[string]any{"enabled": true, "name": name(i), "listen": n.addr(i, gossipPort), "peers": peers, "stewards": stewards,
 			"term_ms": fleet.Term.Milliseconds(), "drift_ms": fleet.DriftOf().Milliseconds(), "election_ms": fleet.ElectionOf().Milliseconds(),
-			"shared_addresses": fleet.SharedAddresses, "least_build": fleet.LeastBuild, "journal": map[string]any{"file": n.journal(m)}}
+			"shared_addresses": fleet.SharedAddresses, "least_build": fleet.LeastBuild, "journal": map[string]any{"file": n.journal(m)},
+			"shared": config.SharedPart{Dir: filepath.Join(m.Dir(), "shared")}}
 		if i < fleet.Stewards {
 			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
 		}
--- a/internal/lab/start.go
+++ b/internal/lab/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -11,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"threadsail/internal/lab/judge"
 	"threadsail/internal/lab/relay"
 	"threadsail/internal/lab/standin"
@@ -180,6 +183,28 @@
 	return p.exited
 }
 
+// room lets p's process write files, or not: a limit of 0 bytes on the size of its files makes each write fail, as on a full disk,
+// those over what is there already too. A process that is started again has room.
+func (p *pooler) room(is bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	var limit unix.Rlimit
+	err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, nil, &limit)
+	if limit.Cur = 0; is {
+		limit.Cur = limit.Max
+	}
+	if err == nil {
+		err = unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
+	}
+	if errors.Is(err, unix.ESRCH) { // it has ended
+		return nil
+	}
+	return err
+}
+
 // endAll ends every process, and lets stopped ones go on first so that they can end.
 func (r *fleetRun) endAll() {
 	for _, p := range r.poolers {
--- a/internal/program/admin/admin.go
+++ b/internal/program/admin/admin.go
@@ -24,6 +24,17 @@
 	Classes                       []routing.Counts
 	Pending, Members, Unavailable int
 	Lists                         []List // of fronts that take their servers from a file
+	Fleet                         *Fleet // nil: the pooler is on its own
+}
+
+// Fleet is how the pooler's part in its fleet stands.
+type Fleet struct {
+	Version      uint64        // of the documents that it acts on
+	Age          time.Duration // since nothing newer was known to a steward; below 0: not since the start
+	CopyFails    bool          // its copy can't be written to its disk
+	StewardFails bool          // its steward's log can't be written
+	Dropped      uint64        // acts that are not in its journal
+	JournalFails bool          // the last act could not be written
 }
 
 // List is how a front's list of servers stands.
@@ -137,14 +148,23 @@
 		{"config_reloads", f.Reloads}, {"config_reload_errors", f.ReloadErrors}} {
 		b = admin.AppendFigure(b, g.name, g.value)
 	}
-	for _, l := range f.Lists {
-		holding := uint64(0)
-		if l.Holding {
-			holding = 1
+	if fl := f.Fleet; fl != nil {
+		b = admin.AppendFigure(b, "shared_version", fl.Version)
+		if fl.Age >= 0 {
+			b = admin.AppendFigure(b, "shared_age_ms", uint64(fl.Age.Milliseconds()))
 		}
+		b = admin.AppendFigure(b, "journal_acts_dropped", fl.Dropped)
+		for _, d := range []struct {
+			what  string
+			fails bool
+		}{{"copy", fl.CopyFails}, {"journal", fl.JournalFails}, {"steward", fl.StewardFails}} {
+			b = admin.AppendFigure(b, "disk_failing", yes(d.fails), admin.Label{Name: "file", Value: d.what})
+		}
+	}
+	for _, l := range f.Lists {
 		front := admin.Label{Name: "front", Value: l.Front}
 		b = admin.AppendFigure(b, "list_generation", l.Generation, front)
-		b = admin.AppendFigure(b, "list_holding", holding, front)
+		b = admin.AppendFigure(b, "list_holding", yes(l.Holding), front)
 		for _, r := range []struct {
 			result string
 			count  uint64
@@ -154,3 +174,10 @@
 	}
 	return admin.AppendEnd(b)
 }
+
+func yes(is bool) uint64 {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -11,6 +11,7 @@
 	"threadsail/internal/fleet/audit"
 	"threadsail/internal/fleet/duty"
 	"threadsail/internal/fleet/lease"
+	"threadsail/internal/program/admin"
 	"threadsail/internal/routing"
 	"threadsail/rules"
 )
@@ -48,6 +49,7 @@
 	Give(to string, w duty.Word, list []byte) // sends a list to one that asked
 	Report(holder string, group int)          // tells a holder that this pooler has lost a group's primary
 	Show(w duty.Word, build, config string)   // what the others see of this pooler
+	Figures() admin.Fleet                     // Dropped and JournalFails are left to the caller
 	Close()
 }
 
@@ -143,6 +145,13 @@
 	m.journal.note(r)
 }
 
+// figures may be called on any goroutine.
+func (m *member) figures() *admin.Fleet {
+	f := m.fleet.Figures()
+	f.Dropped, f.JournalFails = m.journal.figures()
+	return &f
+}
+
 // retune takes over a configuration under way.
 func (m *member) retune(cfg *config.Config) {
 	if m.digest == cfg.Digest {
--- a/internal/program/journal.go
+++ b/internal/program/journal.go
@@ -17,6 +17,7 @@
 	acts    chan audit.Record
 	done    chan struct{}
 	dropped atomic.Uint64
+	failing atomic.Bool // the last act could not be written
 }
 
 func openJournal(c config.JournalPart, log zerolog.Logger) (*journal, error) {
@@ -33,13 +34,18 @@
 	j := &journal{acts: make(chan audit.Record, queuedActs), done: make(chan struct{})}
 	go func() {
 		defer close(j.done)
-		failing := false
+		lost := uint64(0) // since the last that was written
 		for r := range j.acts {
+			if lost > 0 && file.Write(dropped(r, lost)) == nil { // the reader must know that there is a gap
+				log.Info().Str("file", c.File).Uint64("lost", lost).Msg("journal: acts are written again")
+				lost = 0
+			}
 			err := file.Write(r)
-			if err != nil && !failing { // once, not for each act that a full disk turns down
+			if err != nil && lost == 0 { // once, not for each act that a full disk turns down
 				log.Error().Err(err).Str("file", c.File).Msg("journal: acts can't be written")
 			}
-			if failing = err != nil; failing {
+			if j.failing.Store(err != nil); err != nil {
+				lost++
 				j.dropped.Add(1)
 			}
 		}
@@ -69,3 +75,17 @@
 		<-j.done
 	}
 }
+
+// dropped is the record of a gap before an act.
+func dropped(next audit.Record, lost uint64) audit.Record {
+	return audit.Record{At: next.At, Instance: next.Instance, Build: next.Build, Config: next.Config, Revision: next.Revision,
+		Act: audit.Dropped, Seq: lost}
+}
+
+// figures are how many acts were dropped, and whether they can't be written now. It may be called on any goroutine.
+func (j *journal) figures() (dropped uint64, failing bool) {
+	if j == nil {
+		return 0, false
+	}
+	return j.dropped.Load(), j.failing.Load()
+}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -141,7 +141,7 @@
 			return fmt.Errorf("fleet: %w", err)
 		}
 		defer joined.close()
-		failed = joined.failed
+		failed, state.member = joined.failed, joined
 	}
 	var running sync.WaitGroup
 	for _, s := range sides {
@@ -208,6 +208,7 @@
 	serving               atomic.Bool
 	allowed               atomic.Bool // the fleet has not shut this pooler out
 	reloads, reloadErrors atomic.Uint64
+	member                *member // nil: the pooler is on its own
 }
 
 // figures may be called on any goroutine.
@@ -220,7 +221,11 @@
 			lists = append(lists, *k.shown.Load())
 		}
 	}
-	return admin.Figures{Serving: s.serving.Load() && s.allowed.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
+	var fleet *admin.Fleet
+	if s.member != nil {
+		fleet = s.member.figures()
+	}
+	return admin.Figures{Fleet: fleet, Serving: s.serving.Load() && s.allowed.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
 		Classes: all.Classes, Pending: all.Pending, Members: all.Members, Unavailable: all.Unavailable, Lists: lists}
 }
 
