--- a/cmd/threadsail-fleet/parts.go
+++ b/cmd/threadsail-fleet/parts.go
@@ -27,5 +27,8 @@
 	if c.Verdicts.Enabled {
 		out = append(out, newVerdicts(cfg, c.Verdicts))
 	}
+	if p := newPurges(c); p != nil { // behind the map, which may send a request to another cluster
+		out = append(out, part{Part: p, attach: p.attach, reload: p.reload})
+	}
 	return out
 }
--- a/cmd/threadsail-fleet/purges.go
+++ b/cmd/threadsail-fleet/purges.go
@@ -5,18 +5,36 @@
 
 	"threadsail/internal/config"
 	"threadsail/internal/fleet/purge"
+	"threadsail/internal/program"
+	"threadsail/internal/program/pgside"
 )
 
+// purgePart is the purges' part, with a cache for the PostgreSQL front: on MySQL's an answer depends on more than its statement.
+type purgePart struct {
+	*purge.Part
+	file config.PurgesPart
+}
+
 // newPurges is the part that empties this pooler's cache at its site's close; nil: it has no site.
-func newPurges(c *config.Fleet) *purge.Part {
+func newPurges(c *config.Fleet) *purgePart {
 	if c.Purges.Site == "" {
 		return nil
 	}
-	p := purge.New(c.Purges.Site, proposal(c))
+	p := &purgePart{purge.New(c.Purges.Site, proposal(c)), c.Purges}
 	p.Term, p.Journal, p.Keep = c.Term, c.Journal.File, c.Journal.Keep
 	return p
 }
 
+// attach puts the cache before a front.
+func (p *purgePart) attach(f program.Front) {
+	if f.Name == "postgres" && len(p.file.Classes) > 0 {
+		f.Core.Guard(p.Cached(uint64(p.file.Answers), p.file.Classes, f.Core.ClassInfo, pgside.Kept))
+	}
+}
+
+// reload takes over what the operators propose and order.
+func (p *purgePart) reload(_ *config.Config, c *config.Fleet) { p.Propose(proposal(c)) }
+
 // proposal is what the operators' file has of purges.
 func proposal(c *config.Fleet) purge.Proposal {
 	file := c.Purges
--- a/internal/fleet/purge/edge.go
+++ b/internal/fleet/purge/edge.go
@@ -188,8 +188,8 @@
 // stale tells whether the documents may have changed without this edge's knowledge for longer than an order waits. The copy may
 // have been brought up to date and confirmed just now, and its documents not be taken in yet: when it was confirmed is read first.
 func (e *Edge) stale() bool {
-	at := e.view.Confirmed()
-	return at.IsZero() || time.Since(at) > e.table.bounds.Confirm || e.view.Version() > e.version
+	at := e.view.Confirmed() // the zero time is older than any
+	return time.Since(at) > e.table.bounds.Confirm || e.view.Version() > e.version
 }
 
 // last is the instant of the last purge of a cluster that may have come by now: by a clock that is ahead by a guard it has.
