Tell the gate of servers' starts, and judge what a cold server is sent in the laboratory

Seen with a replaced server in the test of the limits under faults: 272 attempts reached it in ten seconds where the limit on cold servers let 70 pass at its warmth. The gate was never told when servers had started, so none was cold to it; the guard's own test tells it directly. routing.Core tells it now with each list, with a test that fails without.

--- a/cmd/threadsail-fleet/limits_test.go
+++ b/cmd/threadsail-fleet/limits_test.go
@@ -6,8 +6,8 @@
 	"threadsail/internal/lab/judge"
 )
 
-// Eight poolers before three servers want several times what two limits let pass. Whoever deals is stalled, killed and cut off,
-// and a steward's process is gone for a while. Clients and stand-ins tell that neither limit was exceeded by more than its bound,
+// Eight poolers before three servers want several times what limits let pass, one of them on a server that has just started. Whoever deals is stalled, killed and cut off,
+// and a steward's process is gone for a while. Clients and stand-ins tell that no limit was exceeded by more than its bound,
 // that what is not reserved was used, and that nothing was lost.
 func TestLimitsUnderFaults(t *testing.T) {
 	if testing.Short() {
@@ -16,7 +16,9 @@
 	rep, lines, s := play(t, `{"poolers": 8, "servers": 3, "length_ms": 12000, "seed": 5, "clients": 3, "rest_ms": 10, "writes": 0.1, "roles": true,
 	  "patience_ms": 1500, "fleet": {"stewards": 3, "term_ms": 900, "relays": true, "limits": {"revision": 1, "list": [
 		{"name": "all", "on": "requests", "rate": 200, "burst": 20, "reserve": 0.3},
-		{"name": "dials", "on": "connections", "rate": 20, "burst": 4, "reserve": 0.4}]}}, "steps": [
+		{"name": "dials", "on": "connections", "rate": 20, "burst": 4, "reserve": 0.4},
+		{"name": "warm", "on": "cold", "rate": 20, "burst": 4, "reserve": 0.5}]}}, "steps": [
+		{"at_ms": 1500, "act": "replace", "servers": "2"},
 		{"at_ms": 2500, "act": "stop", "poolers": "dealer", "for_ms": 1300},
 		{"at_ms": 5500, "act": "kill", "poolers": "dealer", "for_ms": 800},
 		{"at_ms": 8500, "act": "isolate", "poolers": "dealer", "for_ms": 2000}]}`)
@@ -29,8 +31,8 @@
 	if len(dealt) < 3 {
 		t.Errorf("%d poolers dealt, want one more after each of the dealer's ends", len(dealt))
 	}
-	if len(rep.Over) != 2 {
-		t.Errorf("judged %+v, want two limits", rep.Over)
+	if len(rep.Over) != 3 || rep.Over[2].Taken == 0 {
+		t.Errorf("judged %+v, want three limits", rep.Over)
 	}
 	served := map[int]int{}
 	for _, q := range rep.Requests {
--- a/internal/config/fleet_limits.go
+++ b/internal/config/fleet_limits.go
@@ -44,6 +44,15 @@
 	List     []Limit `json:"list"`
 }
 
+// On is the set's first limit on something.
+func (l Limits) On(what string) (Limit, bool) {
+	i := slices.IndexFunc(l.List, func(l Limit) bool { return l.On == what })
+	if i < 0 {
+		return Limit{}, false
+	}
+	return l.List[i], true
+}
+
 // ParseLimits reads a set as the fleet passes it on: checked as the operators' file is.
 func ParseLimits(text []byte) (Limits, error) {
 	l, _, err := parseLimits(text)
--- a/internal/fleet/quota/guard.go
+++ b/internal/fleet/quota/guard.go
@@ -84,7 +84,7 @@
 		return routing.Send
 	}
 	warmth, cold := g.warmth(now, server)
-	if l, ok := g.limit(config.LimitCold); ok && cold {
+	if l, ok := g.taker.Limits().On(config.LimitCold); ok && cold {
 		if _, ok := g.taker.Take(l, server, warmth); !ok {
 			return routing.Elsewhere
 		}
@@ -120,7 +120,7 @@
 
 // MayDial implements routing.Gate.
 func (g *Guard) MayDial(_ time.Duration, server string) (time.Duration, bool) {
-	l, ok := g.limit(config.LimitConnections)
+	l, ok := g.taker.Limits().On(config.LimitConnections)
 	if !ok {
 		return 0, true
 	}
@@ -129,19 +129,10 @@
 
 // MayProbe implements routing.Gate.
 func (g *Guard) MayProbe(_ time.Duration, server string) bool {
-	l, ok := g.limit(config.LimitProbes)
+	l, ok := g.taker.Limits().On(config.LimitProbes)
 	if !ok {
 		return true
 	}
 	_, ok = g.taker.Take(l, server, 1)
 	return ok
 }
-
-func (g *Guard) limit(on string) (config.Limit, bool) {
-	for _, l := range g.taker.Limits().List {
-		if l.On == on {
-			return l, true
-		}
-	}
-	return config.Limit{}, false
-}
--- a/internal/lab/act.go
+++ b/internal/lab/act.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"threadsail/internal/config"
 	"threadsail/internal/lab/faults"
 	"threadsail/internal/lab/relay"
 	"threadsail/internal/lab/standin"
@@ -26,6 +27,9 @@
 	fresh := r.servers.Server(fmt.Sprintf("db%d-%d", j+1, r.replaced), false)
 	fresh.Cell = old.Cell
 	r.work(fresh)
+	if _, ok := r.Scenario.Fleet.Limits.On(config.LimitCold); ok {
+		fresh.Started = time.Now()
+	}
 	r.servers.Servers[j] = fresh
 	for i := range r.relays {
 		r.relays[i][j] = r.link(i, j, fresh)
--- a/internal/lab/limits.go
+++ b/internal/lab/limits.go
@@ -62,7 +62,7 @@
 			for _, server := range r.servers.Servers {
 				at := server.CameAt()
 				o.Taken += len(at)
-				o.Most = max(o.Most, above(l.Rate, at))
+				o.Most = max(o.Most, above(l.Rate, at, func(time.Time) float64 { return 1 }))
 			}
 		case l.On == config.LimitRequests && l.Class == "" && !l.Tenants:
 			var in []judge.Request
@@ -72,6 +72,22 @@
 				}
 			}
 			o.Taken, o.Most = len(in), inside(l.Rate, in)
+		case l.On == config.LimitCold:
+			// A token is 1/w of them at a warmth w, so a bucket may be short by as much once.
+			o.Bound += l.Rate*connectWithin.Seconds() + size*(1/coldFrom-1)
+			for _, server := range r.servers.Servers {
+				if server.Started.IsZero() {
+					continue
+				}
+				var at []time.Time
+				for _, seen := range server.Seen() {
+					at = append(at, seen.At)
+				}
+				o.Taken += len(at)
+				o.Most = max(o.Most, above(l.Rate, at, func(t time.Time) float64 {
+					return 1 / min(coldFrom+(1-coldFrom)*float64(t.Sub(server.Started))/float64(coldFor), 1)
+				}))
+			}
 		default:
 			continue
 		}
@@ -81,17 +97,21 @@
 	}
 }
 
-// connectWithin is a pooler's time to connect, in the settings that the laboratory gives.
-const connectWithin = 250 * time.Millisecond
+// Of the settings that the laboratory gives: a pooler's time to connect, and how servers warm.
+const (
+	connectWithin = 250 * time.Millisecond
+	coldFrom      = 0.2
+	coldFor       = 30 * time.Second
+)
 
-// above is the most by which the sorted times exceed a rate over any span.
-func above(rate float64, at []time.Time) (most float64) {
+// above is the most by which what came at the sorted times exceeds a rate over any span; each is weighed.
+func above(rate float64, at []time.Time, weigh func(time.Time) float64) (most float64) {
 	over := 0.0
 	for i, t := range at {
 		if i > 0 {
 			over = max(0, over-rate*t.Sub(at[i-1]).Seconds())
 		}
-		over++
+		over += weigh(t)
 		most = max(most, over)
 	}
 	return most
--- a/internal/lab/standin/fleet.go
+++ b/internal/lab/standin/fleet.go
@@ -181,6 +181,9 @@
 				phase = "Ready"
 			}
 			e := Entry{ID: s.Name, HostPort: s.Addr, Locality: "a", Cell: s.Cell, Phase: phase}
+			if !s.Started.IsZero() {
+				e.UpSince = float64(s.Started.UnixMilli())
+			}
 			if f.Roles {
 				e.Recovery = map[bool]string{true: "off", false: "on"}[s.Primary()]
 			}
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -57,7 +57,8 @@
 // Server is a database server on one of the wires.
 type Server struct {
 	Name, Addr string
-	Cell       int // its group; set before it is listed
+	Cell       int       // its group; set before it is listed
+	Started    time.Time // as lists tell; zero: long ago
 	mysql      bool
 	ln         net.Listener
 
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -359,6 +359,9 @@
 			c.groups[m.Group] = true
 			c.addrs[id] = m.Addr
 			delete(c.gone, id)
+			if c.gate != nil {
+				c.gate.Listed(m.Name, m.Started)
+			}
 		}
 		if delete(c.ready, id); m.State == rules.Ready {
 			c.ready[id] = m.Group
