Join the fleet's reports outside of the lock that the fronts' loops take

Joining what 300 poolers say takes half a millisecond, in which a front's loop would have waited to send a read. The list of accused servers was read from a slice that joining sorts, this pooler's own report among it by then; it is made before. A test has all ways in which a read is let go to a server that the fleet leaves.

--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -157,15 +157,18 @@
 	for _, l := range report.Lines {
 		report.Bad, report.All = report.Bad+int(l.Failed+l.Slow), report.All+int(l.Good+l.Failed+l.Slow)
 	}
-	others := p.board.voices(now)
-	report.Tenants = p.tenants.lines(now, accused(others, func(v voice) []Line { return v.Tenants }))
-	voices := append(others, voice{g.Bus.Self(), report})
-	found := weigh(voices)
+	voices := p.board.voices(now)
+	servers := accused(voices, func(v voice) []Line { return v.Lines }) // by others
+	report.Tenants = p.tenants.lines(now, accused(voices, func(v voice) []Line { return v.Tenants }))
+	p.mu.Unlock() // joining what hundreds say takes longer than a front's loop should wait
+	voices = append(voices, voice{g.Bus.Self(), report})
+	found, hot := weigh(voices), weighTenants(voices)
+	p.mu.Lock()
 	changes := p.standing.step(now, p.rules, found, p.spread)
-	tenants := p.hot.step(now, p.rules, weighTenants(voices), p.spread)
+	tenants := p.hot.step(now, p.rules, hot, p.spread)
 	p.leave(now, g.Bus.Self(), fleetOf, groups)
 	words, suspects := p.words(now), p.lostPrimaries(now, found, groups)
-	cast := p.say(now, report, accused(others, func(v voice) []Line { return v.Lines }), len(fleetOf))
+	cast := p.say(now, report, servers, len(fleetOf))
 	p.mu.Unlock()
 
 	for server, bad := range words {
--- a/internal/fleet/verdict/verdict_test.go
+++ b/internal/fleet/verdict/verdict_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"threadsail/internal/routing"
 )
 
 var testRules = Rules{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second}
@@ -391,6 +393,34 @@
 	})
 }
 
+// A read is kept off a server that the fleet leaves only where another member has just answered here; not where this pooler is to
+// try it, or has good answers of it.
+func TestMaySend(t *testing.T) {
+	for _, c := range []struct {
+		left, trying bool
+		of           map[string]Kind
+		want         routing.Sending
+	}{
+		{true, false, map[string]Kind{"b": Good}, routing.Elsewhere},
+		{false, false, map[string]Kind{"b": Good}, routing.Send},
+		{true, true, map[string]Kind{"b": Good}, routing.Send},
+		{true, false, nil, routing.Send},
+		{true, false, map[string]Kind{"b": Failed}, routing.Send},
+		{true, false, map[string]Kind{"b": Good, "a": Failed}, routing.Elsewhere},
+		{true, false, map[string]Kind{"b": Good, "a": Good}, routing.Send},
+	} {
+		p := New(testRules, "z1", nil)
+		p.left["a"], p.trying["a"], p.others["a"] = c.left, c.trying, []string{"b"}
+		for server, kind := range c.of {
+			p.Observe(server, 0, kind, 0)
+			p.Observe(server, 0, kind, 0)
+		}
+		if got := p.MaySend(0, nil, "a"); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
+
 // A pooler speaks when it complains or is asked, at its own pace, and once more to take back what it said.
 func TestSay(t *testing.T) {
 	p, now := New(testRules, "z1", nil), time.Unix(1000, 0)
