--- a/internal/lab/standin/extended.go
+++ b/internal/lab/standin/extended.go
@@ -126,7 +126,7 @@
 					return
 				}
 			case 'S':
-				c.Write(pgwire.AppendReady(out))
+				s.answer(c, pgwire.AppendReady(out))
 				out = nil
 			default:
 				return
