Show shared documents under full disks and a dropped machine; read shared.dir

Seen by the test as it was first run: the key shared.dir was read and then left out of the configuration, so that no pooler kept a copy; config's own test now turns it.

Six poolers on three machines, three of them stewards, all writing one document: each steward's disk is full for 1.2 s in turn, another pooler's for 4 s, and a machine with a steward drops for 1.5 s.

--- a/cmd/threadsail-fleet/main_test.go
+++ b/cmd/threadsail-fleet/main_test.go
@@ -21,6 +21,9 @@
 func TestMain(m *testing.M) {
 	if os.Getenv("THREADSAIL_TEST_RUN") != "" {
 		version = os.Getenv("THREADSAIL_TEST_BUILD")
+		if os.Getenv("THREADSAIL_TEST_SCRIBE") != "" {
+			tests = append(tests, part{Part: scribe{}})
+		}
 		main()
 		return
 	}
@@ -41,6 +44,17 @@
 }
 
 func play(t *testing.T, scenario string, builds ...string) (lab.FleetReport, []line, config.Scenario) {
+	t.Helper()
+	var env [][]string
+	for _, build := range builds {
+		env = append(env, []string{"THREADSAIL_TEST_BUILD=" + build})
+	}
+	rep, logs, s := playLogs(t, scenario, env...)
+	return rep, parse[line](logs), s
+}
+
+// playLogs plays a scenario, with further environment of the first poolers, and returns all poolers' logs.
+func playLogs(t *testing.T, scenario string, env ...[]string) (lab.FleetReport, string, config.Scenario) {
 	t.Helper()
 	s, err := config.ParseScenario("scenario.json", []byte(scenario))
 	if err != nil {
@@ -52,8 +66,8 @@
 		cmd.Env = append(os.Environ(), "THREADSAIL_TEST_RUN=1")
 		return cmd
 	}, Env: func(i int) []string {
-		if i < len(builds) {
-			return []string{"THREADSAIL_TEST_BUILD=" + builds[i]}
+		if i < len(env) {
+			return env[i]
 		}
 		return nil
 	}, Progress: func(line string) { t.Log(line) }}.Run(t)
@@ -63,15 +77,18 @@
 	for _, b := range rep.Broken {
 		t.Error(b)
 	}
-	var out []line
-	for text := range strings.Lines(logs.String()) {
-		var l line
-		if err := json.Unmarshal([]byte(text), &l); err != nil {
-			continue
+	return rep, logs.String(), s
+}
+
+// parse reads log lines; one that is no JSON is left out.
+func parse[L any](logs string) (out []L) {
+	for text := range strings.Lines(logs) {
+		var l L
+		if json.Unmarshal([]byte(text), &l) == nil {
+			out = append(out, l)
 		}
-		out = append(out, l)
 	}
-	return rep, out, s
+	return out
 }
 
 // fence is a register that only takes tokens not older than the newest: histories of acts are checked against it.
--- a/cmd/threadsail-fleet/parts.go
+++ b/cmd/threadsail-fleet/parts.go
@@ -30,5 +30,8 @@
 	if p := newPurges(c); p != nil { // behind the map, which may send a request to another cluster
 		out = append(out, part{Part: p, attach: p.attach, reload: p.reload})
 	}
-	return out
+	return append(out, tests...)
 }
+
+// tests are parts that only this program's own tests have.
+var tests []part
--- /dev/null
+++ b/cmd/threadsail-fleet/shared_test.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"threadsail/internal/fleet"
+	"threadsail/internal/fleet/audit"
+	"threadsail/internal/fleet/shared"
+)
+
+// scribe is a part that only tests have: every pooler reads and writes one document, the holder of a duty another one, and all
+// tell their logs what they did and what their copies show.
+type scribe struct{}
+
+const scribeKey, heldKey = "scribe/all", "scribe/held"
+
+func (scribe) Run(ctx context.Context, g fleet.Ground) error {
+	var all sync.WaitGroup
+	defer all.Wait()
+	all.Go(func() {
+		for {
+			changed := g.View.Changed()
+			d, _ := g.View.Get(scribeKey)
+			g.Log.Log().Uint64("version", d.Version).Str("value", string(d.Value)).Int64("began_ns", time.Now().UnixNano()).Msg("scribe: copy")
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			}
+		}
+	})
+	tenure := g.Stand(ctx, "scribe")
+	for n := 0; ctx.Err() == nil; n++ {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(40+rand.IntN(80)) * time.Millisecond):
+		}
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		began := time.Now().UnixNano()
+		d, err := g.Store.Read(call, scribeKey)
+		if err == nil {
+			g.Log.Log().Str("from", string(d.Value)).Int64("began_ns", began).Int64("ended_ns", time.Now().UnixNano()).Msg("scribe: read")
+			value := fmt.Sprint(g.Bus.Self(), "-", began)
+			began = time.Now().UnixNano()
+			g.Log.Log().Str("from", string(d.Value)).Str("value", value).Int64("began_ns", began).Msg("scribe: puts")
+			version, err := g.Store.Put(call, scribeKey, d.Version, []byte(value), shared.Fence{})
+			g.Log.Log().Str("from", string(d.Value)).Str("value", value).Uint64("version", version).Str("result", result(err)).
+				Int64("began_ns", began).Int64("ended_ns", time.Now().UnixNano()).Msg("scribe: put")
+		}
+		if token, _, ok := tenure.Token(); ok {
+			d, err := g.Store.Read(call, heldKey)
+			if err == nil {
+				var version uint64
+				version, err = g.Store.Put(call, heldKey, d.Version, []byte(g.Bus.Self()), shared.Fence{Duty: "scribe", Token: token})
+				g.Log.Log().Uint64("token", token).Uint64("version", version).Str("result", result(err)).Msg("scribe: held")
+			}
+		}
+		cancel()
+	}
+	return nil
+}
+
+func result(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, shared.ErrConflict):
+		return "conflict"
+	case errors.Is(err, shared.ErrFenced):
+		return "fenced"
+	}
+	return "unknown"
+}
+
+type scribeLine struct {
+	Pooler         int
+	Message        string
+	From, Value    string
+	Result         string
+	Version, Token uint64
+	Began          int64 `json:"began_ns"`
+	Ended          int64 `json:"ended_ns"`
+}
+
+// Six poolers on three machines, three of them stewards, write one document at once while each steward's disk fills up in turn and
+// has room again, another pooler's disk is full for longer, and a machine with a steward drops. No request is lost; reads and
+// writes are linearizable; each copy only ever shows what was written, and ends on the newest; the holder's writes come in the
+// order of their tokens; whoever could not write says so, and that it can again.
+func TestSharedUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts six processes")
+	}
+	env := []string{"THREADSAIL_TEST_SCRIBE=1"}
+	rep, logs, _ := playLogs(t, `{"poolers": 6, "servers": 2, "length_ms": 13000, "seed": 7, "clients": 1, "rest_ms": 40, "writes": 0.3, "machines": 3,
+	  "patience_ms": 1500, "fleet": {"stewards": 3, "term_ms": 900, "relays": true}, "steps": [
+		{"at_ms": 2500, "act": "full", "poolers": "4", "for_ms": 4000},
+		{"at_ms": 2500, "act": "full", "poolers": "0", "for_ms": 1200},
+		{"at_ms": 4500, "act": "full", "poolers": "1", "for_ms": 1200},
+		{"at_ms": 6500, "act": "full", "poolers": "2", "for_ms": 1200},
+		{"at_ms": 8500, "act": "machine", "poolers": "0", "for_ms": 1500}]}`, env, env, env, env, env, env)
+	lines := parse[scribeLine](logs)
+	answered := map[string]bool{}
+	for _, l := range lines {
+		answered[l.Value] = answered[l.Value] || l.Message == "scribe: put"
+	}
+	var ops []porcupine.Operation
+	written, held := map[uint64]string{}, map[uint64]uint64{}
+	last, counts := scribeLine{}, map[string]int{}
+	for _, l := range lines {
+		if l.Message == "scribe: puts" && !answered[l.Value] { // its pooler was killed
+			l.Message, l.Result = "scribe: put", "unknown"
+		}
+		switch l.Message {
+		case "scribe: read", "scribe: put":
+			ended := l.Ended
+			if l.Result == "unknown" {
+				ended = math.MaxInt64
+			}
+			ops = append(ops, porcupine.Operation{ClientId: l.Pooler, Input: l, Output: l, Call: l.Began, Return: ended})
+			if counts[l.Message+" "+l.Result]++; l.Result == "ok" {
+				if written[l.Version] = l.Value; l.Version > last.Version {
+					last = l
+				}
+			}
+		case "scribe: held":
+			if counts[l.Message+" "+l.Result]++; l.Result == "ok" {
+				held[l.Version] = l.Token
+			}
+		}
+	}
+	t.Log(counts)
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{""} },
+		Step: func(state, input, _ any) []any {
+			l, at := input.(scribeLine), state.(string)
+			switch {
+			case l.Message == "scribe: read" && at == l.From, l.Result == "conflict" && at != l.From:
+				return []any{at}
+			case l.Result == "ok" && at == l.From:
+				return []any{l.Value}
+			case l.Result == "unknown" && at == l.From:
+				return []any{l.Value, at}
+			case l.Result == "unknown":
+				return []any{at}
+			}
+			return nil
+		},
+	}
+	if got := porcupine.CheckOperationsTimeout(model.ToModel(), ops, 30*time.Second); got != porcupine.Ok {
+		t.Errorf("%d reads and writes are %s as a register", len(ops), got)
+	}
+	if len(written) == 0 || len(held) == 0 || rep.Served == 0 { // how many is the disk's affair
+		t.Errorf("%d writes, %d of the holder's, %d requests served: the history is idle", len(written), len(held), rep.Served)
+	}
+	newest := map[int]uint64{}
+	for _, l := range lines {
+		if l.Message != "scribe: copy" || l.Version == 0 {
+			continue
+		}
+		if want, ok := written[l.Version]; ok && want != l.Value {
+			t.Errorf("pooler %d shows %q as version %d, which is %q", l.Pooler, l.Value, l.Version, want)
+		}
+		newest[l.Pooler] = max(newest[l.Pooler], l.Version)
+	}
+	for i := range rep.Poolers {
+		old := 0
+		for v := range written {
+			if v > newest[i] {
+				old++
+			}
+		}
+		if old > max(len(written)/4, 4) {
+			t.Errorf("pooler %d ends on version %d of %d, %d writes behind", i, newest[i], last.Version, old)
+		}
+	}
+	versions := make([]uint64, 0, len(held))
+	for v := range held {
+		versions = append(versions, v)
+	}
+	slices.Sort(versions)
+	if !slices.IsSortedFunc(versions, func(a, b uint64) int { return int(held[a]) - int(held[b]) }) {
+		t.Errorf("a holder's write came after one of a newer token: %v", held)
+	}
+	said := func(pooler int, text string) {
+		if !slices.ContainsFunc(lines, func(l scribeLine) bool { return l.Pooler == pooler && strings.Contains(l.Message, text) }) {
+			t.Errorf("pooler %d never says: %s", pooler, text)
+		}
+	}
+	for i := range 3 {
+		said(i, "the log can't be written")
+		said(i, "the log can be written again")
+	}
+	for _, text := range []string{"the copy can't be written", "the copy is written again", "acts can't be written", "acts are written again"} {
+		said(4, text)
+	}
+	gap := false
+	for _, r := range journals(t, rep) {
+		gap = gap || r.Act == audit.Dropped && strings.HasPrefix(r.Instance, "n5/")
+	}
+	if !gap {
+		t.Error("n5's journal does not tell of its gap")
+	}
+}
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -176,7 +176,7 @@
 	}
 	f := &Fleet{Name: or(file.Name, name), Listen: file.Listen, Advertise: file.Advertise, Peers: file.Peers, Stewards: file.Stewards,
 		Steward: file.Steward, Term: or(Milliseconds(file.TermMs), defaultTerm), Drift: or(Milliseconds(file.DriftMs), defaultDrift),
-		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild}
+		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild, Shared: file.Shared}
 	f.Bound = or(f.Bound, stragglerTerms*f.Term)
 	f.Journal = JournalPart{File: file.Journal.File, Bytes: int64(or(file.Journal.MaxMB, defaultJournalMB) * (1 << 20)), Keep: defaultKeep}
 	if file.Journal.Keep != nil {
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -84,9 +84,9 @@
 			t.Errorf("%s: %v, want %q", c.text, err, c.want)
 		}
 	}
-	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1", nil)
+	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`, "shared": {"dir": "d"}}`), "n1", nil)
 	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
-		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second, Shards: ShardsPart{PreparedMost: 10 * time.Minute, FencedMost: 9 * time.Second},
+		Shared: SharedPart{Dir: "d"}, Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second, Shards: ShardsPart{PreparedMost: 10 * time.Minute, FencedMost: 9 * time.Second},
 		Verdicts: VerdictsPart{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second},
 		Purges:   PurgesPart{Answers: 4 << 20, Guard: 500 * time.Millisecond, Confirm: 10 * time.Second, Settle: time.Second}}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
