--- a/cmd/threadsail-fleet/purges_test.go
+++ b/cmd/threadsail-fleet/purges_test.go
@@ -6,7 +6,7 @@
 )
 
 // Eight poolers of two sites keep answers. An order purges them all; then one of them is stopped through the close, one cut off,
-// one killed and started again. Each notes each purge once, by its journal, and no client gets an answer that a stand-in made
+// one killed and started again, and one finds its disk full. Each notes each purge once, by its journal, and no client gets an answer that a stand-in made
 // before a purge to a request that it sent behind it.
 func TestPurgesUnderFaults(t *testing.T) {
 	if testing.Short() {
@@ -17,6 +17,7 @@
 	    "purges": {"sites": 2, "rows": 5, "clock_ms": 400, "confirm_ms": 1500, "settle_ms": 100}}, "steps": [
 		{"at_ms": 300, "act": "closes", "poolers": "all", "delay_ms": 12000},
 		{"at_ms": 2000, "act": "order", "poolers": "3"},
+		{"at_ms": 9500, "act": "full", "poolers": "4", "for_ms": 4500},
 		{"at_ms": 10000, "act": "isolate", "poolers": "5", "for_ms": 5000},
 		{"at_ms": 10500, "act": "stop", "poolers": "6", "for_ms": 3500},
 		{"at_ms": 11000, "act": "kill", "poolers": "7", "for_ms": 2500}]}`)
--- a/internal/fleet/audit/record.go
+++ b/internal/fleet/audit/record.go
@@ -43,6 +43,9 @@
 // LimitsDealt: Token; this pooler deals the fleet's limits from now on.
 const LimitsDealt Act = "limits-dealt"
 
+// Counted tells whether the act must be in the journal once: one that a full disk turns down is written when there is room again.
+func (a Act) Counted() bool { return a == Purged }
+
 // Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
 type Record struct {
 	At       int64  `json:"at"`       // Unix time in ns, by the pooler's clock
--- a/internal/program/journal.go
+++ b/internal/program/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -12,6 +13,9 @@
 // queuedActs is how many acts may wait for the disk; a disk that hangs must not hold the loop, nor fill the memory.
 const queuedActs = 1024
 
+// owedEvery is how often counted acts that the disk has turned down are tried again.
+const owedEvery = time.Second
+
 // journal writes a pooler's acts on a goroutine of its own. nil writes nothing.
 type journal struct {
 	acts    chan audit.Record
@@ -34,21 +38,45 @@
 	j := &journal{acts: make(chan audit.Record, queuedActs), done: make(chan struct{})}
 	go func() {
 		defer close(j.done)
-		lost := uint64(0) // since the last that was written
-		for r := range j.acts {
+		lost := uint64(0)       // since the last that was written
+		var owed []audit.Record // counted acts, which wait for room on the disk
+		write := func(r audit.Record) bool {
 			if lost > 0 && file.Write(dropped(r, lost)) == nil { // the reader must know that there is a gap
 				log.Info().Str("file", c.File).Uint64("lost", lost).Msg("journal: acts are written again")
 				lost = 0
 			}
 			err := file.Write(r)
-			if err != nil && lost == 0 { // once, not for each act that a full disk turns down
+			if err != nil && lost == 0 && len(owed) == 0 { // once, not for each act that a full disk turns down
 				log.Error().Err(err).Str("file", c.File).Msg("journal: acts can't be written")
 			}
-			if j.failing.Store(err != nil); err != nil {
+			j.failing.Store(err != nil)
+			return err == nil
+		}
+		again := time.NewTicker(owedEvery)
+		defer again.Stop()
+		for open := true; open; {
+			var r audit.Record
+			select {
+			case r, open = <-j.acts:
+			case <-again.C:
+			}
+			had := len(owed)
+			for len(owed) > 0 && write(owed[0]) {
+				owed = owed[1:]
+			}
+			if had > 0 && len(owed) == 0 {
+				log.Info().Str("file", c.File).Msg("journal: the counted acts that were owed are written")
+			}
+			switch {
+			case r.Act == "" || write(r):
+			case r.Act.Counted() && len(owed) < queuedActs:
+				owed = append(owed, r)
+			default:
 				lost++
 				j.dropped.Add(1)
 			}
 		}
+		j.dropped.Add(uint64(len(owed)))
 		if n := j.dropped.Load(); n > 0 {
 			log.Error().Uint64("acts", n).Msg("journal: acts were dropped")
 		}
--- /dev/null
+++ b/internal/program/journal_test.go
@@ -0,0 +1,52 @@
+package program
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/fleet/audit"
+)
+
+// While the journal can't be written, other acts are dropped and told of; counted ones are written once there is room again.
+func TestCountedActsOutlastAFullDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "acts")
+	inTheWay := filepath.Join(path+".1", "x") // the full file can't be put aside
+	if err := os.MkdirAll(inTheWay, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	j, err := openJournal(config.JournalPart{File: path, Bytes: 1, Keep: 1}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	note := func(act audit.Act, purge string) { j.note(audit.Record{Instance: "n1/1", Act: act, Purge: purge}) }
+	note(audit.Started, "")
+	note(audit.Purged, "a")
+	note(audit.ListTaken, "")
+	for end := time.Now().Add(20 * time.Second); j.dropped.Load() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if dropped, failing := j.figures(); dropped != 1 || !failing {
+		t.Errorf("%d dropped, failing %v", dropped, failing)
+	}
+	if err := os.RemoveAll(path + ".1"); err != nil {
+		t.Fatal(err)
+	}
+	written := func() string { // each record puts the one before it aside
+		text, _ := os.ReadFile(path)
+		records, _ := audit.Parse(path, text)
+		if len(records) == 0 {
+			return ""
+		}
+		return records[len(records)-1].Purge
+	}
+	for end := time.Now().Add(20 * time.Second); written() != "a" && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if got := written(); got != "a" {
+		t.Errorf("the last act tells of %q", got)
+	}
+	j.close()
+}
