Ask for a copy's age of a term at least, as copies are confirmed by the beat of terms

With confirm_ms under a term every edge would leave its cache between two beats. The default grows with the term.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -193,7 +193,7 @@
 		return nil, int64(bytes.Index(text, file.Limits)) + at, err
 	}
 	var path []string
-	if f.Purges, path, err = file.Purges.part(calendar.Book{Calendars: file.Calendars, Sites: file.Sites}, f.Journal.File); err != nil {
+	if f.Purges, path, err = file.Purges.part(calendar.Book{Calendars: file.Calendars, Sites: file.Sites}, f.Journal.File, f.Term); err != nil {
 		return nil, placeOf(text, path), err
 	}
 	for _, check := range []struct {
--- a/internal/config/fleet_purges.go
+++ b/internal/config/fleet_purges.go
@@ -57,9 +57,9 @@
 }
 
 // part fills defaults in. An error comes with the path of the key that it is about.
-func (f purgesFile) part(book calendar.Book, journal string) (p PurgesPart, path []string, err error) {
+func (f purgesFile) part(book calendar.Book, journal string, term time.Duration) (p PurgesPart, path []string, err error) {
 	p = PurgesPart{Site: f.Site, Answers: int64(or(f.AnswersMB, defaultAnswersMB) * (1 << 20)), Classes: f.Classes, Revision: f.Revision,
-		Guard: or(Milliseconds(f.ClockMs), defaultGuard), Confirm: or(Milliseconds(f.ConfirmMs), defaultConfirm), Settle: defaultSettle,
+		Guard: or(Milliseconds(f.ClockMs), defaultGuard), Confirm: or(Milliseconds(f.ConfirmMs), max(defaultConfirm, 3*term)), Settle: defaultSettle,
 		Book: book, Orders: f.Orders}
 	if f.SettleMs != nil {
 		p.Settle = Milliseconds(*f.SettleMs)
@@ -78,7 +78,7 @@
 		{"site", unless(p.Site == "" || journal != "", "it needs journal.file: a purge that is not noted would be noted again after a restart")},
 		{"revision", unless(p.Revision == 0 || len(book.Sites) > 0, "a plan without sites")},
 		{"clock_ms", bounds("clock_ms", p.Guard, 10*time.Millisecond, 10*time.Second)},
-		{"confirm_ms", bounds("confirm_ms", p.Confirm, 500*time.Millisecond, time.Hour)},
+		{"confirm_ms", bounds("confirm_ms", p.Confirm, term, time.Hour)}, // copies are confirmed three times a term
 		{"settle_ms", bounds("settle_ms", p.Settle, 0, time.Minute)},
 		{"answers_mb", unless(p.Answers >= 64<<10 && p.Answers <= 256<<20, "%d bytes are not from 64 KiB to 256 MiB", p.Answers)},
 	} {
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -58,6 +58,7 @@
 		{"{" + peers + ", " + stewards + ",\n\"purges\": {\"site\": \"b\"}}", ":2: purges.site: it needs journal.file"},
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"site": "b"`, `"site": "x"`, 1) + "}", `:2: purges.site: "x"`},
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"clock_ms": 100`, `"clock_ms": 1`, 1) + "}", ":3: purges.clock_ms"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"clock_ms": 100`, `"confirm_ms": 2000`, 1) + "}", ":3: purges.confirm_ms"},
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"answers_mb": 1`, `"answers_mb": 33`, 1) + "}", ":3: purges.answers_mb: more than an eighth"},
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `stock-1`, `stock 1`, 1) + "}", ":4: purges.orders[0].name"},
 		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `20:00`, `8pm`, 1) + "}", ":5: calendars.c.close.monday"},
