Let two bad attempts in a row speak for all an observer has of a server

A silent server was convicted 3.5 s after it fell silent, an erring one after 2.2 s (60 poolers, a machine with a load of 62): a pooler leaves a silent one after a single attempt, probes it from then on, and its five good answers from before outvoted that until they were out of date. Once two attempts in a row were bad, or one was silent, the pooler has left the server by its own rules, and what came before no longer counts.

--- a/internal/fleet/verdict/evidence.go
+++ b/internal/fleet/verdict/evidence.go
@@ -12,9 +12,9 @@
 	// span is how old an attempt may be to count: a server without its turn is tried each 3 s (rules.trialMost), and each trial
 	// must stand until the next, yet no longer, so that good trials end a verdict soon.
 	span = 3500 * time.Millisecond
-	// recent is how many attempts count, the last ones: a pooler leaves a server that fails after two, and its trials are few,
-	// so that more would have the good old days outvote the end of them for seconds.
+	// recent is how many attempts count, the last ones.
 	recent     = 6
+	leavesAt   = 2                // bad ones in a row at which a pooler leaves a server; one where it was silent
 	goodFor    = 10 * time.Second // a server that has answered since is one that the observer sees
 	freshFor   = 2 * time.Second  // good answers so young outrank the fleet's word
 	freshLeast = 2                // if there are so many, and no bad one
@@ -112,6 +112,9 @@
 		if kind = Failed; !o.late(class, took, silentLeast) {
 			return
 		}
+		for range leavesAt - 1 {
+			r.note(now, kind)
+		}
 	case Good:
 		if now.Sub(o.usualAt) >= paceEvery {
 			o.usualAt = now
@@ -132,6 +135,10 @@
 	if kind == Good {
 		r.good = now
 	}
+	r.note(now, kind)
+}
+
+func (r *record) note(now time.Time, kind Kind) {
 	r.ring[r.next] = seen{now, kind}
 	r.next = (r.next + 1) % recent
 }
@@ -156,16 +163,22 @@
 	}
 }
 
-// line is what was seen of a server within a time.
+// line is what was seen of a server within a time: its last attempts, back to recent of them; or the last alone if two or more
+// in a row were bad, as this pooler has then left the server (rules.failed), and gets little further evidence. What it saw before
+// is over, and would outvote that for as long as it counts.
 func (o *own) line(now time.Time, server string, within time.Duration) Line {
 	l := Line{Server: server}
 	r := o.servers[server]
 	if r == nil {
 		return l
 	}
-	for _, s := range r.ring {
+	for i := 1; i <= recent; i++ {
+		s := r.ring[(r.next-i+recent)%recent]
 		switch {
 		case s.at.IsZero() || now.Sub(s.at) >= within:
+			return l
+		case s.kind == Good && l.Good == 0 && l.Failed+l.Slow >= leavesAt:
+			return l
 		case s.kind == Good:
 			l.Good++
 		case s.kind == Failed:
--- a/internal/fleet/verdict/verdict_test.go
+++ b/internal/fleet/verdict/verdict_test.go
@@ -315,9 +315,18 @@
 		t.Errorf("a hurried client: %+v", l)
 	}
 	o.saw(now, "b", 0, Silent, 2*time.Second)
-	if l := o.line(now, "b", span); l.Failed != 1 {
+	if l := o.line(now, "b", span); l.Failed != leavesAt || l.Good > 0 {
 		t.Errorf("silence: %+v", l)
 	}
+	see("b", 0, 10*time.Millisecond, recent)
+	o.saw(now, "b", 0, Failed, 0)
+	if l := o.line(now, "b", span); l.complains() || l.Good == 0 {
+		t.Errorf("one failure: %+v", l)
+	}
+	o.saw(now, "b", 0, Failed, 0)
+	if l := o.line(now, "b", span); l.Good > 0 || l.Failed != 2 {
+		t.Errorf("a second in a row: %+v", l)
+	}
 	alone := newOwn()
 	for range 20 {
 		now = now.Add(100 * time.Millisecond)
