--- a/internal/lab/standin/shards.go
+++ b/internal/lab/standin/shards.go
@@ -130,8 +130,12 @@
 	server.Spoil(func(seen Seen) []byte {
 		cm, err := comment.Parse(seen.Text)
 		key := comment.QuotedKey(seen.Text)
-		if err != nil || key == "" || cm.Class == "write" && !server.Primary() {
+		switch {
+		case err != nil || key == "":
 			return nil
+		case cm.Class == "write" && !server.Primary():
+			out := pgwire.AppendError(nil, "ERROR", pgwire.CodeReadOnly, "read-only", "")
+			return pgwire.AppendReady(pgwire.AppendParameter(out, "recovery", "on"))
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
