--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -13,6 +13,10 @@
 	"time"
 
 	"golang.org/x/mod/semver"
+
+	"threadsail/internal/protocol/discovery"
+
+	"threadsail/internal/fleet/calendar"
 )
 
 // FleetFile is where the file of the poolers' own fleet lies unless PROXY_FLEET names another.
@@ -46,7 +50,12 @@
 	SharedAddresses bool
 	Journal         JournalPart
 	Bound           time.Duration // as duty.Lists.Bound
-	LeastBuild      string        // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
+	Verdicts        VerdictsPart
+	Purges          PurgesPart
+	Shards          ShardsPart
+	Limits          Limits
+	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
+	Shared          SharedPart
 }
 
 // JournalPart is the pooler's journal of acts; File empty: it keeps none.
@@ -56,6 +65,11 @@
 	Keep  int   // files put aside
 }
 
+// SharedPart is the pooler's copy of the fleet's documents; Dir empty: it is kept in memory alone.
+type SharedPart struct {
+	Dir string `json:"dir"`
+}
+
 // Peer is a pooler and the address at which it is reached from here.
 type Peer struct {
 	Name string `json:"name"`
@@ -102,15 +116,28 @@
 	if text == nil {
 		return nil, err
 	}
-	f, offset, err := parseFleet(text, cfg.Name)
+	f, offset, err := parseFleet(text, cfg.Name, knownClusters(cfg))
+	if err == nil && f != nil && f.Purges.Site != "" && f.Purges.Answers > cfg.MemoryBytes/answersShare {
+		offset, err = placeOf(text, []string{"purges", "answers_mb"}), fmt.Errorf("purges.answers_mb: more than an eighth of limits.memory_mb")
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s:%d: %w", path, 1+bytes.Count(text[:min(max(offset, 0), int64(len(text)))], []byte("\n")), err)
 	}
 	return f, nil
 }
 
+// knownClusters tells the clusters of the list that the pooler starts with; nil: it starts with none.
+func knownClusters(cfg *Config) func(cluster int) bool {
+	if !cfg.Known.Complete || len(cfg.Known.Members) == 0 {
+		return nil
+	}
+	return func(cluster int) bool {
+		return slices.ContainsFunc(cfg.Known.Members, func(m discovery.Member) bool { return m.Group == cluster })
+	}
+}
+
 // parseFleet returns the fleet's part, nil if it is off, or an error with the offset in text of what it is about.
-func parseFleet(text []byte, name string) (*Fleet, int64, error) {
+func parseFleet(text []byte, name string, clusters func(cluster int) bool) (*Fleet, int64, error) {
 	var file struct {
 		Enabled           bool
 		Name              string
@@ -123,6 +150,13 @@
 		SharedAddresses   bool    `json:"shared_addresses"`
 		StragglerMs       float64 `json:"straggler_ms"`
 		LeastBuild        string  `json:"least_build"`
+		Verdicts          verdictsFile
+		Purges            purgesFile
+		Shards            shardsFile
+		Limits            json.RawMessage
+		Calendars         map[string]calendar.Calendar
+		Sites             map[string]calendar.Site
+		Shared            SharedPart
 		Journal           struct {
 			File  string
 			MaxMB float64 `json:"max_mb"`
@@ -142,13 +176,26 @@
 	}
 	f := &Fleet{Name: or(file.Name, name), Listen: file.Listen, Advertise: file.Advertise, Peers: file.Peers, Stewards: file.Stewards,
 		Steward: file.Steward, Term: or(Milliseconds(file.TermMs), defaultTerm), Drift: or(Milliseconds(file.DriftMs), defaultDrift),
-		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild}
+		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild, Shared: file.Shared}
 	f.Bound = or(f.Bound, stragglerTerms*f.Term)
 	f.Journal = JournalPart{File: file.Journal.File, Bytes: int64(or(file.Journal.MaxMB, defaultJournalMB) * (1 << 20)), Keep: defaultKeep}
 	if file.Journal.Keep != nil {
 		f.Journal.Keep = *file.Journal.Keep
 	}
 	f.Election = or(Milliseconds(file.ElectionMs), f.Term/3)
+	var key string
+	var err error
+	if f.Verdicts, key, err = file.Verdicts.part(); err != nil {
+		return nil, within(text, "verdicts", key), err
+	}
+	var at int64
+	if f.Limits, at, err = parseLimits(file.Limits); err != nil {
+		return nil, int64(bytes.Index(text, file.Limits)) + at, err
+	}
+	var path []string
+	if f.Purges, path, err = file.Purges.part(calendar.Book{Calendars: file.Calendars, Sites: file.Sites}, f.Journal.File, f.Term); err != nil {
+		return nil, placeOf(text, path), err
+	}
 	for _, check := range []struct {
 		key string
 		err error
@@ -170,9 +217,24 @@
 			return nil, int64(bytes.Index(text, []byte(`"`+check.key+`"`))), check.err
 		}
 	}
+	if f.Shards, path, err = file.Shards.part(f.Term, f.Drift, clusters); err != nil {
+		return nil, placeOf(text, path), err
+	}
 	return f, 0, nil
 }
 
+// within is where a key stands inside an object of the file: the object's own place if it is left out there.
+func within(text []byte, object, key string) int64 {
+	at := bytes.Index(text, []byte(`"`+object+`"`))
+	if at < 0 {
+		return 0
+	}
+	if in := bytes.Index(text[at:], []byte(`"`+key+`"`)); in > 0 {
+		at += in
+	}
+	return int64(at)
+}
+
 // jsonOffset is where a decoder's error lies, if it says; else fallback.
 func jsonOffset(err error, fallback int64) int64 {
 	var syntax *json.SyntaxError
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -13,7 +13,27 @@
 func TestFleet(t *testing.T) {
 	const peers = `"enabled": true, "listen": "127.0.0.1:7946", "peers": [{"name": "n2", "addr": "127.0.0.2:7946"}]`
 	const stewards = `"stewards": [{"name": "n1", "addr": "127.0.0.1:7950"}]`
+	const purges = `"journal": {"file": "j"}, "purges": {"site": "b", "revision": 3, "classes": ["any"],
+"clock_ms": 100, "answers_mb": 1,
+"orders": [{"name": "stock-1", "issued": "2026-12-02T10:00:00Z", "cluster": 2}]}, "calendars": {"c": {"close": {
+"monday": "20:00", "friday": "25:30"}, "holidays": [{"name": "Easter Monday", "easter": 1},
+{"name": "St Stephen", "month": 8, "day": 20}], "exceptions": [{"from": "2026-12-19", "to": "2027-01-03"}]}},
+"sites": {"b": {"zone": "Europe/Budapest", "calendar": "c"}}`
+	limit := func(text string) string {
+		return "{" + peers + ", " + stewards + ",\n\"limits\": {\"revision\": 1, \"list\": [\n{\"name\": \"a\", \"on\": \"probes\", \"rate\": 1},\n" + text + "]}}"
+	}
 	for _, c := range []struct{ text, want string }{
+		{limit(`{"name": "b", "on": "requests", "tenants": true, "rate": 100, "burst": 5, "reserve": 0.5}`), ""},
+		{limit(`{"name": "a", "on": "cold", "rate": 1}`), ":4: limits.list[1].name"},
+		{limit(`{"name": "b/c", "on": "cold", "rate": 1}`), ":4: limits.list[1].name"},
+		{limit(`{"name": "b", "on": "probes", "rate": 1}`), ":4: limits.list[1].on: probes has a limit"},
+		{limit(`{"name": "b", "on": "cold", "class": "c", "rate": 1}`), ":4: limits.list[1].on: cold has no class"},
+		{limit(`{"name": "b", "on": "writes", "rate": 1}`), ":4: limits.list[1].on"},
+		{limit("{\"name\": \"b\",\n\"on\": \"requests\",\n\"rate\": 0}"), ":6: limits.list[1].rate"},
+		{limit(`{"name": "b", "on": "requests", "rate": 1, "burst": -1}`), ":4: limits.list[1].burst"},
+		{limit(`{"name": "b", "on": "requests", "rate": 1, "reserve": 1}`), ":4: limits.list[1].reserve"},
+		{limit(`{"name": "b", "on": "requests", "rates": 1}`), `:4: limits.list[1]: json: unknown field "rates"`},
+		{"{" + peers + ", " + stewards + ",\n\"limits\": {\"list\": [{\"name\": \"a\", \"on\": \"probes\", \"rate\": 1}]}}", ":2: limits.revision"},
 		{`{` + peers + `, ` + stewards + `}`, ""},
 		{"{\n" + peers + ",\n" + stewards + ",\n\"term_msec\": 3}", `unknown field "term_msec"`},
 		{"{\n" + peers + ",\n" + stewards + ",\n\"term_ms\": 10}", ":4: term_ms"},
@@ -28,6 +48,31 @@
 		{"{" + peers + ", " + stewards + ",\n\"journal\": {\"file\": \"j\", \"max_mb\": 0.001}}", ":2: journal.max_mb"},
 		{"{" + peers + ", " + stewards + ",\n\"least_build\": \"1.4\"}", ":2: least_build"},
 		{"{" + peers + ", " + stewards + ",\n\"straggler_ms\": 1000}", ":2: straggler_ms"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"enabled\": true, \"term_ms\": 1000, \"rooms\": 3}}", ""},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"enabled\": true,\n\"observers\": 1}}", ":3: verdicts.observers"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\n\"rooms\": 4}}", ":3: verdicts.rooms"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"share\": 1}}", ":2: verdicts.share"},
+		{"{" + peers + ", " + stewards + ",\n\"term_ms\": 3000, \"verdicts\": {\n\"term_ms\": 10}}", ":3: verdicts.term_ms"},
+		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"on\": true}}", `unknown field "on"`},
+		{"{" + peers + ", " + stewards + ",\n" + purges + "}", ""},
+		{"{" + peers + ", " + stewards + ",\n\"purges\": {\"site\": \"b\"}}", ":2: purges.site: it needs journal.file"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"site": "b"`, `"site": "x"`, 1) + "}", `:2: purges.site: "x"`},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"clock_ms": 100`, `"clock_ms": 1`, 1) + "}", ":3: purges.clock_ms"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"clock_ms": 100`, `"confirm_ms": 2000`, 1) + "}", ":3: purges.confirm_ms"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"answers_mb": 1`, `"answers_mb": 33`, 1) + "}", ":3: purges.answers_mb: more than an eighth"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `stock-1`, `stock 1`, 1) + "}", ":4: purges.orders[0].name"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `20:00`, `8pm`, 1) + "}", ":5: calendars.c.close.monday"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"day": 20`, `"day": 32`, 1) + "}", ":6: calendars.c.holidays.1.day"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `Europe/Budapest`, `Europe/Buda`, 1) + "}", ":7: sites.b.zone"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"calendar": "c"`, `"calendar": "d"`, 1) + "}", ":7: sites.b.calendar"},
+		{"{" + peers + ", " + stewards + ",\n" + strings.Replace(purges, `"day"`, `"date"`, 1) + "}", `unknown field "date"`},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [\n{\"to\": \"m\"},\n{\"from\": \"n\"}]}}", ":4: shards.ranges[1]: gap"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [\n{\"to\": \"m\"},\n{\"from\": \"l\"}]}}", ":4: shards.ranges[1]: overlap"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [\n{\"cluster\": -1}]}}", ":3: shards.ranges[0]: \"\" to \"\": cluster -1 is not known"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [{}],\n\"copier\": \"ftp://x\"}}", ":3: shards.copier"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"ranges\": [{}],\n\"moves\": [{\"name\": \"m\"}]}}", ":3: shards.moves: they need"},
+		{"{" + peers + ", " + stewards + ", \"shards\": {\"ranges\": [{}], \"copier\": \"http://127.0.0.1:1\", \"moves\": [\n{\"name\": \"m\", \"target\": 1, \"from\": \"b\",\n\"to\": \"a\"}]}}", ":3: shards.moves[0].to"},
+		{"{" + peers + ", " + stewards + ",\n\"shards\": {\"fenced_ms\": 100}}", ":2: shards.fenced_ms"},
 		{"{\n\n\"enabled\": tru", ":3: "},
 		{`{} {}`, "text follows"},
 	} {
@@ -35,14 +80,16 @@
 		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		_, err := LoadFleet(func(string) string { return path }, &Config{Name: "n1"})
+		_, err := LoadFleet(func(string) string { return path }, &Config{Name: "n1", MemoryBytes: 256 << 20})
 		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || !strings.HasPrefix(err.Error(), path)) {
 			t.Errorf("%s: %v, want %q", c.text, err, c.want)
 		}
 	}
-	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`}`), "n1")
+	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`, "shared": {"dir": "d"}}`), "n1", nil)
 	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
-		Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second}
+		Shared: SharedPart{Dir: "d"}, Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second, Shards: ShardsPart{PreparedMost: 10 * time.Minute, FencedMost: 9 * time.Second},
+		Verdicts: VerdictsPart{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second},
+		Purges:   PurgesPart{Answers: 4 << 20, Guard: 500 * time.Millisecond, Confirm: 10 * time.Second, Settle: time.Second}}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
 		t.Error(d, err)
 	}
@@ -50,11 +97,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if f, _, err := parseFleet(shipped, "n1"); f != nil || err != nil {
+	if f, _, err := parseFleet(shipped, "n1", nil); f != nil || err != nil {
 		t.Errorf("the shipped file is not off: %+v %v", f, err)
 	}
 	on := strings.Replace(string(shipped), "false", "true", 1)
-	if f, _, err := parseFleet([]byte(on), "n1"); f == nil || err != nil {
+	if f, _, err := parseFleet([]byte(on), "n1", nil); f == nil || err != nil {
 		t.Errorf("the shipped file can't be turned on: %v", err)
 	}
 }
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -27,8 +27,21 @@
 	Writes           float64       // share of the requests that are keyed writes
 	Patience         time.Duration // a request's deadline
 	Work             time.Duration // a server takes over a statement, half of it to one and a half
+	Machines         int           // poolers are on so many machines, by turns; 0: each on its own
 	Plan             *faults.Plan
 	Fleet            ScenarioFleet
+	Push             bool          // lists are pushed to an agent on each pooler's machine
+	Grace            time.Duration // of a drain; 0: as the stand-ins' settings have it
+	Unkeyed          bool          // writes carry no key, and must never run twice
+	Log              ScenarioLog
+}
+
+// ScenarioLog is how replicas follow their primary's log; Wait 0: they answer from what they have.
+type ScenarioLog struct {
+	Wait    time.Duration // a bounded read waits so long for a replica that is too far behind
+	Bound   time.Duration // how old such a read's data may be
+	Reports float64       // share of the reads that any member answers and that stop a replica's log meanwhile
+	Report  time.Duration // how long those take
 }
 
 // ScenarioFleet is how the poolers of a scenario know each other; Stewards 0: they don't.
@@ -38,6 +51,53 @@
 	Relays          bool          // a relay on each link between two poolers, for faults
 	SharedAddresses bool          // as Fleet.SharedAddresses
 	LeastBuild      string        // as Fleet.LeastBuild, at all poolers
+	Zones           int           // poolers are in so many zones, by turns; 0: one
+	Verdicts        bool          // they find bad servers out together
+	Limits          Limits        // as Fleet.Limits, at all poolers
+	Purges          ScenarioPurges
+	Shards          ScenarioShards
+}
+
+// ScenarioShards is the rows that a scenario's clients write and read by key, in a map of as many ranges as there are groups; Keys
+// 0: they ask for one row, and there is no map.
+type ScenarioShards struct {
+	Keys    int
+	Lenient bool // servers take writes of any epoch: routers alone keep order
+	Faults  []ScenarioMoveFault
+}
+
+// ScenarioMoveFault is a fault that meets a move in a state.
+type ScenarioMoveFault struct {
+	Move    int    // the first is 1
+	On      string // "prepared", or the act that servers are being told
+	Act     faults.Act
+	Mover   bool  // it is whoever takes the move on that it meets,
+	Poolers []int // or these
+	For     time.Duration
+}
+
+// ScenarioPurges is how the poolers of a scenario keep answers, and purge them; Sites 0: they don't. Poolers are dealt to sites in
+// turn. Reads ask for a row of Rows, some more often than others.
+type ScenarioPurges struct {
+	Sites, Rows            int
+	Guard, Confirm, Settle time.Duration // as PurgesPart
+}
+
+// Machine are the poolers that are on the machines of a set of poolers.
+func (s Scenario) Machine(poolers []int) (out []int) {
+	if s.Machines == 0 {
+		return poolers
+	}
+	down := map[int]bool{}
+	for _, i := range poolers {
+		down[i%s.Machines] = true
+	}
+	for i := range s.Poolers {
+		if down[i%s.Machines] {
+			out = append(out, i)
+		}
+	}
+	return out
 }
 
 // GroupOf is the group of the server in place j, and whether that is its group's first.
@@ -55,6 +115,7 @@
 	mostPoolers = 400
 	mostServers = 120
 	mostLength  = 10 * time.Minute
+	mostZones   = 9
 	mostRelayed = 32 // poolers with relays between them: each pair takes two, of two sockets
 )
 
@@ -92,6 +153,7 @@
 		Poolers, Servers int
 		Groups           int
 		Roles, Direct    bool
+		Machines         int
 		Clients          *int // 0: idle poolers
 		Hot              string
 		HotClients       int     `json:"hot_clients"`
@@ -107,6 +169,32 @@
 			Relays          bool
 			SharedAddresses bool   `json:"shared_addresses"`
 			LeastBuild      string `json:"least_build"`
+			Zones           int
+			Verdicts        bool
+			Limits          json.RawMessage
+			Purges          struct {
+				Sites, Rows int
+				ClockMs     float64 `json:"clock_ms"`
+				ConfirmMs   float64 `json:"confirm_ms"`
+				SettleMs    float64 `json:"settle_ms"`
+			}
+			Shards struct {
+				Keys    int
+				Lenient bool
+				Faults  []struct {
+					Move             int
+					On, Act, Poolers string
+					ForMs            float64 `json:"for_ms"`
+				}
+			}
+		}
+		Push, Unkeyed bool
+		GraceMs       float64 `json:"grace_ms"`
+		Log           struct {
+			WaitMs   float64 `json:"wait_ms"`
+			BoundMs  float64 `json:"bound_ms"`
+			Reports  float64
+			ReportMs float64 `json:"report_ms"`
 		}
 		Steps []json.RawMessage
 	}
@@ -118,7 +206,8 @@
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
 	s := Scenario{Poolers: file.Poolers, Servers: file.Servers, Groups: or(file.Groups, 1), Roles: file.Roles, Direct: file.Direct, Length: ms(file.LengthMs), Seed: file.Seed,
 		Clients: 1, Rest: ms(or(file.RestMs, 50)), Writes: file.Writes, Patience: ms(or(file.PatienceMs, 2000)),
-		Work: ms(file.WorkMs)}
+		Work: ms(file.WorkMs), Machines: file.Machines, Push: file.Push, Unkeyed: file.Unkeyed, Grace: ms(file.GraceMs),
+		Log: ScenarioLog{ms(file.Log.WaitMs), ms(or(file.Log.BoundMs, 800)), file.Log.Reports, ms(file.Log.ReportMs)}}
 	if file.Clients != nil {
 		s.Clients = *file.Clients
 	}
@@ -129,6 +218,8 @@
 		return s, 0, fmt.Errorf("servers: %d is not from 1 to %d", s.Servers, mostServers)
 	case s.Groups < 1 || s.Groups > s.Servers:
 		return s, 0, fmt.Errorf("groups: %d is not from 1 to the number of servers", s.Groups)
+	case s.Machines < 0 || s.Machines > s.Poolers:
+		return s, 0, fmt.Errorf("machines: %d is not from 0 to the number of poolers", s.Machines)
 	case s.Length <= 0 || s.Length > mostLength:
 		return s, 0, fmt.Errorf("length_ms: %v is not above 0 and within %v", s.Length, mostLength)
 	case s.Clients < 0 || s.Clients > 16:
@@ -139,19 +230,49 @@
 		return s, 0, errors.New("rest_ms: under 1, or patience_ms under 10")
 	case s.Work < 0 || s.Work > s.Patience:
 		return s, 0, fmt.Errorf("work_ms: %v is not from 0 to the patience", s.Work)
+	case s.Grace < 0 || s.Grace > s.Length:
+		return s, 0, fmt.Errorf("grace_ms: %v is not from 0 to the length", s.Grace)
+	case s.Log.Wait < 0 || s.Log.Bound < 0 || s.Log.Reports < 0 || s.Log.Reports > 1 || s.Log.Report < 0 || s.Log.Report > s.Patience:
+		return s, 0, errors.New("log: wait_ms or bound_ms is below 0, reports no share from 0 to 1, or report_ms not from 0 to the patience")
 	}
 	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
-		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild}
+		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild, Zones: file.Fleet.Zones, Verdicts: file.Fleet.Verdicts}
+	purges := file.Fleet.Purges
+	s.Fleet.Purges = ScenarioPurges{purges.Sites, or(purges.Rows, 1), or(ms(purges.ClockMs), defaultGuard), or(ms(purges.ConfirmMs), defaultConfirm), ms(purges.SettleMs)}
 	switch fl := s.Fleet; {
 	case fl.Stewards == 0:
 	case fl.Stewards%2 == 0 || fl.Stewards < 0 || fl.Stewards > min(mostStewards, s.Poolers):
 		return s, 0, fmt.Errorf("fleet.stewards: %d is not an odd number of the poolers, up to %d", fl.Stewards, mostStewards)
+	case fl.Zones < 0 || fl.Zones > mostZones:
+		return s, 0, fmt.Errorf("fleet.zones: %d is not from 0 to %d", fl.Zones, mostZones)
 	case fl.Term < leastTerm:
 		return s, 0, fmt.Errorf("fleet.term_ms: under %v", leastTerm)
+	case fl.Purges.Sites < 0 || fl.Purges.Sites > s.Poolers || fl.Purges.Rows < 1:
+		return s, 0, fmt.Errorf("fleet.purges.sites: %d is not from 0 to the number of poolers, or rows is under 1", fl.Purges.Sites)
 	case fl.Relays && s.Poolers > mostRelayed:
 		return s, 0, fmt.Errorf("fleet.relays: %d poolers are more than %d", s.Poolers, mostRelayed)
 	}
+	limits, offset, err := parseLimits(file.Fleet.Limits)
+	if err != nil {
+		return s, int64(bytes.Index(text, file.Fleet.Limits)) + offset, fmt.Errorf("fleet.%w", err)
+	}
+	s.Fleet.Limits = limits
 	rng := rand.New(rand.NewPCG(s.Seed, 0xfa17))
+	s.Fleet.Shards = ScenarioShards{Keys: file.Fleet.Shards.Keys, Lenient: file.Fleet.Shards.Lenient}
+	if n := s.Fleet.Shards.Keys; n != 0 && (n < 2*s.Groups || n > 1000 || s.Groups < 2 || s.Fleet.Stewards == 0) {
+		return s, 0, fmt.Errorf("fleet.shards.keys: %d is not from two a group to 1000, or there are no two groups, or no stewards", n)
+	}
+	for i, f := range file.Fleet.Shards.Faults {
+		one := ScenarioMoveFault{Move: f.Move, On: f.On, Act: faults.Act(f.Act), Mover: f.Poolers == "mover", For: ms(f.ForMs)}
+		var err error
+		if !one.Mover {
+			one.Poolers, err = faults.Pick(f.Poolers, s.Poolers, rng)
+		}
+		if err != nil || one.Act.Undo() == "" || one.For <= 0 || one.Act.OnPeers() && !s.Fleet.Relays {
+			return s, 0, fmt.Errorf("fleet.shards.faults[%d]: no poolers, no fault that ends, or no relays for it: %v", i, err)
+		}
+		s.Fleet.Shards.Faults = append(s.Fleet.Shards.Faults, one)
+	}
 	hot, err := faults.Pick(file.Hot, s.Poolers, rng)
 	if s.Hot, s.HotClients = hot, or(file.HotClients, s.Clients); err != nil {
 		return s, 0, fmt.Errorf("hot: %w", err)
@@ -169,9 +290,9 @@
 		if err := one.Decode(&st); err != nil {
 			return s, at[i], fmt.Errorf("steps[%d]: %w", i, jsonError(err))
 		}
-		holder := st.Poolers == "holder"
+		holder, dealer := st.Poolers == "holder", st.Poolers == "dealer"
 		var poolers []int
-		if !holder {
+		if !holder && !dealer {
 			poolers, err = faults.Pick(st.Poolers, s.Poolers, rng)
 		}
 		switch act := faults.Act(st.Act); {
@@ -179,6 +300,12 @@
 			return s, at[i], fmt.Errorf("steps[%d].poolers: %w", i, err)
 		case holder && s.Fleet.Stewards == 0:
 			return s, at[i], fmt.Errorf("steps[%d].poolers: holder: the poolers have no stewards", i)
+		case dealer && (s.Fleet.Stewards == 0 || len(s.Fleet.Limits.List) == 0):
+			return s, at[i], fmt.Errorf("steps[%d].poolers: dealer: the poolers have no limits", i)
+		case act.OnPurges() && s.Fleet.Purges.Sites == 0:
+			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.purges", i, act)
+		case act == faults.Reshard && s.Fleet.Shards.Keys == 0:
+			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.shards", i, act)
 		case act.OnPeers() && !s.Fleet.Relays:
 			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.relays", i, act)
 		case act.OnLinks() && s.Direct:
@@ -189,7 +316,7 @@
 			return s, at[i], fmt.Errorf("steps[%d].servers: %w", i, err)
 		}
 		steps = append(steps, faults.Step{At: ms(st.AtMs), Act: faults.Act(st.Act), Poolers: poolers, Servers: servers,
-			Holder: holder, For: ms(st.ForMs), Delay: ms(st.DelayMs), Jitter: ms(st.JitterMs)})
+			Holder: holder, Dealer: dealer, For: ms(st.ForMs), Delay: ms(st.DelayMs), Jitter: ms(st.JitterMs)})
 		if steps[i].At > s.Length {
 			return s, at[i], fmt.Errorf("steps[%d].at_ms: after the end of the run", i)
 		}
--- a/internal/fleet/audit/record.go
+++ b/internal/fleet/audit/record.go
@@ -34,8 +34,18 @@
 	Refused      Act = "refused"       // Token, Seq: a word or list older than one before it
 	VerdictBegun Act = "verdict-begun" // Server: the fleet holds it to be bad, by the evidence that this pooler has
 	VerdictEnded Act = "verdict-ended" // Server: and no longer
+	Purged       Act = "purged"        // Purge, Due: a cache was emptied, once for each purge
+	Unkept       Act = "unkept"        // its copy of the shared documents can't be written to its disk
+	Kept         Act = "kept"          // and can be again
+	Dropped      Act = "dropped"       // Seq: acts that could not be written here, since the record before
 )
 
+// LimitsDealt: Token; this pooler deals the fleet's limits from now on.
+const LimitsDealt Act = "limits-dealt"
+
+// Counted tells whether the act must be in the journal once: one that a full disk turns down is written when there is room again.
+func (a Act) Counted() bool { return a == Purged }
+
 // Record is one act of one pooler. The zero value of a field that an act has no use for is left out.
 type Record struct {
 	At       int64  `json:"at"`       // Unix time in ns, by the pooler's clock
@@ -48,6 +58,8 @@
 	Act      Act    `json:"act"`
 	Group    int    `json:"group,omitempty"`
 	Server   string `json:"server,omitempty"`
+	Purge    string `json:"purge,omitempty"` // names the close, plan or order for good, at all poolers alike
+	Due      int64  `json:"due,omitempty"`   // its instant, Unix time in ns
 }
 
 // Time is At for people and sorting.
--- /dev/null
+++ b/internal/fleet/shardmap/shardmap_test.go
@@ -0,0 +1,68 @@
+package shardmap
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"threadsail/internal/fleet/shardmap/ranges"
+)
+
+// Whatever moves are begun, taken on and undone, the map stays whole, each key's home changes by switches alone, no two moves of
+// one key are under way, and each step has an epoch of its own.
+func TestDocumentStaysWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys := []string{"", "a", "b", "c", "d", "e"}
+		d := Document{Epoch: 1, Ranges: []Range{{To: "c"}, {From: "c", Cluster: 1}}}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			before := d
+			switched := Range{From: "-", To: "-"}
+			switch n := rapid.IntRange(0, 3).Draw(t, "act"); {
+			case n == 0 || len(d.Moves) == 0:
+				o := Order{Name: rapid.StringMatching("m[0-9]").Draw(t, "name"), Source: rapid.IntRange(0, 2).Draw(t, "source"),
+					Range: Range{From: rapid.SampledFrom(keys).Draw(t, "from"), To: rapid.SampledFrom(keys).Draw(t, "to"), Cluster: rapid.IntRange(0, 2).Draw(t, "target")}}
+				var err error
+				if d, err = d.Begin(o); err == nil {
+					for _, k := range keys[1:] {
+						if home, _ := d.Home(k); o.Range.Holds(k) && home != o.Source {
+							t.Fatalf("%v begins though %q is at home in %d", o, k, home)
+						}
+					}
+				}
+			case n == 1:
+				d = d.Undo(rapid.SampledFrom(d.Moves).Draw(t, "move").Name, "tired of it")
+			default:
+				m := rapid.SampledFrom(d.Moves).Draw(t, "move")
+				if m.State == Fenced {
+					switched = m.Range
+				}
+				d = d.Advance(m.Name)
+			}
+			if at, err := ranges.Check(d.Ranges, func(int) bool { return true }); err != nil {
+				t.Fatalf("%d: %v", at, err)
+			}
+			for _, k := range keys[1:] {
+				was, _ := before.Home(k)
+				is, _ := d.Home(k)
+				if switched.Holds(k) && is != switched.Cluster || !switched.Holds(k) && is != was {
+					t.Fatalf("%q went from %d to %d by %v", k, was, is, switched)
+				}
+				under := 0
+				for _, m := range d.Moves {
+					if m.State.beforeSwitch() && m.Range.Holds(k) {
+						under++
+					}
+				}
+				if under > 1 {
+					t.Fatalf("%q is in two moves: %v", k, d.Moves)
+				}
+			}
+			if string(before.encode()) != string(d.encode()) && d.Epoch != before.Epoch+1 {
+				t.Fatalf("epoch %d after %d", d.Epoch, before.Epoch)
+			}
+			if again, err := parse(d.encode()); err != nil || string(again.encode()) != string(d.encode()) {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/fleet/verdict/evidence.go
+++ b/internal/fleet/verdict/evidence.go
@@ -1,6 +1,7 @@
 package verdict
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -11,9 +12,9 @@
 	// span is how old an attempt may be to count: a server without its turn is tried each 3 s (rules.trialMost), and each trial
 	// must stand until the next, yet no longer, so that good trials end a verdict soon.
 	span = 3500 * time.Millisecond
-	// recent is how many attempts count, the last ones: a pooler leaves a server that fails after two, and its trials are few,
-	// so that more would have the good old days outvote the end of them for seconds.
+	// recent is how many attempts count, the last ones.
 	recent     = 6
+	leavesAt   = 2                // bad ones in a row at which a pooler leaves a server; one where it was silent
 	goodFor    = 10 * time.Second // a server that has answered since is one that the observer sees
 	freshFor   = 2 * time.Second  // good answers so young outrank the fleet's word
 	freshLeast = 2                // if there are so many, and no bad one
@@ -21,10 +22,13 @@
 	maxLost    = 64               // primaries whose loss it remembers
 	slowTimes  = 4.0              // usual times from which an answer is slow: a queue of two or three is none
 	slowLeast  = 20 * time.Millisecond
-	paceStep   = 1.05 // of a server's typical time with each answer
-	paceLeast  = 5    // answers before a server's typical time counts
-	paceEvery  = time.Second
-	maxClasses = 64
+	// silentLeast without an answer is a failure where the usual time is not known, as rules.leastSilence; a client that gives
+	// up sooner says nothing of the server.
+	silentLeast = 150 * time.Millisecond
+	paceStep    = 1.05 // of a server's typical time with each answer
+	paceLeast   = 5    // answers before a server's typical time counts
+	paceEvery   = time.Second
+	maxClasses  = 64
 )
 
 // Kind is what one attempt tells of its server.
@@ -33,7 +37,8 @@
 // The kinds.
 const (
 	Good   Kind = iota // answered
-	Failed             // no connection, a broken one, no answer in time, an error that another server did not give
+	Failed             // no connection, a broken one, an error that another server did not give
+	Silent             // no answer in the time that it was given
 	slow               // answered, in slowTimes the usual time
 )
 
@@ -81,6 +86,14 @@
 	return own{servers: map[string]*record{}, lost: map[string]time.Time{}, usual: map[int]time.Duration{}}
 }
 
+// late tells whether a time is long for a class, and least where that has no usual time.
+func (o *own) late(class int, took, least time.Duration) bool {
+	if usual := o.usual[class]; usual > 0 {
+		return took >= slowLeast && float64(took) >= slowTimes*float64(usual)
+	}
+	return took >= least
+}
+
 // saw counts an attempt.
 func (o *own) saw(now time.Time, server string, class int, kind Kind, took time.Duration) {
 	r := o.servers[server]
@@ -94,26 +107,38 @@
 		r = &record{paces: map[int]*pace{}}
 		o.servers[server] = r
 	}
-	if kind == Good {
+	switch kind {
+	case Silent:
+		if kind = Failed; !o.late(class, took, silentLeast) {
+			return
+		}
+		for range leavesAt - 1 {
+			r.note(now, kind)
+		}
+	case Good:
 		if now.Sub(o.usualAt) >= paceEvery {
 			o.usualAt = now
 			o.measure()
 		}
-		if usual := o.usual[class]; usual > 0 && took >= slowLeast && float64(took) >= slowTimes*float64(usual) {
+		if o.late(class, took, math.MaxInt64) {
 			kind = slow
 		}
-		if class >= 0 && class < maxClasses {
-			p := r.paces[class]
-			if p == nil {
-				p = &pace{}
-				r.paces[class] = p
-			}
+		p := r.paces[class]
+		if p == nil && len(r.paces) < maxClasses {
+			p = &pace{}
+			r.paces[class] = p
+		}
+		if p != nil {
 			p.saw(took)
 		}
 	}
 	if kind == Good {
 		r.good = now
 	}
+	r.note(now, kind)
+}
+
+func (r *record) note(now time.Time, kind Kind) {
 	r.ring[r.next] = seen{now, kind}
 	r.next = (r.next + 1) % recent
 }
@@ -138,16 +163,22 @@
 	}
 }
 
-// line is what was seen of a server within a time.
+// line is what was seen of a server within a time: its last attempts, back to recent of them; or the last alone if two or more
+// in a row were bad, as this pooler has then left the server (rules.failed), and gets little further evidence. What it saw before
+// is over, and would outvote that for as long as it counts.
 func (o *own) line(now time.Time, server string, within time.Duration) Line {
 	l := Line{Server: server}
 	r := o.servers[server]
 	if r == nil {
 		return l
 	}
-	for _, s := range r.ring {
+	for i := 1; i <= recent; i++ {
+		s := r.ring[(r.next-i+recent)%recent]
 		switch {
 		case s.at.IsZero() || now.Sub(s.at) >= within:
+			return l
+		case s.kind == Good && l.Good == 0 && l.Failed+l.Slow >= leavesAt:
+			return l
 		case s.kind == Good:
 			l.Good++
 		case s.kind == Failed:
--- a/internal/fleet/verdict/fleet_test.go
+++ b/internal/fleet/verdict/fleet_test.go
@@ -25,17 +25,18 @@
 // by the fleet's word, and then tries it each three seconds.
 type pooler struct {
 	*Part
-	name   string
-	idle   atomic.Bool
-	rest   time.Duration // between two reads
-	bad    func(server string) bool
-	stop   context.CancelFunc
-	mu     sync.Mutex
-	told   map[string]bool // the fleet's word
-	record []audit.Record
-	tried  map[string]time.Time
-	failed map[string]int
-	sent   map[string][]time.Time // to servers that were bad for it
+	name     string
+	idle     atomic.Bool
+	suspects atomic.Int32
+	rest     time.Duration // between two reads
+	bad      func(server string) bool
+	stop     context.CancelFunc
+	mu       sync.Mutex
+	told     map[string]bool // the fleet's word
+	record   []audit.Record
+	tried    map[string]time.Time
+	failed   map[string]int
+	sent     map[string][]time.Time // to servers that were bad for it
 }
 
 func (p *pooler) Verdict(server string, bad bool) {
@@ -43,9 +44,8 @@
 	defer p.mu.Unlock()
 	p.told[server] = bad
 }
-func (p *pooler) Suspect(int)               {}
+func (p *pooler) Suspect(int)               { p.suspects.Add(1) }
 func (p *pooler) Members() map[int][]string { return map[int][]string{0: {"a", "b", "c", "d"}} }
-func (p *pooler) Reads(int) bool            { return true }
 
 // left tells whether the pooler leaves a server by the fleet's word.
 func (p *pooler) left(server string) bool {
@@ -181,7 +181,7 @@
 // is good again all use it. No other server is convicted, and the fleet is silent before and after.
 func TestBadServerIsLeftByAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const n = 12
+		const n = 24
 		var mu sync.Mutex
 		ill := false
 		r := start(t, n, 1, 400*time.Millisecond, func(i int, s string) bool {
@@ -203,7 +203,7 @@
 			t.Errorf("%d leave b while it is bad", k)
 		}
 		after := r.sent("b", fell.Add(took), time.Now())
-		if rate := float64(after) / 20; rate > 3 { // trialLeast poolers each trialEvery, and turns that overlap
+		if rate := float64(after) / 20; rate > 3 { // six poolers each trialEvery, and turns that overlap; all would make 5
 			t.Errorf("%v requests a second go to b while it is left", rate)
 		}
 		set(false)
@@ -224,8 +224,7 @@
 }
 
 // Bad links, liars, lost, doubled and overtaking reports, cuts and restarts: while a server is bad for fewer poolers than
-// Observers, or for those of one zone alone, nobody convicts it; and a verdict that a cut led to is over once it has healed,
-// in MostStale at the latest.
+// Observers, or for those of one zone alone, nobody convicts it.
 func TestNetworks(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(6, 10).Draw(rt, "poolers")
@@ -265,7 +264,7 @@
 			for i := cut; i < n; i++ {
 				rest2 = append(rest2, r.poolers[i].name)
 			}
-			for k := range 24 {
+			for k := range 18 {
 				if k < len(restarts) {
 					i := restarts[k]
 					r.poolers[i].stop()
@@ -293,6 +292,43 @@
 	})
 }
 
+// A server that was bad for all is good again, in whatever network: lossy, slow, cut for good just then, with or without clients
+// who could find out. It is left by no pooler after MostStale.
+func TestMostStale(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(4, 7).Draw(rt, "poolers")
+		cut, idle := rapid.IntRange(0, n).Draw(rt, "cut"), rapid.IntRange(0, n).Draw(rt, "idle")
+		ill := time.Duration(rapid.IntRange(2, 12).Draw(rt, "ill s")) * time.Second
+		drop, jitter := rapid.Float64Range(0, 0.5).Draw(rt, "drop"), time.Duration(rapid.IntRange(1, 1000).Draw(rt, "jitter ms"))*time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			was := testRules
+			defer func() { testRules = was }()
+			testRules.Term = time.Second
+			good := time.Now().Add(ill)
+			r := start(t, n, uint64(n), 100*time.Millisecond, func(_ int, s string) bool { return s == "c" && time.Now().Before(good) })
+			r.net.Delay(0, jitter)
+			r.net.Drop(drop, drop)
+			time.Sleep(ill)
+			var here, there []string
+			for i, p := range r.poolers {
+				if p.idle.Store(i < idle); i < cut {
+					here = append(here, p.name)
+				} else {
+					there = append(there, p.name)
+				}
+			}
+			r.net.Cut(here, there, true)
+			time.Sleep(testRules.MostStale(n) + tick)
+			if k := r.leavers("c"); k > 0 {
+				t.Errorf("%d of %d still leave c", k, n)
+			}
+		})
+		if t.Failed() {
+			rt.Fatal("above")
+		}
+	})
+}
+
 // In a cut the poolers of one side can't reach a server, and convict it; those of the other use it. After the heal there is
 // one verdict: none, as most observers have good answers.
 func TestOppositeVerdictsHeal(t *testing.T) {
@@ -389,6 +425,26 @@
 	})
 }
 
+// Where enough poolers have lost a primary all hear of it, those too that never asked it; two of them are not enough.
+func TestPrimaryLost(t *testing.T) {
+	for lost := range 4 {
+		synctest.Test(t, func(t *testing.T) {
+			r := start(t, 5, 7, time.Hour, func(int, string) bool { return false })
+			for _, p := range r.poolers[:lost] {
+				p.LostPrimary("a")
+			}
+			time.Sleep(span + life(5) + time.Second)
+			var heard []int32
+			for _, p := range r.poolers {
+				heard = append(heard, p.suspects.Load())
+			}
+			if told := slices.Min(heard) > 0; told != (lost >= testRules.Observers) || slices.Max(heard) > 6 { // once a second
+				t.Errorf("%d of 5 have lost it: told %v times", lost, heard)
+			}
+		})
+	}
+}
+
 // A verdict that nobody can appeal, as no client asks anything any more, still ends, at all poolers within their spread.
 func TestEndsByItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rs/zerolog"
-
 	"threadsail/internal/fleet"
 	"threadsail/internal/fleet/audit"
 	"threadsail/internal/routing"
@@ -20,7 +18,8 @@
 
 const (
 	topic = "verdict"
-	tick  = 100 * time.Millisecond // looks at the evidence
+	tick  = 100 * time.Millisecond // looks at the evidence; a fleet of more than 100 each 1 ms a pooler, as each look costs so much more
+	tell  = 10 * time.Second       // tells the log of what was said and heard, if anything was
 	again = time.Second            // a word that stands is given to the module again: it may not have been able to take it
 )
 
@@ -32,12 +31,11 @@
 	Suspect(group int)
 	// Members are the servers that are listed as ready, by group, as of lately.
 	Members() map[int][]string
-	// Reads tells whether a class of requests can be served by several members of a group.
-	Reads(class int) bool
 }
 
-// Part is one pooler's share in the fleet's verdicts. It is a fleet.Part, and a routing.Guard that keeps requests from trying a
-// convicted server while others do. It is safe for use by several goroutines.
+// Part is one pooler's share in the fleet's verdicts. It is a fleet.Part, and a routing.Guard that keeps reads from trying a
+// convicted server while others do. MaySend must not be asked of a request that one member of its group alone can serve: a
+// write, or a read of what was written just now. It is safe for use by several goroutines.
 type Part struct {
 	rules  Rules
 	room   string
@@ -49,6 +47,8 @@
 	own      own
 	board    board
 	standing verdicts
+	tenants  tenants
+	hot      verdicts            // by tenant
 	left     map[string]bool     // servers that the fleet leaves
 	others   map[string][]string // of each, the members of its group that it does not leave
 	trying   map[string]bool     // of those left, the ones that this pooler is to try now
@@ -57,12 +57,15 @@
 	next     time.Time            // not before the next one
 	given    map[string]time.Time // words given to the host, and when last
 	suspect  map[int]time.Time
+
+	// Reports said and heard since the log was told last, and their bytes.
+	said, saidBytes, heard, heardBytes int
 }
 
 // New returns a part that has seen nothing. room is the pooler's zone.
 func New(r Rules, room string, host Host) *Part {
 	return &Part{rules: r, room: room, host: host, born: time.Now().UnixNano(), spread: rand.Float64(), own: newOwn(), board: board{heard: map[string]entry{}},
-		standing: verdicts{}, left: map[string]bool{}, others: map[string][]string{}, trying: map[string]bool{}, given: map[string]time.Time{}, suspect: map[int]time.Time{}}
+		standing: verdicts{}, hot: verdicts{}, left: map[string]bool{}, others: map[string][]string{}, trying: map[string]bool{}, given: map[string]time.Time{}, suspect: map[int]time.Time{}}
 }
 
 // Observe takes in the end of an attempt: what it met with, and how long it took.
@@ -79,19 +82,33 @@
 	p.own.lostPrimary(time.Now(), server)
 }
 
-// Admit passes every request.
-func (p *Part) Admit(time.Duration, *routing.Request) routing.Admission { return routing.Admission{} }
+// Admit passes every request, and counts it for its tenant: the key that it names, if any.
+func (p *Part) Admit(_ time.Duration, r *routing.Request) routing.Admission {
+	if r.Key != "" {
+		p.mu.Lock()
+		p.tenants.saw(time.Now(), r.Key)
+		p.mu.Unlock()
+	}
+	return routing.Admission{}
+}
+
+// Hot tells whether the fleet holds a tenant to make half of all requests or more. It is advice: nothing here acts by it.
+func (p *Part) Hot(tenant string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hot.bad(tenant)
+}
 
 // Ended has no use for final answers: attempts say more.
 func (p *Part) Ended(time.Duration, *routing.Request, routing.Ending) {}
 
 // MaySend keeps a read off a server that the fleet leaves, trials of the module's among them, unless this pooler is one that
 // tries it now, has good answers of it, or knows of no other member that answers: it is then no worse than none.
-func (p *Part) MaySend(_ time.Duration, r *routing.Request, server string) routing.Sending {
+func (p *Part) MaySend(_ time.Duration, _ *routing.Request, server string) routing.Sending {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if !p.left[server] || p.trying[server] || !p.host.Reads(r.Class) || p.own.outranks(now, server) {
+	if !p.left[server] || p.trying[server] || p.own.outranks(now, server) {
 		return routing.Send
 	}
 	for _, m := range p.others[server] {
@@ -112,15 +129,18 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		p.heard, p.heardBytes = p.heard+1, p.heardBytes+len(body)
 		p.board.take(time.Now(), from, r, life(len(g.Bus.Members())))
 	})
-	t := time.NewTicker(tick)
-	defer t.Stop()
+	told := time.NewTicker(tell)
+	defer told.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-t.C:
+		case <-told.C:
+			p.account(g)
+		case <-time.After(max(tick, time.Duration(len(g.Bus.Members()))*time.Millisecond)):
 			p.round(time.Now(), g)
 		}
 	}
@@ -134,12 +154,21 @@
 	report := Report{Born: p.born, At: now.UnixNano(), Room: p.room}
 	report.Lines, report.Seen = p.own.lines(now)
 	report.Ill = ill(report.Lines)
+	for _, l := range report.Lines {
+		report.Bad, report.All = report.Bad+int(l.Failed+l.Slow), report.All+int(l.Good+l.Failed+l.Slow)
+	}
 	voices := p.board.voices(now)
-	found := weigh(append(voices, voice{g.Bus.Self(), report}))
+	servers := accused(voices, func(v voice) []Line { return v.Lines }) // by others
+	report.Tenants = p.tenants.lines(now, accused(voices, func(v voice) []Line { return v.Tenants }))
+	p.mu.Unlock() // joining what hundreds say takes longer than a front's loop should wait
+	voices = append(voices, voice{g.Bus.Self(), report})
+	found, hot := weigh(voices), weighTenants(voices)
+	p.mu.Lock()
 	changes := p.standing.step(now, p.rules, found, p.spread)
+	tenants := p.hot.step(now, p.rules, hot, p.spread)
 	p.leave(now, g.Bus.Self(), fleetOf, groups)
 	words, suspects := p.words(now), p.lostPrimaries(now, found, groups)
-	cast := p.say(now, report, accused(voices), len(fleetOf))
+	cast := p.say(now, report, servers, len(fleetOf))
 	p.mu.Unlock()
 
 	for server, bad := range words {
@@ -154,6 +183,9 @@
 	for _, c := range changes {
 		c.note(g)
 	}
+	for _, c := range tenants {
+		c.log(g, "tenant", "hot tenant: ")
+	}
 }
 
 // leave works out which servers the fleet leaves, with what is left of their groups, and which of them this pooler is to try.
@@ -220,17 +252,30 @@
 	return out
 }
 
+// account tells the log what was said and heard lately; a calm fleet has nothing to tell.
+func (p *Part) account(g fleet.Ground) {
+	p.mu.Lock()
+	said, saidBytes, heard, heardBytes := p.said, p.saidBytes, p.heard, p.heardBytes
+	p.said, p.saidBytes, p.heard, p.heardBytes = 0, 0, 0, 0
+	p.mu.Unlock()
+	if said+heard > 0 {
+		g.Log.Info().Int("said", said).Int("said_bytes", saidBytes).Int("heard", heard).Int("heard_bytes", heardBytes).Dur("in", tell).Msg("verdict: reports")
+	}
+}
+
 // say is the report that is due now, or nil. A pooler speaks while it complains, while it has evidence of a server that
 // another complains of or that is convicted, and once more to take back what it said: a calm fleet is silent.
 func (p *Part) say(now time.Time, r Report, accused map[string]bool, n int) []byte {
 	r.Lines = slices.DeleteFunc(r.Lines, func(l Line) bool { return !l.speaks() && !accused[l.Server] && !p.standing.bad(l.Server) })
-	if len(r.Lines) == 0 && p.told == 0 || now.Before(p.next) {
+	if len(r.Lines)+len(r.Tenants) == 0 && p.told == 0 || now.Before(p.next) {
 		return nil
 	}
 	p.seq++
-	r.Seq, p.told = p.seq, len(r.Lines)
+	r.Seq, p.told = p.seq, len(r.Lines)+len(r.Tenants)
+	text := r.encode()
+	p.said, p.saidBytes = p.said+1, p.saidBytes+len(text)
 	p.next = now.Add(time.Duration((0.75 + rand.Float64()/2) * float64(every(n))))
-	return r.encode()
+	return text
 }
 
 // note writes a change to the log and the journal.
@@ -242,17 +287,22 @@
 	if c.what != renewed {
 		g.Journal(audit.Record{Act: act, Server: c.server})
 	}
-	g.Log.WithLevel(zerolog.InfoLevel).Str("server", c.server).Str("evidence", c.finding.String()).Int("times", c.times).
-		Time("until", c.until).Msg("verdict: " + c.what)
+	c.log(g, "server", "verdict: ")
+}
+
+func (c change) log(g fleet.Ground, key, what string) {
+	g.Log.Info().Str(key, c.server).Str("evidence", c.finding.String()).Int("times", c.times).Time("until", c.until).Msg(what + c.what)
 }
 
-// FromResult is what an attempt's result tells of its server; ok: anything.
+// FromResult is what an attempt's result, as routing.Core.OnOutcome tells it, says of its server; ok: anything.
 func FromResult(r rules.Result) (kind Kind, ok bool) {
 	switch r {
 	case rules.OK:
 		return Good, true
-	case rules.TimedOut, rules.NoConnect, rules.Reset, rules.Errored:
+	case rules.NoConnect, rules.Reset, rules.Errored:
 		return Failed, true
+	case rules.TimedOut, rules.Cancelled:
+		return Silent, true
 	}
-	return 0, false // refused, sent away or cancelled: it may be busy, or not the primary
+	return 0, false // turned or sent away: it may be busy, or not the primary
 }
--- a/internal/fleet/verdict/report.go
+++ b/internal/fleet/verdict/report.go
@@ -10,7 +10,7 @@
 const (
 	maxLines  = 12
 	maxName   = 128
-	maxReport = 1200 // bytes; memberlist's packets hold 1400
+	maxReport = 1000 // bytes; peers.maxWord is the most that gossip passes on
 )
 
 // Line is what an observer has seen of one server within its span.
@@ -51,14 +51,28 @@
 	At   int64  `json:"t"` // Unix ns
 	Room string `json:"r"` // the observer's zone
 	// Seen is the number of servers that it has evidence of, and Ill how many of them it complains of, told or not.
-	Seen  int    `json:"e"`
-	Ill   int    `json:"i,omitempty"`
+	Seen int `json:"e"`
+	Ill  int `json:"i,omitempty"`
+	// Bad of its last All attempts, up to recent at each server, failed or were slow, at servers told and others.
+	Bad   int    `json:"d,omitempty"`
+	All   int    `json:"a,omitempty"`
 	Lines []Line `json:"l,omitempty"`
+	// Tenants are lines on tenants: Failed stands for a tenant's own part of the observer's requests, Good for that of all others.
+	Tenants []Line `json:"h,omitempty"`
 }
 
 // before tells whether r is older than o.
 func (r Report) before(o Report) bool { return r.Born < o.Born || r.Born == o.Born && r.Seq < o.Seq }
 
+// elsewhere is the share of the observer's attempts at all servers but one that failed or were slow; ok: there were any.
+func (r Report) elsewhere(l Line) (share float64, ok bool) {
+	bad, all := float64(r.Bad)-float64(l.Failed)-float64(l.Slow), float64(r.All)-float64(l.Good)-float64(l.Failed)-float64(l.Slow)
+	if all < 1 || bad < 0 {
+		return 0, false
+	}
+	return min(bad/all, 1), true
+}
+
 // encode writes a report, with fewer lines if it would be too long for a datagram: the last ones, which matter least, go.
 func (r Report) encode() []byte {
 	r.Lines = r.Lines[:min(len(r.Lines), maxLines)]
@@ -67,10 +81,14 @@
 		if err != nil {
 			panic(err) // it holds nothing that JSON lacks
 		}
-		if len(text) <= maxReport || len(r.Lines) == 0 {
+		switch {
+		case len(text) <= maxReport || len(r.Lines)+len(r.Tenants) == 0:
 			return text
+		case len(r.Tenants) > 0:
+			r.Tenants = r.Tenants[:len(r.Tenants)-1]
+		default:
+			r.Lines = r.Lines[:len(r.Lines)-1]
 		}
-		r.Lines = r.Lines[:len(r.Lines)-1]
 	}
 }
 
@@ -82,15 +100,17 @@
 	if err := json.Unmarshal(text, &r); err != nil {
 		return Report{}, fmt.Errorf("verdict: a report can't be read: %w", err)
 	}
-	if len(r.Lines) > maxLines || len(r.Room) > maxName || r.Seen < 0 || r.Ill < 0 || r.Ill > r.Seen || len(r.Lines) > r.Seen {
+	if len(r.Tenants) > maxTold || len(r.Lines) > maxLines || len(r.Room) > maxName || r.Seen < 0 || r.Ill < 0 || r.Bad < 0 || r.Bad > r.All || r.Ill > r.Seen || len(r.Lines) > r.Seen {
 		return Report{}, errors.New("verdict: a report's numbers don't fit each other")
 	}
-	seen := map[string]bool{}
-	for _, l := range r.Lines {
-		if l.Server == "" || len(l.Server) > maxName || seen[l.Server] {
-			return Report{}, errors.New("verdict: a report names a server twice, or none")
+	for _, lines := range [][]Line{r.Lines, r.Tenants} {
+		seen := map[string]bool{}
+		for _, l := range lines {
+			if l.Server == "" || len(l.Server) > maxName || seen[l.Server] {
+				return Report{}, errors.New("verdict: a report names a server or tenant twice, or none")
+			}
+			seen[l.Server] = true
 		}
-		seen[l.Server] = true
 	}
 	if ill(r.Lines) > r.Ill {
 		return Report{}, errors.New("verdict: a report complains of more servers than it says")
--- a/internal/fleet/verdict/verdict_test.go
+++ b/internal/fleet/verdict/verdict_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"threadsail/internal/routing"
 )
 
 var testRules = Rules{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second}
@@ -101,7 +103,7 @@
 			voices = append(voices, voice{fmt.Sprint("n", i), r})
 		}
 		for s, f := range weigh(voices) {
-			if testRules.convicts(f) || testRules.primaryLost(f) {
+			if testRules.convicts(f, false) || testRules.primaryLost(f) {
 				t.Fatalf("%s is convicted: %v", s, f)
 			}
 		}
@@ -118,7 +120,7 @@
 		}
 		voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i), Seen: 10, Lines: []Line{l}}})
 	}
-	if f := weigh(voices)["a"]; testRules.convicts(f) || f.against != f.inFavour {
+	if f := weigh(voices)["a"]; testRules.convicts(f, false) || f.against != f.inFavour {
 		t.Errorf("%v, %v against %v", f, f.against, f.inFavour)
 	}
 }
@@ -131,7 +133,7 @@
 			Lines: []Line{{Server: "a", Failed: 3}, {Server: "b", Failed: 3}, {Server: "c", Good: 3}}}})
 	}
 	found := weigh(voices)
-	if f := found["a"]; f.Accusers > 0 || testRules.convicts(f) {
+	if f := found["a"]; f.Accusers > 0 || testRules.convicts(f, false) {
 		t.Errorf("a: %v", f)
 	}
 	if f := found["c"]; f.Others != 4 {
@@ -139,6 +141,32 @@
 	}
 }
 
+// Where everything fails and is slow no server is convicted; one that is by far the worst is, and a few failures are no case.
+func TestEverythingIsBad(t *testing.T) {
+	for _, c := range []struct {
+		line     Line
+		bad, all int
+		want     bool
+	}{
+		{Line{Failed: 3, Good: 3}, 3, 20, true},
+		{Line{Failed: 3, Good: 3}, 9, 20, false}, // 6 of 14 elsewhere
+		{Line{Slow: 3, Good: 2}, 10, 20, false},
+		{Line{Failed: 5}, 12, 20, true},
+		{Line{Failed: 1}, 1, 20, false},
+		{Line{Failed: 2}, 2, 2, true}, // nothing else is seen
+	} {
+		var voices []voice
+		for i := range 3 {
+			c.line.Server = "a"
+			voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i), Seen: 4, Ill: 1, Bad: c.bad, All: c.all, Lines: []Line{c.line}}})
+		}
+		voices = append(voices, voice{"liar", Report{Seen: 4, Bad: 1 << 30, All: 1 << 30}})
+		if f := weigh(voices)["a"]; testRules.convicts(f, false) != c.want {
+			t.Errorf("%+v, %d of %d: convicted %v", c.line, c.bad, c.all, !c.want)
+		}
+	}
+}
+
 // Of a group's members at most the share is left, never the last one, and all poolers leave the same.
 func TestLeave(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -168,7 +196,7 @@
 // A verdict needs evidence that stands, lasts for its term, longer each time, ends by an appeal, and is forgotten.
 func TestStanding(t *testing.T) {
 	vs, now := verdicts{}, time.Unix(1000, 0)
-	against := Finding{Server: "a", Accusers: 3, Rooms: 2, against: 9}
+	against := Finding{Server: "a", Accusers: 3, Rooms: 2, Failed: 9, against: 9}
 	for _, c := range []struct {
 		after time.Duration
 		f     Finding
@@ -214,7 +242,7 @@
 		b.take(now, fmt.Sprint(i), Report{Born: 1, Seq: 1, At: now.UnixNano()}, time.Second)
 		o.saw(now, fmt.Sprint(i), i, Failed, 0)
 		o.lostPrimary(now, fmt.Sprint(i))
-		vs.step(now, testRules, map[string]Finding{fmt.Sprint(i): {Accusers: 3, Rooms: 2, against: 1}}, 0)
+		vs.step(now, testRules, map[string]Finding{fmt.Sprint(i): {Accusers: 3, Rooms: 2, Failed: 6, against: 1}}, 0)
 	}
 	if len(b.heard) > maxObservers || len(o.servers) > maxServers || len(o.lost) > maxLost || len(vs) > maxServers {
 		t.Errorf("%d reports, %d servers, %d lost, %d verdicts", len(b.heard), len(o.servers), len(o.lost), len(vs))
@@ -268,13 +296,37 @@
 	if l := o.line(now, "a", span); !l.complains() {
 		t.Errorf("a slow server: %+v", l)
 	}
-	for range 60 { // the measure follows the day
+	for range 60 { // and it does not become the measure
+		see("a", 0, 300*time.Millisecond, 1)
+		see("b", 0, 10*time.Millisecond, 1)
+	}
+	if l := o.line(now, "a", span); !l.complains() {
+		t.Errorf("a server that stays slow: %+v", l)
+	}
+	for range 80 { // which follows the day
 		see("a", 0, 300*time.Millisecond, 1)
 		see("b", 0, 300*time.Millisecond, 1)
 	}
 	if l := o.line(now, "a", span); l.complains() {
 		t.Errorf("all are slow: %+v", l)
 	}
+	o.saw(now, "b", 0, Silent, 200*time.Millisecond)
+	if l := o.line(now, "b", span); l.Failed > 0 {
+		t.Errorf("a hurried client: %+v", l)
+	}
+	o.saw(now, "b", 0, Silent, 2*time.Second)
+	if l := o.line(now, "b", span); l.Failed != leavesAt || l.Good > 0 {
+		t.Errorf("silence: %+v", l)
+	}
+	see("b", 0, 10*time.Millisecond, recent)
+	o.saw(now, "b", 0, Failed, 0)
+	if l := o.line(now, "b", span); l.complains() || l.Good == 0 {
+		t.Errorf("one failure: %+v", l)
+	}
+	o.saw(now, "b", 0, Failed, 0)
+	if l := o.line(now, "b", span); l.Good > 0 || l.Failed != 2 {
+		t.Errorf("a second in a row: %+v", l)
+	}
 	alone := newOwn()
 	for range 20 {
 		now = now.Add(100 * time.Millisecond)
@@ -286,6 +338,46 @@
 	}
 }
 
+// A tenant that makes most requests at most poolers is hot; one that does at a few is not, nor anybody in a calm; and it ends.
+func TestHotTenant(t *testing.T) {
+	for _, c := range []struct {
+		at   int // poolers where it is
+		want bool
+	}{{2, false}, {4, false}, {7, true}} {
+		var each [9]tenants
+		hot := verdicts{}
+		now, voices := time.Unix(1000, 0), []voice(nil)
+		step := func(busy bool) {
+			now = now.Add(span / 4)
+			told := accused(voices, func(v voice) []Line { return v.Tenants })
+			voices = voices[:0]
+			for i := range each {
+				for k := range 10 {
+					tenant := fmt.Sprint("other", k)
+					if busy && i < c.at && k > 2 {
+						tenant = "big"
+					}
+					each[i].saw(now, tenant)
+				}
+				voices = append(voices, voice{fmt.Sprint("n", i), Report{Room: fmt.Sprint("z", i%3), Tenants: each[i].lines(now, told)}})
+			}
+			hot.step(now, testRules, weighTenants(voices), 0)
+		}
+		for range 12 {
+			step(true)
+		}
+		if hot.bad("big") != c.want || len(hot) > 1 {
+			t.Errorf("at %d of 9: hot %v, %d verdicts", c.at, hot.bad("big"), len(hot))
+		}
+		for range 30 {
+			step(false)
+		}
+		if hot.bad("big") {
+			t.Error("a tenant that asks nothing any more is still hot")
+		}
+	}
+}
+
 // What is cast fits into a datagram, complaints first, and comes back as it was.
 func TestReport(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -310,6 +402,61 @@
 	})
 }
 
+// A read is kept off a server that the fleet leaves only where another member has just answered here; not where this pooler is to
+// try it, or has good answers of it.
+func TestMaySend(t *testing.T) {
+	for _, c := range []struct {
+		left, trying bool
+		of           map[string]Kind
+		want         routing.Sending
+	}{
+		{true, false, map[string]Kind{"b": Good}, routing.Elsewhere},
+		{false, false, map[string]Kind{"b": Good}, routing.Send},
+		{true, true, map[string]Kind{"b": Good}, routing.Send},
+		{true, false, nil, routing.Send},
+		{true, false, map[string]Kind{"b": Failed}, routing.Send},
+		{true, false, map[string]Kind{"b": Good, "a": Failed}, routing.Elsewhere},
+		{true, false, map[string]Kind{"b": Good, "a": Good}, routing.Send},
+	} {
+		p := New(testRules, "z1", nil)
+		p.left["a"], p.trying["a"], p.others["a"] = c.left, c.trying, []string{"b"}
+		for server, kind := range c.of {
+			p.Observe(server, 0, kind, 0)
+			p.Observe(server, 0, kind, 0)
+		}
+		if got := p.MaySend(0, nil, "a"); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
+
+// A pooler speaks when it complains or is asked, at its own pace, and once more to take back what it said.
+func TestSay(t *testing.T) {
+	p, now := New(testRules, "z1", nil), time.Unix(1000, 0)
+	ill := Report{Seen: 2, Ill: 1, Lines: []Line{{Server: "a", Failed: 2}, {Server: "b", Good: 1}}}
+	well := Report{Seen: 2, Lines: []Line{{Server: "a", Good: 2}, {Server: "b", Good: 1}}}
+	for i, c := range []struct {
+		after   time.Duration
+		r       Report
+		accused map[string]bool
+		lines   int // -1: says nothing
+	}{{0, well, nil, -1}, {0, ill, nil, 1}, {leastEvery / 2, ill, nil, -1}, {leastEvery, well, nil, 0}, {2 * leastEvery, well, nil, -1},
+		{0, well, map[string]bool{"b": true}, 1}, {2 * leastEvery, well, map[string]bool{"c": true}, 0}, {2 * leastEvery, well, nil, -1}} {
+		now = now.Add(c.after)
+		c.r.Lines = slices.Clone(c.r.Lines)
+		text, lines := p.say(now, c.r, c.accused, 5), -1
+		if text != nil {
+			r, err := decode(text)
+			if lines = len(r.Lines); err != nil {
+				t.Error(err)
+			}
+		}
+		if lines != c.lines {
+			t.Errorf("%d: says %s, want %d lines", i, text, c.lines)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add((&Report{Born: 1, Seq: 2, At: 3, Room: "z1", Seen: 2, Ill: 1, Lines: []Line{{Server: "a", Failed: 3, Lost: true}, {Server: "b", Good: 1}}}).encode())
 	f.Add([]byte(`{"e":1,"l":[{"s":"a"},{"s":"a"}]}`))
@@ -326,7 +473,7 @@
 			t.Errorf("%+v: %v", again, err)
 		}
 		for s, f := range weigh([]voice{{"n", r}}) {
-			if testRules.convicts(f) {
+			if testRules.convicts(f, false) {
 				t.Errorf("%s is convicted by one", s)
 			}
 		}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -34,23 +34,37 @@
 	Heal    Act = "heal"    // links pass all again
 	Down    Act = "down"    // servers refuse and break their connections; For: up after it
 	Up      Act = "up"      // servers listen again
+	Err     Act = "err"     // servers answer each statement with an error; For: right again after it
+	Right   Act = "right"   // they answer as ever
 	Promote Act = "promote" // the one server named becomes primary, all others of its group replicas
 	Replace Act = "replace" // a new server, a replica, takes each one's place under a new name; the old goes down
+	Drain   Act = "drain"   // the lists say that servers drain; For: that they are ready again after it
+	Ready   Act = "ready"   // the lists say that they are ready
+	Full    Act = "full"    // files of the poolers' processes may not be written: a full disk; For: they may again after it
+	Room    Act = "room"    // they may again
+	Machine Act = "machine" // the poolers' machines drop: all links first, then all processes; For: booted after it
+	Boot    Act = "boot"    // those machines are there again, and their processes started
 	Isolate Act = "isolate" // links between the poolers and all other poolers, stewards among them, drop all; For: rejoined after it
 	Lag     Act = "lag"     // links of the poolers to all other poolers hold each piece back by Delay, up to Jitter more; For: rejoined after it
 	Rejoin  Act = "rejoin"  // those links pass all again
 	Move    Act = "move"    // the poolers get a new list service, named in their configuration, and a SIGHUP
+	Closes  Act = "closes"  // the poolers' files get a newer plan, by which all sites close Delay from now, and a SIGHUP
+	Reshard Act = "reshard" // the poolers' files get an order to move a range of keys, and a SIGHUP
+	Order   Act = "order"   // the poolers' files get an order to purge all sites, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Promote, Replace, Isolate, Lag, Rejoin, Move}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Drain, Ready, Full, Room, Machine, Boot, Isolate, Lag, Rejoin, Move, Closes, Order, Reshard}
 
 // undo is the step that ends a fault of some length.
-var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up,
-	Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
+var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up, Err: Right, Drain: Ready,
+	Full: Room, Machine: Boot, Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
+
+// Undo is the act that ends a fault of some length; empty: it has none.
+func (a Act) Undo() Act { return undo[a] }
 
 // Ends tells whether the act ends faults that another began.
 func (a Act) Ends() bool {
-	return a == Restart || a == Cont || a == Heal || a == Up || a == Rejoin || a == Lists
+	return a == Restart || a == Cont || a == Room || a == Boot || a == Heal || a == Up || a == Right || a == Rejoin || a == Lists || a == Ready
 }
 
 // OnLinks tells whether the act is on links between poolers and servers.
@@ -61,6 +75,9 @@
 // OnPeers tells whether the act is on links between poolers.
 func (a Act) OnPeers() bool { return a == Isolate || a == Lag || a == Rejoin }
 
+// OnPurges tells whether the act is on the operators' files of purges.
+func (a Act) OnPurges() bool { return a == Closes || a == Order }
+
 // Step is one act at one time, on sets of poolers and servers, each by its index from 0.
 type Step struct {
 	At            time.Duration // from the start of the run
@@ -68,10 +85,12 @@
 	Poolers       []int
 	Servers       []int
 	For           time.Duration // how long the fault lasts; 0: until another step ends it
-	Delay, Jitter time.Duration // of Delay and Lag
+	Delay, Jitter time.Duration // of Delay and Lag; of Closes, Delay
 	// Holder stands for Poolers: whoever holds the fleet's list duty when the step comes, as the laboratory sees it. A fault's
 	// end has the index of its beginning, and is for the same pooler.
 	Holder bool
+	// Dealer is the same for whoever deals the fleet's limits.
+	Dealer bool
 	Index  int // of the step as given
 }
 
@@ -92,7 +111,7 @@
 		s.Index = i
 		all = append(all, s)
 		if s.For > 0 {
-			all = append(all, Step{At: s.At + s.For, Act: undo[s.Act], Poolers: s.Poolers, Servers: s.Servers, Holder: s.Holder, Index: i})
+			all = append(all, Step{At: s.At + s.For, Act: undo[s.Act], Poolers: s.Poolers, Servers: s.Servers, Holder: s.Holder, Dealer: s.Dealer, Index: i})
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Step) int { return int(a.At - b.At) })
@@ -110,9 +129,9 @@
 		return fmt.Errorf("for_ms: %s lasts no time", s.Act)
 	}
 	onLinks := s.Act.OnLinks()
-	onServers := s.Act == Down || s.Act == Up || s.Act == Promote || s.Act == Replace
+	onServers := s.Act == Down || s.Act == Up || s.Act == Err || s.Act == Right || s.Act == Promote || s.Act == Replace || s.Act == Drain || s.Act == Ready
 	switch {
-	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder:
+	case (onLinks || !onServers) && len(s.Poolers) == 0 && !s.Holder && !s.Dealer:
 		return fmt.Errorf("poolers: %s needs some", s.Act)
 	case (onLinks || onServers) && len(s.Servers) == 0:
 		return fmt.Errorf("servers: %s needs some", s.Act)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -1,22 +1,18 @@
 package lab
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"os/exec"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"threadsail/internal/config"
-	"threadsail/internal/lab/faults"
 	"threadsail/internal/lab/judge"
 	"threadsail/internal/lab/relay"
 	"threadsail/internal/lab/standin"
@@ -33,71 +29,6 @@
 	Stop     <-chan struct{} // closed: the run ends early, as if its length were over
 }
 
-// FleetReport is what came of it, by what clients, relays and stand-ins recorded.
-type FleetReport struct {
-	judge.Verdict
-	Poolers, Servers int
-	Length           time.Duration
-	Began            time.Time // of the clients and the plan
-	Seconds          []Counts  // by the second in which requests ended
-	NewBySecond      []int     // new connections at all servers, by the second
-	P50, P99         time.Duration
-	Connections      [3]float64 // new connections a server over the run: least, mean, most
-	Open             [3]float64 // connections open at a server, its mean over the run's seconds: least, mean, most
-	OpenReplicas     [3]float64 // the same at those that are replicas at the end
-	OpenMost         int        // connections open at one server at any sampled second
-	Resident         [3]float64 // resident memory of a pooler in MB, mean over poolers: at the first sample, at the last, most of any
-	Probes           int        // health asked for at servers, all servers
-	ProbesBySecond   []int      // the same by the second
-	Cold             int        // requests' statements at servers in the first second after they came up again
-	Worst100ms       [2]float64 // new connections at one server in its worst 100 ms: mean over servers, most
-	WorstSecond      [2]float64 // the same in its worst second
-	ListCalls        int        // watches opened at the list services, all poolers
-	Starts           int        // pooler processes started, restarts among them
-	Met              [][]bool   `json:"-"`          // by pooler, then server place: whether a connection came to who stands there last
-	Journals         []string   `json:",omitempty"` // of a fleet that knows its members; they are gone with the run
-	Requests         []judge.Request
-	Outages          []judge.Outage
-}
-
-// pooler is one process of the pooler, and the times it could not answer.
-type pooler struct {
-	i   int
-	env map[string]string
-
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	addr    string
-	outages []judge.Outage
-}
-
-// up is the address of its front, or "" while it is out.
-func (p *pooler) up() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n := len(p.outages); n > 0 && p.outages[n-1].To.IsZero() {
-		return ""
-	}
-	return p.addr
-}
-
-func (p *pooler) goOut() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n := len(p.outages); n == 0 || !p.outages[n-1].To.IsZero() {
-		p.outages = append(p.outages, judge.Outage{Pooler: p.i, From: time.Now()})
-	}
-}
-
-func (p *pooler) comeBack() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n := len(p.outages); n > 0 && p.outages[n-1].To.IsZero() {
-		p.outages[n-1].To = time.Now()
-	}
-}
-
 // fleetRun is the state of one run.
 type fleetRun struct {
 	Fleet
@@ -115,7 +46,13 @@
 	samples  int
 	ups      []up
 	replaced int
+	bad      []Bad
+	drained  []Drained
 	peers    peerNet
+	purges   purges
+	shards   shards
+	dealer   dealer
+	killed   time.Time     // the first kill
 	held     map[int][]int // by the index of a step on the holder, whom it was for
 	rss      [3]float64    // summed over poolers: first sample, last sample; and the most of one
 
@@ -133,12 +70,12 @@
 // Run plays the scenario and judges it. It fails h if a pooler does not start.
 func (f Fleet) Run(h standin.Host) FleetReport {
 	s := f.Scenario
-	r := &fleetRun{Fleet: f, h: h, held: map[int][]int{}, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	r := &fleetRun{Fleet: f, h: h, purges: purges{ScenarioPurges: s.Fleet.Purges}, shards: shards{ScenarioShards: s.Fleet.Shards}, held: map[int][]int{}, took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
 	names := make([]string, s.Servers)
 	for i := range names {
 		names[i] = fmt.Sprintf("db%d", i+1)
 	}
-	r.servers = standin.NewFleet(h, false, func(settings map[string]any) { settings["balancers"] = s.Poolers }, names...)
+	r.servers = standin.NewFleet(h, false, func(settings map[string]any) { settle(s, settings) }, names...)
 	r.servers.Roles = s.Roles
 	for j, server := range r.servers.Servers {
 		var first bool
@@ -164,7 +101,8 @@
 		r.members, r.lists = append(r.members, m), append(r.lists, m.Discovery)
 		r.poolers = append(r.poolers, &pooler{i: i, env: m.Env})
 	}
-	r.peers.join(h, s, r.members)
+	r.shards.open(h, r.servers.Servers)
+	r.peers.join(h, s, r.members, r.purges, &r.shards)
 	h.Cleanup(r.endAll)
 	r.began = time.Now()
 	r.each(r.poolers, func(p *pooler) { r.start(p) })
@@ -190,6 +128,10 @@
 		for _, step := range s.Plan.Due(elapsed) {
 			r.act(step)
 		}
+		for _, l := range r.shards.due() {
+			r.act(l.step)
+			r.shards.came(l)
+		}
 		r.failed()
 		select {
 		case <-f.Stop:
@@ -213,54 +155,6 @@
 	return r.report()
 }
 
-// some names a set of indices for a person: a short one whole, a long one by its size.
-func some(set []int) string {
-	if len(set) > 12 {
-		return fmt.Sprintf("%d of them", len(set))
-	}
-	return fmt.Sprint(set)
-}
-
-// link opens the relay from pooler i to the server in place j.
-func (r *fleetRun) link(i, j int, server *standin.Server) *relay.Link {
-	link, err := relay.Listen(server.Addr, r.Scenario.Seed^uint64(i<<16|j))
-	if err != nil {
-		r.h.Fatal(err)
-	}
-	r.h.Cleanup(link.Close)
-	return link
-}
-
-// work has a server take its time over each statement. Without it answers come within fractions of a millisecond, whose
-// chance a pooler takes for slowness, and spreads its reads over servers that it would not use.
-func (r *fleetRun) work(server *standin.Server) {
-	if w := r.Scenario.Work; w > 0 {
-		server.Do(func(standin.Seen) standin.Act {
-			time.Sleep(w/2 + time.Duration(rand.Int64N(int64(w))))
-			return standin.Answer
-		})
-	}
-}
-
-// replace puts a new server, a replica, in place j: the old one goes down, relays lead to the new one, and every list
-// service names it instead.
-func (r *fleetRun) replace(j int) {
-	old := r.servers.Servers[j]
-	r.replaced++
-	fresh := r.servers.Server(fmt.Sprintf("db%d-%d", j+1, r.replaced), false)
-	fresh.Cell = old.Cell
-	r.work(fresh)
-	r.servers.Servers[j] = fresh
-	for i := range r.relays {
-		r.relays[i][j] = r.link(i, j, fresh)
-	}
-	for _, m := range r.members {
-		m.List()
-	}
-	old.Down()
-	r.ups = append(r.ups, up{j, time.Now()})
-}
-
 // sample counts the connections open at each server.
 func (r *fleetRun) sample() {
 	r.samples++
@@ -287,62 +181,6 @@
 	}
 }
 
-// start starts p's process and waits until its front listens, as its log says.
-func (r *fleetRun) start(p *pooler) {
-	cmd := r.Command()
-	// A group of its own, so that a terminal's interrupt reaches the laboratory alone, which then ends every pooler by its
-	// id; and killed with the laboratory's thread if that is killed itself.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if r.Env != nil {
-		cmd.Env = append(cmd.Env, r.Env(p.i)...)
-	}
-	for k, v := range p.env {
-		cmd.Env = append(cmd.Env, k+"="+v)
-	}
-	out, err := cmd.StderrPipe()
-	if err == nil {
-		err = cmd.Start()
-	}
-	if err != nil {
-		r.fail(fmt.Sprintf("pooler %d: %v", p.i, err))
-		return
-	}
-	exited := make(chan struct{})
-	lines := bufio.NewScanner(out)
-	lines.Buffer(make([]byte, 64<<10), 1<<20)
-	addr := ""
-	var seen strings.Builder
-	for addr == "" && lines.Scan() {
-		line := lines.Text()
-		r.log(p.i, line)
-		if seen.Len() < 4096 {
-			seen.WriteString(line + "\n")
-		}
-		if _, rest, ok := strings.Cut(line, `"addr":"`); ok && strings.Contains(line, `"front":"postgres"`) {
-			addr, _, _ = strings.Cut(rest, `"`)
-		}
-	}
-	go func() {
-		for lines.Scan() { // the pooler must never wait for its reader
-			r.log(p.i, lines.Text())
-		}
-		_ = cmd.Wait()
-		close(exited)
-	}()
-	if addr == "" {
-		<-exited
-		r.fail(fmt.Sprintf("pooler %d does not serve: %s", p.i, seen.String()))
-		return
-	}
-	p.mu.Lock()
-	p.cmd, p.exited, p.addr = cmd, exited, addr
-	p.mu.Unlock()
-	r.mu.Lock()
-	r.starts++
-	r.mu.Unlock()
-	p.comeBack()
-}
-
 func (r *fleetRun) fail(err string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -367,168 +205,6 @@
 	wg.Wait()
 }
 
-func (r *fleetRun) log(i int, line string) {
-	if r.Logs == nil {
-		return
-	}
-	r.logs.Lock()
-	defer r.logs.Unlock()
-	if strings.HasPrefix(line, "{") {
-		fmt.Fprintf(r.Logs, "{\"pooler\":%d,%s\n", i, line[1:])
-	} else {
-		fmt.Fprintf(r.Logs, "{\"pooler\":%d,\"text\":%q}\n", i, line)
-	}
-}
-
-// resident is the resident memory of p's process in MB, as Linux tells it; 0 if it is out or can't be read.
-func (p *pooler) resident() float64 {
-	p.mu.Lock()
-	cmd := p.cmd
-	p.mu.Unlock()
-	if cmd == nil || cmd.Process == nil {
-		return 0
-	}
-	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", cmd.Process.Pid))
-	var size, pages float64
-	if err != nil {
-		return 0
-	}
-	if _, err := fmt.Sscan(string(statm), &size, &pages); err != nil {
-		return 0
-	}
-	return pages * float64(os.Getpagesize()) / (1 << 20)
-}
-
-// signal sends sig to p's process, if it runs.
-func (p *pooler) signal(sig syscall.Signal) (exited chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(sig)
-	}
-	return p.exited
-}
-
-// endAll ends every process, and lets stopped ones go on first so that they can end.
-func (r *fleetRun) endAll() {
-	for _, p := range r.poolers {
-		p.signal(syscall.SIGCONT)
-		if exited := p.signal(syscall.SIGKILL); exited != nil {
-			<-exited
-		}
-	}
-}
-
-// holder is the pooler that has watched a list service of its own for longest, as those tell; none: nobody watches one.
-func (r *fleetRun) holder() []int {
-	var oldest time.Time
-	var found []int
-	for i, m := range r.members {
-		if since, ok := m.Discovery.Open(); ok && (found == nil || since.Before(oldest)) {
-			oldest, found = since, []int{i}
-		}
-	}
-	return found
-}
-
-// act carries out one step of the plan.
-func (r *fleetRun) act(step faults.Step) {
-	if step.Holder {
-		if !step.Act.Ends() {
-			r.held[step.Index] = r.holder()
-		}
-		step.Poolers = r.held[step.Index]
-	}
-	r.say("%s, poolers %s, servers %s", step.Act, some(step.Poolers), some(step.Servers))
-	links := func(fault relay.Fault) {
-		for _, p := range step.Poolers {
-			for _, s := range step.Servers {
-				r.relays[p][s].Set(fault)
-			}
-		}
-	}
-	var some []*pooler
-	for _, i := range step.Poolers {
-		some = append(some, r.poolers[i])
-	}
-	each := func(do func(p *pooler)) { r.each(some, do) }
-	switch step.Act {
-	case faults.Kill, faults.Term:
-		sig := map[faults.Act]syscall.Signal{faults.Kill: syscall.SIGKILL, faults.Term: syscall.SIGTERM}[step.Act]
-		each(func(p *pooler) {
-			p.goOut()
-			if exited := p.signal(sig); exited != nil {
-				<-exited
-			}
-		})
-	case faults.Stop:
-		each(func(p *pooler) { p.goOut(); p.signal(syscall.SIGSTOP) })
-	case faults.Cont:
-		each(func(p *pooler) { p.signal(syscall.SIGCONT); p.comeBack() })
-	case faults.Restart:
-		each(func(p *pooler) {
-			if p.up() == "" {
-				r.start(p)
-			}
-		})
-	case faults.Hup:
-		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
-	case faults.Retune:
-		for _, i := range step.Poolers {
-			r.members[i].Retune()
-		}
-		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
-	case faults.NoList, faults.Lists:
-		for _, i := range step.Poolers {
-			r.members[i].Discovery.Out(step.Act == faults.NoList)
-		}
-	case faults.Move:
-		for _, i := range step.Poolers {
-			r.members[i].Move()
-			r.lists = append(r.lists, r.members[i].Discovery)
-		}
-		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
-	case faults.Isolate:
-		r.peers.set(step.Poolers, relay.Fault{Drop: true}, false)
-	case faults.Lag:
-		r.peers.set(step.Poolers, relay.Fault{Delay: step.Delay, Jitter: step.Jitter}, true)
-	case faults.Rejoin:
-		r.peers.set(step.Poolers, relay.Fault{}, true)
-	case faults.Replace:
-		for _, j := range step.Servers {
-			r.replace(j)
-		}
-	case faults.Cut:
-		links(relay.Fault{Drop: true})
-	case faults.OneWay:
-		links(relay.Fault{Drop: true, OneWay: true})
-	case faults.Delay:
-		links(relay.Fault{Delay: step.Delay, Jitter: step.Jitter})
-	case faults.Reset:
-		links(relay.Fault{Refuse: true})
-	case faults.Heal:
-		links(relay.Fault{})
-	case faults.Down:
-		for _, s := range step.Servers {
-			r.servers.Servers[s].Down()
-		}
-	case faults.Up:
-		for _, s := range step.Servers {
-			if err := r.servers.Servers[s].Up(); err != nil {
-				r.fail(err.Error())
-			}
-			r.ups = append(r.ups, up{s, time.Now()})
-		}
-	case faults.Promote:
-		next := r.servers.Servers[step.Servers[0]]
-		for _, s := range r.servers.Servers {
-			if s.Cell == next.Cell {
-				s.Set(s == next, 0)
-			}
-		}
-	}
-}
-
 // client asks p again and again, one request at a time, until stop; each request is recorded with its outcome.
 func (r *fleetRun) client(p *pooler, rng *rand.Rand, stop <-chan struct{}) {
 	s := r.Scenario
@@ -562,11 +238,17 @@
 				continue
 			}
 		}
-		text := standin.Read("any", s.Patience)
-		if q.Keyed = q.Write; q.Write {
+		text := r.read(rng)
+		if q.Keyed = q.Write && !s.Unkeyed; q.Keyed {
 			text = standin.Write(fmt.Sprintf("%016x", rng.Uint64()), s.Patience)
+		} else if q.Write {
+			text = standin.Write("", s.Patience)
 		}
 		text = standin.At(rng.IntN(s.Groups), text)
+		var row judge.RowOp
+		if s.Fleet.Shards.Keys > 0 {
+			text, row = r.shards.ask(rng, q.Write, fmt.Sprintf("%016x", rng.Uint64()), s.Groups, s.Patience)
+		}
 		_ = c.SetDeadline(time.Now().Add(s.Patience + lateBy))
 		began := time.Now()
 		res := c.Do(text)
@@ -584,6 +266,10 @@
 		case res.Failed:
 			q.Outcome, q.Cause = judge.Failed, "code "+res.Code
 		}
+		if q.Outcome == judge.Served && !q.Write {
+			q.Made = r.purges.made(res.Value)
+		}
+		r.shards.note(row, q, res.Value)
 		r.note(q, q.Ended.Sub(began))
 		if res.Err != nil {
 			_ = c.Close()
@@ -600,151 +286,3 @@
 		_ = r.took.RecordValue(max(took.Microseconds(), 1))
 	}
 }
-
-func (r *fleetRun) report() FleetReport {
-	var outages []judge.Outage
-	for _, p := range r.poolers {
-		p.mu.Lock()
-		outages = append(outages, p.outages...)
-		p.mu.Unlock()
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	rep := FleetReport{Verdict: judge.Judge(r.requests, outages, r.servers.Ledger.Overlaps()), Poolers: len(r.poolers),
-		Servers: len(r.servers.Servers), Length: r.Scenario.Length, Began: r.began, Journals: r.peers.journals(r.members), P50: time.Duration(r.took.ValueAtQuantile(50)) * time.Microsecond,
-		P99: time.Duration(r.took.ValueAtQuantile(99)) * time.Microsecond, Starts: r.starts,
-		Requests: r.requests, Outages: outages}
-	for _, q := range r.requests {
-		sec := int(q.Ended.Sub(r.began) / time.Second)
-		if sec < 0 {
-			continue
-		}
-		for len(rep.Seconds) <= sec {
-			rep.Seconds = append(rep.Seconds, Counts{})
-		}
-		switch c := &rep.Seconds[sec]; {
-		case q.Outcome == judge.Served:
-			c.Served++
-		case q.Outcome == judge.Refused:
-			c.Refused++
-		case q.Outcome == judge.Failed:
-			c.Failed++
-		case !q.WhileFaulting:
-			c.Lost++
-		}
-	}
-	rep.Open, rep.OpenReplicas = [3]float64{-1, 0, 0}, [3]float64{-1, 0, 0}
-	replicas := 0
-	for _, s := range r.servers.Servers {
-		if !s.Primary() {
-			replicas++
-		}
-	}
-	spread := func(of *[3]float64, mean float64, n int) {
-		if of[0] < 0 || mean < of[0] {
-			of[0] = mean
-		}
-		of[1] += mean / float64(n)
-		of[2] = max(of[2], mean)
-	}
-	for j, s := range r.servers.Servers {
-		mean := float64(r.open[j]) / float64(max(r.samples, 1))
-		if spread(&rep.Open, mean, len(r.servers.Servers)); !s.Primary() {
-			spread(&rep.OpenReplicas, mean, replicas)
-		}
-		probed := s.ProbedAt()
-		rep.Probes += len(probed)
-		for _, t := range probed {
-			count(&rep.ProbesBySecond, t.Sub(r.began))
-		}
-		for _, seen := range s.Seen() {
-			for _, u := range r.ups {
-				if u.server == j && !seen.At.Before(u.at) && seen.At.Sub(u.at) < time.Second {
-					rep.Cold++
-				}
-			}
-		}
-	}
-	n := float64(len(r.poolers))
-	rep.Resident = [3]float64{r.rss[0] / n, r.rss[1] / n, r.rss[2]}
-	least, most, sum := -1, 0, 0
-	for _, s := range r.servers.Servers {
-		n := s.Came()
-		if least < 0 || n < least {
-			least = n
-		}
-		most, sum = max(most, n), sum+n
-	}
-	rep.Connections = [3]float64{float64(least), float64(sum) / float64(len(r.servers.Servers)), float64(most)}
-	for _, l := range r.lists {
-		rep.ListCalls += l.Watches()
-	}
-	for i := range r.relays {
-		met := make([]bool, len(r.relays[i]))
-		for j, link := range r.relays[i] {
-			met[j] = link.Accepted() > 0
-		}
-		rep.Met = append(rep.Met, met)
-	}
-	for _, server := range r.servers.Servers {
-		at := server.CameAt()
-		for _, t := range at {
-			count(&rep.NewBySecond, t.Sub(r.began))
-		}
-		for k, span := range []time.Duration{100 * time.Millisecond, time.Second} {
-			n := float64(worst(at, span))
-			worstOf := [...]*[2]float64{&rep.Worst100ms, &rep.WorstSecond}[k]
-			worstOf[0] += n / float64(len(r.servers.Servers))
-			worstOf[1] = max(worstOf[1], n)
-		}
-	}
-	return rep
-}
-
-// count adds one to the second in which something came; what came before the beginning is left out.
-func count(bySecond *[]int, at time.Duration) {
-	if at < 0 {
-		return
-	}
-	for len(*bySecond) <= int(at/time.Second) {
-		*bySecond = append(*bySecond, 0)
-	}
-	(*bySecond)[at/time.Second]++
-}
-
-// worst is the most of the sorted times within any span.
-func worst(at []time.Time, span time.Duration) (most int) {
-	from := 0
-	for to := range at {
-		for at[to].Sub(at[from]) >= span {
-			from++
-		}
-		most = max(most, to-from+1)
-	}
-	return most
-}
-
-// Table writes the report for a person.
-func (rep FleetReport) Table(out io.Writer) {
-	fmt.Fprintf(out, "%d poolers (%d starts), %d servers\n", rep.Poolers, rep.Starts, rep.Servers)
-	fmt.Fprintf(out, "served %d, refused %d, failed %d, lost %d, excused by an outage of their pooler %d; overlapping attempts %d\n",
-		rep.Served, rep.Refused, rep.Failed, rep.Lost, rep.Excused, rep.Overlaps)
-	fmt.Fprintf(out, "served in %v at the median, %v at the 99th percentile\n", rep.P50, rep.P99)
-	fmt.Fprintf(out, "new connections a server: least %.0f, mean %.1f, most %.0f; list calls %d\n",
-		rep.Connections[0], rep.Connections[1], rep.Connections[2], rep.ListCalls)
-	fmt.Fprintf(out, "connections open at a server, its mean over the seconds: least %.1f, mean %.1f, most %.1f\n",
-		rep.Open[0], rep.Open[1], rep.Open[2])
-	fmt.Fprintf(out, "the same at replicas: least %.1f, mean %.1f, most %.1f\n", rep.OpenReplicas[0], rep.OpenReplicas[1], rep.OpenReplicas[2])
-	fmt.Fprintf(out, "resident memory of a pooler: %.1f MB at the first second, %.1f MB at the last, %.1f MB at most\n",
-		rep.Resident[0], rep.Resident[1], rep.Resident[2])
-	fmt.Fprintf(out, "probes %d; requests at servers in their first second back %d\n", rep.Probes, rep.Cold)
-	fmt.Fprintf(out, "new connections at one server in its worst 100 ms: %.1f on the mean, %.0f at most; in its worst second %.1f, %.0f\n",
-		rep.Worst100ms[0], rep.Worst100ms[1], rep.WorstSecond[0], rep.WorstSecond[1])
-	fmt.Fprintln(out, "second  served refused failed lost")
-	for i, c := range rep.Seconds {
-		fmt.Fprintf(out, "%6d  %6d %7d %6d %4d\n", i, c.Served, c.Refused, c.Failed, c.Lost)
-	}
-	for _, b := range rep.Broken {
-		fmt.Fprintln(out, "BROKEN:", b)
-	}
-}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -29,6 +29,7 @@
 	block   int
 	links   map[[2]int][]*relay.Link // from pooler i to pooler j
 	claimed net.Listener             // holds the block
+	files   []map[string]any         // of the fleet, by pooler
 }
 
 func (n *peerNet) addr(i, port int) string {
@@ -49,7 +50,7 @@
 }
 
 // join writes each member's file of the fleet, with a relay on each link to another if the scenario wants them.
-func (n *peerNet) join(h standin.Host, s config.Scenario, members []*standin.Member) {
+func (n *peerNet) join(h standin.Host, s config.Scenario, members []*standin.Member, p purges, sh *shards) {
 	fleet := s.Fleet
 	if fleet.Stewards == 0 {
 		return
@@ -82,10 +83,23 @@
 		}
 		file := map[string]any{"enabled": true, "name": name(i), "listen": n.addr(i, gossipPort), "peers": peers, "stewards": stewards,
 			"term_ms": fleet.Term.Milliseconds(), "drift_ms": fleet.DriftOf().Milliseconds(), "election_ms": fleet.ElectionOf().Milliseconds(),
-			"shared_addresses": fleet.SharedAddresses, "least_build": fleet.LeastBuild, "journal": map[string]any{"file": n.journal(m)}}
+			"shared_addresses": fleet.SharedAddresses, "least_build": fleet.LeastBuild, "journal": map[string]any{"file": n.journal(m)},
+			"shared": config.SharedPart{Dir: filepath.Join(m.Dir(), "shared")}}
 		if i < fleet.Stewards {
 			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
 		}
+		if fleet.Verdicts {
+			file["verdicts"] = map[string]any{"enabled": true}
+		}
+		if fleet.Limits.Revision > 0 {
+			file["limits"] = fleet.Limits
+		}
+		if fleet.Zones > 0 {
+			m.Zone(i%fleet.Zones, fleet.Zones)
+		}
+		p.into(file, i)
+		sh.into(file, s.Groups, fleet.Term)
+		n.files = append(n.files, file)
 		m.File("PROXY_FLEET", file)
 	}
 }
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -20,7 +20,8 @@
 	Recovery string  `json:"recovery,omitempty"` // "off": a primary
 }
 
-// Discovery is the list service. It keeps one list and tells its watches of changes.
+// Discovery is the list service, or the agent on a pooler's machine to which lists are pushed. It keeps one list and tells
+// its watches of changes.
 type Discovery struct {
 	*httptest.Server
 	mu       sync.Mutex
@@ -30,6 +31,10 @@
 	watches  int
 	since    string
 	out      bool
+	hush     bool
+	stranded int  // so many first watches get no further word
+	indented bool // lists take many lines
+	turned   int
 	open     map[int]time.Time // watches that are open, by number, with their beginnings
 }
 
@@ -59,6 +64,38 @@
 	d.changed = make(chan struct{})
 }
 
+// Hush has it say nothing to the watches that are open and those that come, or speak again.
+func (d *Discovery) Hush(hush bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hush = hush
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Strand has the watches that are open now hear nothing more, while new ones are answered.
+func (d *Discovery) Strand() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stranded = d.watches
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Indent has lists come indented, over many lines.
+func (d *Discovery) Indent() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.indented = true
+}
+
+// TurnedAway tells how many calls were answered 503.
+func (d *Discovery) TurnedAway() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.turned
+}
+
 // Watches tells how many watches have been opened.
 func (d *Discovery) Watches() int {
 	d.mu.Lock()
@@ -92,6 +129,7 @@
 	}
 	d.mu.Lock()
 	if d.out {
+		d.turned++
 		d.mu.Unlock()
 		http.Error(w, "out", http.StatusServiceUnavailable)
 		return
@@ -108,12 +146,28 @@
 	}()
 	for {
 		d.mu.Lock()
-		line, _ := json.Marshal(map[string]any{"revision": d.revision, "complete": true, "members": d.entries})
-		changed, out := d.changed, d.out
+		list := map[string]any{"revision": d.revision, "complete": true, "members": d.entries}
+		line, _ := json.Marshal(list)
+		if d.indented {
+			line, _ = json.MarshalIndent(list, "", "  ")
+		}
+		changed, out, hush, stranded := d.changed, d.out, d.hush, n <= d.stranded
 		d.mu.Unlock()
 		if out {
 			return
 		}
+		if stranded {
+			<-r.Context().Done()
+			return
+		}
+		if hush {
+			select {
+			case <-changed:
+			case <-r.Context().Done():
+				return
+			}
+			continue
+		}
 		fmt.Fprintf(w, "%s\n", line)
 		w.(http.Flusher).Flush()
 		for waiting := true; waiting; {
--- a/internal/lab/standin/fleet.go
+++ b/internal/lab/standin/fleet.go
@@ -181,6 +181,9 @@
 				phase = "Ready"
 			}
 			e := Entry{ID: s.Name, HostPort: s.Addr, Locality: "a", Cell: s.Cell, Phase: phase}
+			if !s.Started.IsZero() {
+				e.UpSince = float64(s.Started.UnixMilli())
+			}
 			if f.Roles {
 				e.Recovery = map[bool]string{true: "off", false: "on"}[s.Primary()]
 			}
@@ -192,10 +195,13 @@
 
 // Drain lists a server as draining.
 func (f *Fleet) Drain(s *Server) {
-	f.phase[s.Name] = "Terminating"
+	f.Phase(s, "Terminating")
 	f.List()
 }
 
+// Phase sets what the next list says of a server.
+func (f *Fleet) Phase(s *Server, phase string) { f.phase[s.Name] = phase }
+
 // List tells the pooler of the servers as they now are, by the list service or the inventory.
 func (f *Fleet) List() {
 	f.Discovery.Change(f.entries())
@@ -248,6 +254,17 @@
 	return m
 }
 
+// Zone puts the member into a zone of so many; it takes that over at its next start.
+func (m *Member) Zone(zone, of int) {
+	names := []string{}
+	for i := range of {
+		names = append(names, string(rune('a'+i)))
+	}
+	settings := m.config["settings"].(map[string]any)
+	settings["zone"], settings["zones"] = zone, names
+	m.f.file(m.Env["PROXY_CONFIG"], m.config)
+}
+
 // File writes a further file of the member and names it in its environment.
 func (m *Member) File(variable string, v any) {
 	m.f.t.Helper()
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,6 +44,7 @@
 	Full       // turned away
 	Wrong      // the statement breaks a key
 	Check      // or a check that only newer MySQL servers have
+	Behind     // turned away untouched: too far behind
 )
 
 // Seen is a statement that has reached a server whole.
@@ -55,7 +57,8 @@
 // Server is a database server on one of the wires.
 type Server struct {
 	Name, Addr string
-	Cell       int // its group; set before it is listed
+	Cell       int       // its group; set before it is listed
+	Started    time.Time // as lists tell; zero: long ago
 	mysql      bool
 	ln         net.Listener
 
@@ -68,6 +71,7 @@
 	login   Login
 	cancels []pgwire.Key
 	value   string
+	stamp   bool
 	seen    []Seen
 	ledger  *Ledger
 	conns   map[net.Conn]bool
@@ -76,6 +80,13 @@
 	probes  []time.Time   // of each time that health was asked for
 	changed chan struct{} // closed at the next statement
 	unsent  map[net.Conn]bool
+	lag     Lag
+	stops   int // reads that stop its log now
+	turned  int
+	pieces  int // in which it writes an answer
+	pause   time.Duration
+	// Since a read first stopped its log: how far that was, and when it went on.
+	stoppedAt, goesOn time.Time
 }
 
 // Ledger is what servers share: the requests under way at any of them.
@@ -235,9 +246,19 @@
 	s.value = value
 }
 
+// Stamp has reads get the time at which the answer was made, in Unix ns, from now on.
+func (s *Server) Stamp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stamp = true
+}
+
 func (s *Server) given() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stamp {
+		return strconv.FormatInt(time.Now().UnixNano(), 10)
+	}
 	if s.value != "" {
 		return s.value
 	}
@@ -337,6 +358,11 @@
 	s.changed = make(chan struct{})
 	do, spoil := s.act, s.spoil
 	s.mu.Unlock()
+	read, tooOld := s.reads(text)
+	defer read()
+	if tooOld {
+		return end, Behind, readOnly, nil
+	}
 	if do != nil {
 		act = do(one) // it may wait
 	}
@@ -353,7 +379,7 @@
 	if s.behind < 0 {
 		return s.primary, 0
 	}
-	return s.primary, time.Now().Add(-s.behind).UnixMilli()
+	return s.primary, s.applied(time.Now()).UnixMilli()
 }
 
 // buffered reads messages by a parser of the protocol.
@@ -465,6 +491,8 @@
 			out = pgwire.AppendError(nil, "ERROR", "XX000", "fault", "")
 		case act == Full:
 			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeTooMany, "full", "")
+		case act == Behind:
+			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeBehind, "too far behind", "")
 		case readOnly:
 			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeReadOnly, "read-only", "")
 		default:
@@ -475,7 +503,7 @@
 			out = pgwire.AppendParameter(out, "lsn_ms", fmt.Sprint(position))
 		}
 		end()
-		c.Write(pgwire.AppendReady(out))
+		s.answer(c, pgwire.AppendReady(out))
 	}
 }
 
@@ -648,8 +676,31 @@
 			out = mysql.Append(nil, 1, mysql.Done(1, 0, 0))
 		}
 		end()
-		c.Write(out)
+		s.answer(c, out)
+	}
+}
+
+// Pieces has it write each answer in so many pieces with a pause before each but the first.
+func (s *Server) Pieces(n int, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pieces, s.pause = n, pause
+}
+
+func (s *Server) answer(c net.Conn, out []byte) {
+	s.mu.Lock()
+	n, pause := s.pieces, s.pause
+	s.mu.Unlock()
+	size := len(out)
+	if n > 0 {
+		size = len(out)/n + 1
+	}
+	for len(out) > size {
+		c.Write(out[:size])
+		out = out[size:]
+		time.Sleep(pause)
 	}
+	c.Write(out)
 }
 
 // myRow is a result of one row of one column. Both forms of a row hold a text the same way.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -28,9 +28,16 @@
 )
 
 const (
-	// After SIGTERM new connections come for up to 0.4 s, and clients use theirs as long as they stay open.
-	drainAfter = 500 * time.Millisecond
-	drainMost  = 4 * time.Second // the longest deadline, and some
+	// After SIGTERM new connections come for up to 0.4 s, and clients use theirs as long as they stay open. Sent more than 0.7 s
+	// after it, a request is lost if SIGKILL finds it open: by then all clients have gone, or have their last answer to come.
+	partAfter = 400 * time.Millisecond
+	partOver  = 250 * time.Millisecond // not all at once: they turn to the other poolers
+	// SIGKILL comes no sooner than the longest deadline, counted as killCounts where it is longer, and killAfter. All is over
+	// endBefore; what is written last has flushFor to go out.
+	killCounts = 3 * time.Second
+	killAfter  = 700 * time.Millisecond
+	endBefore  = 150 * time.Millisecond
+	flushFor   = 50 * time.Millisecond
 
 	idleShare   = 0.6 // of the time after which servers close idle connections: reuse none that is about to go
 	memoryShare = 0.7 // of the limit: the rest is for stacks, the runtime and the kernel's buffers
@@ -47,8 +54,9 @@
 type front interface {
 	Addr() string
 	Clients() int
-	Yield() // takes no new clients, and closes each that there is behind its next answer
-	Drain() // does so too, and closes those that are idle now
+	Yield()             // takes no new clients, and closes each that there is behind its next answer
+	Part(share float64) // closes a share of the clients, from 0 to 1, between two requests each; at 1 it takes no new ones
+	End()               // fails what is open, and closes all
 }
 
 // side is one front with all that is behind it, on a loop of its own.
@@ -57,6 +65,8 @@
 	loop  *routing.Loop
 	core  *routing.Core
 	front front
+	// clients counts the connections of clients, with those that are on their way in or out.
+	clients *transport.Budget
 	// retune takes over a configuration under way, on the loop.
 	retune func(*config.Config)
 	source *source
@@ -79,13 +89,6 @@
 	Fleet     *FleetPart                                           // nil: the pooler is on its own
 }
 
-// FleetPart is the pooler's part in the fleet of poolers.
-type FleetPart struct {
-	Config *config.Fleet
-	Build  string // version of the program
-	Open   func(FleetEvents) (Fleet, error)
-}
-
 // Addrs is where the pooler listens; MySQL and Admin are empty while they are off.
 type Addrs struct{ Postgres, MySQL, Admin string }
 
@@ -109,7 +112,7 @@
 		sockets -= descriptors(mysqlSource(cfg, my))
 		sockets /= 2 // each front has its own share: neither can starve the other
 	}
-	pg, err := newPostgres(cfg, log, sockets)
+	pg, err := newPostgres(cfg, control.Fleet, log, sockets)
 	if err != nil {
 		return err
 	}
@@ -121,7 +124,7 @@
 	}()
 	addrs := Addrs{Postgres: pg.front.Addr()}
 	if my != nil {
-		m, err := newMySQL(cfg, my, log, sockets)
+		m, err := newMySQL(cfg, my, control.Fleet, log, sockets)
 		if err != nil {
 			return fmt.Errorf("mysql: %w", err)
 		}
@@ -131,12 +134,14 @@
 	state := &state{sides: sides}
 	state.serving.Store(true)
 	state.allowed.Store(true)
-	var lists *listDuty
-	if control.Fleet != nil && pg.source.watcher != nil { // a file is each pooler's own
-		if lists, err = joinFleet(pg.source.watcher, pg.core, cfg, control.Fleet, state.allowed.Store, log); err != nil {
+	var joined *member
+	var failed chan error
+	if control.Fleet != nil {
+		if joined, err = joinFleet(sides, cfg, control.Fleet, state.allowed.Store, log); err != nil {
 			return fmt.Errorf("fleet: %w", err)
 		}
-		defer lists.close()
+		defer joined.close()
+		failed, state.member = joined.failed, joined
 	}
 	var running sync.WaitGroup
 	for _, s := range sides {
@@ -164,26 +169,35 @@
 		running.Wait()
 		close(ended)
 	}()
-	for terminate := control.Terminate; ; {
+	var why error
+	terminate := control.Terminate
+	for {
 		select {
 		case <-control.Reload: // also while terminating: servers may still drain
-			if cfg = state.reload(cfg, control.Load, log); lists != nil {
+			if cfg = state.reload(cfg, control.Load, log); joined != nil {
 				inForce := cfg
-				pg.loop.Post(func() { lists.retune(inForce) })
+				pg.loop.Post(func() { joined.retune(inForce) })
+				if control.Fleet.Reload != nil {
+					control.Fleet.Reload(inForce)
+				}
 			}
+			continue
+		case why = <-failed:
+			log.Error().Err(why).Msg("fleet: a part has failed, without which the pooler must not serve")
 		case <-terminate:
 			terminate = nil
-			state.serving.Store(false)
+		case <-ended:
+			log.Info().Msg("ended")
+			return why
+		}
+		if state.serving.CompareAndSwap(true, false) {
 			log.Info().Msg("terminating")
 			for _, s := range sides {
 				s.loop.Post(s.drain)
 			}
-			if lists != nil {
-				pg.loop.Post(lists.leave)
+			if joined != nil {
+				pg.loop.Post(joined.leave)
 			}
-		case <-ended:
-			log.Info().Msg("ended")
-			return nil
 		}
 	}
 }
@@ -194,6 +208,7 @@
 	serving               atomic.Bool
 	allowed               atomic.Bool // the fleet has not shut this pooler out
 	reloads, reloadErrors atomic.Uint64
+	member                *member // nil: the pooler is on its own
 }
 
 // figures may be called on any goroutine.
@@ -206,7 +221,11 @@
 			lists = append(lists, *k.shown.Load())
 		}
 	}
-	return admin.Figures{Serving: s.serving.Load() && s.allowed.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
+	var fleet *admin.Fleet
+	if s.member != nil {
+		fleet = s.member.figures()
+	}
+	return admin.Figures{Fleet: fleet, Serving: s.serving.Load() && s.allowed.Load(), Reloads: s.reloads.Load(), ReloadErrors: s.reloadErrors.Load(),
 		Classes: all.Classes, Pending: all.Pending, Members: all.Members, Unavailable: all.Unavailable, Lists: lists}
 }
 
@@ -235,7 +254,7 @@
 	return cfg
 }
 
-func newPostgres(cfg *config.Config, log zerolog.Logger, sockets int) (*side, error) {
+func newPostgres(cfg *config.Config, fleet *FleetPart, log zerolog.Logger, sockets int) (*side, error) {
 	log = log.With().Str("front", "postgres").Logger()
 	loop := routing.NewLoop()
 	d, in, budget := newDoor(cfg, loop, sockets)
@@ -247,11 +266,13 @@
 	table := routes.NewTable(routes.Postgres)
 	fit := func(string, int) error { return nil }
 	src := newSource(cfg, postgresSource(cfg), postgresWire, table, loop, budget, log)
+	dialled := []*exchange.Servers{&own.Servers}
 	if src.keeper != nil { // only a file can name servers of the other wire
 		my := cfg.Lists.MySQLServers
-		backend = &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.Postgres: own, routes.MySQL: &crossside.Back{Echo: my.Echo,
-			Backend: &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
-				Version: func(addr string) routes.Version { return table.At(addr).Version }, Log: said(log)}}}}
+		other := &mysqlside.Backend{Servers: servers(), User: my.User, Password: my.Password, Database: my.Database, Heartbeat: my.Heartbeat,
+			Version: func(addr string) routes.Version { return table.At(addr).Version }, Log: said(log)}
+		dialled = append(dialled, &other.Servers)
+		backend = &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.Postgres: own, routes.MySQL: &crossside.Back{Echo: my.Echo, Backend: other}}}
 		fit = func(text string, group int) error {
 			if !table.Needs(group).Translation {
 				return nil
@@ -265,6 +286,7 @@
 	if err != nil {
 		return nil, err
 	}
+	fleet.limit(core, cfg.Settings, dialled...)
 	if err := src.begin(cfg, core); err != nil {
 		return nil, err
 	}
@@ -285,7 +307,7 @@
 		}
 		src.retune(cfg, postgresSource(cfg))
 	}
-	return &side{name: "postgres", loop: loop, core: core, front: front, source: src, retune: retune, replaced: cfg.Inherited > 0}, nil
+	return &side{name: "postgres", loop: loop, core: core, front: front, clients: in, source: src, retune: retune, replaced: cfg.Inherited > 0}, nil
 }
 
 // withPoll is a configuration whose files are looked at as often as the MySQL front's own file says.
@@ -297,7 +319,7 @@
 
 // newMySQL sets up the second front: the inventory is its discovery, probes tell roles and positions, and servers
 // answer reads from whatever they have.
-func newMySQL(cfg *config.Config, my *config.MySQL, log zerolog.Logger, sockets int) (*side, error) {
+func newMySQL(cfg *config.Config, my *config.MySQL, fleet *FleetPart, log zerolog.Logger, sockets int) (*side, error) {
 	log = log.With().Str("front", "mysql").Logger()
 	loop := routing.NewLoop()
 	d, in, budget := newDoor(cfg, loop, sockets)
@@ -316,6 +338,7 @@
 	if err != nil {
 		return nil, err
 	}
+	fleet.limit(core, cfg.Settings, &own.Servers, &other.Servers)
 	if cfg.Lists.MySQL == (config.ListSource{}) {
 		cfg = withPoll(cfg, my.Reload)
 	}
@@ -337,12 +360,12 @@
 		}
 		src.retune(cfg, mysqlSource(cfg, my))
 	}
-	return &side{name: "mysql", loop: loop, core: core, front: front, source: src, retune: retune}, nil
+	return &side{name: "mysql", loop: loop, core: core, front: front, clients: in, source: src, retune: retune}, nil
 }
 
 // probed are the settings for servers that tell of themselves only when probed.
 func probed(set rules.Settings) rules.Settings {
-	set.Asks, set.MayProbe, set.RoleReported, set.Behind = true, true, true, rules.BehindAnswers
+	set.MayProbe, set.RoleReported, set.Behind = true, true, rules.BehindAnswers
 	return set
 }
 
@@ -380,21 +403,31 @@
 	return out
 }
 
-// drain serves on while the news of the restart spreads, and ends once all that was taken is answered. Where another
-// process serves on the same socket new clients are left to it at once.
+// drain serves on while the news of the restart spreads, has the clients leave one by one, and ends once all that was taken
+// is answered and gone out, or shortly before SIGKILL. Where another process serves on the same socket new clients are left
+// to it at once.
 func (s *side) drain() {
 	if s.replaced {
 		s.front.Yield()
 	}
-	until := s.loop.Now() + drainAfter + drainMost
+	began := s.loop.Now()
+	until := began + min(s.core.LongestDeadline(), killCounts) + killAfter - endBefore
+	s.core.Until(until)
 	var look func()
 	look = func() {
-		s.front.Drain()
-		if s.core.Open() == 0 && s.front.Clients() == 0 || s.loop.Now() >= until {
+		now := s.loop.Now()
+		if now >= until {
+			s.front.End()
+			s.loop.After(flushFor, s.loop.Stop)
+			return
+		}
+		share := min(float64(now-began-partAfter)/float64(partOver), 1)
+		s.front.Part(share)
+		if share == 1 && s.core.Open() == 0 && s.front.Clients() == 0 && s.clients.Used() == 0 {
 			s.loop.Stop()
 			return
 		}
-		s.loop.After(10*time.Millisecond, look)
+		s.loop.After(min(10*time.Millisecond, until-now), look)
 	}
-	s.loop.After(drainAfter, look)
+	s.loop.After(partAfter, look)
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -37,6 +37,8 @@
 	Reply        Replier
 	// Text is the statement without its comment, and Key the quoted key that it names; "": none. Only where the core is guarded.
 	Text, Key string
+	// Waited is set while a guard is asked of an attempt once more, behind the wait for its connection.
+	Waited bool
 }
 
 // Result is the end of an attempt or a probe, as the backend saw it.
@@ -117,10 +119,12 @@
 	ran      bool // an attempt may have run
 	sent     int
 	live     map[int]*call
+	erred    []uint32 // stores that have answered with an error; only where outcomes are told
 }
 
 type call struct {
 	store uint32
+	began time.Duration
 	call  Call // nil: never sent
 	timer *Timer
 }
@@ -146,20 +150,25 @@
 	classes map[string]int // the numbers of those in the settings
 	unkeyed map[int]int    // of a keyed class: the one for requests that carry no key
 	listed  map[uint32]bool
+	ready   map[uint32]int // the groups of those that are listed as ready
 	counts  []*Counts
 	pending int
 	actions []func()
 	// noWrites: writes that come are refused, as this pooler acts on a version that the fleet has left behind.
 	noWrites bool
-	primary  func(kind rules.NewsKind, group int, server string, asOf time.Duration)
+	primary  []func(kind rules.NewsKind, group int, server string, asOf time.Duration)
 	guards   []Guard
+	gate     Gate // nil: none
+	met      func(server string, class int, result rules.Result, took time.Duration)
+	spare    spare
+	until    time.Duration // by when all requests must have their answers; 0: by their own time alone
 }
 
 // New returns a core that runs on a loop.
 func New(loop *Loop, backend Backend, opt Options) (*Core, error) {
 	c := &Core{loop: loop, opt: opt, backend: backend, open: map[uint32]*Open{}, addrs: map[uint32]string{},
 		names: map[string]uint32{}, gone: map[uint32]time.Duration{}, groups: map[int]bool{}, unkeyed: map[int]int{}, classes: map[string]int{},
-		listed: map[uint32]bool{}}
+		listed: map[uint32]bool{}, ready: map[uint32]int{}}
 	c.opt.Settings.Classes = nil
 	c.enlist(opt.Settings)
 	router, err := rules.New(c.opt.Settings, opt.Seed, (*actions)(c))
@@ -171,9 +180,9 @@
 	return c, nil
 }
 
-// OnPrimary has f told, on the loop, of all news of groups' primaries, as of a Unix time where the news has one.
+// OnPrimary has f told too, on the loop, of all news of groups' primaries, as of a Unix time where the news has one.
 func (c *Core) OnPrimary(f func(kind rules.NewsKind, group int, server string, asOf time.Duration)) {
-	c.primary = f
+	c.primary = append(c.primary, f)
 }
 
 // Told takes in what another pooler, which repeats rounds for the fleet, found of a group: its primary, or "" for none
@@ -189,6 +198,17 @@
 // been taken are carried on.
 func (c *Core) TakeWrites(on bool) { c.noWrites = !on }
 
+// Until has each request that comes from now on end by a Unix time, if its own time is not over before.
+func (c *Core) Until(at time.Duration) { c.until = at }
+
+// LongestDeadline is that of the classes in the settings.
+func (c *Core) LongestDeadline() (d time.Duration) {
+	for _, i := range c.classes {
+		d = max(d, c.opt.Settings.Classes[i].Deadline)
+	}
+	return d
+}
+
 // Suspect takes in that another pooler has lost a group's primary.
 func (c *Core) Suspect(group int) { c.router.Suspect(c.loop.Now(), group) }
 
@@ -250,6 +270,9 @@
 	now := c.loop.Now()
 	o := &Open{c: c, req: r, counts: c.countsOf(c.opt.Settings.Classes[r.Class].Name),
 		deadline: r.Arrived + r.Patience - replyMargin, live: map[int]*call{}}
+	if c.until > 0 {
+		o.deadline = min(o.deadline, c.until)
+	}
 	if len(c.open) >= c.opt.MaxOpen || c.noWrites && c.opt.Settings.Classes[r.Class].Need == rules.NeedWrite {
 		o.ended = true
 		o.counts.Refused++
@@ -313,8 +336,14 @@
 	}
 }
 
-// List hands a list to the module.
-func (c *Core) List(kind rules.ListKind, members []Member) {
+// List hands a list to the module that counts as told now.
+func (c *Core) List(kind rules.ListKind, members []Member) { c.ListTold(kind, members, c.loop.Now()) }
+
+// ListTold hands a list to the module that may have counted as told to this pooler since a Unix time. As much of a drain's
+// grace has gone by.
+func (c *Core) ListTold(kind rules.ListKind, members []Member, told time.Duration) {
+	c.spare.late(c.loop.Now(), told, c.opt.Settings.DrainGrace)
+	c.router.SendTakes(c.spare.most(c.loop.Now()))
 	entries := make([]rules.Member, 0, len(members))
 	named := map[uint32]bool{}
 	for _, m := range members {
@@ -330,6 +359,12 @@
 			c.groups[m.Group] = true
 			c.addrs[id] = m.Addr
 			delete(c.gone, id)
+			if c.gate != nil {
+				c.gate.Listed(m.Name, m.Started)
+			}
+		}
+		if delete(c.ready, id); m.State == rules.Ready {
+			c.ready[id] = m.Group
 		}
 		entries = append(entries, rules.Member{Store: id, Zone: m.Zone, Group: m.Group, State: m.State,
 			Primary: m.Primary, Started: m.Started, Weight: m.Weight})
@@ -347,6 +382,7 @@
 // leave notes that a server is gone. It is forgotten later, unless it comes back or an attempt is still out there.
 func (c *Core) leave(name string, id uint32) {
 	delete(c.listed, id)
+	delete(c.ready, id)
 	if _, ok := c.gone[id]; ok || c.opt.Settings.DrainOnly { // there the module may still send to it
 		return
 	}
@@ -416,7 +452,9 @@
 func (a *actions) core() *Core { return (*Core)(a) }
 
 func (a *actions) Attempt(id, store uint32, timeout time.Duration) {
-	a.core().do(func() { a.core().attempt(id, store, timeout) })
+	c := a.core()
+	chosen := c.loop.Now()
+	c.do(func() { c.attempt(id, store, timeout, chosen) })
 }
 
 func (a *actions) Refuse(id uint32, after time.Duration) {
@@ -472,8 +510,9 @@
 	if text := n.Text(); text != "" {
 		a.Log(text)
 	}
-	if c := a.core(); c.primary != nil {
-		c.do(func() { c.primary(n.Kind, n.Group, c.name(n.Store), n.AsOf) })
+	c := a.core()
+	for _, f := range c.primary {
+		c.do(func() { f(n.Kind, n.Group, c.name(n.Store), n.AsOf) })
 	}
 }
 
@@ -488,8 +527,8 @@
 }
 
 // attempt sends a request to a server. The time-out closes the connection before the module hears of it, so that
-// no second attempt can meet the first.
-func (c *Core) attempt(id, store uint32, timeout time.Duration) {
+// no second attempt can meet the first. chosen is when the module last said that it may go there.
+func (c *Core) attempt(id, store uint32, timeout, chosen time.Duration) {
 	o := c.open[id]
 	if o == nil {
 		return
@@ -500,7 +539,7 @@
 	if timeout > 0 {
 		at = min(at, now+timeout)
 	}
-	k := &call{store: store}
+	k := &call{store: store, began: now}
 	o.live[n] = k
 	addr := c.addrs[store]
 	if o.ended || at <= now || addr == "" {
@@ -523,16 +562,24 @@
 			if !c.router.StillFits(c.loop.Now(), id, n) {
 				return false
 			}
-			switch o.maySend(store) {
+			o.req.Waited = true
+			sending := o.maySend(store)
+			o.req.Waited = false
+			switch sending {
 			case Elsewhere:
 				return false
 			case Stop:
 				o.stopped()
 				return false
 			}
+			chosen = c.loop.Now()
 			return true
 		},
-		Sent: func() { o.counts.Attempts++ },
+		Sent: func() {
+			o.counts.Attempts++
+			c.spare.sent(c.loop.Now(), chosen)
+			c.router.SendTakes(c.spare.most(c.loop.Now()))
+		},
 		Done: func(r Result) { o.outcome(n, r) }})
 	k.timer = c.loop.At(at, func() {
 		k.abort()
@@ -549,10 +596,21 @@
 	delete(o.live, n)
 	k.timer.Stop()
 	o.ran = o.ran || !r.Result.NeverRan()
+	if o.c.met != nil {
+		o.meets(k, r.Result)
+	}
 	stream, long := r.Answer.(Stream)
 	switch {
 	case long && o.ended:
 		stream.Drop()
+	case (long || r.Result == rules.OK) && !o.ended && !o.believed():
+		if long {
+			stream.Drop()
+		}
+		o.close()
+		o.counts.Failed++
+		o.c.do(func() { o.req.Reply.Fail() })
+		o.tell(Ending{})
 	case long:
 		o.ended = true
 		stream.OnEnd(o.streamed)
@@ -594,6 +652,10 @@
 		c.loop.Post(func() { done(Result{Result: rules.NoConnect}) })
 		return
 	}
+	if c.gate != nil && !c.gate.MayProbe(c.loop.Now(), c.name(store)) {
+		c.loop.Post(func() { done(Result{Result: rules.Full}) })
+		return
+	}
 	call := c.backend.Probe(addr, done)
 	timer = c.loop.After(c.opt.ProbeTimeout+probeSlack, func() {
 		call.Abort()
--- a/rules/health.go
+++ b/rules/health.go
@@ -44,11 +44,15 @@
 	if !o.Result.NeverRan() && q.risk == nil {
 		q.risk = a
 	}
+	if o.Result == Missed && q.c.Need != NeedWrite {
+		s.turned = r.now
+	}
 	q.reached = q.reached || o.Result != NoConnect && o.Result != Moot
 	r.health(s, a, o)
 	if o.HasPosition && !(q.c.Need == NeedWrite && o.Result == OK) {
 		r.proved(s, o.Position)
 	}
+	r.untold = r.untold || o.Result == OK && q.c.Need < NeedFresh && !o.HasPosition
 	switch o.Role {
 	case RolePrimary:
 		r.claim(s, r.now-r.set.Tick)
