Wait for an office's barrier however slow the disk is

Seen on a machine whose disk took 0.1 to 0.9 s over each fsync: 'the stewards never decide' for 47 and 64 s in the steward's tests, with a leader in office. The barrier at the beginning of an office was tried once, within one election; where the first entry took longer, the office never got its clock: the leader answered nobody and, as it led on, no other was elected. It is tried again as long as the office stands.

Words of the shared documents come no closer than 50 ms, as each is a datagram to everybody.

--- a/internal/fleet/shared/bring.go
+++ b/internal/fleet/shared/bring.go
@@ -21,6 +21,7 @@
 	fetchEach  = 5 * time.Millisecond   // spreads the fetches of a fleet after a change, so much for each pooler
 	fetchWait  = 500 * time.Millisecond // for an answer, before another is asked
 	gives      = 4                      // states on their way to others at once; more askers ask another
+	wordEach   = 50 * time.Millisecond  // between two words at the least: each is a datagram to everybody
 	silentFor  = 5                      // beats without a word: a steward is asked
 	stewardAsk = 2 * time.Second
 )
@@ -96,11 +97,12 @@
 				b.Bus.Cast(topicWord, text)
 			}
 		}
+		pause(ctx, wordEach)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-time.After(b.Beat):
+		case <-time.After(b.Beat - wordEach):
 		}
 	}
 }
--- a/internal/fleet/steward/disk_test.go
+++ b/internal/fleet/steward/disk_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,3 +94,39 @@
 		}
 	})
 }
+
+// slowStore takes its time over the first writes to the log.
+type slowStore struct {
+	store
+	slow atomic.Int32
+	each time.Duration
+}
+
+func (s *slowStore) StoreLogs(l []*raft.Log) error {
+	if s.slow.Add(-1) >= 0 {
+		time.Sleep(s.each)
+	}
+	return s.store.StoreLogs(l)
+}
+
+// A leader whose disk takes longer over its first entries than an election lasts comes to its office all the same: without it
+// there would be a leader that answers nobody, for good.
+func TestSlowDisk(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	slow := &slowStore{each: 3 * election}
+	slow.slow.Store(1)
+	s, err := Start(Options{Name: "s", Listen: addr, Dir: t.TempDir(), Stewards: []Peer{{"s", addr}}, Election: election,
+		wrap: func(inner store) store { slow.store = inner; return slow }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c := &Client{Holder: "a", Stewards: []Peer{{"s", addr}}, Timeout: 3 * election}
+	defer c.Close()
+	acquire(t, c, time.Minute)
+}
--- a/internal/fleet/steward/office.go
+++ b/internal/fleet/steward/office.go
@@ -79,7 +79,7 @@
 				continue
 			}
 			epoch := s.raft.CurrentTerm()
-			if err := s.raft.Barrier(s.o.Election).Error(); err != nil {
+			if !s.barrier(epoch) {
 				continue // it has lost its office again
 			}
 			s.table.mu.Lock()
@@ -93,6 +93,22 @@
 	}
 }
 
+// barrier waits until all that came before an office has been applied, however slow the disk is, and tells whether the office still
+// stands: an office without a clock would answer nobody, and no other would be elected.
+func (s *Steward) barrier(epoch uint64) bool {
+	for s.raft.Barrier(s.o.Election).Error() != nil {
+		if s.raft.State() != raft.Leader || s.raft.CurrentTerm() != epoch {
+			return false
+		}
+		select {
+		case <-s.ending:
+			return false
+		case <-time.After(s.o.Election / 10):
+		}
+	}
+	return true
+}
+
 // leads is this steward's clock as the leader, or else the answer that names another.
 func (s *Steward) leads() (lease.Clock, answer, bool) {
 	s.mu.Lock()
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -40,6 +40,8 @@
 	// Changed takes the documents after each change in the log as this steward has applied it, newer each time but for a
 	// restore from a leader's snapshot, and must not wait; nil: nobody.
 	Changed func(shared.State)
+
+	wrap func(store) store // of tests: puts a slow or full disk under the engine
 }
 
 const (
@@ -116,6 +118,9 @@
 		return err
 	}
 	s.disk = &disk{store: s.store, say: s.say, ending: s.ending}
+	if s.o.wrap != nil {
+		s.disk.store = s.o.wrap(s.disk.store)
+	}
 	snaps, err := raft.NewFileSnapshotStore(s.o.Dir, 2, io.Discard)
 	if err != nil {
 		return err
