Show that clients leave by shares at the door, not by times of a busy process

Seen: with the race detector on a machine with a load of 170 the loop was late by more than the quarter of a second over which clients leave, and closed 24 within 61 ms: the bound of 80 ms in the restart's test was one on the machine. The shares are shown where they are decided.

--- a/internal/program/door/door_test.go
+++ b/internal/program/door/door_test.go
@@ -55,3 +55,33 @@
 		t.Error("there is room where all are busy")
 	}
 }
+
+// While the program ends the clients leave by shares, and those that have not asked yet with the last.
+func TestClientsPartByShares(t *testing.T) {
+	const guests = 200
+	d := New(routing.NewLoop(), 2*guests, 1<<20)
+	for range guests {
+		d.Enter(&client{}).Set(Idle, 0)
+		d.Enter(&client{})
+	}
+	parts := func(share float64) (idle, entering int) {
+		d.Part(share)
+		for g := range d.in {
+			if g.Parts() && g.state == Entering {
+				entering++
+			} else if g.Parts() {
+				idle++
+			}
+		}
+		return idle, entering
+	}
+	for _, c := range []struct {
+		share       float64
+		least, most int
+		entering    int
+	}{{0, 0, 0, 0}, {0.5, guests / 4, 3 * guests / 4, 0}, {1, guests, guests, guests}} {
+		if idle, entering := parts(c.share); idle < c.least || idle > c.most || entering != c.entering {
+			t.Errorf("share %v: %d idle guests and %d that have not asked of %d each are to leave", c.share, idle, entering, guests)
+		}
+	}
+}
--- a/internal/program/restart_test.go
+++ b/internal/program/restart_test.go
@@ -85,8 +85,7 @@
 }
 
 // After SIGTERM clients go on sending, some with several statements ahead, for as long as their connections stay open. Each
-// statement that a server has seen is answered: what crosses a close is safe to send again. The connections end one by one,
-// and not with a reset, which could take answers with it.
+// statement that a server has seen is answered: what crosses a close is safe to send again.
 func TestClientsThatNeverStopSending(t *testing.T) {
 	restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
 		const clients, ahead = 24, 4
@@ -141,12 +140,8 @@
 				}
 			}
 		}
-		first, last := ends[0], ends[len(ends)-1]
-		if first.Sub(told) < 300*time.Millisecond {
-			t.Errorf("a client was closed %v after SIGTERM, before the news of it had spread", first.Sub(told))
-		}
-		if last.Sub(first) < 80*time.Millisecond {
-			t.Errorf("%d clients were closed within %v", clients, last.Sub(first))
+		if first := ends[0].Sub(told); first < 300*time.Millisecond {
+			t.Errorf("a client was closed %v after SIGTERM, before the news of it had spread", first)
 		}
 	})
 }
