Keep asks for limits that come at one instant, spread them, and say what is refused

Asks that come at one instant, as when all hear of a new holder, met eight senders and a queue of eight, and the rest were dropped until their next turn. Ruled out: the hand-over itself and the learning, which were over in time.

Every 5 s the log tells which limits let something not pass here and what may be taken here now.

--- a/internal/fleet/quota/part.go
+++ b/internal/fleet/quota/part.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -28,7 +29,10 @@
 	gapEach  = time.Millisecond
 	leastGap = 20 * time.Millisecond
 
-	senders = 8 // answers on their way at once; asks beyond come again
+	tellEvery = 5 * time.Second // what was refused, in the log
+
+	senders = 8    // answers on their way at once
+	queued  = 1024 // asks that wait for them: a whole fleet may ask at one instant, when it hears of a new holder
 )
 
 // Options are a Part's.
@@ -68,7 +72,7 @@
 // Run implements fleet.Part. It never returns an error: without holder, bus or documents safe shares stand.
 func (p *Part) Run(ctx context.Context, g fleet.Ground) error {
 	tenure := g.Stand(ctx, Duty)
-	grants := make(chan func(), senders)
+	grants := make(chan func(), queued)
 	wake := make(chan struct{}, 1)
 	var sending sync.WaitGroup
 	for range senders {
@@ -110,10 +114,17 @@
 		default: // it asks again
 		}
 	})
+	select { // so that poolers that start at one instant do not ask at one
+	case <-time.After(time.Duration(rand.Int64N(int64(p.o.Term / 3)))):
+	case <-ctx.Done():
+	}
 	every := time.NewTicker(p.o.Term / 3)
 	defer every.Stop()
 	quick := time.NewTicker(max(leastGap, time.Duration(p.o.Fleet)*gapEach))
 	defer quick.Stop()
+	tell := time.NewTicker(tellEvery)
+	defer tell.Stop()
+	var told Figures
 	documents := g.View.Changed()
 	p.look(ctx, g, tenure)
 	for ctx.Err() == nil {
@@ -127,6 +138,8 @@
 			p.office(g, tenure)
 			p.ask(ctx, g, tenure)
 			p.look(ctx, g, tenure)
+		case <-tell.C:
+			told = p.tell(g.Log, told)
 		case <-quick.C:
 			if p.Short() {
 				p.ask(ctx, g, tenure)
@@ -250,6 +263,19 @@
 	}
 }
 
+// tell logs, for each limit that had no token here since it was told last, how often that was and what may be taken here now.
+func (p *Part) tell(log zerolog.Logger, before Figures) Figures {
+	f := p.Figures()
+	holder, token := p.Holder()
+	for name, n := range f.Refused {
+		if since := n - before.Refused[name]; since > 0 {
+			log.Info().Str("limit", name).Uint64("refused", since).Float64("rate_here", f.Rate[name]).Str("holder", holder).
+				Uint64("token", token).Msg("limits: no token")
+		}
+	}
+	return f
+}
+
 func logSet(log zerolog.Logger, set config.Limits) {
 	log.Info().Uint64("revision", set.Revision).Int("limits", len(set.List)).Msg("limits: taken")
 }
