Show that statements which meet a restart, new or half sent, get their answers

Need: new connections keep coming for 0.4 s after SIGTERM, and a request whose first half has come is not to be left where its client goes on with it.

--- a/internal/program/restart_test.go
+++ b/internal/program/restart_test.go
@@ -10,6 +10,7 @@
 	"threadsail/internal/lab/standin"
 	"threadsail/internal/program"
 	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/protocol/pgwire"
 )
 
 // talker is a client's connection on which statements may be sent ahead of their answers.
@@ -19,6 +20,14 @@
 	net.Conn
 }
 
+// packet is a statement as a client of the wire sends it.
+func packet(c talker, text string) []byte {
+	if _, old := c.(oldTalker); old {
+		return mysql.Append(nil, 0, append([]byte{mysql.ComQuery}, text...))
+	}
+	return pgwire.AppendQuery(nil, text)
+}
+
 type oldTalker struct{ *standin.OldClient }
 
 func (o oldTalker) Send(text string) error {
@@ -31,20 +40,28 @@
 }
 
 // talk connects a client that waits a bounded time in all: the end of the program inside the test closes no connection.
-func talk(t *testing.T, a program.Addrs) (c talker) {
+func talk(t *testing.T, a program.Addrs) talker {
 	t.Helper()
+	c, err := tryTalk(t, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func tryTalk(t *testing.T, a program.Addrs) (c talker, err error) {
 	if a.MySQL == "" {
-		c = dial(t, a).(*standin.Postgres)
+		c, err = standin.DialPostgres(a.Postgres)
 	} else {
-		old, err := standin.DialOld(a.MySQL, standin.ClientUser, standin.ClientPassword, standin.Latin2)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { old.Close() })
+		var old *standin.OldClient
+		old, err = standin.DialOld(a.MySQL, standin.ClientUser, standin.ClientPassword, standin.Latin2)
 		c = oldTalker{old}
 	}
-	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
-	return c
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, c.SetDeadline(time.Now().Add(20 * time.Second))
 }
 
 // restarts runs a test of a planned restart on both wires.
@@ -172,3 +189,42 @@
 		endsInTime(t, told, ended)
 	})
 }
+
+// Statements that come on new connections while the news of a restart spreads are answered, and so is one whose first half
+// comes before SIGTERM and whose rest comes when all other clients have gone.
+func TestStatementsThatMeetARestart(t *testing.T) {
+	restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
+		half, idle := talk(t, a), talk(t, a)
+		p := packet(half, standin.Read("any", patience))
+		if _, err := half.Write(p[:len(p)/2]); err != nil {
+			t.Fatal(err)
+		}
+		told := time.Now()
+		close(terminate)
+		for time.Since(told) < 200*time.Millisecond {
+			c, err := tryTalk(t, a)
+			if err == nil {
+				err = c.Send(standin.Read("any", patience))
+			}
+			if err == nil {
+				err = c.Receive().Err
+			}
+			if d := time.Since(told); err != nil && d < 400*time.Millisecond { // later on a machine that stood still
+				t.Errorf("%v after SIGTERM a new client got %v", d, err)
+			}
+		}
+		if r := idle.Receive(); r.Err == nil {
+			t.Error("an idle client stays connected")
+		}
+		if _, err := half.Write(p[len(p)/2:]); err != nil {
+			t.Fatal(err)
+		}
+		if r := half.Receive(); r.Err != nil {
+			t.Errorf("a statement that came in two halves got %v", r.Err)
+		}
+		if r := half.Receive(); r.Err == nil {
+			t.Error("its client stays connected")
+		}
+		endsInTime(t, told, ended)
+	})
+}
