--- a/internal/fleet/quota/taker.go
+++ b/internal/fleet/quota/taker.go
@@ -38,7 +38,7 @@
 		rolled: time.Now(), refused: map[string]uint64{}}
 }
 
-// news is by how much a want must have grown for an ask out of turn.
+// news is by how much a want must have grown, or a slice shrunk, for an ask out of turn.
 const news = 1.25
 
 // Set puts a newer set of limits in force; an older one changes nothing. Tokens put by of a limit that has changed are gone:
@@ -146,7 +146,7 @@
 }
 
 // Short tells that since the last ask something was refused that is wanted more than the holder knows, or a slice became
-// smaller: an ask now is worth more than one in its turn. The holder can deal what a pooler gave up only once it is told so.
+// smaller by as much: an ask now is worth more than one in its turn. The holder can deal what a pooler gave up only once it is told so.
 func (t *Taker) Short() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -219,7 +219,7 @@
 		if now.Before(b.until) {
 			was = b.slice
 		}
-		t.short = t.short || slice < was
+		t.short = t.short || slice*news < was
 		b.give(now, slice, until)
 	}
 	return true
