Shut a pooler out that is on an old configuration, and give builds a version

The audit found stragglers in their configuration, and nobody was kept from acting on it; digests have no order, so a majority could not be told from a roll that has begun. The operators count their files (config_revision) and say the least that may take writes (least_config); the holder tells it with its word, as the least build, and a pooler below it takes no writes until a SIGHUP has it read its new file. In the audit's test the pooler that was cut off through a change is shut out when it joins again, and brought up by its new file; no other is.

Builds told '(devel)' wherever the Go command was kept from looking at the repository, and at every working tree, so that least_build barred nobody or all.

--- a/cmd/threadsail-fleet/main.go
+++ b/cmd/threadsail-fleet/main.go
@@ -8,7 +8,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime/debug"
 
 	"github.com/rs/zerolog"
 
@@ -18,7 +17,7 @@
 	"threadsail/rules"
 )
 
-// version is what -ldflags "-X main.version=v1.4.0" gives a build; empty: what the Go command knows.
+// version is what -ldflags "-X main.version=v1.4.0" gives a build; empty: what the Go command knows (program.Build).
 var version string
 
 func main() {
@@ -59,11 +58,7 @@
 		if cfg.MemoryBytes < leastMemory {
 			return errors.New("limits.memory_mb: under 32, which the fleet's parts need")
 		}
-		build := version
-		if info, ok := debug.ReadBuildInfo(); ok && build == "" {
-			build = info.Main.Version // "(devel)" where it was built from a working tree: below every least_build
-		}
-		control.Fleet = wire(cfg, part, build, log)
+		control.Fleet = wire(cfg, part, program.Build(version), log)
 	}
 	return program.Serve(cfg, my, log, control, func(program.Addrs) {})
 }
@@ -88,17 +83,18 @@
 				}
 			}
 		},
-		Reload: func(cfg *config.Config) {
+		Reload: func(cfg *config.Config) *config.Fleet {
 			next, err := config.LoadFleet(os.Getenv, cfg)
 			if err != nil || next == nil {
 				log.Error().Err(err).Msg("reload: the fleet's old file stands; its parts are turned off by a restart alone")
-				return
+				return nil
 			}
 			for _, p := range all {
 				if p.reload != nil {
 					p.reload(cfg, next)
 				}
 			}
+			return next
 		}}
 }
 
--- a/cmd/threadsail-fleet/main_test.go
+++ b/cmd/threadsail-fleet/main_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -345,6 +346,13 @@
 		}
 		behind[s.What] = true
 	}
+	acts := map[audit.Act][]string{}
+	for _, r := range journals(t, rep) {
+		acts[r.Act] = append(acts[r.Act], r.Instance[:2])
+	}
+	if shut, up := acts[audit.ShutOut], acts[audit.BroughtUp]; len(shut) == 0 || len(up) == 0 || slices.ContainsFunc(append(shut, up...), func(n string) bool { return n != "n5" }) {
+		t.Errorf("shut out %v, brought up %v: want n5 alone, by its configuration", shut, up)
+	}
 	if !behind["list"] || !behind["config"] {
 		t.Errorf("behind in %v, want list and configuration", behind)
 	}
--- a/cmd/threadsail/main.go
+++ b/cmd/threadsail/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
@@ -132,14 +131,13 @@
 	return nil
 }
 
+// version is what -ldflags "-X main.version=v1.4.0" gives a build; empty: what the Go command knows (program.Build).
+var version string
+
 type versionCmd struct{}
 
 func (*versionCmd) Run(s streams) error {
-	v := "(devel)"
-	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		v = info.Main.Version
-	}
-	fmt.Fprintln(s.out, "threadsail", v)
+	fmt.Fprintln(s.out, "threadsail", program.Build(version))
 	return nil
 }
 
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -54,6 +54,8 @@
 	Purges          PurgesPart
 	Shards          ShardsPart
 	Limits          Limits
+	ConfigRevision  uint64 // of this pooler's files, as the operators count it; 0: they don't
+	LeastConfig     uint64 // the least revision that may take writes, which this pooler tells the fleet
 	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
 	Shared          SharedPart
 }
@@ -150,6 +152,8 @@
 		SharedAddresses   bool    `json:"shared_addresses"`
 		StragglerMs       float64 `json:"straggler_ms"`
 		LeastBuild        string  `json:"least_build"`
+		ConfigRevision    uint64  `json:"config_revision"`
+		LeastConfig       uint64  `json:"least_config"`
 		Verdicts          verdictsFile
 		Purges            purgesFile
 		Shards            shardsFile
@@ -176,7 +180,8 @@
 	}
 	f := &Fleet{Name: or(file.Name, name), Listen: file.Listen, Advertise: file.Advertise, Peers: file.Peers, Stewards: file.Stewards,
 		Steward: file.Steward, Term: or(Milliseconds(file.TermMs), defaultTerm), Drift: or(Milliseconds(file.DriftMs), defaultDrift),
-		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild, Shared: file.Shared}
+		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild,
+		ConfigRevision: file.ConfigRevision, LeastConfig: file.LeastConfig, Shared: file.Shared}
 	f.Bound = or(f.Bound, stragglerTerms*f.Term)
 	f.Journal = JournalPart{File: file.Journal.File, Bytes: int64(or(file.Journal.MaxMB, defaultJournalMB) * (1 << 20)), Keep: defaultKeep}
 	if file.Journal.Keep != nil {
@@ -208,6 +213,7 @@
 		{"stewards", stewards(f)},
 		{"journal", journal(f.Journal)},
 		{"least_build", version(f.LeastBuild)},
+		{"least_config", leastConfig(f)},
 		{"straggler_ms", bounds("straggler_ms", f.Bound, 4*f.Term, time.Hour)}, // three terms may pass until it calls by itself
 		{"term_ms", bounds("term_ms", f.Term, leastTerm, time.Minute)},
 		{"drift_ms", bounds("drift_ms", f.Drift, time.Millisecond, f.Term/4)}, // a holder acts for two thirds of its term at the least
@@ -293,6 +299,13 @@
 	return ipAddress("steward.listen", f.Steward.Listen)
 }
 
+func leastConfig(f *Fleet) error {
+	if f.LeastConfig > f.ConfigRevision {
+		return fmt.Errorf("least_config: %d is above this file's own config_revision, %d", f.LeastConfig, f.ConfigRevision)
+	}
+	return nil
+}
+
 func version(v string) error {
 	if v != "" && !semver.IsValid(v) {
 		return fmt.Errorf("least_build: %q is no version such as v1.4.0", v)
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -47,6 +47,7 @@
 		{`{` + peers + `, ` + stewards + `, "steward": {"listen": "127.0.0.1:1"}}`, "steward.dir: missing"},
 		{"{" + peers + ", " + stewards + ",\n\"journal\": {\"file\": \"j\", \"max_mb\": 0.001}}", ":2: journal.max_mb"},
 		{"{" + peers + ", " + stewards + ",\n\"least_build\": \"1.4\"}", ":2: least_build"},
+		{"{" + peers + ", " + stewards + ", \"config_revision\": 2,\n\"least_config\": 3}", ":2: least_config"},
 		{"{" + peers + ", " + stewards + ",\n\"straggler_ms\": 1000}", ":2: straggler_ms"},
 		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"enabled\": true, \"term_ms\": 1000, \"rooms\": 3}}", ""},
 		{"{" + peers + ", " + stewards + ",\n\"verdicts\": {\"enabled\": true,\n\"observers\": 1}}", ":3: verdicts.observers"},
@@ -85,9 +86,9 @@
 			t.Errorf("%s: %v, want %q", c.text, err, c.want)
 		}
 	}
-	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`, "shared": {"dir": "d"}}`), "n1", nil)
+	got, _, err := parseFleet([]byte(`{`+peers+`, `+stewards+`, "shared": {"dir": "d"}, "config_revision": 4, "least_config": 3}`), "n1", nil)
 	want := &Fleet{Name: "n1", Listen: "127.0.0.1:7946", Peers: []Peer{{"n2", "127.0.0.2:7946"}}, Stewards: []Peer{{"n1", "127.0.0.1:7950"}},
-		Shared: SharedPart{Dir: "d"}, Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second, Shards: ShardsPart{PreparedMost: 10 * time.Minute, FencedMost: 9 * time.Second},
+		Shared: SharedPart{Dir: "d"}, ConfigRevision: 4, LeastConfig: 3, Term: 3 * time.Second, Drift: 100 * time.Millisecond, Election: time.Second, Journal: JournalPart{Bytes: 8 << 20, Keep: 4}, Bound: 30 * time.Second, Shards: ShardsPart{PreparedMost: 10 * time.Minute, FencedMost: 9 * time.Second},
 		Verdicts: VerdictsPart{Observers: 3, Rooms: 2, Share: 0.5, Term: 5 * time.Second},
 		Purges:   PurgesPart{Answers: 4 << 20, Guard: 500 * time.Millisecond, Confirm: 10 * time.Second, Settle: time.Second}}
 	if d := cmp.Diff(want, got); d != "" || err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -35,8 +36,10 @@
 	From string    `json:"from,omitempty"`
 	Word duty.Word `json:"word"`
 	// Of "word": the least build that the holder's operators allow; empty: any.
-	Least string          `json:"least,omitempty"`
-	List  json.RawMessage `json:"list,omitempty"`
+	Least string `json:"least,omitempty"`
+	// Of "word": the least revision of the configuration that they allow.
+	LeastConfig uint64          `json:"least_config,omitempty"`
+	List        json.RawMessage `json:"list,omitempty"`
 	// Of "found": the server that the holder found to be the group's primary, and as of when; none: its round found none.
 	Group  int           `json:"group,omitempty"`
 	Server string        `json:"server,omitempty"`
@@ -57,6 +60,7 @@
 	log     zerolog.Logger
 	done    sync.WaitGroup
 	ground  *ground
+	least   atomic.Pointer[duty.Least]
 }
 
 // Options of a pooler's part in its fleet.
@@ -72,6 +76,7 @@
 	c, log := o.Config, o.Log
 	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), asks: make(chan func(), queuedAsks), words: make(chan func(), queuedActs), ending: make(chan struct{}),
 		giving: make(chan struct{}, gives), log: log.With().Str("part", "fleet").Logger()}
+	f.Allow(duty.Least{Build: c.LeastBuild, Config: c.LeastConfig})
 	say := func(line string) { f.log.Warn().Msg(line) }
 	var stewards []steward.Peer
 	for _, p := range c.Stewards {
@@ -125,7 +130,7 @@
 	}
 	switch m.Kind {
 	case "word":
-		events.Word(m.Word, m.Least)
+		events.Word(m.Word, duty.Least{Build: m.Least, Config: m.LeastConfig})
 	case "want":
 		events.Wanted(m.From)
 	case "list":
@@ -184,7 +189,8 @@
 
 // Tell passes a word on to all, and TellFound which server the holder found to be a group's primary; empty: none yet.
 func (f *Fleet) Tell(w duty.Word, left time.Duration, done func(all bool)) {
-	f.say("lists", message{Kind: "word", Word: w, Least: f.c.LeastBuild}, left, done)
+	least := f.least.Load()
+	f.say("lists", message{Kind: "word", Word: w, Least: least.Build, LeastConfig: least.Config}, left, done)
 }
 
 // TellFound is documented with Tell.
@@ -247,6 +253,9 @@
 	f.peers.Show(peers.Meta{Build: build, Config: config, Token: w.Token, Seq: w.Seq})
 }
 
+// Allow is documented with program.Fleet.
+func (f *Fleet) Allow(l duty.Least) { f.least.Store(&l) }
+
 // Figures are documented with program.Fleet.
 func (f *Fleet) Figures() admin.Fleet {
 	out := f.ground.figures()
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -47,7 +47,7 @@
 const (
 	maxAsk      = 128 << 10 // of an ask: a document's largest value, as JSON
 	maxAnswer   = 8 << 20   // of an answer: all documents, as JSON
-	maxCallers  = 1024      // connections of those that ask, at once: the largest fleet, and restarts
+	maxCallers  = 2048      // connections of those that ask, at once: the largest fleet, and restarts
 	callerIdle  = time.Minute
 	keptLogs    = 256              // entries kept behind a snapshot, for stewards that lag
 	snapshotAt  = 1024             // entries: a renewal is one, and the table is small
--- a/internal/lab/act.go
+++ b/internal/lab/act.go
@@ -116,6 +116,10 @@
 	case faults.Retune:
 		for _, i := range step.Poolers {
 			r.members[i].Retune()
+			if r.peers.files != nil { // the new one is the least that the operators allow from now on
+				r.peers.files[i]["config_revision"], r.peers.files[i]["least_config"] = 2, 2
+				r.members[i].File("PROXY_FLEET", r.peers.files[i])
+			}
 		}
 		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
 	case faults.Closes, faults.Order:
--- /dev/null
+++ b/internal/program/build_test.go
@@ -0,0 +1,32 @@
+package program
+
+import (
+	"runtime/debug"
+	"testing"
+
+	"golang.org/x/mod/semver"
+)
+
+func TestBuild(t *testing.T) {
+	commit := []debug.BuildSetting{{Key: "vcs.revision", Value: "0123456789abcdef"}, {Key: "vcs.time", Value: "2026-12-02T01:02:03+01:00"}}
+	dirty := append(commit[:2:2], debug.BuildSetting{Key: "vcs.modified", Value: "true"})
+	for _, c := range []struct {
+		version string
+		vcs     []debug.BuildSetting
+		want    string
+	}{
+		{"v1.4.0", commit, "v1.4.0"},
+		{"(devel)", commit, "v0.0.0-20261202000203-0123456789ab"},
+		{"", dirty, "v0.0.0-20261202000203-0123456789ab+dirty"},
+		{"(devel)", nil, "(devel)"},
+		{"", commit[:1], "(devel)"},
+	} {
+		got := build(&debug.BuildInfo{Main: debug.Module{Version: c.version}, Settings: c.vcs})
+		if got != c.want || got != "(devel)" && !semver.IsValid(got) {
+			t.Errorf("%s %v: %s, want %s", c.version, c.vcs, got, c.want)
+		}
+	}
+	if Build("v9.9.9") != "v9.9.9" {
+		t.Error("a stamp does not count")
+	}
+}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -23,8 +23,10 @@
 	Open   func(FleetEvents) (Fleet, error)
 	Attach func(Front) // has the parts put their guards on a front; nil: there are none
 	// Limit returns what holds a front to the fleet's limits; nil: there are none.
-	Limit  func(class func(int) rules.Class, set rules.Settings) Limiter
-	Reload func(*config.Config) // has the parts take their files over again, beside the pooler's own; it must not wait long; nil: they don't
+	Limit func(class func(int) rules.Class, set rules.Settings) Limiter
+	// Reload has the parts take their files over again, beside the pooler's own, and returns the file of the fleet as it is now, nil
+	// if the old one stands. It must not wait long; nil: nothing is read again.
+	Reload func(*config.Config) *config.Fleet
 }
 
 // Front is a front as the fleet's parts meet it, before its loop runs. Each front has a loop of its own: what a part shares
@@ -49,13 +51,14 @@
 	Give(to string, w duty.Word, list []byte) // sends a list to one that asked
 	Report(holder string, group int)          // tells a holder that this pooler has lost a group's primary
 	Show(w duty.Word, build, config string)   // what the others see of this pooler
+	Allow(l duty.Least)                       // what it tells as the holder that the operators allow, from now on
 	Figures() admin.Fleet                     // Dropped and JournalFails are left to the caller
 	Close()
 }
 
 // FleetEvents is what a Fleet tells, on any goroutine.
 type FleetEvents struct {
-	Word   func(w duty.Word, least string) // least: the least build that the holder's operators allow; empty: any
+	Word   func(w duty.Word, least duty.Least) // least: what the holder's operators allow
 	Wanted func(from string)
 	List   func(w duty.Word, list []byte)
 	Lost   func(group int)
@@ -97,7 +100,7 @@
 	if m.journal, err = openJournal(fc.Journal, m.log); err != nil {
 		return nil, err
 	}
-	events := FleetEvents{Word: func(duty.Word, string) {}, Wanted: func(string) {}, List: func(duty.Word, []byte) {}, Lost: func(int) {},
+	events := FleetEvents{Word: func(duty.Word, duty.Least) {}, Wanted: func(string) {}, List: func(duty.Word, []byte) {}, Lost: func(int) {},
 		Found: func(uint64, int, string, time.Duration) {}}
 	if pg.source.watcher != nil {
 		m.lists = newListDuty(m, pg.source.watcher, pg.core, cfg, fc, ready)
@@ -166,6 +169,15 @@
 	}
 }
 
+// refile takes over the fleet's file as it was read again: of its own keys, what is allowed and on which revision this pooler is.
+func (m *member) refile(fc *config.Fleet) {
+	least := duty.Least{Build: fc.LeastBuild, Config: fc.LeastConfig}
+	m.fleet.Allow(least)
+	if m.lists != nil {
+		m.lists.refile(fc.ConfigRevision, least)
+	}
+}
+
 // leave ends the pooler's part before its last answers.
 func (m *member) leave() {
 	if m.lists != nil {
--- a/internal/program/fleet_lists.go
+++ b/internal/program/fleet_lists.go
@@ -20,19 +20,22 @@
 	watcher *watcher
 	core    *routing.Core
 	lists   duty.Lists
-	shared  bool           // config.Fleet.SharedAddresses
-	ready   func(bool)     // tells the operators' door
-	shut    bool           // takes no writes
-	token   uint64         // of the lease held when the journal was told last; 0: none
-	last    duty.Word      // the last word told
-	list    discovery.List // the whole list as last told, by whomever
-	timer   *routing.Timer
-	late    *routing.Timer // of a fetch
+	shared  bool       // config.Fleet.SharedAddresses
+	ready   func(bool) // tells the operators' door
+	shut    bool       // takes no writes
+	// revision of the configuration in force, as the operators count it, and the least that was told last.
+	revision uint64
+	least    duty.Least
+	token    uint64         // of the lease held when the journal was told last; 0: none
+	last     duty.Word      // the last word told
+	list     discovery.List // the whole list as last told, by whomever
+	timer    *routing.Timer
+	late     *routing.Timer // of a fetch
 }
 
 // newListDuty has a watcher take part in the list duty. The watcher's loop does not run yet.
 func newListDuty(m *member, w *watcher, core *routing.Core, cfg *config.Config, fc *config.Fleet, ready func(bool)) *listDuty {
-	d := &listDuty{member: m, watcher: w, core: core, shared: fc.SharedAddresses, ready: ready,
+	d := &listDuty{member: m, watcher: w, core: core, shared: fc.SharedAddresses, ready: ready, revision: fc.ConfigRevision,
 		list:  discovery.List{Complete: true, Revision: cfg.Known.Revision, Members: cfg.Known.Members},
 		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Bound: fc.Bound, Spread: Spread(cfg), Fleet: max(cfg.Settings.Balancers, 1)}}
 	w.duty = d
@@ -40,14 +43,14 @@
 		w.loop.After(0, d.want)
 	}
 	core.OnPrimary(d.primary)
-	m.loop.After(0, func() { d.bar(fc.LeastBuild) })
+	m.loop.After(0, func() { d.bar(duty.Least{Build: fc.LeastBuild, Config: fc.LeastConfig}) })
 	return d
 }
 
 // events is what the fleet tells the duty.
 func (d *listDuty) events() FleetEvents {
 	return FleetEvents{
-		Word:   func(word duty.Word, least string) { d.loop.Post(func() { d.heard(word, least) }) },
+		Word:   func(word duty.Word, least duty.Least) { d.loop.Post(func() { d.heard(word, least) }) },
 		Wanted: func(from string) { d.loop.Post(func() { d.wanted(from) }) },
 		List:   func(word duty.Word, list []byte) { d.loop.Post(func() { d.took(word, list) }) },
 		Lost:   func(group int) { d.loop.Post(func() { d.core.Suspect(group) }) },
@@ -70,7 +73,7 @@
 	d.carry(do)
 }
 
-func (d *listDuty) heard(w duty.Word, least string) {
+func (d *listDuty) heard(w duty.Word, least duty.Least) {
 	do, refused := d.lists.Heard(d.loop.Now(), w)
 	if refused {
 		d.log.Warn().Uint64("token", w.Token).Uint64("seq", w.Seq).Str("holder", w.Holder).Msg("word: refused, a newer one was heard")
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -178,7 +178,9 @@
 				inForce := cfg
 				pg.loop.Post(func() { joined.retune(inForce) })
 				if control.Fleet.Reload != nil {
-					control.Fleet.Reload(inForce)
+					if next := control.Fleet.Reload(inForce); next != nil {
+						pg.loop.Post(func() { joined.refile(next) })
+					}
 				}
 			}
 			continue
