Tell a new holder at once what is held, so that it learns in a round trip

Seen at 100 poolers: after a hand-over, and after the start of all, the holder dealt nothing for a term and a drift (3.1 s), as poolers told what they held at their next turn, and the last of them late. A pooler that hears of a new holder now asks out of turn; where all are alive learning is over when all have told.

--- a/internal/fleet/quota/taker.go
+++ b/internal/fleet/quota/taker.go
@@ -134,6 +134,7 @@
 	if token < t.token {
 		return false
 	}
+	t.short = t.short || token > t.token // a new holder learns until it is told
 	t.token, t.holder = token, holder
 	return true
 }
@@ -145,8 +146,8 @@
 	return t.holder, t.token
 }
 
-// Short tells that since the last ask something was refused that is wanted more than the holder knows, or a slice became
-// smaller by as much: an ask now is worth more than one in its turn. The holder can deal what a pooler gave up only once it is told so.
+// Short tells that since the last ask a new holder was heard of, something was refused that is wanted more than the holder knows,
+// or a slice became smaller by as much: an ask now is worth more than one in its turn. The holder can deal what a pooler gave up only once it is told so.
 func (t *Taker) Short() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
