--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -40,12 +40,14 @@
 	// Changed takes the documents after each change in the log as this steward has applied it, newer each time but for a
 	// restore from a leader's snapshot, and must not wait; nil: nobody.
 	Changed func(shared.State)
+
+	wrap func(store) store // of tests: puts a slow or full disk under the engine
 }
 
 const (
 	maxAsk      = 128 << 10 // of an ask: a document's largest value, as JSON
 	maxAnswer   = 8 << 20   // of an answer: all documents, as JSON
-	maxCallers  = 1024      // connections of those that ask, at once: the largest fleet, and restarts
+	maxCallers  = 2048      // connections of those that ask, at once: the largest fleet, and restarts
 	callerIdle  = time.Minute
 	keptLogs    = 256              // entries kept behind a snapshot, for stewards that lag
 	snapshotAt  = 1024             // entries: a renewal is one, and the table is small
@@ -116,6 +118,9 @@
 		return err
 	}
 	s.disk = &disk{store: s.store, say: s.say, ending: s.ending}
+	if s.o.wrap != nil {
+		s.disk.store = s.o.wrap(s.disk.store)
+	}
 	snaps, err := raft.NewFileSnapshotStore(s.o.Dir, 2, io.Discard)
 	if err != nil {
 		return err
