Give kept answers on MySQL's front too, where nothing but the statement differs

What one wire has the other gets: the cache stood before PostgreSQL's front alone, as on MySQL's an answer depends on more than its text. A front now tells with each request what else that is (Form): nothing on PostgreSQL's, generation, charset and database on MySQL's, and no Form where the answer may not be another's: a prepared statement, whose parameters are not in its text, and a statement that did not name its class. Bare also cuts a hint comment off a statement without a comment of ours, so that two statements would have had one text; those have no Form either.

A test on both wires with a guard that keeps the first answer: given to another client as it was, and not in the cases above.

--- a/cmd/threadsail-fleet/purges.go
+++ b/cmd/threadsail-fleet/purges.go
@@ -6,10 +6,11 @@
 	"threadsail/internal/config"
 	"threadsail/internal/fleet/purge"
 	"threadsail/internal/program"
+	"threadsail/internal/program/mysqlside"
 	"threadsail/internal/program/pgside"
 )
 
-// purgePart is the purges' part, with a cache for the PostgreSQL front: on MySQL's an answer depends on more than its statement.
+// purgePart is the purges' part, with a cache of its own for each front.
 type purgePart struct {
 	*purge.Part
 	file config.PurgesPart
@@ -27,8 +28,9 @@
 
 // attach puts the cache before a front.
 func (p *purgePart) attach(f program.Front) {
-	if f.Name == "postgres" && len(p.file.Classes) > 0 {
-		f.Core.Guard(p.Cached(uint64(p.file.Answers), p.file.Classes, f.Core.ClassInfo, pgside.Kept))
+	kept := map[string]func(any) (any, int, bool){"postgres": pgside.Kept, "mysql": mysqlside.Kept}[f.Name]
+	if len(p.file.Classes) > 0 {
+		f.Core.Guard(p.Cached(uint64(p.file.Answers), p.file.Classes, f.Core.ClassInfo, kept))
 	}
 }
 
--- a/internal/fleet/purge/edge_test.go
+++ b/internal/fleet/purge/edge_test.go
@@ -323,13 +323,13 @@
 		r    routing.Request
 		want bool
 	}{
-		{routing.Request{Class: 0, Text: "SELECT 1"}, true},
-		{routing.Request{Class: 1, Text: "SELECT 1"}, false}, // bounded in age
-		{routing.Request{Class: 2, Text: "SELECT 1"}, false}, // not named
-		{routing.Request{Class: 3, Text: "SELECT 1"}, false}, // may leave something behind
-		{routing.Request{Class: 0, Text: "SELECT 1", Keyed: true}, false},
-		{routing.Request{Class: 0, Text: "SELECT 1", After: 1}, false},
-		{routing.Request{Class: 0}, false},
+		{routing.Request{Class: 0, Form: "f", Text: "SELECT 1"}, true},
+		{routing.Request{Class: 1, Form: "f", Text: "SELECT 1"}, false}, // bounded in age
+		{routing.Request{Class: 2, Form: "f", Text: "SELECT 1"}, false}, // not named
+		{routing.Request{Class: 3, Form: "f", Text: "SELECT 1"}, false}, // may leave something behind
+		{routing.Request{Class: 0, Form: "f", Text: "SELECT 1", Keyed: true}, false},
+		{routing.Request{Class: 0, Form: "f", Text: "SELECT 1", After: 1}, false},
+		{routing.Request{Class: 0, Text: "SELECT 1"}, false}, // its front says that it may not be another's
 	} {
 		if _, ok := c.cacheable(&k.r); ok != k.want {
 			t.Errorf("%+v: %v", k.r, ok)
--- a/internal/fleet/purge/guard.go
+++ b/internal/fleet/purge/guard.go
@@ -42,8 +42,8 @@
 // no bound on age, no session and no effect.
 func (c *Cached) cacheable(r *routing.Request) (answers.Key, bool) {
 	info := c.info(r.Class)
-	ok := c.classes[info.Name] && info.Need == rules.NeedAny && info.Effect == rules.Safe && !r.Keyed && r.After == 0 && r.Text != ""
-	return answers.Key{Cluster: r.Group, Class: r.Class, Statement: r.Text}, ok
+	ok := c.classes[info.Name] && info.Need == rules.NeedAny && info.Effect == rules.Safe && !r.Keyed && r.After == 0 && r.Form != ""
+	return answers.Key{Cluster: r.Group, Class: r.Class, Statement: r.Form + "\x00" + r.Text}, ok
 }
 
 // Admit is documented with routing.Guard.
--- a/internal/fleet/purge/purge_test.go
+++ b/internal/fleet/purge/purge_test.go
@@ -158,7 +158,7 @@
 	if e.end == nil {
 		return
 	}
-	r := &routing.Request{Class: 0, Group: cluster, Text: "SELECT 1"}
+	r := &routing.Request{Class: 0, Group: cluster, Form: "f", Text: "SELECT 1"}
 	cache, now := e.cache, time.Now()
 	if a := cache.Admit(0, r); a.Answer != nil {
 		e.w.got(given{now.UnixNano(), a.Answer.(int64), true, e, cluster})
--- /dev/null
+++ b/internal/program/answers_test.go
@@ -0,0 +1,154 @@
+package program_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/fleet/duty"
+	"threadsail/internal/fleet/lease"
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/program"
+	"threadsail/internal/program/admin"
+	"threadsail/internal/program/mysqlside"
+	"threadsail/internal/program/pgside"
+	"threadsail/internal/routing"
+)
+
+// keeper gives the first answer that may be another's to each later request that may have it.
+type keeper struct {
+	kept   map[string]any
+	keep   func(any) (any, int, bool)
+	passed int // requests that may have another's answer, and found none
+}
+
+func keyOf(r *routing.Request) string { return fmt.Sprint(r.Class, r.Group, r.Form, "|", r.Text) }
+
+func (k *keeper) Admit(_ time.Duration, r *routing.Request) routing.Admission {
+	if r.Form == "" {
+		return routing.Admission{}
+	}
+	if k.kept[keyOf(r)] == nil {
+		k.passed++
+	}
+	return routing.Admission{Answer: k.kept[keyOf(r)]}
+}
+
+func (k *keeper) MaySend(time.Duration, *routing.Request, string) routing.Sending {
+	return routing.Send
+}
+
+func (k *keeper) Ended(_ time.Duration, r *routing.Request, e routing.Ending) {
+	if answer, _, ok := k.keep(e.Answer); ok && r.Form != "" {
+		k.kept[keyOf(r)] = answer
+	}
+}
+
+// idleFleet is a fleet of nobody; what it is never asked for is nil.
+type idleFleet struct{ program.Fleet }
+
+func (idleFleet) Acquire(func(lease.Grant, bool, error)) {}
+func (idleFleet) Release()                               {}
+func (idleFleet) Show(duty.Word, string, string)         {}
+func (idleFleet) Figures() admin.Fleet                   { return admin.Fleet{} }
+func (idleFleet) Close()                                 {}
+
+// A kept answer is given to other clients on either wire, as the server gave it; on MySQL's not to a client that reads another
+// charset, nor for a prepared statement, nor where the statement did not name its class.
+func TestKeptAnswers(t *testing.T) {
+	for _, wire := range []string{"postgres", "mysql"} {
+		t.Run(wire, func(t *testing.T) {
+			f := standin.NewFleet(t, wire == "mysql", nil, "db1")
+			f.Servers[0].Stamp()
+			cfg, err := config.Load(f.Getenv)
+			if err != nil {
+				t.Fatal(err)
+			}
+			my, err := config.LoadMySQL(f.Getenv, cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ready, terminate, ended := make(chan program.Addrs, 1), make(chan struct{}), make(chan error, 1)
+			guard := &keeper{kept: map[string]any{}, keep: pgside.Kept}
+			if wire == "mysql" {
+				guard.keep = mysqlside.Kept
+			}
+			part := &program.FleetPart{Config: &config.Fleet{Name: "n1", Term: time.Second, Drift: 10 * time.Millisecond, Bound: time.Minute},
+				Open: func(program.FleetEvents) (program.Fleet, error) { return idleFleet{}, nil },
+				Attach: func(front program.Front) {
+					if front.Name == wire {
+						front.Core.Guard(guard)
+					}
+				}}
+			go func() {
+				ended <- program.Serve(cfg, my, zerolog.Nop(), program.Control{Terminate: terminate, Fleet: part}, func(a program.Addrs) { ready <- a })
+			}()
+			var addrs program.Addrs
+			select {
+			case addrs = <-ready:
+			case err := <-ended:
+				t.Fatal(err)
+			}
+			read := standin.Read("any", 2*time.Second)
+			other := standin.Read("any", 2*time.Second) // another request, of the same statement
+			if wire == "postgres" {
+				a, errA := standin.DialPostgres(addrs.Postgres)
+				b, errB := standin.DialPostgres(addrs.Postgres)
+				if errA != nil || errB != nil {
+					t.Fatal(errA, errB)
+				}
+				first, second := a.Do(read), b.Do(other)
+				if !first.Served() || second.Value != first.Value {
+					t.Errorf("%+v, then %+v", first, second)
+				}
+				if third := b.Do(standin.Read("view", 2*time.Second)); third.Value == first.Value {
+					t.Error("another class has the same answer")
+				}
+				if again := a.Do(standin.Read("any", 2*time.Second)); again.Value != first.Value {
+					t.Error("what one session did with it shows in the next")
+				}
+				_, _ = a.Close(), b.Close()
+			} else {
+				a, errA := standin.DialMySQL(addrs.MySQL)
+				b, errB := standin.DialMySQL(addrs.MySQL)
+				if errA != nil || errB != nil {
+					t.Fatal(errA, errB)
+				}
+				plain := func(m *standin.MySQL, text string) (value string) {
+					if err := m.QueryRow(text).Scan(&value); err != nil {
+						t.Fatal(err)
+					}
+					return value
+				}
+				first := plain(a, read)
+				if second := plain(b, other); second != first {
+					t.Errorf("%s, then %s", first, second)
+				}
+				if prepared := b.Do(standin.Read("any", 2*time.Second)); prepared.Value == first {
+					t.Error("a prepared statement has a plain one's answer")
+				}
+				const bare = "SELECT val FROM state WHERE uid = 'u1'"
+				if one, two := plain(a, bare), plain(b, bare); one == two || one == first {
+					t.Error("a statement without a class of its own has another's answer")
+				}
+				if _, err := b.Exec("SET NAMES latin2"); err != nil {
+					t.Fatal(err)
+				}
+				if latin := plain(b, standin.Read("any", 2*time.Second)); latin == first {
+					t.Error("a client of another charset has the same answer")
+				}
+				_, _ = a.Close(), b.Close()
+			}
+			close(terminate)
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+			if guard.passed == 0 {
+				t.Error("the guard was not asked")
+			}
+		})
+	}
+}
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -656,6 +656,10 @@
 	}
 	if s.f.core.Guarded() {
 		r.Text, r.Key = comment.Bare(cmd.Text), comment.QuotedKey(cmd.Text)
+		// Parameters are not in the text, and a class by default was not chosen for this statement, which may ask for anything.
+		if !cmd.Prepared && cmd.Comment != nil && cmd.Comment.Class != "" {
+			r.Form = fmt.Sprintf("%v %s", s.client, cmd.DB)
+		}
 	}
 	s.busy, s.id = true, c.ID
 	s.f.ids[c.ID] = c.ID != ""
--- /dev/null
+++ b/internal/program/mysqlside/kept.go
@@ -0,0 +1,13 @@
+package mysqlside
+
+// Kept is an answer as it may be given to other clients of the same Form, and its bytes: a result set. Not ok: an error, or an
+// answer without rows.
+func Kept(answer any) (kept any, bytes int, ok bool) {
+	raw, ok := answer.([]byte)
+	const header = 4 // of the first packet; the payload of a result set's is its number of columns
+	if !ok || len(raw) <= header || raw[header] == 0 || raw[header] >= 0xfb {
+		return nil, 0, false
+	}
+	out := append([]byte(nil), raw...)
+	return out[:len(out):len(out)], len(out), true
+}
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -361,7 +361,7 @@
 		r.Session = comment.Session(text)
 	}
 	if s.f.core.Guarded() {
-		r.Text, r.Key = comment.Bare(text), comment.QuotedKey(text)
+		r.Text, r.Key, r.Form = comment.Bare(text), comment.QuotedKey(text), "simple" // a session here has no state to set
 	}
 	s.asked = true
 	w := &slot{s: s, id: c.ID}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -37,6 +37,9 @@
 	Reply        Replier
 	// Text is the statement without its comment, and Key the quoted key that it names; "": none. Only where the core is guarded.
 	Text, Key string
+	// Form is what else an answer depends on, so that a request of equal Form, Text, Class and Group may be given the same one;
+	// empty: none may. Only where the core is guarded.
+	Form string
 	// Waited is set while a guard is asked of an attempt once more, behind the wait for its connection.
 	Waited bool
 }
