--- a/internal/fleet/peers/bus.go
+++ b/internal/fleet/peers/bus.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
 	"threadsail/internal/fleet/bus"
@@ -49,11 +50,12 @@
 
 // Members is documented with bus.Bus.
 func (b *Bus) Members() []string {
-	members := b.p.Members()
-	out := make([]string, len(members))
-	for i, m := range members {
-		out[i] = m.Name
+	nodes := b.p.nodes() // by name alone: what they tell of themselves takes longer to read than all else here
+	out := make([]string, len(nodes))
+	for i, n := range nodes {
+		out[i] = n.Name
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -44,6 +44,7 @@
 	spread float64 // of this pooler's verdicts, so that not all go back to a server at once
 
 	mu       sync.Mutex
+	fleet    []string // poolers held to be alive; only Run changes it
 	own      own
 	board    board
 	standing verdicts
@@ -130,25 +131,37 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.heard, p.heardBytes = p.heard+1, p.heardBytes+len(body)
-		p.board.take(time.Now(), from, r, life(len(g.Bus.Members())))
+		p.board.take(time.Now(), from, r, life(len(p.fleet)))
 	})
 	told := time.NewTicker(tell)
 	defer told.Stop()
+	members := time.NewTicker(again)
+	defer members.Stop()
+	p.meet(g)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-told.C:
 			p.account(g)
-		case <-time.After(max(tick, time.Duration(len(g.Bus.Members()))*time.Millisecond)):
+		case <-members.C:
+			p.meet(g)
+		case <-time.After(max(tick, time.Duration(len(p.fleet))*time.Millisecond)):
 			p.round(time.Now(), g)
 		}
 	}
 }
 
+// meet takes in who is alive. Each second is enough, and of hundreds it takes longer than to judge in a calm.
+func (p *Part) meet(g fleet.Ground) {
+	members := g.Bus.Members()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet = members
+}
+
 // round judges, tells, and gives the host the fleet's word.
 func (p *Part) round(now time.Time, g fleet.Ground) {
-	fleetOf := g.Bus.Members()
 	groups := p.host.Members()
 	p.mu.Lock()
 	report := Report{Born: p.born, At: now.UnixNano(), Room: p.room}
@@ -166,9 +179,9 @@
 	p.mu.Lock()
 	changes := p.standing.step(now, p.rules, found, p.spread)
 	tenants := p.hot.step(now, p.rules, hot, p.spread)
-	p.leave(now, g.Bus.Self(), fleetOf, groups)
+	p.leave(now, g.Bus.Self(), p.fleet, groups)
 	words, suspects := p.words(now), p.lostPrimaries(now, found, groups)
-	cast := p.say(now, report, servers, len(fleetOf))
+	cast := p.say(now, report, servers, len(p.fleet))
 	p.mu.Unlock()
 
 	for server, bad := range words {
--- a/internal/fleet/verdict/tenants.go
+++ b/internal/fleet/verdict/tenants.go
@@ -43,10 +43,10 @@
 	t.now, t.sum, t.turned = map[string]uint32{}, 0, now
 }
 
-// line is a tenant's share of the requests, in attempts as a server's line has them: what is against it is its own part.
+// line is a tenant's share of the requests beside others', in attempts as a server's line has them: what is against it is its own part.
 func (t *tenants) line(tenant string) Line {
 	all, mine := t.sum+t.sumOlder, t.now[tenant]+t.before[tenant]
-	if all < hotLeast {
+	if all < hotLeast || mine == all { // one alone is hot to nobody
 		return Line{Server: tenant}
 	}
 	against := uint32(min(float64(mine)/float64(all)*badShare/hotShare, 1) * recent)
