Let words carry what has changed, so that a change needs no fetch

A change reached a pooler by a word and then a fetch, whose spread is 5 ms a pooler: up to 1.5 s at 300, for each step of a move or an order to purge. The word now carries what has changed since the beat before, up to 4 KiB; a copy that new is brought up by the datagram alone, and the next word makes up for a lost one. A rapid property holds that the delta makes its version of every version between its two; the first form, which named what had changed and what was gone, kept a document that had come and gone between them.

--- a/internal/fleet/shared/bring.go
+++ b/internal/fleet/shared/bring.go
@@ -29,8 +29,9 @@
 // word tells that nothing newer than a version was known to a majority of the stewards at a time.
 type word struct {
 	Version uint64        `json:"version"`
-	AsOf    int64         `json:"as_of_ns"` // Unix time, of the speaker's clock
-	Age     time.Duration `json:"age_ns"`   // since then, on the speaker's monotonic clock as it spoke
+	AsOf    int64         `json:"as_of_ns"`        // Unix time, of the speaker's clock
+	Age     time.Duration `json:"age_ns"`          // since then, on the speaker's monotonic clock as it spoke
+	Delta   *delta        `json:"delta,omitempty"` // what has changed lately, if it is small
 }
 
 // heardAt is the time that a word is about, on this process's clock: the older of what the two clocks say (all machines read one,
@@ -87,13 +88,27 @@
 	go b.fetch(ctx)
 }
 
-// speak tells all what is newest, each beat and at each change, while this process's steward leads.
+// speak tells all what is newest, each beat and at each change, while this process's steward leads. What has changed since the beat
+// before goes with the words, so that a datagram that is lost is made up for by the next one.
 func (b *bringer) speak(ctx context.Context) {
+	var spoken []State // one a beat, the newest last
+	beat := time.Time{}
 	for {
 		changed := b.Copy.Changed()
 		if version, at, ok := b.Confirm(); ok {
 			b.take(word{Version: version}, at, "")
-			if text, err := json.Marshal(word{version, at.UnixNano(), time.Since(at)}); err == nil {
+			state := b.Copy.State() // of the log, though it may be newer than what is confirmed
+			w := word{Version: version, AsOf: at.UnixNano()}
+			if len(spoken) > 0 {
+				if d, ok := deltaOf(spoken[0], state); ok {
+					w.Delta = &d
+				}
+			}
+			if time.Since(beat) >= b.Beat {
+				beat, spoken = time.Now(), append(spoken[max(len(spoken)-1, 0):], state)
+			}
+			w.Age = time.Since(at)
+			if text, err := json.Marshal(w); err == nil {
 				b.Bus.Cast(topicWord, text)
 			}
 		}
@@ -113,7 +128,13 @@
 		b.Log("shared: a word that can't be read: " + err.Error())
 		return
 	}
-	b.take(w, w.heardAt(time.Now()), from)
+	at := w.heardAt(time.Now())
+	if w.Delta != nil {
+		if next, ok := w.Delta.on(b.Copy.State()); ok {
+			b.Copy.Take(next)
+		}
+	}
+	b.take(w, at, from)
 }
 
 // take notes a word, and confirms the copy by the newest there is.
--- /dev/null
+++ b/internal/fleet/shared/delta_test.go
@@ -0,0 +1,56 @@
+package shared
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"threadsail/internal/fleet/lease"
+)
+
+// Of any history of writes, the delta from one version to a later one makes that one of every version between, and is refused by
+// all others.
+func TestDelta(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var docs Docs
+		states := []State{docs.State()}
+		for i := range uint64(rapid.IntRange(1, 30).Draw(t, "writes")) {
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			w := Write{Key: key, Expect: docs.Get(key).Version, Value: []byte(rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "value"))}
+			if rapid.IntRange(0, 2).Draw(t, "delete") == 0 {
+				w.Value = nil
+			}
+			if _, err := docs.Apply(w, 2*i+2, &lease.Table{}); err != nil {
+				t.Fatal(err)
+			}
+			states = append(states, docs.State())
+		}
+		at := func(name string, from, to int) int { return rapid.IntRange(from, to).Draw(t, name) }
+		last := len(states) - 1
+		from := at("from", 0, last-1)
+		to := at("to", from+1, last)
+		d, ok := deltaOf(states[from], states[to])
+		text, err := json.Marshal(d)
+		var read delta
+		if err == nil {
+			err = json.Unmarshal(text, &read)
+		}
+		if !ok || err != nil {
+			t.Fatal(ok, err)
+		}
+		for i, s := range states {
+			got, ok := read.on(s)
+			if between := i >= from && i < to; ok != between {
+				t.Fatalf("from %d to %d, on %d: %v", from, to, i, ok)
+			}
+			if want := states[to]; ok && (got.Version != want.Version || len(got.Docs) != len(want.Docs) || len(want.Docs) > 0 && !reflect.DeepEqual(got.Docs, want.Docs)) {
+				t.Fatalf("from %d to %d, on %d: %v, want %v", from, to, i, got, want)
+			}
+		}
+	})
+	if _, ok := deltaOf(State{}, State{Version: 1, Docs: map[string]Doc{"a": {"a", 1, make([]byte, maxDelta)}}}); ok {
+		t.Error("too large for a word")
+	}
+}
