--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -468,4 +468,46 @@
 	})
 }
 
+// A set of a higher revision in the file of who deals reaches all others through the documents, and
+// the sum is within the lower limit two terms later. A lower revision changes nothing.
+func TestChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{net: bustest.New(1), register: sharedtest.New(drift), rng: rand.New(rand.NewPCG(1, 7))}
+		for i := range 5 {
+			w.nodes = append(w.nodes, &node{name: fmt.Sprint("n", i)})
+		}
+		for _, n := range w.nodes {
+			w.start(n)
+		}
+		run := func(d time.Duration) (rate float64) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				rate = 0
+				for _, n := range w.nodes {
+					n.part.Take(n.part.Limits().List[0], "k", 1)
+					rate += n.part.Figures().Rate["hot"]
+				}
+			}
+			return rate
+		}
+		if rate := run(5 * time.Second); rate < 150 || rate > 200 {
+			t.Errorf("%v a second of a limit of 200", rate)
+		}
+		lower := config.Limits{Revision: 7, List: slices.Clone(limits.List)}
+		lower.List[0].Rate = 40
+		w.deals().part.Propose(lower)
+		if rate := run(2*term + drift); rate > 40*(1+1e-9) {
+			t.Errorf("%v a second of a limit that is 40 now", rate)
+		}
+		w.nodes[1].part.Propose(limits)
+		run(term)
+		for _, n := range w.nodes {
+			if got := n.part.Limits().Revision; got != 7 {
+				t.Errorf("%s goes by revision %d", n.name, got)
+			}
+			w.kill(n)
+		}
+		w.running.Wait()
+	})
+}
+
 var _ bus.Bus = (*stalled)(nil)
