Have a pooler that ends in order take its enrolment away, so that no move waits for it

A pooler that was stopped for good left its document behind, and the next move stayed prepared until the operators struck it out: every scale-down would have needed that. At the end of its part, behind its last request, it takes back that it may write and then its document; one that is killed is waited for as before.

Tested with the doubles: one of five poolers ends in order and one is killed; the move waits for the killed one alone, and goes on once it is struck out.

--- a/internal/fleet/shardmap/part.go
+++ b/internal/fleet/shardmap/part.go
@@ -22,6 +22,9 @@
 	topicGrant = "shards/grant"
 )
 
+// leaveMost bounds how long a pooler that ends waits for the stewards to know.
+const leaveMost = 500 * time.Millisecond
+
 // Options is what the operators set.
 type Options struct {
 	Name         string        // this pooler's
@@ -203,9 +206,18 @@
 }
 
 // enrol puts this process's document in place, and again if the operators have struck it out though it runs. One that names a
-// later process stays: this one takes no more writes.
+// later process stays: this one takes no more writes. At the end it is taken away, so that no move waits for a pooler that was
+// stopped in order.
 func (p *Part) enrol(ctx context.Context, g Ground) {
 	key, first := Routers+p.opt.Name, true
+	defer func() {
+		p.router.Leave() // first: what is not waited for must not write
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(p.opt.Term/4, leaveMost))
+		defer cancel()
+		if doc, err := g.Store.Read(call, key); err == nil && string(doc.Value) == p.router.Instance {
+			_, _ = g.Store.Put(call, key, doc.Version, nil, shared.Fence{}) // else the next move waits for it, or for who comes after it
+		}
+	}()
 	for ctx.Err() == nil {
 		changed := g.View.Changed()
 		call, cancel := context.WithTimeout(ctx, p.opt.Term)
--- a/internal/fleet/shardmap/part_test.go
+++ b/internal/fleet/shardmap/part_test.go
@@ -294,6 +294,33 @@
 	}
 }
 
+// A pooler that has ended in order is not waited for, and one that was killed is, until the operators strike it out.
+func TestPoolersThatEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		defer f.stop()
+		others := f.p[:2]
+		if f.holder() < 2 {
+			others = f.p[2:4]
+		}
+		others[0].end()
+		<-others[0].ended
+		if others[0].write("b") >= 0 {
+			t.Error("it writes though no move waits for it")
+		}
+		f.kill(others[1])
+		f.order(toOne)
+		time.Sleep(5 * term)
+		if got := f.state("first"); got != Prepared {
+			t.Errorf("%s, with one dead that nobody has struck out", got)
+		}
+		opt := f.p[4].part.opt
+		opt.Orders, opt.Retired = []Order{toOne}, []string{others[1].part.router.Instance}
+		f.p[4].part.Reload(opt)
+		f.until(5*term, "done", func() bool { return f.state("first") == Done })
+	})
+}
+
 // Lost stewards stop no write of a map at rest.
 func TestLostStewards(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/shardmap/router.go
+++ b/internal/fleet/shardmap/router.go
@@ -68,6 +68,21 @@
 	r.enrolled = version
 }
 
+// Leave ends this process's part: it sends no write any more.
+func (r *Router) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leave()
+}
+
+// leave takes back that this process has enrolled: moves may pass it by from now on. The caller holds the mutex.
+func (r *Router) leave() {
+	r.enrolled = 0
+	for w := range r.writes {
+		w.lost = true
+	}
+}
+
 // Apply takes the map over from a copy of the shared documents as of a version. mine: the copy's document of this pooler names
 // this process, or the copy is older than that; if not, another process has taken its place, or the operators have struck it out.
 func (r *Router) Apply(d Document, version uint64, mine bool) {
@@ -77,10 +92,7 @@
 		return
 	}
 	if !mine && version >= r.enrolled {
-		r.enrolled = 0
-		for w := range r.writes { // a move may pass this process by before it enrols again
-			w.lost = true
-		}
+		r.leave()
 	}
 	before := r.mayWriteAnything()
 	known := map[string]bool{}
