--- a/internal/routing/spare_test.go
+++ b/internal/routing/spare_test.go
@@ -62,6 +62,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			core, b := start(t)
+			if c.want { // however late this machine is
+				set := core.opt.Settings
+				set.DrainGrace = time.Minute
+				retuned := make(chan error)
+				core.loop.Post(func() { retuned <- core.Retune(set, core.opt.MaxOpen, core.opt.ProbeTimeout) })
+				if err := <-retuned; err != nil {
+					t.Fatal(err)
+				}
+			}
 			_, first := submit(core, b, 2*time.Second)
 			if c.send > 0 {
 				time.Sleep(c.send) // between the choice and the last byte
