Never confirm a copy of a log that was lost, and give duties up before the end

Stewards whose folders are lost begin at version 1, and a copy kept on a pooler's disk is at a higher one: it took nothing of the new log, and each word of a lower version confirmed it as the newest. A copy is now confirmed by an older version only as of before it came itself; else the pooler says that its copy is of another log.

A part's duty was released by a goroutine that the end did not wait for, so that a planned restart could cost the next holder the rest of the lease. Shown: the duty is free for another as soon as the tenure has ended.

--- a/internal/fleet/ground.go
+++ b/internal/fleet/ground.go
@@ -74,11 +74,10 @@
 	}
 	shared.Bring(g.ctx, shared.Bringing{Bus: way, Copy: g.copy, Stewards: g.store, Confirm: confirm, Beat: g.o.Config.Term / 3,
 		Spread: g.o.Spread, Log: say})
-	terms := shared.Terms{Term: g.o.Config.Term, Drift: g.o.Config.Drift, Spread: g.o.Spread}
 	for _, p := range g.o.Parts {
 		g.running.Go(func() {
 			err := p.Run(g.ctx, Ground{Bus: way, View: g.copy, Store: g.store, Journal: g.events.Acted, Log: g.o.Log,
-				Stand: func(ctx context.Context, d lease.Duty) shared.Tenure { return shared.Stand(ctx, g.leases, d, terms) }})
+				Stand: g.stand})
 			if err != nil && g.ctx.Err() == nil {
 				g.events.Failed(fmt.Errorf("%T: %w", p, err))
 			}
@@ -86,6 +85,13 @@
 	}
 }
 
+// stand stands for a duty. The end waits until it is given up, so that another need not wait for the lease's end.
+func (g *ground) stand(ctx context.Context, d lease.Duty) shared.Tenure {
+	s := shared.Stand(ctx, g.leases, d, shared.Terms{Term: g.o.Config.Term, Drift: g.o.Config.Drift, Spread: g.o.Spread})
+	g.running.Go(func() { <-s.Ended() })
+	return s
+}
+
 // kept tells that the copy can't be written to the disk, or can again. The pooler goes on from memory.
 func (g *ground) kept(err error) {
 	if err != nil {
--- a/internal/fleet/shared/bring.go
+++ b/internal/fleet/shared/bring.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -72,6 +73,7 @@
 	at     time.Time
 	from   string
 	heard  time.Time // of any word
+	said   bool      // that the copy is foreign
 	came   chan struct{}
 }
 
@@ -146,7 +148,9 @@
 	}
 	w, at = b.newest, b.at
 	b.mu.Unlock()
-	b.Copy.Confirm(w.Version, at)
+	if !b.Copy.Confirm(w.Version, at) {
+		b.foreign(w)
+	}
 	if w.Version > b.Copy.Version() {
 		select {
 		case b.news <- struct{}{}:
@@ -155,6 +159,18 @@
 	}
 }
 
+// foreign says, once, that this copy is of a log that the stewards don't have any more. Clocks that differ by more than a word takes
+// can say so of a word that was overtaken; it is the word's that then counts for nothing.
+func (b *bringer) foreign(w word) {
+	b.mu.Lock()
+	said := b.said
+	b.said = true
+	b.mu.Unlock()
+	if !said {
+		b.Log(fmt.Sprintf("shared: the stewards tell of version %d, this copy is at %d already: if their log has begun anew, stop this pooler, empty shared.dir and start it", w.Version, b.Copy.Version()))
+	}
+}
+
 // wanted gives another pooler the documents, if they are newer than its own.
 func (b *bringer) wanted(from string, body []byte) {
 	var since uint64
--- a/internal/fleet/shared/copy.go
+++ b/internal/fleet/shared/copy.go
@@ -10,6 +10,7 @@
 type Copy struct {
 	mu        sync.Mutex
 	state     State
+	taken     time.Time // when state came; the zero time: it was begun with
 	confirmed time.Time
 	changed   chan struct{}
 }
@@ -26,20 +27,25 @@
 	if s.Version <= c.state.Version {
 		return false
 	}
-	c.state = s
+	c.state, c.taken = s, time.Now()
 	close(c.changed)
 	c.changed = make(chan struct{})
 	return true
 }
 
 // Confirm takes in that at a time nothing newer than a version was in the log. It confirms the copy only if that is what the
-// copy holds: one that is behind may hold anything.
-func (c *Copy) Confirm(version uint64, at time.Time) {
+// copy holds: one that is behind may hold anything. ok false: the copy held a newer version before that time already, so it is of
+// another log, which has been lost; nothing that is said of this one confirms it.
+func (c *Copy) Confirm(version uint64, at time.Time) (ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if version < c.state.Version && at.After(c.taken) {
+		return false
+	}
 	if version <= c.state.Version && at.After(c.confirmed) {
 		c.confirmed = at
 	}
+	return true
 }
 
 // State is all that the copy holds, of one version.
--- a/internal/fleet/shared/disk_test.go
+++ b/internal/fleet/shared/disk_test.go
@@ -110,6 +110,23 @@
 	})
 }
 
+// A copy of a log that was lost is not confirmed by what is said of another; a word that was overtaken by the copy says nothing of it.
+func TestForeignCopy(t *testing.T) {
+	begun := NewCopy(state(600, "old"))
+	if begun.Confirm(5, time.Now()) || !begun.Confirmed().IsZero() {
+		t.Error("a copy from the disk is confirmed by an older version")
+	}
+	c := NewCopy(State{})
+	before := time.Now()
+	c.Take(state(7, "x"))
+	if !c.Confirm(6, before) || !c.Confirmed().Equal(before) {
+		t.Error("as of a time before it came")
+	}
+	if c.Confirm(6, time.Now().Add(time.Second)) || !c.Confirm(7, time.Now()) {
+		t.Error("an older version confirms it, or its own does not")
+	}
+}
+
 // A word is as old as the older of two clocks says, whatever the clock here does.
 func TestHeardAt(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/fleet/shared/shared_test.go
+++ b/internal/fleet/shared/shared_test.go
@@ -232,7 +232,7 @@
 		r := sharedtest.New(100 * time.Millisecond)
 		c := r.Client("a")
 		ctx, end := context.WithCancel(t.Context())
-		tenure := c.Stand(ctx, "d", shared.Terms{Term: 3 * time.Second, Drift: 100 * time.Millisecond})
+		tenure := shared.Stand(ctx, c, "d", shared.Terms{Term: 3 * time.Second, Drift: 100 * time.Millisecond})
 		<-tenure.Changed()
 		token, until, ok := tenure.Token()
 		if _, err := c.Put(ctx, "p/a", 0, []byte("1"), shared.Fence{Duty: "d", Token: token}); err != nil || !ok {
@@ -248,8 +248,12 @@
 		if _, err := c.Put(ctx, "p/a", 1, []byte("1"), shared.Fence{Duty: "d", Token: token + 9}); !errors.Is(err, shared.ErrFenced) {
 			t.Error(err)
 		}
+		<-tenure.Changed()
 		end()
-		time.Sleep(time.Minute)
+		<-tenure.Ended()
+		if _, ok, err := r.Client("b").Acquire(t.Context(), "d", time.Second); !ok || err != nil {
+			t.Errorf("given up, the duty is not free at once: %v", err)
+		}
 	})
 }
 
--- a/internal/fleet/shared/tenure.go
+++ b/internal/fleet/shared/tenure.go
@@ -14,6 +14,8 @@
 	Release(ctx context.Context, d lease.Duty) error
 }
 
+var _ Tenure = (*Standing)(nil)
+
 // Terms is how a pooler stands for a duty.
 type Terms struct {
 	Term   time.Duration // of the lease
@@ -22,19 +24,20 @@
 }
 
 // Stand stands for a duty until ctx ends, and then gives it up.
-func Stand(ctx context.Context, ask Asker, d lease.Duty, t Terms) Tenure {
-	s := &standing{ask: ask, duty: d, terms: t, start: time.Now(), changed: make(chan struct{})}
+func Stand(ctx context.Context, ask Asker, d lease.Duty, t Terms) *Standing {
+	s := &Standing{ask: ask, duty: d, terms: t, start: time.Now(), changed: make(chan struct{}), ended: make(chan struct{})}
 	s.holder.Drift = t.Drift
 	go s.run(ctx)
 	return s
 }
 
-// standing is a Tenure. Its clock is monotonic, from start on.
-type standing struct {
+// Standing is a Tenure under way. Its clock is monotonic, from start on.
+type Standing struct {
 	ask   Asker
 	duty  lease.Duty
 	terms Terms
 	start time.Time
+	ended chan struct{}
 
 	mu      sync.Mutex
 	holder  lease.Holder
@@ -44,7 +47,8 @@
 }
 
 // run asks, and asks again, one ask at a time.
-func (s *standing) run(ctx context.Context) {
+func (s *Standing) run(ctx context.Context) {
+	defer close(s.ended)
 	for ctx.Err() == nil {
 		asked := time.Since(s.start)
 		call, cancel := context.WithTimeout(ctx, s.terms.Term/4) // so that a renewal can be tried twice
@@ -77,7 +81,7 @@
 // nextAsk is how long to wait: until a third of the term is over for the holder, a twelfth after a renewal that failed, as long
 // as another's lease has left and a share of half a term by the spread, so that of many the first comes soon. The caller has the
 // lock.
-func (s *standing) nextAsk(now time.Duration, g lease.Grant, err error) time.Duration {
+func (s *Standing) nextAsk(now time.Duration, g lease.Grant, err error) time.Duration {
 	spread := time.Duration(s.terms.Spread * float64(s.terms.Term) / 2)
 	switch _, acts := s.holder.MayAct(now); {
 	case acts && err != nil:
@@ -93,7 +97,7 @@
 
 // look tells whether the duty was won or lost since it was last told, and has it looked again when acting must stop. The caller
 // has the lock.
-func (s *standing) look() {
+func (s *Standing) look() {
 	now := time.Since(s.start)
 	_, acts := s.holder.MayAct(now)
 	if acts != s.acts {
@@ -115,7 +119,7 @@
 }
 
 // Token is documented with Tenure: acting ends a drift bound before the term does, counted from the asking.
-func (s *standing) Token() (token uint64, until time.Time, ok bool) {
+func (s *Standing) Token() (token uint64, until time.Time, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if token, ok = s.holder.MayAct(time.Since(s.start)); !ok {
@@ -124,8 +128,11 @@
 	return token, s.start.Add(s.holder.Until()), true
 }
 
+// Ended is closed once the duty has been given up, after ctx has ended.
+func (s *Standing) Ended() <-chan struct{} { return s.ended }
+
 // Changed is documented with Tenure.
-func (s *standing) Changed() <-chan struct{} {
+func (s *Standing) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.changed
