Have routers ask with news or three times a term, not at each change of other documents

A router looked at every change of its copy and asked each time while a move was under way. 300 poolers that enrol again at once would have asked some 90,000 times.

Tested with 300 changes of other documents within a term: three poolers send no more than their renewals and grants; without the change the test counts one ask a change and pooler.

--- a/internal/fleet/shardmap/part.go
+++ b/internal/fleet/shardmap/part.go
@@ -154,8 +154,10 @@
 	for ctx.Err() == nil {
 		changed := g.View.Changed()
 		p.apply(g)
-		if a, holder, ok := p.router.Ask(); ok {
-			p.say(ctx, g, a, holder)
+		if p.router.Due() {
+			if a, holder, ok := p.router.Ask(); ok {
+				p.say(ctx, g, a, holder)
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/shardmap/part_test.go
+++ b/internal/fleet/shardmap/part_test.go
@@ -321,6 +321,29 @@
 	})
 }
 
+// Changes of other documents, as of a fleet that starts again, make no pooler ask: it asks three times a term, and with news.
+func TestAsksAreNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		defer f.stop()
+		f.c.stop[Copy] = true
+		f.order(toOne)
+		f.until(5*term, "copying", func() bool { return f.state("first") == Copying })
+		time.Sleep(term)
+		before, _ := f.net.Said()
+		for n := range 300 {
+			if _, err := f.reg.Client("other").Put(t.Context(), fmt.Sprint("other/", n), 0, []byte("x"), shared.Fence{}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(3 * time.Millisecond)
+		}
+		after, _ := f.net.Said()
+		if n := after - before; n > 3*2*(askEvery+1) { // three poolers' asks and their grants, for a term
+			t.Errorf("%d messages in a term", n)
+		}
+	})
+}
+
 // Lost stewards stop no write of a map at rest.
 func TestLostStewards(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/shardmap/router.go
+++ b/internal/fleet/shardmap/router.go
@@ -55,6 +55,7 @@
 	enrolled uint64 // the version of this process's document; 0: it has not enrolled
 	lastID   uint64
 	asked    map[uint64]time.Time
+	said     said
 	until    time.Time            // the end of the right
 	armed    map[string]bool      // moves for which this process needs a right
 	fences   map[string]time.Time // of fenced moves: the end of the right that the writes still under way were sent by
@@ -248,6 +249,23 @@
 	return epoch
 }
 
+// said is what the last ask was made of.
+type said struct {
+	at     time.Time
+	epoch  uint64
+	known  uint64
+	holder string
+}
+
+// Due tells whether there is something to ask or say: other documents change too, and hundreds of poolers that ask at each change of
+// each other's would be a storm.
+func (r *Router) Due() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.said
+	return last.epoch != r.doc.Epoch || last.known != r.known() || last.holder != r.doc.Holder || time.Since(last.at) >= r.Term/askEvery
+}
+
 // Ask is this process's next word to the holder, and who that is; ok: there is a move under way, so there is one to say.
 func (r *Router) Ask() (a Ask, holder string, ok bool) {
 	r.mu.Lock()
@@ -260,9 +278,10 @@
 		r.asked = map[uint64]time.Time{}
 	}
 	r.lastID++
-	r.asked[r.lastID] = time.Now()
+	r.said = said{at: time.Now(), epoch: r.doc.Epoch, known: r.known(), holder: r.doc.Holder}
+	r.asked[r.lastID] = r.said.at
 	delete(r.asked, r.lastID-maxAsked)
-	return Ask{ID: r.lastID, Name: r.Name, Instance: r.Instance, Known: r.known()}, r.doc.Holder, true
+	return Ask{ID: r.lastID, Name: r.Name, Instance: r.Instance, Known: r.said.known}, r.said.holder, true
 }
 
 // Granted takes the holder's answer in. The right counts from the asking, not the answer, and ends a drift bound early, so that it
