Show what the operators' door tells of a full disk, and a failed part's end

Neither was turned by a test: the fleet's figures at the door, with PING that stays yes while a copy can't be written, and the end in order, with the part's error, where a part says that the pooler must not serve without it.

--- /dev/null
+++ b/internal/program/fleet_test.go
@@ -0,0 +1,70 @@
+package program_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/program"
+	"threadsail/internal/program/admin"
+)
+
+// fullFleet can't write its copy.
+type fullFleet struct{ idleFleet }
+
+func (fullFleet) Figures() admin.Fleet { return admin.Fleet{Version: 7, Age: -1, CopyFails: true} }
+
+// What a full disk keeps from being written is told at the operators' door, and the pooler goes on; a part without which it must
+// not serve ends it in order, with the part's error.
+func TestFleetAtTheDoor(t *testing.T) {
+	f := standin.NewFleet(t, false, nil, "db1")
+	cfg, err := config.Load(f.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Admin = "127.0.0.1:0"
+	ready, events, ended := make(chan program.Addrs, 1), make(chan program.FleetEvents, 1), make(chan error, 1)
+	part := &program.FleetPart{Config: &config.Fleet{Name: "n1", Term: time.Second, Drift: 10 * time.Millisecond, Bound: time.Minute},
+		Open: func(e program.FleetEvents) (program.Fleet, error) {
+			events <- e
+			return fullFleet{}, nil
+		}}
+	go func() {
+		ended <- program.Serve(cfg, nil, zerolog.Nop(), program.Control{Terminate: make(chan struct{}), Fleet: part}, func(a program.Addrs) { ready <- a })
+	}()
+	var addrs program.Addrs
+	select {
+	case addrs = <-ready:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	for call, wants := range map[string][]string{"PING": {"done"}, "INFO": {`disk_failing{file="copy"} 1`, `disk_failing{file="journal"} 0`, "shared_version 7"}} {
+		c, err := net.Dial("tcp", addrs.Admin)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(call + "\n"))
+		said, _ := io.ReadAll(c)
+		_ = c.Close()
+		for _, want := range wants {
+			if !strings.Contains(strings.ToLower(string(said)), want) {
+				t.Errorf("%s: %q lacks %s", call, said, want)
+			}
+		}
+		if strings.Contains(string(said), "shared_age_ms") {
+			t.Error("an age is told of a copy that was never confirmed")
+		}
+	}
+	broken := errors.New("broken")
+	(<-events).Failed(broken)
+	if err := <-ended; !errors.Is(err, broken) {
+		t.Errorf("ended with %v", err)
+	}
+}
