Stand for the duty of moves only where there is a copier

Each pooler that stands for a duty has the stewards write to their log about once a term: 300 that stand for moves are some 100 writes a second at a term of 3 s for nothing. A pooler without a copier could not take a move on anyway.

--- a/cmd/threadsail-fleet/shards.go
+++ b/cmd/threadsail-fleet/shards.go
@@ -11,19 +11,26 @@
 )
 
 // shardPart is the shard map's part, on the fleet's ground.
-type shardPart struct{ *shardmap.Part }
+type shardPart struct {
+	*shardmap.Part
+	stands bool // for the duty of moves
+}
 
 // newShards is the part that routes by key and moves ranges between clusters; nil: there is no map.
 func newShards(c *config.Fleet) *shardPart {
 	if len(c.Shards.Ranges) == 0 {
 		return nil
 	}
-	return &shardPart{shardmap.New(shardOptions(c))}
+	return &shardPart{shardmap.New(shardOptions(c)), c.Shards.Copier != ""}
 }
 
 // Run is documented with fleet.Part.
 func (p *shardPart) Run(ctx context.Context, g fleet.Ground) error {
-	return p.Part.Run(ctx, shardmap.Ground{Bus: g.Bus, View: g.View, Store: g.Store, Tenure: g.Stand(ctx, shardmap.Duty), Log: g.Log})
+	ground := shardmap.Ground{Bus: g.Bus, View: g.View, Store: g.Store, Log: g.Log}
+	if p.stands { // each that stands costs the stewards a write a term or so
+		ground.Tenure = g.Stand(ctx, shardmap.Duty)
+	}
+	return p.Part.Run(ctx, ground)
 }
 
 // attach puts the guard on a front's core.
--- a/internal/config/fleet_shards.go
+++ b/internal/config/fleet_shards.go
@@ -20,7 +20,7 @@
 // ShardsPart is the map of keys to clusters that this file proposes to the fleet; Ranges empty: there is none of it.
 type ShardsPart struct {
 	Ranges                   []ranges.Range // the first map, until the stewards have one
-	Copier                   string         // URL that acts of copying are posted to; empty: this pooler begins no move
+	Copier                   string         // URL that acts of copying are posted to; empty: this pooler takes no moves on
 	PreparedMost, FencedMost time.Duration  // as shardmap.Holder
 	Moves                    []ShardMove
 	Retired                  []string // processes that have stopped for good, as the log names them
@@ -67,7 +67,7 @@
 		{"copier", unless(p.Copier == "" || httpURL(p.Copier), "%q is no http URL", p.Copier)},
 		{"prepared_ms", bounds("prepared_ms", p.PreparedMost, 2*term, 24*time.Hour)},
 		{"fenced_ms", bounds("fenced_ms", p.FencedMost, 2*(term+drift), time.Hour)}, // less, and a lost router undoes every move
-		{"moves", unless(len(p.Moves) == 0 || len(p.Ranges) > 0 && p.Copier != "", "they need shards.ranges and shards.copier")},
+		{"moves", unless(len(p.Moves) == 0 || len(p.Ranges) > 0, "they need shards.ranges")},
 	} {
 		if check.err != nil {
 			return p, []string{"shards", check.key}, fmt.Errorf("shards.%s: %w", check.key, check.err)
--- a/internal/fleet/shardmap/office.go
+++ b/internal/fleet/shardmap/office.go
@@ -16,6 +16,9 @@
 
 // hold does the holder's work whenever the duty is here.
 func (p *Part) hold(ctx context.Context, g Ground) {
+	if g.Tenure == nil {
+		return
+	}
 	for ctx.Err() == nil {
 		changed := g.Tenure.Changed()
 		if token, _, ok := g.Tenure.Token(); ok {
@@ -150,9 +153,6 @@
 
 // obey begins the moves that the operators have ordered, and undoes those that they want no more. What is turned down is said once.
 func (p *Part) obey(ctx context.Context, g Ground, token uint64) (stepped bool, err error) {
-	if p.opt.Copier == nil {
-		return false, nil
-	}
 	d, _ := p.holder.Document()
 	for _, doc := range g.View.Under(Orders) {
 		var o Order
@@ -200,10 +200,6 @@
 // act has an act done on a goroutine of its own, as it may take long: one at a time for each move, again after a failure.
 func (p *Part) act(ctx context.Context, g Ground, s Step) {
 	name := s.Move.Name
-	if p.opt.Copier == nil { // the move was begun by a holder that had one
-		p.once("copier", func() { g.Log.Error().Str("move", name).Msg("shards: no copier is set here: the move can't go on") })
-		return
-	}
 	before := p.actedFor(s.Move)
 	if before.running || time.Now().Before(before.after) {
 		return
--- a/internal/fleet/shardmap/part.go
+++ b/internal/fleet/shardmap/part.go
@@ -35,7 +35,7 @@
 	Ranges       []Range // the first map, until the stewards have one
 	Orders       []Order
 	Retired      []string // processes that the operators know to have stopped for good, by the names that the log gives them
-	Copier       Copier   // nil: this pooler takes no move past its preparation
+	Copier       Copier   // nil: this pooler takes no moves on
 }
 
 // Ground is what the part stands on.
@@ -43,7 +43,7 @@
 	Bus    bus.Bus
 	View   shared.View
 	Store  shared.Store
-	Tenure shared.Tenure // of Duty
+	Tenure shared.Tenure // of Duty; nil: this pooler does not stand for it, as it has no copier
 	Log    zerolog.Logger
 }
 
@@ -140,6 +140,9 @@
 
 // heard is an ask that has come to this pooler as the holder.
 func (p *Part) heard(a Ask, g Ground) (Grant, bool) {
+	if g.Tenure == nil {
+		return Grant{}, false
+	}
 	_, until, ok := g.Tenure.Token()
 	if !ok {
 		return Grant{}, false
--- a/internal/lab/act.go
+++ b/internal/lab/act.go
@@ -139,7 +139,7 @@
 	case faults.Reshard:
 		r.shards.reshard(r.Scenario.Groups)
 		for _, i := range step.Poolers {
-			r.shards.into(r.peers.files[i], r.Scenario.Groups, r.Scenario.Fleet.Term)
+			r.shards.into(r.peers.files[i], i, r.Scenario.Groups, r.Scenario.Fleet.Term)
 			r.members[i].File("PROXY_FLEET", r.peers.files[i])
 		}
 		each(func(p *pooler) { p.signal(syscall.SIGHUP) })
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -98,7 +98,7 @@
 			m.Zone(i%fleet.Zones, fleet.Zones)
 		}
 		p.into(file, i)
-		sh.into(file, s.Groups, fleet.Term)
+		sh.into(file, i, s.Groups, fleet.Term)
 		n.files = append(n.files, file)
 		m.File("PROXY_FLEET", file)
 	}
--- a/internal/lab/shards.go
+++ b/internal/lab/shards.go
@@ -45,6 +45,9 @@
 	Gap        time.Duration // the longest time without a served write of the moving range
 }
 
+// movers is how many poolers stand for taking moves on.
+const movers = 6
+
 // hold bounds how long an act waits for the fault that is to meet it.
 const hold = 2 * time.Second
 
@@ -64,7 +67,7 @@
 }
 
 // into puts the map and the orders so far into a pooler's file of the fleet.
-func (s *shards) into(file map[string]any, groups int, term time.Duration) {
+func (s *shards) into(file map[string]any, pooler, groups int, term time.Duration) {
 	if s.Keys == 0 {
 		return
 	}
@@ -79,7 +82,11 @@
 		}
 		ranges = append(ranges, r)
 	}
-	file["shards"] = map[string]any{"ranges": ranges, "copier": s.rows.URL, "fenced_ms": (4 * term).Milliseconds(), "moves": s.moves}
+	part := map[string]any{"ranges": ranges, "fenced_ms": (4 * term).Milliseconds(), "moves": s.moves}
+	if pooler < movers {
+		part["copier"] = s.rows.URL
+	}
+	file["shards"] = part
 }
 
 // moving tells whether a key is of the range that moves.
