--- /dev/null
+++ b/internal/program/limits_test.go
@@ -0,0 +1,115 @@
+package program_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/program"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+// miser lets a connection be made every 40 ms, and sends every fourth attempt elsewhere. It is one front's, on its loop.
+type miser struct {
+	next  time.Duration
+	sends int
+	leave *atomic.Int64 // connections that were let, of all fronts
+}
+
+func (m *miser) Admit(time.Duration, *routing.Request) routing.Admission { return routing.Admission{} }
+func (m *miser) MaySend(_ time.Duration, r *routing.Request, _ string) routing.Sending {
+	if m.sends++; m.sends%4 == 0 && !r.Waited {
+		return routing.Elsewhere
+	}
+	return routing.Send
+}
+func (m *miser) Ended(time.Duration, *routing.Request, routing.Ending) {}
+func (m *miser) Listed(string, time.Duration)                          {}
+func (m *miser) MayDial(now time.Duration, _ string) (time.Duration, bool) {
+	if now < m.next {
+		return m.next - now, false
+	}
+	m.next = now + 40*time.Millisecond
+	m.leave.Add(1)
+	return 0, true
+}
+func (m *miser) MayProbe(time.Duration, string) bool { return true }
+
+// Under limits that bind, on every pair of wires, no connection is made without leave, every request is answered, and
+// many are served.
+func TestLimiter(t *testing.T) {
+	for _, pair := range pairs {
+		t.Run(pair.name, func(t *testing.T) {
+			t.Parallel()
+			f := standin.NewMixedFleet(t, pair.mysql, pair.speak, nil, "p", "r", "s")
+			cfg, err := config.Load(f.Getenv)
+			if err != nil {
+				t.Fatal(err)
+			}
+			my, err := config.LoadMySQL(f.Getenv, cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var leave atomic.Int64
+			part := &program.FleetPart{Config: &config.Fleet{Name: "n1", Term: time.Second, Drift: 10 * time.Millisecond, Bound: time.Minute},
+				Open:  func(program.FleetEvents) (program.Fleet, error) { return idleFleet{}, nil },
+				Limit: func(func(int) rules.Class, rules.Settings) program.Limiter { return &miser{leave: &leave} }}
+			ready, terminate, ended := make(chan program.Addrs, 1), make(chan struct{}), make(chan error, 1)
+			go func() {
+				ended <- program.Serve(cfg, my, zerolog.Nop(), program.Control{Terminate: terminate, Fleet: part}, func(a program.Addrs) { ready <- a })
+			}()
+			var addrs program.Addrs
+			select {
+			case addrs = <-ready:
+			case err := <-ended:
+				t.Fatal(err)
+			}
+			var clients sync.WaitGroup
+			var good, all atomic.Int64
+			for range 6 {
+				c := dial(t, addrs)
+				clients.Go(func() {
+					for i := range 20 {
+						text := standin.Read("any", patience)
+						if i%5 == 0 {
+							text = standin.Write("", patience)
+						}
+						r := c.Do(text)
+						if all.Add(1); r.Served() {
+							good.Add(1)
+						} else if !r.Refused && !r.Failed {
+							t.Errorf("neither served, refused nor failed: %+v", r)
+						}
+					}
+				})
+			}
+			answered := make(chan struct{})
+			go func() { clients.Wait(); close(answered) }()
+			select {
+			case <-answered:
+			case <-time.After(time.Minute):
+				t.Fatalf("%d of 120 requests are answered", all.Load())
+			}
+			close(terminate)
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+			came := 0
+			for _, s := range f.Servers {
+				came += s.Came()
+			}
+			if int64(came) > leave.Load() || came == 0 {
+				t.Errorf("%d connections came to the servers, %d were let", came, leave.Load())
+			}
+			if good.Load() < 20 {
+				t.Errorf("%d of 120 requests served", good.Load())
+			}
+		})
+	}
+}
