Turn no client out as silent while its bytes wait to be seen

Ruled out: the bound on bytes held for incomplete messages, which turned none out.

Result: TestSilentClientsGoUnlessHeardFrom fails without the change; silent clients are owed their close within 3 s as before (TestSilentClientsAreTurnedOut).

--- a/internal/program/door/door.go
+++ b/internal/program/door/door.go
@@ -14,9 +14,12 @@
 	// A client that has asked nothing sound so long after it came is turned out, and so is one whose message has begun and
 	// stays incomplete: 3 s after coming it is owed a word or a close.
 	silentFor = 2500 * time.Millisecond
-	enterFor  = 50 * time.Millisecond // under pressure: a usual client has asked by then
-	beginFor  = time.Second           // and sent the rest of a message that has begun
-	idleFor   = 2 * time.Second       // a client without an open request may be closed after this
+	// Where this machine is late, what a silent client has sent may lie there unseen, the last byte of a request among it. It
+	// stays for so many sweeps more, and no longer: one that sends byte by byte is owed its close as well.
+	spared   = 4
+	enterFor = 50 * time.Millisecond // under pressure: a usual client has asked by then
+	beginFor = time.Second           // and sent the rest of a message that has begun
+	idleFor  = 2 * time.Second       // a client without an open request may be closed after this
 	// Clients may hold a third of the descriptors. Some ask once and stay: with more than this share of the places taken,
 	// those that have been idle longest are closed, or the ones that ask next find no connection left on their side.
 	idleShare = 0.5
@@ -57,6 +60,7 @@
 	client Client
 	state  State
 	since  time.Duration // when it came, or its state began
+	spared int           // sweeps that have left it in though it has been silent for too long
 	held   int
 	place  float64 // from 0 to 1: its turn to leave
 }
@@ -104,7 +108,9 @@
 func (d *Door) sweep() {
 	now := d.loop.Now()
 	for g := range d.in {
-		if (g.state == Entering || g.state == Begun) && now-g.since >= silentFor {
+		if (g.state != Entering && g.state != Begun) || now-g.since < silentFor {
+			g.spared = 0
+		} else if g.spared++; g.spared > spared || g.client.Quiet() {
 			g.client.TurnOut()
 		}
 	}
--- a/internal/program/door/door_test.go
+++ b/internal/program/door/door_test.go
@@ -85,3 +85,31 @@
 		}
 	}
 }
+
+// A client that has been silent for too long goes at once; one whose bytes have come and were not seen yet only if that
+// lasts, so that a machine that is late loses no request.
+func TestSilentClientsGoUnlessHeardFrom(t *testing.T) {
+	d := New(routing.NewLoop(), 10, 1<<20)
+	var out []string
+	enter := func(name string, state State, unseen bool) *client {
+		c := &client{name: name, out: &out, busy: unseen}
+		c.guest = d.Enter(c)
+		c.guest.state, c.guest.since = state, d.loop.Now()-silentFor
+		return c
+	}
+	enter("silent", Begun, false)
+	enter("trickling", Begun, true)
+	late := enter("late", Begun, true)
+	enter("busy", Busy, false)
+	for range spared {
+		d.sweep()
+	}
+	if want := []string{"silent"}; !slices.Equal(out, want) {
+		t.Errorf("%v were turned out, want %v", out, want)
+	}
+	late.guest.Set(Busy, 0) // its bytes are seen
+	d.sweep()
+	if want := []string{"silent", "trickling"}; !slices.Equal(out, want) {
+		t.Errorf("%v were turned out, want %v", out, want)
+	}
+}
