Give the first map an epoch, and log each switch's ranges, for stewards that are lost

With all stewards' folders lost the operators' file is the map again, at epoch 1: a range that had moved would be back at its old home, and servers that know epochs would refuse every write to it as too old.

--- a/cmd/threadsail-fleet/shards.go
+++ b/cmd/threadsail-fleet/shards.go
@@ -45,7 +45,7 @@
 func shardOptions(c *config.Fleet) shardmap.Options {
 	file := c.Shards
 	opt := shardmap.Options{Name: c.Name, Term: c.Term, Drift: c.Drift, PreparedMost: file.PreparedMost, FencedMost: file.FencedMost,
-		Ranges: file.Ranges, Retired: file.Retired}
+		Ranges: file.Ranges, Epoch: file.Epoch, Retired: file.Retired}
 	if file.Copier != "" {
 		opt.Copier = shardmap.Hook{URL: file.Copier}
 	}
--- a/internal/config/fleet_shards.go
+++ b/internal/config/fleet_shards.go
@@ -20,6 +20,7 @@
 // ShardsPart is the map of keys to clusters that this file proposes to the fleet; Ranges empty: there is none of it.
 type ShardsPart struct {
 	Ranges                   []ranges.Range // the first map, until the stewards have one
+	Epoch                    uint64         // of that map
 	Copier                   string         // URL that acts of copying are posted to; empty: this pooler takes no moves on
 	PreparedMost, FencedMost time.Duration  // as shardmap.Holder
 	Moves                    []ShardMove
@@ -39,6 +40,7 @@
 // shardsFile is its object in the file of the fleet.
 type shardsFile struct {
 	Ranges     []ranges.Range
+	Epoch      uint64
 	Copier     string
 	PreparedMs float64 `json:"prepared_ms"`
 	FencedMs   float64 `json:"fenced_ms"`
@@ -49,7 +51,7 @@
 // part fills defaults in. An error comes with the path of the key that it is about. known tells the clusters that there are; nil:
 // nobody knows yet.
 func (f shardsFile) part(term, drift time.Duration, known func(cluster int) bool) (p ShardsPart, path []string, err error) {
-	p = ShardsPart{Ranges: f.Ranges, Copier: f.Copier, PreparedMost: or(Milliseconds(f.PreparedMs), defaultPreparedMost),
+	p = ShardsPart{Ranges: f.Ranges, Epoch: f.Epoch, Copier: f.Copier, PreparedMost: or(Milliseconds(f.PreparedMs), defaultPreparedMost),
 		FencedMost: or(Milliseconds(f.FencedMs), fencedTerms*term), Moves: f.Moves, Retired: f.Retired}
 	if known == nil {
 		known = func(cluster int) bool { return cluster >= 0 }
--- a/internal/fleet/shardmap/office.go
+++ b/internal/fleet/shardmap/office.go
@@ -97,7 +97,7 @@
 	p.holder.Take(token, d, doc.Version)
 	switch {
 	case d.Epoch == 0 && len(p.opt.Ranges) > 0:
-		err = p.put(ctx, g, token, Document{Epoch: 1, Ranges: p.opt.Ranges})
+		err = p.put(ctx, g, token, Document{Epoch: max(p.opt.Epoch, 1), Ranges: p.opt.Ranges})
 	case d.unfinished() && d.Holder != p.opt.Name:
 		err = p.put(ctx, g, token, d)
 	}
@@ -144,7 +144,11 @@
 				return false, err
 			}
 			now, _ := s.Next.Move(m.Name)
-			g.Log.Info().Str("move", m.Name).Str("state", string(now.State)).Uint64("epoch", now.Since).Str("why", now.Why).Msg("shards: a move has come further")
+			line := g.Log.Info().Str("move", m.Name).Str("state", string(now.State)).Uint64("epoch", now.Since).Str("why", now.Why)
+			if now.State == Switched {
+				line = line.Interface("ranges", s.Next.Ranges) // what the operators' file must say should the stewards' folders be lost
+			}
+			line.Msg("shards: a move has come further")
 			return true, nil
 		}
 	}
--- a/internal/fleet/shardmap/part.go
+++ b/internal/fleet/shardmap/part.go
@@ -33,6 +33,7 @@
 	PreparedMost time.Duration // as Holder.PreparedMost and FencedMost
 	FencedMost   time.Duration
 	Ranges       []Range // the first map, until the stewards have one
+	Epoch        uint64  // of that map; 0: 1. Higher where the stewards have lost a newer one, so that servers do not take it for old
 	Orders       []Order
 	Retired      []string // processes that the operators know to have stopped for good, by the names that the log gives them
 	Copier       Copier   // nil: this pooler takes no moves on
--- a/internal/fleet/shardmap/part_test.go
+++ b/internal/fleet/shardmap/part_test.go
@@ -76,7 +76,7 @@
 		view = f.reg.View()
 	}
 	p := &pooler{bus: f.net.Join(name), view: view, client: f.reg.Client(fmt.Sprintf("%s/%d", name, f.n)), ended: make(chan struct{})}
-	p.part = New(Options{Name: name, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{To: "m"}, {From: "m", Cluster: 1}}, Copier: f.c})
+	p.part = New(Options{Name: name, Epoch: 40, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{To: "m"}, {From: "m", Cluster: 1}}, Copier: f.c})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	p.end = cancel
 	ground := Ground{Bus: p.bus, View: p.view, Store: p.client, Log: zerolog.Nop(),
@@ -172,6 +172,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4)
 		defer f.stop()
+		if got := f.document().Epoch; got != 40 {
+			t.Errorf("the first map's epoch is %d, not the operators'", got)
+		}
 		f.order(toOne)
 		var fenced time.Duration
 		f.until(10*term, "the move is done", func() bool {
