--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -56,7 +56,7 @@
 const (
 	dialWait  = 0.5
 	dialLeast = 2 * time.Millisecond
-	dialMost  = 20 * time.Millisecond // leave may come sooner than was told
+	dialMost  = 40 * time.Millisecond // leave may come sooner than was told, and hundreds that ask often cost a busy machine
 )
 
 func (x *Exchange) begin(until time.Duration, waited bool, h transport.Handler, idle func(state any), fresh func()) {
