Add and remove stewards under way, by the operators' files

A steward could not be added while the group ran. A new one starts with join, and founds no set of its own; whoever leads compares the engine's configuration with the stewards that the newest counted file names, and makes one change at a time, additions first. The newest revision is kept as a document, so that a leader on an older file changes nothing back.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -82,6 +82,7 @@
 type StewardPart struct {
 	Listen string `json:"listen"`
 	Dir    string `json:"dir"`
+	Join   bool   `json:"join"` // it joins stewards that there are already
 }
 
 // FleetEnabled tells whether the file of the fleet asks for its parts, and reads nothing else of it: a pooler without those
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,12 +76,9 @@
 	c, log := o.Config, o.Log
 	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), asks: make(chan func(), queuedAsks), words: make(chan func(), queuedActs), ending: make(chan struct{}),
 		giving: make(chan struct{}, gives), log: log.With().Str("part", "fleet").Logger()}
-	f.Allow(duty.Least{Build: c.LeastBuild, Config: c.LeastConfig})
+	f.Refile(c)
 	say := func(line string) { f.log.Warn().Msg(line) }
-	var stewards []steward.Peer
-	for _, p := range c.Stewards {
-		stewards = append(stewards, steward.Peer(p))
-	}
+	stewards := stewardsOf(c)
 	var err error
 	if f.ground, err = newGround(o, f.holder, stewards, events); err != nil {
 		return nil, err
@@ -90,7 +87,7 @@
 		if err := os.MkdirAll(c.Steward.Dir, 0o700); err != nil {
 			return nil, err
 		}
-		f.steward, err = steward.Start(steward.Options{Name: c.Name, Listen: c.Steward.Listen, Dir: c.Steward.Dir, Stewards: stewards,
+		f.steward, err = steward.Start(steward.Options{Name: c.Name, Listen: c.Steward.Listen, Dir: c.Steward.Dir, Stewards: stewards, Join: c.Steward.Join, Revision: c.ConfigRevision,
 			Drift: c.Drift, Election: c.Election, Log: say, Changed: func(s shared.State) { f.ground.copy.Take(s) }})
 		if err != nil {
 			return nil, err
@@ -253,8 +250,20 @@
 	f.peers.Show(peers.Meta{Build: build, Config: config, Token: w.Token, Seq: w.Seq})
 }
 
-// Allow is documented with program.Fleet.
-func (f *Fleet) Allow(l duty.Least) { f.least.Store(&l) }
+// Refile is documented with program.Fleet.
+func (f *Fleet) Refile(c *config.Fleet) {
+	f.least.Store(&duty.Least{Build: c.LeastBuild, Config: c.LeastConfig})
+	if f.steward != nil {
+		f.steward.Reform(c.ConfigRevision, stewardsOf(c))
+	}
+}
+
+func stewardsOf(c *config.Fleet) (out []steward.Peer) {
+	for _, p := range c.Stewards {
+		out = append(out, steward.Peer(p))
+	}
+	return out
+}
 
 // Figures are documented with program.Fleet.
 func (f *Fleet) Figures() admin.Fleet {
--- a/internal/fleet/steward/layer.go
+++ b/internal/fleet/steward/layer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -11,9 +12,11 @@
 // layer is the engine's network: it dials stewards by name, at the addresses known here.
 type layer struct {
 	ln     net.Listener
-	addrs  map[raft.ServerAddress]string
 	calls  chan net.Conn
 	ending chan struct{}
+
+	mu    sync.Mutex
+	addrs map[raft.ServerAddress]string
 }
 
 func (l *layer) Accept() (net.Conn, error) {
@@ -29,7 +32,9 @@
 func (l *layer) Addr() net.Addr { return l.ln.Addr() }
 
 func (l *layer) Dial(name raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	l.mu.Lock()
 	addr, ok := l.addrs[name]
+	l.mu.Unlock()
 	if !ok {
 		return nil, fmt.Errorf("no steward is named %q", name)
 	}
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -32,6 +32,8 @@
 	Listen   string // TCP, for stewards and for those that ask
 	Dir      string // of its log and snapshots; it outlives the process
 	Stewards []Peer
+	Revision uint64        // of the file that names them: as in Steward.Reform
+	Join     bool          // it joins a set that there is already: it founds none
 	Drift    time.Duration // lease.Table.Drift
 	// Election is how long a steward hears nothing of the leader before it stands for election. The leader gives its own
 	// office up when it has reached no majority for as long.
@@ -76,6 +78,7 @@
 	mu      sync.Mutex
 	clock   lease.Clock // of this steward's office as leader; Epoch 0: none
 	callers int
+	want    set
 }
 
 // Start opens the log in Dir and takes part from then on. The first start of a set of stewards founds it; later ones go on
@@ -98,7 +101,9 @@
 		return nil, fmt.Errorf("steward: %w", err)
 	}
 	s.done.Go(s.accept)
+	s.Reform(o.Revision, o.Stewards)
 	s.done.Go(s.office)
+	s.done.Go(s.reform)
 	return s, nil
 }
 
@@ -137,7 +142,7 @@
 	}
 	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: s.layer, MaxPool: 2, Timeout: dialTimeout,
 		Logger: c.Logger})
-	if !known {
+	if !known && !s.o.Join {
 		if err := raft.BootstrapCluster(c, s.disk, s.disk, snaps, transport, members); err != nil {
 			return err
 		}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -51,7 +51,7 @@
 	Give(to string, w duty.Word, list []byte) // sends a list to one that asked
 	Report(holder string, group int)          // tells a holder that this pooler has lost a group's primary
 	Show(w duty.Word, build, config string)   // what the others see of this pooler
-	Allow(l duty.Least)                       // what it tells as the holder that the operators allow, from now on
+	Refile(c *config.Fleet)                   // takes over what can change under way: what the operators allow, and who the stewards are
 	Figures() admin.Fleet                     // Dropped and JournalFails are left to the caller
 	Close()
 }
@@ -171,10 +171,9 @@
 
 // refile takes over the fleet's file as it was read again: of its own keys, what is allowed and on which revision this pooler is.
 func (m *member) refile(fc *config.Fleet) {
-	least := duty.Least{Build: fc.LeastBuild, Config: fc.LeastConfig}
-	m.fleet.Allow(least)
+	m.fleet.Refile(fc)
 	if m.lists != nil {
-		m.lists.refile(fc.ConfigRevision, least)
+		m.lists.refile(fc.ConfigRevision, duty.Least{Build: fc.LeastBuild, Config: fc.LeastConfig})
 	}
 }
 
