--- a/cmd/threadsail-fleet/shards.go
+++ b/cmd/threadsail-fleet/shards.go
@@ -11,19 +11,26 @@
 )
 
 // shardPart is the shard map's part, on the fleet's ground.
-type shardPart struct{ *shardmap.Part }
+type shardPart struct {
+	*shardmap.Part
+	stands bool // for the duty of moves
+}
 
 // newShards is the part that routes by key and moves ranges between clusters; nil: there is no map.
 func newShards(c *config.Fleet) *shardPart {
 	if len(c.Shards.Ranges) == 0 {
 		return nil
 	}
-	return &shardPart{shardmap.New(shardOptions(c))}
+	return &shardPart{shardmap.New(shardOptions(c)), c.Shards.Copier != ""}
 }
 
 // Run is documented with fleet.Part.
 func (p *shardPart) Run(ctx context.Context, g fleet.Ground) error {
-	return p.Part.Run(ctx, shardmap.Ground{Bus: g.Bus, View: g.View, Store: g.Store, Tenure: g.Stand(ctx, shardmap.Duty), Log: g.Log})
+	ground := shardmap.Ground{Bus: g.Bus, View: g.View, Store: g.Store, Log: g.Log}
+	if p.stands { // each that stands costs the stewards a write a term or so
+		ground.Tenure = g.Stand(ctx, shardmap.Duty)
+	}
+	return p.Part.Run(ctx, ground)
 }
 
 // attach puts the guard on a front's core.
@@ -38,7 +45,7 @@
 func shardOptions(c *config.Fleet) shardmap.Options {
 	file := c.Shards
 	opt := shardmap.Options{Name: c.Name, Term: c.Term, Drift: c.Drift, PreparedMost: file.PreparedMost, FencedMost: file.FencedMost,
-		Ranges: file.Ranges, Retired: file.Retired}
+		Ranges: file.Ranges, Epoch: file.Epoch, Retired: file.Retired}
 	if file.Copier != "" {
 		opt.Copier = shardmap.Hook{URL: file.Copier}
 	}
--- a/internal/fleet/shardmap/part.go
+++ b/internal/fleet/shardmap/part.go
@@ -33,9 +33,10 @@
 	PreparedMost time.Duration // as Holder.PreparedMost and FencedMost
 	FencedMost   time.Duration
 	Ranges       []Range // the first map, until the stewards have one
+	Epoch        uint64  // of that map; 0: 1. Higher where the stewards have lost a newer one, so that servers do not take it for old
 	Orders       []Order
 	Retired      []string // processes that the operators know to have stopped for good, by the names that the log gives them
-	Copier       Copier   // nil: this pooler takes no move past its preparation
+	Copier       Copier   // nil: this pooler takes no moves on
 }
 
 // Ground is what the part stands on.
@@ -43,7 +44,7 @@
 	Bus    bus.Bus
 	View   shared.View
 	Store  shared.Store
-	Tenure shared.Tenure // of Duty
+	Tenure shared.Tenure // of Duty; nil: this pooler does not stand for it, as it has no copier
 	Log    zerolog.Logger
 }
 
@@ -140,6 +141,9 @@
 
 // heard is an ask that has come to this pooler as the holder.
 func (p *Part) heard(a Ask, g Ground) (Grant, bool) {
+	if g.Tenure == nil {
+		return Grant{}, false
+	}
 	_, until, ok := g.Tenure.Token()
 	if !ok {
 		return Grant{}, false
@@ -154,8 +158,10 @@
 	for ctx.Err() == nil {
 		changed := g.View.Changed()
 		p.apply(g)
-		if a, holder, ok := p.router.Ask(); ok {
-			p.say(ctx, g, a, holder)
+		if p.router.Due() {
+			if a, holder, ok := p.router.Ask(); ok {
+				p.say(ctx, g, a, holder)
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/shardmap/part_test.go
+++ b/internal/fleet/shardmap/part_test.go
@@ -76,7 +76,7 @@
 		view = f.reg.View()
 	}
 	p := &pooler{bus: f.net.Join(name), view: view, client: f.reg.Client(fmt.Sprintf("%s/%d", name, f.n)), ended: make(chan struct{})}
-	p.part = New(Options{Name: name, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{To: "m"}, {From: "m", Cluster: 1}}, Copier: f.c})
+	p.part = New(Options{Name: name, Epoch: 40, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{To: "m"}, {From: "m", Cluster: 1}}, Copier: f.c})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	p.end = cancel
 	ground := Ground{Bus: p.bus, View: p.view, Store: p.client, Log: zerolog.Nop(),
@@ -172,6 +172,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4)
 		defer f.stop()
+		if got := f.document().Epoch; got != 40 {
+			t.Errorf("the first map's epoch is %d, not the operators'", got)
+		}
 		f.order(toOne)
 		var fenced time.Duration
 		f.until(10*term, "the move is done", func() bool {
@@ -321,6 +324,29 @@
 	})
 }
 
+// Changes of other documents, as of a fleet that starts again, make no pooler ask: it asks three times a term, and with news.
+func TestAsksAreNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		defer f.stop()
+		f.c.stop[Copy] = true
+		f.order(toOne)
+		f.until(5*term, "copying", func() bool { return f.state("first") == Copying })
+		time.Sleep(term)
+		before, _ := f.net.Said()
+		for n := range 300 {
+			if _, err := f.reg.Client("other").Put(t.Context(), fmt.Sprint("other/", n), 0, []byte("x"), shared.Fence{}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(3 * time.Millisecond)
+		}
+		after, _ := f.net.Said()
+		if n := after - before; n > 3*2*(askEvery+1) { // three poolers' asks and their grants, for a term
+			t.Errorf("%d messages in a term", n)
+		}
+	})
+}
+
 // Lost stewards stop no write of a map at rest.
 func TestLostStewards(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
