--- a/internal/fleet/verdict/part.go
+++ b/internal/fleet/verdict/part.go
@@ -43,21 +43,21 @@
 	born   int64
 	spread float64 // of this pooler's verdicts, so that not all go back to a server at once
 
-	mu       sync.Mutex
-	fleet    []string // poolers held to be alive; only Run changes it
-	own      own
-	board    board
-	standing verdicts
-	tenants  tenants
-	hot      verdicts            // by tenant
-	left     map[string]bool     // servers that the fleet leaves
-	others   map[string][]string // of each, the members of its group that it does not leave
-	trying   map[string]bool     // of those left, the ones that this pooler is to try now
-	seq      uint64
-	told     int                  // lines in the last cast
-	next     time.Time            // not before the next one
-	given    map[string]time.Time // words given to the host, and when last
-	suspect  map[int]time.Time
+	mu         sync.Mutex
+	fleet      []string // poolers held to be alive; only Run changes it
+	own        own
+	board      board
+	standing   verdicts
+	tenants    tenants
+	hot        verdicts            // by tenant
+	left       map[string]bool     // servers that the fleet leaves
+	others     map[string][]string // of each, the members of its group that it does not leave
+	trying     map[string]bool     // of those left, the ones that this pooler is to try now
+	seq        uint64
+	complained map[string]bool      // servers that the last report complains of
+	next       time.Time            // not before the next one
+	given      map[string]time.Time // words given to the host, and when last
+	suspect    map[int]time.Time
 
 	// Reports said and heard since the log was told last, and their bytes.
 	said, saidBytes, heard, heardBytes int
@@ -181,7 +181,7 @@
 	tenants := p.hot.step(now, p.rules, hot, p.spread)
 	p.leave(now, g.Bus.Self(), p.fleet, groups)
 	words, suspects := p.words(now), p.lostPrimaries(now, found, groups)
-	cast := p.say(now, report, servers, len(p.fleet))
+	cast := p.say(now, report, servers, found, len(p.fleet))
 	p.mu.Unlock()
 
 	for server, bad := range words {
@@ -277,14 +277,26 @@
 }
 
 // say is the report that is due now, or nil. A pooler speaks while it complains, while it has evidence of a server that
-// another complains of or that is convicted, and once more to take back what it said: a calm fleet is silent.
-func (p *Part) say(now time.Time, r Report, accused map[string]bool, n int) []byte {
+// another complains of or that is convicted, as long as its side needs voices, and once more to take back a complaint: a calm
+// fleet is silent.
+func (p *Part) say(now time.Time, r Report, accused map[string]bool, found map[string]Finding, n int) []byte {
 	r.Lines = slices.DeleteFunc(r.Lines, func(l Line) bool { return !l.speaks() && !accused[l.Server] && !p.standing.bad(l.Server) })
-	if len(r.Lines)+len(r.Tenants) == 0 && p.told == 0 || now.Before(p.next) {
+	complains, due := map[string]bool{}, len(r.Tenants) > 0
+	for _, l := range r.Lines {
+		due = due || l.Lost || !p.rules.said(found[l.Server], l.complains())
+		if l.complains() {
+			complains[l.Server] = true
+		}
+	}
+	for server := range p.complained {
+		due = due || !complains[server]
+	}
+	if !due || now.Before(p.next) {
 		return nil
 	}
+	p.complained = complains
 	p.seq++
-	r.Seq, p.told = p.seq, len(r.Lines)+len(r.Tenants)
+	r.Seq = p.seq
 	text := r.encode()
 	p.said, p.saidBytes = p.said+1, p.saidBytes+len(text)
 	p.next = now.Add(time.Duration((0.75 + rand.Float64()/2) * float64(every(n))))
