--- a/internal/fleet/shardmap/office.go
+++ b/internal/fleet/shardmap/office.go
@@ -14,6 +14,9 @@
 // lookEvery is the part of a term after which a holder looks again at moves under way; words and changes have it look at once.
 const lookEvery = 20
 
+// mostTold bounds what is remembered to have been said.
+const mostTold = 1 << 10
+
 // hold does the holder's work whenever the duty is here.
 func (p *Part) hold(ctx context.Context, g Ground) {
 	if g.Tenure == nil {
@@ -184,6 +187,9 @@
 func (p *Part) once(what string, say func()) {
 	p.mu.Lock()
 	before := p.told[what]
+	if len(p.told) >= mostTold { // then some are said again
+		clear(p.told)
+	}
 	p.told[what] = true
 	p.mu.Unlock()
 	if !before {
