--- a/cmd/threadsail-fleet/verdicts_test.go
+++ b/cmd/threadsail-fleet/verdicts_test.go
@@ -16,7 +16,7 @@
 	}
 	rep, _, s := play(t, `{"poolers": 9, "servers": 4, "length_ms": 15000, "seed": 11, "clients": 0, "hot": "0-7", "hot_clients": 2, "rest_ms": 60,
 	  "writes": 0.1, "patience_ms": 1500, "roles": true, "work_ms": 8,
-	  "fleet": {"stewards": 3, "term_ms": 1200, "shared_addresses": true, "zones": 3, "verdicts": true}, "steps": [
+	  "fleet": {"stewards": 3, "term_ms": 1200, "zones": 3, "verdicts": true}, "steps": [
 		{"at_ms": 3000, "act": "err", "servers": "2", "for_ms": 6000},
 		{"at_ms": 3000, "act": "oneway", "poolers": "0", "servers": "3", "for_ms": 6000}]}`)
 	begun, ended := map[string]int{}, map[string]int{}
