--- a/internal/lab/standin/extended.go
+++ b/internal/lab/standin/extended.go
@@ -126,7 +126,7 @@
 					return
 				}
 			case 'S':
-				s.answer(c, pgwire.AppendReady(out))
+				c.Write(pgwire.AppendReady(out))
 				out = nil
 			default:
 				return
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -35,12 +35,10 @@
 	connect *routing.Timer
 	wait    *routing.Timer // for leave to dial
 	rest    *routing.Timer // of an answer that has begun
-	heard   time.Duration  // when its last bytes came
 	over    bool
 }
 
-// restOfAnswer may pass without a byte between the first bytes of an answer and its last. A server that writes in pieces, or
-// a slow link, may well take longer over the whole.
+// restOfAnswer may pass between the first bytes of an answer and its last; values are small.
 const restOfAnswer = 100 * time.Millisecond
 
 // Start takes a connection for h: an idle one, with what was put back with it, or a new one. A machine that has vanished
@@ -130,26 +128,20 @@
 	return routing.Attempt{Fits: func() bool { return true }, Sent: func() {}, Done: done}
 }
 
-// Heard tells that bytes of an answer have come: if its rest stays away, as behind a length that is too large, it is spoilt.
+// Heard tells that an answer has begun: if its rest stays away, as behind a length that is too large, it is spoilt.
 func (x *Exchange) Heard(spoilt func()) {
-	x.heard = x.servers.Loop.Now()
-	if x.rest == nil {
-		x.awaitRest(restOfAnswer, spoilt)
+	if x.rest != nil {
+		return
 	}
-}
-
-func (x *Exchange) awaitRest(d time.Duration, spoilt func()) {
-	x.rest = x.servers.Loop.After(d, func() {
-		left := x.heard + restOfAnswer - x.servers.Loop.Now()
-		switch {
-		case left > 0:
-			x.awaitRest(left, spoilt)
-		case x.Conn.Quiet():
+	var look func()
+	look = func() {
+		if x.Conn.Quiet() {
 			spoilt()
-		default: // more has come while this machine was busy, and is not taken in yet
-			x.awaitRest(restOfAnswer/4, spoilt)
+		} else { // more has come while this machine was busy, and is not taken in yet
+			x.rest = x.servers.Loop.After(restOfAnswer/4, look)
 		}
-	})
+	}
+	x.rest = x.servers.Loop.After(restOfAnswer, look)
 }
 
 // Abort closes the connection, which is how an attempt is given up.
