--- a/internal/config/fleet_shards.go
+++ b/internal/config/fleet_shards.go
@@ -20,7 +20,8 @@
 // ShardsPart is the map of keys to clusters that this file proposes to the fleet; Ranges empty: there is none of it.
 type ShardsPart struct {
 	Ranges                   []ranges.Range // the first map, until the stewards have one
-	Copier                   string         // URL that acts of copying are posted to; empty: this pooler begins no move
+	Epoch                    uint64         // of that map
+	Copier                   string         // URL that acts of copying are posted to; empty: this pooler takes no moves on
 	PreparedMost, FencedMost time.Duration  // as shardmap.Holder
 	Moves                    []ShardMove
 	Retired                  []string // processes that have stopped for good, as the log names them
@@ -39,6 +40,7 @@
 // shardsFile is its object in the file of the fleet.
 type shardsFile struct {
 	Ranges     []ranges.Range
+	Epoch      uint64
 	Copier     string
 	PreparedMs float64 `json:"prepared_ms"`
 	FencedMs   float64 `json:"fenced_ms"`
@@ -49,7 +51,7 @@
 // part fills defaults in. An error comes with the path of the key that it is about. known tells the clusters that there are; nil:
 // nobody knows yet.
 func (f shardsFile) part(term, drift time.Duration, known func(cluster int) bool) (p ShardsPart, path []string, err error) {
-	p = ShardsPart{Ranges: f.Ranges, Copier: f.Copier, PreparedMost: or(Milliseconds(f.PreparedMs), defaultPreparedMost),
+	p = ShardsPart{Ranges: f.Ranges, Epoch: f.Epoch, Copier: f.Copier, PreparedMost: or(Milliseconds(f.PreparedMs), defaultPreparedMost),
 		FencedMost: or(Milliseconds(f.FencedMs), fencedTerms*term), Moves: f.Moves, Retired: f.Retired}
 	if known == nil {
 		known = func(cluster int) bool { return cluster >= 0 }
@@ -67,7 +69,7 @@
 		{"copier", unless(p.Copier == "" || httpURL(p.Copier), "%q is no http URL", p.Copier)},
 		{"prepared_ms", bounds("prepared_ms", p.PreparedMost, 2*term, 24*time.Hour)},
 		{"fenced_ms", bounds("fenced_ms", p.FencedMost, 2*(term+drift), time.Hour)}, // less, and a lost router undoes every move
-		{"moves", unless(len(p.Moves) == 0 || len(p.Ranges) > 0 && p.Copier != "", "they need shards.ranges and shards.copier")},
+		{"moves", unless(len(p.Moves) == 0 || len(p.Ranges) > 0, "they need shards.ranges")},
 	} {
 		if check.err != nil {
 			return p, []string{"shards", check.key}, fmt.Errorf("shards.%s: %w", check.key, check.err)
--- a/internal/fleet/shardmap/office.go
+++ b/internal/fleet/shardmap/office.go
@@ -14,8 +14,14 @@
 // lookEvery is the part of a term after which a holder looks again at moves under way; words and changes have it look at once.
 const lookEvery = 20
 
+// mostTold bounds what is remembered to have been said.
+const mostTold = 1 << 10
+
 // hold does the holder's work whenever the duty is here.
 func (p *Part) hold(ctx context.Context, g Ground) {
+	if g.Tenure == nil {
+		return
+	}
 	for ctx.Err() == nil {
 		changed := g.Tenure.Changed()
 		if token, _, ok := g.Tenure.Token(); ok {
@@ -94,7 +100,7 @@
 	p.holder.Take(token, d, doc.Version)
 	switch {
 	case d.Epoch == 0 && len(p.opt.Ranges) > 0:
-		err = p.put(ctx, g, token, Document{Epoch: 1, Ranges: p.opt.Ranges})
+		err = p.put(ctx, g, token, Document{Epoch: max(p.opt.Epoch, 1), Ranges: p.opt.Ranges})
 	case d.unfinished() && d.Holder != p.opt.Name:
 		err = p.put(ctx, g, token, d)
 	}
@@ -141,7 +147,11 @@
 				return false, err
 			}
 			now, _ := s.Next.Move(m.Name)
-			g.Log.Info().Str("move", m.Name).Str("state", string(now.State)).Uint64("epoch", now.Since).Str("why", now.Why).Msg("shards: a move has come further")
+			line := g.Log.Info().Str("move", m.Name).Str("state", string(now.State)).Uint64("epoch", now.Since).Str("why", now.Why)
+			if now.State == Switched {
+				line = line.Interface("ranges", s.Next.Ranges) // what the operators' file must say should the stewards' folders be lost
+			}
+			line.Msg("shards: a move has come further")
 			return true, nil
 		}
 	}
@@ -150,9 +160,6 @@
 
 // obey begins the moves that the operators have ordered, and undoes those that they want no more. What is turned down is said once.
 func (p *Part) obey(ctx context.Context, g Ground, token uint64) (stepped bool, err error) {
-	if p.opt.Copier == nil {
-		return false, nil
-	}
 	d, _ := p.holder.Document()
 	for _, doc := range g.View.Under(Orders) {
 		var o Order
@@ -180,6 +187,9 @@
 func (p *Part) once(what string, say func()) {
 	p.mu.Lock()
 	before := p.told[what]
+	if len(p.told) >= mostTold { // then some are said again
+		clear(p.told)
+	}
 	p.told[what] = true
 	p.mu.Unlock()
 	if !before {
@@ -200,10 +210,6 @@
 // act has an act done on a goroutine of its own, as it may take long: one at a time for each move, again after a failure.
 func (p *Part) act(ctx context.Context, g Ground, s Step) {
 	name := s.Move.Name
-	if p.opt.Copier == nil { // the move was begun by a holder that had one
-		p.once("copier", func() { g.Log.Error().Str("move", name).Msg("shards: no copier is set here: the move can't go on") })
-		return
-	}
 	before := p.actedFor(s.Move)
 	if before.running || time.Now().Before(before.after) {
 		return
--- a/internal/fleet/shardmap/part.go
+++ b/internal/fleet/shardmap/part.go
@@ -22,6 +22,9 @@
 	topicGrant = "shards/grant"
 )
 
+// leaveMost bounds how long a pooler that ends waits for the stewards to know.
+const leaveMost = 500 * time.Millisecond
+
 // Options is what the operators set.
 type Options struct {
 	Name         string        // this pooler's
@@ -30,9 +33,10 @@
 	PreparedMost time.Duration // as Holder.PreparedMost and FencedMost
 	FencedMost   time.Duration
 	Ranges       []Range // the first map, until the stewards have one
+	Epoch        uint64  // of that map; 0: 1. Higher where the stewards have lost a newer one, so that servers do not take it for old
 	Orders       []Order
 	Retired      []string // processes that the operators know to have stopped for good, by the names that the log gives them
-	Copier       Copier   // nil: this pooler takes no move past its preparation
+	Copier       Copier   // nil: this pooler takes no moves on
 }
 
 // Ground is what the part stands on.
@@ -40,7 +44,7 @@
 	Bus    bus.Bus
 	View   shared.View
 	Store  shared.Store
-	Tenure shared.Tenure // of Duty
+	Tenure shared.Tenure // of Duty; nil: this pooler does not stand for it, as it has no copier
 	Log    zerolog.Logger
 }
 
@@ -137,6 +141,9 @@
 
 // heard is an ask that has come to this pooler as the holder.
 func (p *Part) heard(a Ask, g Ground) (Grant, bool) {
+	if g.Tenure == nil {
+		return Grant{}, false
+	}
 	_, until, ok := g.Tenure.Token()
 	if !ok {
 		return Grant{}, false
@@ -151,8 +158,10 @@
 	for ctx.Err() == nil {
 		changed := g.View.Changed()
 		p.apply(g)
-		if a, holder, ok := p.router.Ask(); ok {
-			p.say(ctx, g, a, holder)
+		if p.router.Due() {
+			if a, holder, ok := p.router.Ask(); ok {
+				p.say(ctx, g, a, holder)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -203,9 +212,18 @@
 }
 
 // enrol puts this process's document in place, and again if the operators have struck it out though it runs. One that names a
-// later process stays: this one takes no more writes.
+// later process stays: this one takes no more writes. At the end it is taken away, so that no move waits for a pooler that was
+// stopped in order.
 func (p *Part) enrol(ctx context.Context, g Ground) {
 	key, first := Routers+p.opt.Name, true
+	defer func() {
+		p.router.Leave() // first: what is not waited for must not write
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), min(p.opt.Term/4, leaveMost))
+		defer cancel()
+		if doc, err := g.Store.Read(call, key); err == nil && string(doc.Value) == p.router.Instance {
+			_, _ = g.Store.Put(call, key, doc.Version, nil, shared.Fence{}) // else the next move waits for it, or for who comes after it
+		}
+	}()
 	for ctx.Err() == nil {
 		changed := g.View.Changed()
 		call, cancel := context.WithTimeout(ctx, p.opt.Term)
--- a/internal/fleet/shardmap/part_test.go
+++ b/internal/fleet/shardmap/part_test.go
@@ -76,7 +76,7 @@
 		view = f.reg.View()
 	}
 	p := &pooler{bus: f.net.Join(name), view: view, client: f.reg.Client(fmt.Sprintf("%s/%d", name, f.n)), ended: make(chan struct{})}
-	p.part = New(Options{Name: name, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{To: "m"}, {From: "m", Cluster: 1}}, Copier: f.c})
+	p.part = New(Options{Name: name, Epoch: 40, Term: term, Drift: drift, PreparedMost: 20 * term, FencedMost: 5 * term, Ranges: []Range{{To: "m"}, {From: "m", Cluster: 1}}, Copier: f.c})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	p.end = cancel
 	ground := Ground{Bus: p.bus, View: p.view, Store: p.client, Log: zerolog.Nop(),
@@ -172,6 +172,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4)
 		defer f.stop()
+		if got := f.document().Epoch; got != 40 {
+			t.Errorf("the first map's epoch is %d, not the operators'", got)
+		}
 		f.order(toOne)
 		var fenced time.Duration
 		f.until(10*term, "the move is done", func() bool {
@@ -294,6 +297,56 @@
 	}
 }
 
+// A pooler that has ended in order is not waited for, and one that was killed is, until the operators strike it out.
+func TestPoolersThatEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		defer f.stop()
+		others := f.p[:2]
+		if f.holder() < 2 {
+			others = f.p[2:4]
+		}
+		others[0].end()
+		<-others[0].ended
+		if others[0].write("b") >= 0 {
+			t.Error("it writes though no move waits for it")
+		}
+		f.kill(others[1])
+		f.order(toOne)
+		time.Sleep(5 * term)
+		if got := f.state("first"); got != Prepared {
+			t.Errorf("%s, with one dead that nobody has struck out", got)
+		}
+		opt := f.p[4].part.opt
+		opt.Orders, opt.Retired = []Order{toOne}, []string{others[1].part.router.Instance}
+		f.p[4].part.Reload(opt)
+		f.until(5*term, "done", func() bool { return f.state("first") == Done })
+	})
+}
+
+// Changes of other documents, as of a fleet that starts again, make no pooler ask: it asks three times a term, and with news.
+func TestAsksAreNoStorm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		defer f.stop()
+		f.c.stop[Copy] = true
+		f.order(toOne)
+		f.until(5*term, "copying", func() bool { return f.state("first") == Copying })
+		time.Sleep(term)
+		before, _ := f.net.Said()
+		for n := range 300 {
+			if _, err := f.reg.Client("other").Put(t.Context(), fmt.Sprint("other/", n), 0, []byte("x"), shared.Fence{}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(3 * time.Millisecond)
+		}
+		after, _ := f.net.Said()
+		if n := after - before; n > 3*2*(askEvery+1) { // three poolers' asks and their grants, for a term
+			t.Errorf("%d messages in a term", n)
+		}
+	})
+}
+
 // Lost stewards stop no write of a map at rest.
 func TestLostStewards(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/shardmap/router.go
+++ b/internal/fleet/shardmap/router.go
@@ -55,6 +55,7 @@
 	enrolled uint64 // the version of this process's document; 0: it has not enrolled
 	lastID   uint64
 	asked    map[uint64]time.Time
+	said     said
 	until    time.Time            // the end of the right
 	armed    map[string]bool      // moves for which this process needs a right
 	fences   map[string]time.Time // of fenced moves: the end of the right that the writes still under way were sent by
@@ -68,6 +69,21 @@
 	r.enrolled = version
 }
 
+// Leave ends this process's part: it sends no write any more.
+func (r *Router) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leave()
+}
+
+// leave takes back that this process has enrolled: moves may pass it by from now on. The caller holds the mutex.
+func (r *Router) leave() {
+	r.enrolled = 0
+	for w := range r.writes {
+		w.lost = true
+	}
+}
+
 // Apply takes the map over from a copy of the shared documents as of a version. mine: the copy's document of this pooler names
 // this process, or the copy is older than that; if not, another process has taken its place, or the operators have struck it out.
 func (r *Router) Apply(d Document, version uint64, mine bool) {
@@ -77,10 +93,7 @@
 		return
 	}
 	if !mine && version >= r.enrolled {
-		r.enrolled = 0
-		for w := range r.writes { // a move may pass this process by before it enrols again
-			w.lost = true
-		}
+		r.leave()
 	}
 	before := r.mayWriteAnything()
 	known := map[string]bool{}
@@ -236,6 +249,23 @@
 	return epoch
 }
 
+// said is what the last ask was made of.
+type said struct {
+	at     time.Time
+	epoch  uint64
+	known  uint64
+	holder string
+}
+
+// Due tells whether there is something to ask or say: other documents change too, and hundreds of poolers that ask at each change of
+// each other's would be a storm.
+func (r *Router) Due() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.said
+	return last.epoch != r.doc.Epoch || last.known != r.known() || last.holder != r.doc.Holder || time.Since(last.at) >= r.Term/askEvery
+}
+
 // Ask is this process's next word to the holder, and who that is; ok: there is a move under way, so there is one to say.
 func (r *Router) Ask() (a Ask, holder string, ok bool) {
 	r.mu.Lock()
@@ -248,9 +278,10 @@
 		r.asked = map[uint64]time.Time{}
 	}
 	r.lastID++
-	r.asked[r.lastID] = time.Now()
+	r.said = said{at: time.Now(), epoch: r.doc.Epoch, known: r.known(), holder: r.doc.Holder}
+	r.asked[r.lastID] = r.said.at
 	delete(r.asked, r.lastID-maxAsked)
-	return Ask{ID: r.lastID, Name: r.Name, Instance: r.Instance, Known: r.known()}, r.doc.Holder, true
+	return Ask{ID: r.lastID, Name: r.Name, Instance: r.Instance, Known: r.said.known}, r.said.holder, true
 }
 
 // Granted takes the holder's answer in. The right counts from the asking, not the answer, and ends a drift bound early, so that it
