Close a listener once: its second close took another's descriptor

Seen: TestColdServerIsSpared failed once in four runs of all tests, as its folder's removal met a bad descriptor. Lines at fault: Front.Part yields and Front.End yields again, and each Listener.Close reaches netpoll's listener, which closes its descriptor's number at every call, whoever has it by then: a client's or server's connection, or a file.

Ruled out: newDirect works on a copy of its own, Inherit closes its file once.

Change: transport.Listener closes once, for both fronts. TestListenerIsClosedOnce fails without it (stat: bad file descriptor) and passes with it; the package's tests pass.

--- a/internal/transport/polled.go
+++ b/internal/transport/polled.go
@@ -272,6 +272,7 @@
 // Listener accepts connections.
 type Listener struct {
 	ln     net.Listener
+	once   sync.Once
 	events netpoll.EventLoop
 }
 
@@ -352,5 +353,6 @@
 // Addr is where it listens.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
-// Close stops listening; open connections stay.
-func (l *Listener) Close() { _ = l.ln.Close() }
+// Close stops listening; open connections stay. Called again it does nothing: netpoll's listener closes its descriptor's number
+// at each call, which may be another's by then.
+func (l *Listener) Close() { l.once.Do(func() { _ = l.ln.Close() }) }
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -380,3 +381,27 @@
 
 func (c closer) Data(time.Duration, []byte) {}
 func (c closer) Closed(error)               { c() }
+
+// A listener that is closed twice, as a pooler's is at its end, must not close what has taken its descriptor's number.
+func TestListenerIsClosedOnce(t *testing.T) {
+	ln, err := transport.Listen(routing.NewLoop(), transport.NewBudget(4), "127.0.0.1:0", func(*transport.Conn) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	var files []*os.File
+	for range 16 { // the lowest numbers that are free, its own among them
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		files = append(files, f)
+	}
+	ln.Close()
+	for _, f := range files {
+		if _, err := f.Stat(); err != nil {
+			t.Errorf("a file of the test: %v", err)
+		}
+	}
+}
