Write no repeat whose window ran out while it waited for its connection

Seen by reading: mayTry checks a keyed repeat's window as its server is chosen, but a dial may then last up to the time to connect (250 ms and more by the settings), and StillFits, which is asked before the bytes are written, looks at the drain's grace and the position alone. With a window of 2 s that costs little; with the 400 ms of a short one nearly every repeat that dials may be written behind it, where its server no longer drops it as a repeat.

Lines at fault: StillFits in rules/repeats.go. Ruled out: a first attempt (nothing may have run, so no window counts) and safe classes (no window).

Change: StillFits asks mayTry again once an attempt may have run. TestKeyedKeepsGroupAndWindow looks at it just before and at the window's end; it fails without the change.

--- a/rules/repeats.go
+++ b/rules/repeats.go
@@ -26,8 +26,8 @@
 		c.Scope == ScopeGroup && s.Group == q.risk.s.Group
 }
 
-// StillFits tells whether an attempt that had to wait for its connection may be written now: a drain's
-// grace may have passed meanwhile, or the store's proven position have become too old for the read.
+// StillFits tells whether an attempt that had to wait for its connection may be written now: a drain's grace
+// or a keyed repeat's window may be over, or the store's proven position have become too old for the read.
 func (r *Router) StillFits(now time.Duration, id uint32, attempt int) bool {
 	r.tick(now)
 	q := r.reqs[id]
@@ -35,7 +35,7 @@
 		return false
 	}
 	s := q.tries[attempt].s
-	return !r.stops(s) &&
+	return !r.stops(s) && (q.risk == nil || r.mayTry(q, s)) &&
 		(s == q.g.primary || q.c.Need == NeedWrite || q.c.Need == NeedFresh || r.fresh(q, s))
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -346,6 +346,11 @@
 		f.until(f.now + 20*ms)
 		if again := len(f.sends[2]) > 1; again != c.again {
 			t.Errorf("error after %v: sent again %v, want %v", c.after, again, c.again)
+		} else if again { // and may wait for its connection until the window is over
+			end := start + 700*ms - graceMargin
+			if f.now < end && !f.r.StillFits(end-ms, 2, 1) || f.r.StillFits(end, 2, 1) {
+				t.Errorf("error after %v: the repeat does not fit up to its window's end, or does from there on", c.after)
+			}
 		}
 		f.until(start + 2*time.Second)
 		f.wantNot("refuse 2")
