--- a/internal/fleet/shared/delta_test.go
+++ b/internal/fleet/shared/delta_test.go
@@ -54,3 +54,23 @@
 		t.Error("too large for a word")
 	}
 }
+
+// A document that has come and gone between the two versions is named by neither, and goes from a copy that has met it. A delta that
+// told only what had changed and what was gone kept it.
+func TestDeltaDropsWhatCameAndWent(t *testing.T) {
+	var docs Docs
+	states := []State{docs.State()}
+	for i, value := range [][]byte{[]byte("x"), nil} {
+		if _, err := docs.Apply(Write{Key: "b", Expect: docs.Get("b").Version, Value: value}, uint64(2*i+2), &lease.Table{}); err != nil {
+			t.Fatal(err)
+		}
+		states = append(states, docs.State())
+	}
+	d, ok := deltaOf(states[0], states[2])
+	if !ok {
+		t.Fatal("no delta")
+	}
+	if got, ok := d.on(states[1]); !ok || len(got.Docs) > 0 {
+		t.Errorf("%v, %v: want no document", got, ok)
+	}
+}
