Read lists from an answer without a length, and bound what a spoilt one costs

Cause, all in internal/protocol/discovery: head() took only chunked answers, so one with no length, which goes on to the end of its connection, gave no list at all. lists() moved the rest of the text down for each space outside a list: half a megabyte of empty lines in one piece kept the loop busy for seconds. chunk() never looked at the two bytes behind a chunk, so that one longer than its size was read as a chunk of other bytes. A list that never ends could fill 4 MB, of 16 for the whole pooler.

Change: a body without a length is read as it comes. A list counts from its last bracket on, so half of one before a break is never used, whether the break is an end or a reset (the transport tells both as the end). Text is taken off once a piece; a chunk must end where its size says; a list may take 1 MB, some 4,000 servers. Empty lines are counted, for the watch.

Without the change the cases "no length", "no length, cut", "long chunk" and "endless list" fail.

--- a/internal/protocol/discovery/discovery.go
+++ b/internal/protocol/discovery/discovery.go
@@ -1,12 +1,15 @@
-// Package discovery reads what the node list's service says: HTTP/1.1 answers, chunked, one JSON object after the other, each on a
-// line of its own or indented over many.
+// Package discovery reads what the node list's service says: HTTP/1.1 answers, chunked or not, one JSON object after the other, each
+// on a line of its own or indented over many. A list counts from its last bracket on, however the answer ends after it: where a body
+// has no length, a reset looks like its end.
 package discovery
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -17,7 +20,7 @@
 // Limits of what is taken in.
 const (
 	maxHead = 16 << 10
-	maxText = 4 << 20
+	maxText = 1 << 20 // some 4,000 servers; the least pooler has 16 MB for everything
 )
 
 // Member is one entry of the list.
@@ -98,18 +101,22 @@
 type Stream struct {
 	buf     []byte
 	headed  bool
-	left    int    // of the chunk under way, its line end included
-	text    []byte // the object under way, or the space before it
-	scanned int    // of text
+	chunked bool
+	left    int    // of the chunk under way, its line end included; no end in sight where there are none
+	text    []byte // the object under way
 	depth   int    // open brackets; 0: no object has begun
 	quoted  bool   // a string is open
 	escaped bool   // and its next byte is taken as it is
 	last    byte   // of the object under way, space left out
+	empty   int    // lines that have ended outside of lists
 }
 
 // Begun tells that a list has begun and is not whole.
 func (s *Stream) Begun() bool { return s.depth > 0 }
 
+// Empty is how many empty lines have come. One counts that ends a list's.
+func (s *Stream) Empty() int { return s.empty }
+
 // Feed takes in bytes. An error means that the watch is over.
 func (s *Stream) Feed(b []byte) ([]List, error) {
 	s.buf = append(s.buf, b...)
@@ -121,25 +128,23 @@
 			}
 			return nil, nil
 		}
-		if err := head(string(s.buf[:end])); err != nil {
+		if err := s.head(string(s.buf[:end])); err != nil {
 			return nil, err
 		}
 		s.buf, s.headed = s.buf[end+4:], true
 	}
 	var out []List
 	for {
-		more, err := s.chunk()
-		if err != nil {
-			return out, err
-		}
-		if out, err = s.lists(out); err != nil || !more {
-			return out, err
+		text, bad := s.body()
+		var err error
+		if out, err = s.lists(out, text); err != nil || bad != nil || len(s.buf) == 0 || text == nil {
+			return out, cmp.Or(err, bad)
 		}
 	}
 }
 
-// head accepts a 200 whose body is chunked.
-func head(text string) error {
+// head accepts a 200 whose body comes in chunks, or has no length and goes on to the end of the connection.
+func (s *Stream) head(text string) error {
 	lines := strings.Split(text, "\r\n")
 	status := strings.SplitN(lines[0], " ", 3)
 	if len(status) < 2 || !strings.HasPrefix(status[0], "HTTP/1.") {
@@ -148,68 +153,78 @@
 	if status[1] != "200" {
 		return fmt.Errorf("discovery: status %.8q", status[1])
 	}
+	s.left = math.MaxInt
 	for _, l := range lines[1:] {
 		name, value, _ := strings.Cut(l, ":")
-		if strings.EqualFold(name, "Transfer-Encoding") && strings.EqualFold(strings.TrimSpace(value), "chunked") {
+		switch {
+		case strings.EqualFold(name, "Transfer-Encoding") && strings.EqualFold(strings.TrimSpace(value), "chunked"):
+			s.chunked, s.left = true, 0
 			return nil
+		case strings.EqualFold(name, "Transfer-Encoding"), strings.EqualFold(name, "Content-Length"):
+			return errors.New("discovery: the answer is no stream")
 		}
 	}
-	return errors.New("discovery: the answer is not chunked")
+	return nil
 }
 
-// chunk moves bytes from the chunked form to the text under way; false: more must come first.
-func (s *Stream) chunk() (bool, error) {
+// body takes bytes of the body off what has come; none: more must come first. Those before an error still count.
+func (s *Stream) body() ([]byte, error) {
 	if s.left == 0 {
 		end := bytes.Index(s.buf, []byte("\r\n"))
 		if end < 0 {
 			if len(s.buf) > 64 {
-				return false, errors.New("discovery: a chunk has no size")
+				return nil, errors.New("discovery: a chunk has no size")
 			}
-			return false, nil
+			return nil, nil
 		}
 		size, _, _ := bytes.Cut(s.buf[:end], []byte(";"))
 		n, err := strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 31)
 		if err != nil || n > maxText {
-			return false, fmt.Errorf("discovery: chunk size %.16q", size)
+			return nil, fmt.Errorf("discovery: chunk size %.16q", size)
 		}
 		s.buf = s.buf[end+2:]
 		if n == 0 {
-			return false, errors.New("discovery: the watch has ended")
+			return nil, errors.New("discovery: the watch has ended")
 		}
 		s.left = int(n) + 2
 	}
-	if len(s.buf) == 0 {
-		return false, nil
-	}
 	n := min(len(s.buf), s.left)
-	if text := min(n, s.left-2); text > 0 { // the last two bytes end the chunk
-		s.text = append(s.text, s.buf[:text]...)
-	}
+	text := s.buf[:n]
 	s.buf = s.buf[n:]
 	s.left -= n
-	return len(s.buf) > 0, nil
+	if s.chunked { // the last two bytes end the chunk
+		if over := min(2-s.left, n); over > 0 {
+			if !strings.HasSuffix("\r\n"[:2-s.left], string(text[n-over:])) {
+				return text[:n-over], errors.New("discovery: a chunk does not end where it should")
+			}
+			text = text[:n-over]
+		}
+	}
+	return text, nil
 }
 
 // lists takes whole objects off the text. Where one ends is told by its brackets, for a line may end within it.
-func (s *Stream) lists(out []List) ([]List, error) {
-	for s.scanned < len(s.text) {
-		if err := s.scan(s.text[s.scanned]); err != nil {
+func (s *Stream) lists(out []List, text []byte) ([]List, error) {
+	from := 0 // of the object under way
+	for i, b := range text {
+		outside := s.depth == 0
+		if err := s.scan(b); err != nil {
 			return out, err
 		}
-		s.scanned++
-		if s.depth > 0 {
-			continue
-		}
-		if text := bytes.TrimSpace(s.text[:s.scanned]); len(text) > 0 {
-			l, err := ParseList(text)
+		switch {
+		case outside && s.depth == 0: // space
+			if from = i + 1; b == '\n' {
+				s.empty++
+			}
+		case s.depth == 0:
+			l, err := ParseList(append(s.text, text[from:i+1]...))
 			if err != nil {
 				return out, fmt.Errorf("discovery: %w", err)
 			}
-			out = append(out, l)
+			out, s.text, from = append(out, l), s.text[:0], i+1
 		}
-		s.text, s.scanned = append(s.text[:0], s.text[s.scanned:]...), 0
 	}
-	if s.scanned > maxText {
+	if s.text = append(s.text, text[from:]...); len(s.text) > maxText {
 		return out, errors.New("discovery: a list is too long")
 	}
 	return out, nil
--- a/internal/protocol/discovery/discovery_test.go
+++ b/internal/protocol/discovery/discovery_test.go
@@ -40,6 +40,9 @@
 
 const okHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+// openHead is that of an answer whose body ends with its connection.
+const openHead = "HTTP/1.1 200 OK\r\n\r\n"
+
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // indented is a list as services with a taste for it write them.
@@ -79,6 +82,12 @@
 		"not http":        {in: "hello\r\n\r\n", bad: true},
 		"bad chunk size":  {in: okHead + "zz\r\n", bad: true},
 		"huge chunk size": {in: okHead + "7fffffff\r\n", bad: true},
+		"no length":       {in: openHead + full + "\n" + indented(drain), want: []List{one, two}},
+		"no length, cut":  {in: openHead + full + drain[:len(drain)-3], want: []List{one}}, // what follows looks like its end, or is a reset
+		"other encoding":  {in: "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n" + full, bad: true},
+		"long chunk":      {in: okHead + fmt.Sprintf("%x\r\n%s..", len(full), full) + chunk(drain), want: []List{one}, bad: true},
+		"endless list":    {in: openHead + full + `{"revision":` + strings.Repeat(" ", maxText), want: []List{one}, bad: true},
+		"endless head":    {in: okHead[:len(okHead)-2] + "X: " + strings.Repeat("x", maxHead), bad: true},
 		"bad list":        {in: okHead + chunk("{]\n"), bad: true},
 	} {
 		whole := &Stream{}
@@ -103,13 +112,22 @@
 func FuzzStream(f *testing.F) {
 	f.Add([]byte(okHead+chunk(line(41, true, "Ready"))), 7)
 	f.Add([]byte(okHead+chunk(indented(line(41, true, "Ready")))), 99)
+	f.Add([]byte(openHead+indented(line(41, true, "Ready"))+"\n\n"+line(42, false, "Gone")[:50]), 60)
+	f.Add([]byte(okHead+"3;x\r\n\n\n\n\r\n0\r\n\r\n"), 50)
 	f.Fuzz(func(t *testing.T, b []byte, cut int) {
-		s := &Stream{}
 		if cut < 0 || cut > len(b) {
 			cut = len(b)
 		}
-		if _, err := s.Feed(b[:cut]); err == nil {
-			_, _ = s.Feed(b[cut:])
+		whole, parts := &Stream{}, &Stream{}
+		want, bad := whole.Feed(b)
+		got, err := parts.Feed(b[:cut])
+		if err == nil {
+			var rest []List
+			rest, err = parts.Feed(b[cut:])
+			got = append(got, rest...)
+		}
+		if d := cmp.Diff(want, got); d != "" || (bad != nil) != (err != nil) || bad == nil && whole.Empty() != parts.Empty() {
+			t.Errorf("cut at %d: %v, %v %s", cut, err, bad, d)
 		}
 	})
 }
