Call the list service again in time after whatever befell a call

Cause: a change counts as told 6 s after discovery has it and can be reached, whether it arrived or not. watcher.failed handed every call that was turned down, reset, refused or without a descriptor to the module (rules/list.go), which waited askSpan, 80 ms a pooler up to mustAskInMs: 5 to 10 s in a fleet of 300, and up to 4 s in small ones. A pooler's first call came up to 5 s after its start. watcher.Data took any byte outside a list for a sign of life, so a head, a chunk's size or empty lines that trickle kept a call alive for good while its list was owed. The watch drew on the servers' descriptors (transport.ErrBudget), which idle connections fill and which it, unlike a request, sheds none of. A move of discovery had all poolers call at the same instant.

Change: the module asks again within 1.5 s, 0.5 s in fleets under seven, and for the first time within 3 s, dealt by the pooler's number so that any part of a fleet is spread over all of it; a move goes through it too. Only a whole list is a sign of life where none is known, and an empty line where one is. The watch has two descriptors of its own. watch.go holds the sums, which the compiler checks: 5.5 s at most, half a second of it spare. What is heard more than 6 s after the last that was surely known counts as told 6 s after that, unless a dial has shown meanwhile that nobody could be reached.

Ruled out: telling a crowd's 503 from that of a service that is down; both come after up to 2 s, so both are held to the bound.

Tests: TestChangesAreHeardInTime plays 17 kinds of outage, 120 each, on a controlled clock over fleets of 1 to 300, asked and pushed, with and without a move.

--- a/internal/program/lists.go
+++ b/internal/program/lists.go
@@ -16,7 +16,6 @@
 	"threadsail/internal/protocol/inventory"
 	"threadsail/internal/routes"
 	"threadsail/internal/routing"
-	"threadsail/internal/transport"
 	"threadsail/internal/watchfile"
 	"threadsail/rules"
 )
@@ -66,6 +65,9 @@
 			w.open()
 			return nil
 		}
+		if !w.pushed {
+			w.heard = w.loop.Now() // asked lists bind a process some time after its start
+		}
 		var known []routing.Member
 		if s.watcher.addr == cfg.Discovery { // another service's servers are not those that the configuration knows
 			known = members(cfg.Known, s.watcher.zones)
@@ -80,10 +82,10 @@
 	return s.keeper.begin(cfg.Lists, core)
 }
 
-// descriptors is how many it holds that are no sockets.
+// descriptors is how many it holds: neither clients nor servers can take them.
 func descriptors(src config.ListSource) int {
 	if src.File == "" {
-		return 0
+		return watchDescriptors
 	}
 	return watchfile.Descriptors
 }
@@ -111,10 +113,9 @@
 	}
 }
 
-func newSource(cfg *config.Config, src config.ListSource, w wire, table *routes.Table, loop *routing.Loop, budget *transport.Budget,
-	log zerolog.Logger) *source {
+func newSource(cfg *config.Config, src config.ListSource, w wire, table *routes.Table, loop *routing.Loop, log zerolog.Logger) *source {
 	if src.File == "" {
-		return &source{watcher: &watcher{loop: loop, budget: budget, addr: src.Discovery, log: said(log), zones: zones(cfg),
+		return &source{watcher: &watcher{loop: loop, dial: dialler(loop), addr: src.Discovery, log: said(log), zones: zones(cfg),
 			pushed: !cfg.Settings.Asks}}
 	}
 	return &source{keeper: &keeper{wire: w, path: src.File, rooms: cfg.Zones, zones: zones(cfg), routes: table, log: log, loop: loop, counts: admin.List{Front: w.name},
--- a/internal/program/push.go
+++ b/internal/program/push.go
@@ -26,21 +26,15 @@
 )
 
 // told is since when what has come at a time may count as told. On a watch that has caught up that is when it came; what an
-// agent tells first it may have had since the last word before, and what a watch missed that fell silent counts after a time.
+// agent tells first it may have had since the last word before, and what was missed of a list service counts after a time.
 func (w *watcher) told(at time.Duration) time.Duration {
-	if w.spoke == 0 {
-		w.spoke = at
-	}
-	w.fresh = w.fresh || at >= w.spoke+caughtUp
 	switch {
 	case w.fresh:
 		return at
 	case w.pushed:
 		return w.heard
-	case w.lost:
-		return min(at, w.heard+missedAfter)
 	}
-	return at
+	return min(at, w.heard+missedAfter)
 }
 
 // firstWord is how long a call may stay silent. An agent answers at once, and may not write to a call that it has kept silent
@@ -89,7 +83,7 @@
 // fetchList asks a list service for the whole list and waits for it.
 func fetchList(addr string, within time.Duration) (discovery.List, error) {
 	until := time.Now().Add(within)
-	c, err := net.DialTimeout("tcp", addr, within)
+	c, err := (&net.Dialer{Deadline: until}).Dial("tcp", addr)
 	if err != nil {
 		return discovery.List{}, err
 	}
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -267,7 +267,7 @@
 	var backend routing.Backend = own
 	table := routes.NewTable(routes.Postgres)
 	fit := func(string, int) error { return nil }
-	src := newSource(cfg, postgresSource(cfg), postgresWire, table, loop, budget, log)
+	src := newSource(cfg, postgresSource(cfg), postgresWire, table, loop, log)
 	dialled := []*exchange.Servers{&own.Servers}
 	if src.keeper != nil { // only a file can name servers of the other wire
 		my := cfg.Lists.MySQLServers
@@ -334,7 +334,7 @@
 	other := &crossside.Backend{Servers: servers(), User: my.Postgres.User, Password: my.Postgres.Password, Database: my.Postgres.Database, Heartbeat: my.Postgres.Heartbeat,
 		Log: own.Log}
 	backend := &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.MySQL: own, routes.Postgres: other}}
-	src := newSource(cfg, mysqlSource(cfg, my), mysqlWire, table, loop, budget, log)
+	src := newSource(cfg, mysqlSource(cfg, my), mysqlWire, table, loop, log)
 	core, err := routing.New(loop, backend, routing.Options{Settings: src.settings(probed(cfg.Settings)), Seed: cfg.Seed + 1,
 		MaxOpen: cfg.MaxOpen, ProbeTimeout: my.ProbeTimeout, Watch: src.watch, Log: own.Log})
 	if err != nil {
--- a/internal/program/watch.go
+++ b/internal/program/watch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"syscall"
 	"time"
 
 	"threadsail/internal/protocol/discovery"
@@ -12,23 +13,57 @@
 	"threadsail/rules"
 )
 
-// While a watch lives a line comes at least every 2 s, and a call is answered or turned down within 2 s of waiting for its
-// turn. What a watch that has fallen silent misses counts as told 6 s later: it is given up after 2.5 s, the next call begins
-// within 1 s and is answered within 2 s, half a second before.
+// What discovery lists counts as told 6 s after it could have been heard. Whatever it was at, a pooler has called anew and has
+// its answer half a second before, so long as discovery can be reached:
+//
+//	a watch or a call fell silent    2.5 s to notice, 1 s to the next call,   2 s to its answer   5.5 s
+//	a call waited its turn in vain   2 s at most,     1.5 s to the next call, 2 s to its answer   5.5 s
+//	a dial did not come up           1 s,             1.5 s to the next call, 2 s to its answer   4.5 s
+//	a watch broke off, or a call was refused or given rubbish, or moved       1.5 s, then 2 s     3.5 s
+//	the process has just started                      3 s to the first call,  2 s to its answer   5 s
+//
+// A line comes every 2 s on a watch, and a call is answered or turned down within 2 s of waiting for its turn. The waits before
+// calls are as long as that allows: whoever was cut off was so with others, and hundreds that call at once turn each other away.
 const (
 	watchDial    = time.Second
 	watchSilence = 2500 * time.Millisecond
-	watchAgain   = time.Second
+	watchAgain   = time.Second // and rules.AskAgain, rules.AskFirst
+	watchTurn    = 2 * time.Second
 	missedAfter  = 6 * time.Second
+	missedSpare  = 500 * time.Millisecond // for the dial, and a machine that is busy
+
+	// None may be below 0.
+	_ = uint64(missedAfter - missedSpare - (watchSilence + watchAgain + watchTurn))
+	_ = uint64(missedAfter - missedSpare - (watchTurn + rules.AskAgain + watchTurn))
+	_ = uint64(missedAfter - missedSpare - (watchDial + rules.AskAgain + watchTurn))
+	_ = uint64(missedAfter - missedSpare - (rules.AskFirst + watchTurn))
 )
 
+// watchDescriptors is what a watch may hold: its connection, and the one that it has just left or given up to dial.
+const watchDescriptors = 2
+
 var errSilent = errors.New("discovery: silent for too long")
 
-// watcher keeps the one watch on the list service. A watch that ends is reported to the module, which asks again
-// with backoff.
+// connection is what a watch needs of a transport.Conn.
+type connection interface {
+	SetHandler(transport.Handler)
+	Write([]byte)
+	Close()
+}
+
+// dialler has descriptors of its own for a watch: the servers' may all be taken when a list would tell of others.
+func dialler(loop *routing.Loop) func(string, func(connection, error)) func() {
+	budget := transport.NewBudget(watchDescriptors)
+	return func(addr string, done func(connection, error)) func() {
+		return transport.Dial(loop, budget, addr, watchDial, func(c *transport.Conn, err error) { done(c, err) })
+	}
+}
+
+// watcher keeps the one watch on the list service. A watch that ends is reported to the module, which asks again after a
+// while.
 type watcher struct {
 	loop   *routing.Loop
-	budget *transport.Budget
+	dial   func(addr string, done func(connection, error)) (cancel func())
 	addr   string
 	zones  map[string]int
 	log    func(string)
@@ -39,12 +74,11 @@
 	wait   time.Duration // until the next call of an agent, after another that fails
 	spoke  time.Duration // when the watch under way said its first word; 0: not yet
 	fresh  bool          // it has told a list, or had none to tell
-	lost   bool          // the last watch fell silent, and no other has caught up since
 	allow  time.Duration // for the first word of a call
-	// heard is when the last word came, or when a watch ended that had told everything until then.
+	// heard is until when all that was listed is known here: the last word, or the end of a watch that had told everything until
+	// then. Later than that nothing could be heard where a dial was refused or did not come up.
 	heard  time.Duration
 	stop   func() // ends the watch under way; nil: there is none
-	c      *transport.Conn
 	stream *discovery.Stream
 	silent *routing.Timer
 	duty   *listDuty // decides when to call, with the fleet; nil: whenever the module asks
@@ -63,12 +97,15 @@
 	if w.stop != nil {
 		return
 	}
-	cancel := transport.Dial(w.loop, w.budget, w.addr, watchDial, func(c *transport.Conn, err error) {
+	cancel := w.dial(w.addr, func(c connection, err error) {
 		if err != nil {
+			if !w.pushed && unreachable(err) {
+				w.heard = w.loop.Now()
+			}
 			w.failed(err)
 			return
 		}
-		w.c, w.stream, w.fresh = c, &discovery.Stream{}, false
+		w.stream, w.fresh = &discovery.Stream{}, false
 		w.spoke = 0
 		w.stop = c.Close
 		c.SetHandler(w)
@@ -85,11 +122,14 @@
 	if addr == w.addr {
 		return
 	}
-	open := w.stop != nil || w.duty == nil // else the holder's word tells what the new one lists
+	open := w.stop != nil
 	w.ended()
 	w.shut()
-	w.addr, w.since = addr, 0
-	if open {
+	w.addr, w.since, w.allow = addr, 0, 0
+	switch {
+	case w.duty == nil && !w.pushed: // all are told to move at once
+		w.list(rules.ListFailed, nil, w.loop.Now())
+	case open || w.duty == nil: // else the holder's word tells what the new one lists
 		w.open()
 	}
 }
@@ -116,12 +156,10 @@
 	w.failed(err)
 }
 
-// broken tells that a watch is to be opened anew at once, spread a little, as others may have been cut off with it: it fell
-// silent, or did so before and the service can't be reached. A call that is turned down is the module's to repeat, for each
-// costs the service a turn; one that never reached it does not.
-func broken(err error, before bool) bool {
+// unreachable tells whether an error of a dial proves that nobody could be reached.
+func unreachable(err error) bool {
 	var e net.Error
-	return err == errSilent || before && errors.As(err, &e) && e.Timeout()
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &e) && e.Timeout()
 }
 
 func (w *watcher) failed(err error) {
@@ -134,7 +172,7 @@
 		w.callAgain()
 		return
 	}
-	if w.lost = w.duty == nil && broken(err, w.lost); w.lost {
+	if err == errSilent && w.duty == nil { // noticed late: less time is left than the module takes
 		w.again = w.loop.After(rand.N(watchAgain), w.open)
 		return
 	}
@@ -145,11 +183,20 @@
 }
 
 func (w *watcher) Data(at time.Duration, b []byte) {
+	begun, empty := w.stream.Begun(), w.stream.Empty()
 	lists, err := w.stream.Feed(b)
-	told := w.told(at)
-	if len(lists) > 0 || !w.stream.Begun() { // a list that has begun is owed whole
+	if w.spoke == 0 {
+		w.spoke = at
 		w.hear(watchSilence)
 	}
+	// Only what is whole is a sign of life: a list that has begun is owed, and a whole list is where none is known. An empty line
+	// tells that nothing is.
+	word := len(lists) > 0 || w.stream.Empty() > empty && (w.since > 0 || w.fresh)
+	if word {
+		w.hear(watchSilence)
+	}
+	w.fresh = w.fresh || word && !begun && at >= w.spoke+caughtUp
+	told := w.told(at)
 	for _, l := range lists {
 		kind := rules.ListDelta
 		if l.Complete {
@@ -163,7 +210,7 @@
 		}
 	}
 	if w.fresh {
-		w.heard, w.lost, w.allow = at, false, 0
+		w.heard, w.allow = at, 0
 	}
 	if err != nil {
 		if len(lists) == 0 {
--- a/rules/list.go
+++ b/rules/list.go
@@ -5,17 +5,16 @@
 // The list: who is a member, who drains, and when the list is asked for.
 
 const (
-	askAgainFirst = 500 * ms
-	askAgainMost  = 4 * time.Second
-	listGap       = 80 * ms // between two fronts' calls: a list service bore some ten a second from 80
+	AskAgain = 1500 * ms       // at most from a failed call to the next: what is listed counts as told 6 s later
+	AskFirst = 3 * time.Second // and from a start to the first call
+	listGap  = 80 * ms         // between two fronts' first calls: a list service bore some ten a second from 80
 )
 
 // List takes in what discovery says.
 func (r *Router) List(now time.Duration, kind ListKind, entries []Member) {
 	r.tick(now)
-	if kind == ListFailed { // keep the old list and ask again, ever later, but within the time allowed
-		r.askIn(r.spread(max(r.askWait, r.askSpan)))
-		r.askWait = min(2*r.askWait, r.askMost)
+	if kind == ListFailed { // keep the old list and ask again
+		r.askIn(r.spread(r.askMost))
 		return
 	}
 	seen := map[uint32]bool{}
@@ -31,9 +30,7 @@
 		}
 	}
 	if kind == ListCached {
-		r.askIn(r.askSpan - r.spread(r.askSpan))
-	} else {
-		r.askWait = askAgainFirst
+		r.askIn(r.dealt(r.askSpan))
 	}
 }
 
--- a/rules/state.go
+++ b/rules/state.go
@@ -196,15 +196,14 @@
 	least   float64 // least window of a store
 	untold  bool    // answers to reads do not tell positions
 	pingGap time.Duration
-	askSpan time.Duration // over which the fronts of a large fleet spread their calls of the list service
+	askSpan time.Duration // over which the fronts of a large fleet spread their first calls of the list service
 	forAll  bool          // this front repeats rounds for the whole fleet
 	large   bool          // the fleet is too large to ping every 100 ms
 	usual   []usual       // per class
 	slow    float64       // as a store's, of all together
 	fails   float64       // share of recent attempts failing at all stores
 	retry   float64
-	askWait time.Duration // to the next call of the list service, and the most that becomes
-	askMost time.Duration
+	askMost time.Duration // from a failed call of the list service to the next
 	asking  bool
 	kept    map[uint64]time.Duration // remembered tokens, newest generation
 	keptOld map[uint64]time.Duration
@@ -223,7 +222,7 @@
 		return nil, err
 	}
 	r := &Router{act: act, rng: seed, stores: map[uint32]*store{}, groups: map[int]*group{},
-		reqs: map[uint32]*request{}, kept: map[uint64]time.Duration{}, retry: retryBurst, askWait: askAgainFirst, slow: 1}
+		reqs: map[uint32]*request{}, kept: map[uint64]time.Duration{}, retry: retryBurst, slow: 1}
 	r.tune(set)
 	return r, nil
 }
@@ -254,16 +253,14 @@
 		g.dealtOf = nil
 	}
 	r.least = min(windowLeast/float64(set.Balancers), 1)
-	if r.askMost = askAgainMost; set.MustAsk > 0 {
+	r.askMost = min(max(listGap*time.Duration(set.Balancers), AskAgain/3), AskAgain)
+	if set.MustAsk > 0 {
 		r.askMost = min(r.askMost, set.MustAsk/2)
 	}
 	r.pingGap, r.large = pingEvery, set.Balancers > smallFleet
-	if r.large {
+	if r.askSpan = 0; r.large {
 		r.pingGap *= time.Duration(set.Balancers)
-		r.askSpan = listGap * time.Duration(set.Balancers)
-		if set.MustAsk > 0 {
-			r.askSpan = min(r.askSpan, set.MustAsk)
-		}
+		r.askSpan = min(listGap*time.Duration(set.Balancers), AskFirst)
 	}
 	for i := len(old); i < len(set.Classes); i++ {
 		c, guess := &set.Classes[i], set.Classes[i].Aim/baseGuess
@@ -613,6 +610,11 @@
 	return d
 }
 
+// dealt is the part of a wait that falls to this front: whichever start together, they are spread over all of it.
+func (r *Router) dealt(d time.Duration) time.Duration {
+	return time.Duration(math.Mod(float64(r.set.Me)*(math.Phi-1), 1) * float64(d))
+}
+
 // random is the next number of the instance's seed, from 0 to 1.
 func (r *Router) random() float64 {
 	r.rng = r.rng*6364136223846793005 + 1442695040888963407
