Have a retune act on what the old settings had counted, put off or not begun

Seen by reading, each shown by a case of TestRetuneActsAtOnce that fails without the change: a front that is retuned went on with what the old settings had left behind.

Change: Retune puts these right. pingIn replaces a ping that is due (mechanics of timers, no decision). Tests of the package pass, five times with -race; behaviour without a retune is the same, but for ping times, which are equal.

--- a/rules/primary.go
+++ b/rules/primary.go
@@ -20,7 +20,7 @@
 		if !r.large || r.now >= g.primary.claimAt+r.pingGap {
 			r.probe(g.primary, "ping")
 		}
-		r.after(r.pingGap, func() { r.ping(g) })
+		r.pingIn(g, r.pingGap)
 	}
 }
 
@@ -38,8 +38,7 @@
 	g.primary, g.dark, g.left, g.leftUntil = s, false, false, 0
 	r.act.Primary(News{Kind: PrimaryFound, Group: g.id, Store: s.Store, AsOf: asOf})
 	if !g.pinging {
-		g.pinging = true
-		r.after(resumeAfter, func() { r.ping(g) })
+		r.pingIn(g, resumeAfter)
 	}
 	r.pump(g)
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -948,3 +948,79 @@
 		t.Error("settings that take a class's number away pass")
 	}
 }
+
+// What the old settings had counted, put off or not begun is as the new ones would have it, from the moment that they hold.
+func TestRetuneActsAtOnce(t *testing.T) {
+	draining := []Member{{Store: 1, Group: 7, State: Draining}}
+	hurried := Request{ID: 99, Class: len(testSettings().Classes), Group: 7, Patience: 1250 * ms}
+	for name, c := range map[string]struct {
+		old, next func(*Settings)
+		before    func(*fake)
+		ok        func(*fake) bool
+	}{
+		"a usual patience is that of one deadline": {
+			old: func(s *Settings) { s.Classes[cAny].Aim, s.Classes[cAny].Deadline = 300*ms, 750*ms },
+			next: func(s *Settings) { // a class of the same name, behind the others
+				k := s.Classes[cAny]
+				k.Aim, k.Deadline, k.LateWorth = 750*ms, 2500*ms, 0
+				s.Classes = append(s.Classes, k)
+			},
+			before: func(f *fake) {
+				for id := range uint32(60) {
+					f.r.Request(f.now, Request{ID: 100 + id, Class: cAny, Group: 7, Patience: 375 * ms})
+					f.outcome(100+id, 0, OK, RoleUnknown)
+				}
+			},
+			ok: func(f *fake) bool { f.r.Request(f.now, hurried); return len(f.sends[99]) == 1 }},
+		"pings and calls of a smaller fleet come sooner": {
+			old:    func(s *Settings) { s.Balancers, s.Asks, s.MustAsk = 300, true, 10*time.Second },
+			next:   func(s *Settings) { s.Asks, s.MustAsk = true, 10*time.Second },
+			before: func(f *fake) { f.until(f.now + 50*ms) },
+			ok: func(f *fake) bool {
+				f.until(f.now + time.Second)
+				return len(f.probed) > 5 && f.has("watch")
+			}},
+		"and fewer share a server": {old: func(s *Settings) { s.Balancers = 300 },
+			ok: func(f *fake) bool { return f.r.stores[2].window >= f.r.least }},
+		"a shorter grace holds for what drains": {old: func(s *Settings) { s.DrainGrace = 2 * time.Second },
+			before: func(f *fake) { f.r.List(f.now, ListDelta, draining); f.request(2, cUnsafe); f.now += 450 * ms },
+			ok:     func(f *fake) bool { return !f.r.StillFits(f.now, 2, 0) }},
+		"a longer one does not": {next: func(s *Settings) { s.DrainGrace = 2 * time.Second },
+			before: func(f *fake) { f.r.List(f.now, ListDelta, draining); f.request(2, cUnsafe); f.now += 450 * ms },
+			ok:     func(f *fake) bool { return !f.r.StillFits(f.now, 2, 0) }},
+		"a server is cold for longer": {next: func(s *Settings) { s.ColdFor = 30 * time.Second },
+			before: func(f *fake) { f.r.warmth(f.r.stores[2]) },
+			ok:     func(f *fake) bool { return f.r.warmth(f.r.stores[2]) < 1 }},
+		"or not at all": {old: func(s *Settings) { s.ColdFor = 30 * time.Second }, next: func(s *Settings) { s.ColdFor, s.ColdMultiple = 30*time.Second, 0 },
+			before: func(f *fake) { f.r.stores[2].budget = -1e12 },
+			ok:     func(f *fake) bool { return f.r.coldRoom(f.r.stores[2], cAny) }},
+		"probes that are allowed find the primary": {old: func(s *Settings) { s.MayProbe = false },
+			before: func(f *fake) { f.r.lose(f.r.stores[1], "is lost"); f.probed = nil },
+			ok:     func(f *fake) bool { f.request(2, cUnsafe); return len(f.probed) == 3 }},
+		"a session's writes were not remembered": {next: func(s *Settings) { s.Remembered = true },
+			ok: func(f *fake) bool { return f.r.token(Request{Session: 5}) == f.now }},
+	} {
+		f := withPrimary(t, func(s *Settings) {
+			s.Classes[cAny].Name = "view"
+			if c.old != nil {
+				c.old(s)
+			}
+		})
+		f.r.List(f.now, ListDelta, []Member{{Store: 2, Group: 7, State: Ready, Started: start - 15*time.Second}})
+		f.until(f.now + ms)
+		if c.before != nil {
+			c.before(f)
+		}
+		set := testSettings()
+		set.Classes = f.r.set.Classes[:len(set.Classes):len(set.Classes)]
+		if c.next != nil {
+			c.next(&set)
+		}
+		if err := f.r.Retune(f.now, set); err != nil {
+			t.Fatal(err)
+		}
+		if !c.ok(f) {
+			t.Errorf("%s: not so; did %v, probed %v", name, f.did, f.probed)
+		}
+	}
+}
--- a/rules/state.go
+++ b/rules/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -100,6 +101,7 @@
 	primary   *store
 	needed    bool
 	pinging   bool
+	pingDue   time.Duration
 	roundOut  int // members of the running round still to answer
 	roundSeen bool
 	roundAt   time.Duration
@@ -228,7 +230,8 @@
 }
 
 // Retune takes over new settings under way. Classes keep their numbers: those that there are must stand where they did,
-// and new ones behind them. An open request keeps its class; a class of an earlier one's name keeps that one's measures.
+// and new ones behind them. An open request keeps its class; a class of an earlier one's name keeps that one's measures of
+// the servers. What was counted or put off by the old settings is as the new ones would have it.
 func (r *Router) Retune(now time.Duration, set Settings) error {
 	if err := set.Validate(); err != nil {
 		return err
@@ -237,7 +240,34 @@
 		return fmt.Errorf("settings: %d classes, where there are %d", len(set.Classes), len(r.set.Classes))
 	}
 	r.tick(now)
+	pings, span, grace := r.pingGap, r.askSpan, r.set.DrainGrace
+	if set.Remembered && !r.set.Remembered {
+		r.keptMax = r.now // whatever was written until now was not noted down, session by session
+	}
 	r.tune(set)
+	if r.asking && r.askSpan < span { // the call that is due may be as far off as the larger fleet had it
+		r.asking = false
+		r.askIn(r.dealt(r.askSpan))
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.groups)) {
+		g := r.groups[id]
+		g.dealtOf, g.needed = nil, false // rounds may be allowed only now
+		if g.pinging && r.pingGap != pings {
+			r.pingIn(g, r.pingGap)
+		}
+	}
+	for _, s := range r.order {
+		s.window = max(s.window, r.least)
+		if s.stopAt > 0 { // a longer grace is for those that drain from now on
+			s.stopAt = max(min(s.stopAt, s.stopAt+set.DrainGrace-grace), 1)
+		}
+		if set.ColdMultiple <= 0 {
+			s.coldSince = 0
+		}
+		if s.Started > 0 {
+			r.chill(s, s.Started)
+		}
+	}
 	return nil
 }
 
@@ -249,16 +279,13 @@
 	}
 	set.Classes = append(slices.Clip(old), set.Classes[len(old):]...) // the old ones stay where requests point to them
 	r.set = set
-	for _, g := range r.groups {
-		g.dealtOf = nil
-	}
 	r.least = min(windowLeast/float64(set.Balancers), 1)
 	r.askMost = min(max(listGap*time.Duration(set.Balancers), AskAgain/3), AskAgain)
 	if set.MustAsk > 0 {
 		r.askMost = min(r.askMost, set.MustAsk/2)
 	}
-	r.pingGap, r.large = pingEvery, set.Balancers > smallFleet
-	if r.askSpan = 0; r.large {
+	r.pingGap, r.askSpan, r.large = pingEvery, 0, set.Balancers > smallFleet
+	if r.large {
 		r.pingGap *= time.Duration(set.Balancers)
 		r.askSpan = min(listGap*time.Duration(set.Balancers), AskFirst)
 	}
@@ -273,7 +300,10 @@
 		}
 		mean, b, u := guess, base{time: guess}, usual{}
 		if from >= 0 {
-			mean, b, u = r.mean[from], r.base[from], r.usual[from]
+			mean, b = r.mean[from], r.base[from]
+			if set.Classes[from].Deadline == c.Deadline {
+				u = r.usual[from]
+			}
 		}
 		r.mean, r.base, r.usual = append(r.mean, mean), append(r.base, b), append(r.usual, u)
 	}
@@ -305,6 +335,17 @@
 	}
 }
 
+// pingIn has a group's primary pinged in a while, in place of the ping that is due.
+func (r *Router) pingIn(g *group, d time.Duration) {
+	due := r.now + d
+	g.pinging, g.pingDue = true, due
+	r.after(d, func() {
+		if g.pingDue == due {
+			r.ping(g)
+		}
+	})
+}
+
 func (r *Router) arm() {
 	if len(r.timers) > 0 && (r.armed == 0 || r.timers[0].at < r.armed) {
 		r.armed = r.timers[0].at
