Keep descriptors for clients, servers and the list service at the least limits

Cause: serve.go set aside 24 descriptors for the runtime and another 24 for the operators' door, whatever the limit, so at 32 the fronts had -16: "transport: no descriptor is free" at each call of the list service and each dial of a server, and no client was let in. And a dial that found none shed an idle connection (exchange.begin), whose descriptor the poller gives back only a moment later: the dial failed all the same, and a write was refused beside idle connections.

Change: the door takes a sixteenth of the limit, 2 at the least and 24 at the most. The fixed part is 22: a pooler without clients holds 13 without the door, the poller's pipe and a second listener come to it. A dial that sheds a connection waits 2 ms for its descriptor, within its time to dial.

--- a/internal/program/admin/admin.go
+++ b/internal/program/admin/admin.go
@@ -11,12 +11,15 @@
 )
 
 const (
-	maxCallers = 16 // at once; the one that has waited longest makes room
-	callFor    = 10 * time.Second
-	// Descriptors is how many the door may hold: callers, those on their way out, and the listener.
-	Descriptors = maxCallers + 8
+	most    = 24 // descriptors
+	share   = 16 // one in so many of the limit's
+	least   = 2
+	callFor = 10 * time.Second
 )
 
+// Descriptors is how many the door may hold of a limit.
+func Descriptors(limit int) int { return min(max(limit/share, least), most) }
+
 // Figures is what the pooler reports.
 type Figures struct {
 	Serving                       bool // clients are taken in
@@ -51,12 +54,14 @@
 	ln      *transport.Listener
 	figures func() Figures
 	callers []*caller // in the order of their coming
+	most    int       // of them: the one that has waited longest makes room
 }
 
-// Listen opens the door. figures is called on the door's own goroutine and must not wait.
-func Listen(addr string, figures func() Figures) (*Door, error) {
-	d := &Door{loop: routing.NewLoop(), figures: figures}
-	ln, err := transport.Listen(d.loop, transport.NewBudget(Descriptors), addr, d.enter)
+// Listen opens the door, with so many descriptors, a third of them for callers on their way out. figures is called on the
+// door's own goroutine and must not wait.
+func Listen(addr string, descriptors int, figures func() Figures) (*Door, error) {
+	d := &Door{loop: routing.NewLoop(), figures: figures, most: max(descriptors*2/3, 1)}
+	ln, err := transport.Listen(d.loop, transport.NewBudget(descriptors), addr, d.enter)
 	if err != nil {
 		return nil, err
 	}
@@ -83,7 +88,7 @@
 }
 
 func (d *Door) enter(c *transport.Conn) {
-	if len(d.callers) >= maxCallers {
+	if len(d.callers) >= d.most {
 		d.callers[0].end()
 	}
 	k := &caller{d: d, c: c}
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -71,6 +71,10 @@
 		idle(state)
 		return
 	}
+	if s.Budget.Full() && s.Pool.Shed() && s.Loop.Now()+dialLeast <= until { // the poller gives a descriptor back a moment later
+		x.wait = s.Loop.After(dialLeast, func() { x.begin(until, true, h, idle, fresh) })
+		return
+	}
 	if s.MayDial != nil {
 		if after, ok := s.MayDial(addr); !ok {
 			wait := min(max(after, dialLeast), dialMost)
@@ -83,9 +87,6 @@
 		}
 	}
 	x.timed()
-	if s.Budget.Full() {
-		s.Pool.Shed()
-	}
 	x.cancel = transport.Dial(s.Loop, s.Budget, addr, s.ConnectTimeout, func(c *transport.Conn, err error) {
 		x.cancel = nil
 		if errors.Is(err, transport.ErrBudget) { // our own want says nothing of the server's health
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -42,7 +42,7 @@
 	idleShare   = 0.6 // of the time after which servers close idle connections: reuse none that is about to go
 	memoryShare = 0.7 // of the limit: the rest is for stacks, the runtime and the kernel's buffers
 	gcPercent   = 200
-	spareFiles  = 24   // descriptors of the runtime, the logs and the listeners
+	spareFiles  = 22   // descriptors of the runtime, the logs, the poller and the listeners, 17 as counted, and files being read
 	clientShare = 0.5  // of the sockets: the rest is for servers
 	comingShare = 0.25 // and for clients that are on their way in or out
 	bufferShare = 0.06 // of the memory, for incomplete messages of clients
@@ -102,7 +102,7 @@
 	runtime.GOMAXPROCS(2)
 	sockets := cfg.Sockets - spareFiles
 	if cfg.Admin != "" {
-		sockets -= admin.Descriptors
+		sockets -= admin.Descriptors(cfg.Sockets)
 	}
 	sockets -= descriptors(postgresSource(cfg))
 	if control.Fleet != nil {
@@ -155,7 +155,7 @@
 		}()
 	}
 	if cfg.Admin != "" { // last, so that its yes is true
-		door, err := admin.Listen(cfg.Admin, state.figures)
+		door, err := admin.Listen(cfg.Admin, admin.Descriptors(cfg.Sockets), state.figures)
 		if err != nil {
 			return fmt.Errorf("admin: %w", err)
 		}
--- a/internal/program/watch_test.go
+++ b/internal/program/watch_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"threadsail/internal/lab/standin"
+	"threadsail/internal/program"
 )
 
 // overLists runs a test on a front whose lists are asked for, in a large fleet, and on one to which they are pushed.
@@ -63,3 +64,61 @@
 		}
 	})
 }
+
+// Idle clients fill their places and idle connections those of the servers, at the least limits there are, while the list
+// service is down. Both are left some: requests are served, and the list is heard once the service is back.
+func TestPlacesLeftWhileTheListIsAway(t *testing.T) {
+	for wire, sockets := range map[string]int{"postgres": 32, "mysql": 64} { // the front of PostgreSQL runs beside MySQL's
+		t.Run(wire, func(t *testing.T) {
+			f := standin.NewFleet(t, wire == "mysql", nil, "p", "r1", "r2", "r3", "r4", "r5")
+			f.Configure("limits", map[string]any{"sockets": sockets, "memory_mb": 64})
+			a := newAgent(t, f)
+			a.name()
+			addrs := pooler(t, f)
+			waitFor(t, "no watch is opened", func() bool { _, ok := a.Open(); return ok })
+			a.Out(true)
+			waitFor(t, "the list service is not called again", func() bool { return a.TurnedAway() > 0 })
+			turned := 0
+			for range 2 * sockets {
+				if c, err := standin.Dial(wire, addr(addrs)); err != nil {
+					turned++
+				} else {
+					t.Cleanup(func() { c.Close() })
+				}
+			}
+			var c standin.Client
+			waitFor(t, "a newcomer finds no room", func() (ok bool) {
+				if c, ok = newcomer(t, wire, addrs); !ok {
+					turned++
+				}
+				return ok
+			})
+			open := 0
+			readUntil(t, c, "no read is served", func() bool {
+				now := 0
+				for _, s := range f.Servers {
+					now += s.Open()
+				}
+				open = max(open, now)
+				return open >= 2 && len(f.Servers[1].Seen()) > 0
+			})
+			a.drain(f.Servers[1])
+			watches, back := a.Watches(), time.Now()
+			a.Out(false)
+			readUntil(t, c, "the list service is not called once it is back", func() bool { return a.Watches() > watches })
+			readUntil(t, c, "the drain is never heard of", func() bool { return quiet(c, f.Servers[1]) })
+			served(t, c.Do(standin.Write("k", patience)))
+			t.Logf("%d turned away, %d connections to servers, heard within %v", turned, open, time.Since(back))
+		})
+	}
+}
+
+// newcomer connects a client, if it finds room and is served.
+func newcomer(t *testing.T, wire string, a program.Addrs) (standin.Client, bool) {
+	c, err := standin.Dial(wire, addr(a))
+	if err != nil {
+		return nil, false
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, c.Do(standin.Read("any", patience)).Served()
+}
