Show that a start waits for no list service, whatever that does to calls

No fault was found: a pooler that asks waits for nobody, and one to which lists are pushed waits half a second for its agent and then serves the servers it was started with.

--- a/internal/program/push_test.go
+++ b/internal/program/push_test.go
@@ -1,6 +1,8 @@
 package program_test
 
 import (
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -164,3 +166,70 @@
 	f.Discovery.Out(false)
 	readUntil(t, c, "the agent is not heard", func() bool { return quiet(c, f.Servers[1]) })
 }
+
+// A pooler serves what it was started with at once, whatever the list service or the agent does to its calls.
+func TestReadyWithoutAList(t *testing.T) {
+	ends := make(chan struct{})
+	t.Cleanup(func() { close(ends) })
+	trickle := func(first, again string) func(net.Conn) {
+		return func(c net.Conn) {
+			for _, err := io.WriteString(c, first); err == nil; _, err = io.WriteString(c, again) {
+				select {
+				case <-ends:
+					return
+				case <-time.After(time.Millisecond):
+				}
+			}
+		}
+	}
+	for name, answer := range map[string]func(net.Conn){
+		"refused": nil,
+		"silent":  func(net.Conn) { <-ends },
+		"by byte": trickle("HTTP/1.1 200 OK\r\nX: ", "x"),
+		"endless": trickle("HTTP/1.1 200 OK\r\n\r\n"+`{"revision":2,"complete":true,"members":[`, strings.Repeat(" ", 64<<10)),
+	} {
+		for _, how := range []string{"ask", "push"} {
+			for _, wire := range []string{"postgres", "mysql"} {
+				t.Run(name+" "+how+" "+wire, func(t *testing.T) {
+					t.Parallel()
+					ln, err := net.Listen("tcp", "127.0.0.1:0")
+					if err != nil {
+						t.Fatal(err)
+					}
+					t.Cleanup(func() { ln.Close() })
+					if answer == nil {
+						ln.Close()
+					}
+					go func() {
+						for {
+							c, err := ln.Accept()
+							if err != nil {
+								return
+							}
+							go func() { answer(c); c.Close() }()
+						}
+					}()
+					f := standin.NewFleet(t, wire == "mysql", func(s map[string]any) { s["discovery"] = how }, "p", "r")
+					f.Configure("known", map[string]any{"revision": 1, "complete": true, "members": (&agent{fleet: f}).entries()})
+					f.Configure("discovery", ln.Addr().String())
+					if wire == "mysql" {
+						f.Lists(map[string]any{"enabled": true, "mysql": map[string]any{"discovery": ln.Addr().String()}})
+					}
+					began := time.Now()
+					a := pooler(t, f)
+					c := talk(t, a)
+					if err := c.Send(""); err != nil {
+						t.Fatal(err)
+					}
+					if r := c.Receive(); r.Err != nil {
+						t.Errorf("an empty query got %v", r.Err)
+					}
+					served(t, dial(t, a).Do(standin.Write("k", patience)))
+					if d := time.Since(began); d > 5*time.Second { // of the 10 allowed; 0.5 s to wait for an agent, 0.1 s without load
+						t.Errorf("a write was served after %v", d)
+					}
+				})
+			}
+		}
+	}
+}
