Take any dial of the list service that fails for a service that is not there

Cause: watch.go asked a failed dial for ECONNREFUSED or a time-out, to know that nothing could be heard until then. netpoll tells of neither: both are a net.OpError that says "connection has been closed by peer" (probed on a closed port and on an address that nobody answers for). So after an outage of over 6 s what was heard first counted as told too early, and drains lost their grace.

Change: every failed dial counts but that for want of a descriptor of our own.

Test: TestChangesAreHeardInTime has such errors now and looks at the time told; it fails on "refused" and "never up" without.

--- a/internal/program/watch.go
+++ b/internal/program/watch.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"math/rand/v2"
-	"net"
-	"syscall"
 	"time"
 
 	"threadsail/internal/protocol/discovery"
@@ -99,7 +97,7 @@
 	}
 	cancel := w.dial(w.addr, func(c connection, err error) {
 		if err != nil {
-			if !w.pushed && unreachable(err) {
+			if !w.pushed && !errors.Is(err, transport.ErrBudget) {
 				w.heard = w.loop.Now()
 			}
 			w.failed(err)
@@ -156,12 +154,6 @@
 	w.failed(err)
 }
 
-// unreachable tells whether an error of a dial proves that nobody could be reached.
-func unreachable(err error) bool {
-	var e net.Error
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &e) && e.Timeout()
-}
-
 func (w *watcher) failed(err error) {
 	w.shut()
 	w.log("discovery: " + err.Error())
--- a/internal/program/watch_clock_test.go
+++ b/internal/program/watch_clock_test.go
@@ -4,9 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,7 +42,8 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 }
 
-var errNever = os.NewSyscallError("connect", syscall.ETIMEDOUT)
+// errDial is all that netpoll tells of a dial, whatever became of it.
+var errDial = errors.New("dial tcp: connection has been closed by peer")
 
 func (o *outage) dial(_ string, done func(connection, error)) func() {
 	c := &outageCall{outage: o}
@@ -54,11 +53,11 @@
 	wait, err := time.Duration(0), error(nil)
 	switch c.fault {
 	case "refused":
-		err = os.NewSyscallError("connect", syscall.ECONNREFUSED)
+		err = errDial
 	case "no descriptor":
 		err = transport.ErrBudget
 	case "never up":
-		wait, err = watchDial, errNever
+		wait, err = watchDial, errDial
 	}
 	cancelled := false
 	o.loop.After(wait, func() {
@@ -233,8 +232,12 @@
 				if told > length+after {
 					t.Fatalf("outage %d: told at %v, heard at %v", n, told, length+after)
 				}
-				// A service that turns calls down may have had the change for all that time.
-				if name == "503" && !pushed && told != min(length+after, missedAfter) {
+				// A service that turns calls down may have had the change for all that time; one that is not there had not.
+				want := length + after
+				if name == "503" || name == "no descriptor" {
+					want = min(want, missedAfter)
+				}
+				if (name == "503" || name == "no descriptor" || name == "refused" || name == "never up") && !pushed && told != want {
 					t.Fatalf("outage %d: heard at %v, counts as told at %v", n, length+after, told)
 				}
 			}
