Let no part go on with the settings that a retune has replaced

Seen by a search for what is kept from the configuration at the start, each shown by a test that fails without its change:

- newPostgres retuned its own wire's time to connect and rest of idle connections, not those for MySQL servers that a file names (internal/program/serve.go). reach does both, on both fronts.
- A reload that takes away the class which mysql.json names for statements without a comment was taken, and every such statement refused from then on; at a start the same is turned down.
It is turned down now, with that file and key.
- Core.Retune put the new classes in place before the module had looked at the settings, so that settings that can't be used changed half (internal/routing/core.go).
They are looked at first.
- Where leaving the list binds from now on, servers that had left it under the old settings were used on until the next whole list (the same lines).
- The fleet's limits kept RetryAfter, MaxRetryAfter and the cold figures of the start (internal/fleet/quota/guard.go); they ask the front now.

Ruled out: prepared statements of the MySQL front (the class is looked up at each EXECUTE: now tested, also for one that is gone), open requests (they keep their class), MaxOpen, probe timeout, list mode, pool of the own wire (retuned already).

--- a/cmd/threadsail-fleet/limits.go
+++ b/cmd/threadsail-fleet/limits.go
@@ -22,8 +22,8 @@
 }
 
 // limiter is what a front asks.
-func limiter(p *quota.Part) func(func(int) rules.Class, rules.Settings) program.Limiter {
-	return func(class func(int) rules.Class, set rules.Settings) program.Limiter {
+func limiter(p *quota.Part) func(func(int) rules.Class, func() rules.Settings) program.Limiter {
+	return func(class func(int) rules.Class, set func() rules.Settings) program.Limiter {
 		return quota.NewGuard(p.Taker, class, set)
 	}
 }
--- a/cmd/threadsail-fleet/main.go
+++ b/cmd/threadsail-fleet/main.go
@@ -67,7 +67,7 @@
 func wire(cfg *config.Config, c *config.Fleet, build string, log zerolog.Logger) *program.FleetPart {
 	all := parts(cfg, c)
 	o := fleet.Options{Config: c, Spread: program.Spread(cfg), Log: log}
-	var limit func(func(int) rules.Class, rules.Settings) program.Limiter
+	var limit func(func(int) rules.Class, func() rules.Settings) program.Limiter
 	for _, p := range all {
 		o.Parts = append(o.Parts, p.Part)
 		if p.limit != nil {
--- a/cmd/threadsail-fleet/parts.go
+++ b/cmd/threadsail-fleet/parts.go
@@ -11,7 +11,7 @@
 type part struct {
 	fleet.Part
 	attach func(program.Front) // puts guards and the like on each front's core, before its loop runs
-	limit  func(func(int) rules.Class, rules.Settings) program.Limiter
+	limit  func(func(int) rules.Class, func() rules.Settings) program.Limiter
 	reload func(*config.Config, *config.Fleet) // takes over the files as they are read again at SIGHUP
 }
 
--- a/internal/config/mysql.go
+++ b/internal/config/mysql.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,7 @@
 
 // MySQL configures the MySQL front.
 type MySQL struct {
+	File           string // that names all this
 	Listen         string
 	Inventory      string
 	User, Password string // at the servers
@@ -62,9 +64,28 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if m != nil {
+		m.File = path
+	}
 	return m, nil
 }
 
+// Fits tells what the front would lack if the settings named these classes.
+func (m *MySQL) Fits(classes []string) error {
+	for _, d := range []struct {
+		key string
+		Default
+	}{{"defaults.read", m.Read}, {"defaults.write", m.Write}} {
+		if !slices.Contains(classes, d.Class) {
+			return fmt.Errorf("%s.class: %q is no class of the settings", d.key, d.Class)
+		}
+		if d.Cluster < 0 {
+			return fmt.Errorf("%s.cluster: %d is below 0", d.key, d.Cluster)
+		}
+	}
+	return nil
+}
+
 // parseMySQL reads the text. listed: the servers are named elsewhere, so that no inventory is needed.
 func parseMySQL(text []byte, classes []string, listed bool) (*MySQL, error) {
 	var file struct {
@@ -107,25 +128,5 @@
 	if m.Reload < 0 || m.ProbeTimeout < 0 {
 		return nil, errors.New("reload_ms or probe_timeout_ms: below 0")
 	}
-	for _, d := range []struct {
-		key string
-		Default
-	}{{"defaults.read", m.Read}, {"defaults.write", m.Write}} {
-		if !contains(classes, d.Class) {
-			return nil, fmt.Errorf("%s.class: %q is no class of the settings", d.key, d.Class)
-		}
-		if d.Cluster < 0 {
-			return nil, fmt.Errorf("%s.cluster: %d is below 0", d.key, d.Cluster)
-		}
-	}
-	return m, nil
-}
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name && n != "" {
-			return true
-		}
-	}
-	return false
+	return m, m.Fits(classes)
 }
--- a/internal/fleet/quota/guard.go
+++ b/internal/fleet/quota/guard.go
@@ -15,7 +15,7 @@
 type Guard struct {
 	taker    *Taker
 	class    func(int) rules.Class
-	settings rules.Settings
+	settings func() rules.Settings
 	started  map[string]time.Duration // of servers that may be cold, Unix times
 }
 
@@ -25,8 +25,8 @@
 )
 
 // NewGuard returns a front's guard. class tells of a request's class; settings say how a server warms, and what clients may be
-// told of when to return.
-func NewGuard(t *Taker, class func(int) rules.Class, settings rules.Settings) *Guard {
+// told of when to return; they may change under way.
+func NewGuard(t *Taker, class func(int) rules.Class, settings func() rules.Settings) *Guard {
 	return &Guard{taker: t, class: class, settings: settings, started: map[string]time.Duration{}}
 }
 
@@ -68,13 +68,14 @@
 // after is when a refused client is told to return: when there will be a token here, or when the next answer of the holder is
 // here, which may bring a larger slice; as far as the settings let clients be told.
 func (g *Guard) after(d time.Duration) time.Duration {
-	if !g.settings.RetryAfter {
+	set := g.settings()
+	if !set.RetryAfter {
 		return 0
 	}
 	if holder, _ := g.taker.Holder(); holder != "" {
 		d = min(d, g.taker.term/3)
 	}
-	return min(max(d, time.Millisecond), g.settings.MaxRetryAfter)
+	return min(max(d, time.Millisecond), set.MaxRetryAfter)
 }
 
 // MaySend implements routing.Guard: an attempt for a cold server needs a token of its limit, more the colder it is. The rules'
@@ -97,7 +98,7 @@
 
 // Listed implements routing.Gate.
 func (g *Guard) Listed(server string, started time.Duration) {
-	if started > 0 && g.settings.ColdFor > 0 {
+	if started > 0 && g.settings().ColdFor > 0 {
 		g.started[server] = started
 	}
 }
@@ -108,12 +109,13 @@
 	if !ok {
 		return 1, false
 	}
-	if now >= started+g.settings.ColdFor {
+	set := g.settings()
+	if now >= started+set.ColdFor {
 		delete(g.started, server)
 		return 1, false
 	}
-	f := max(g.settings.ColdFrom, leastWarmth)
-	return f + (1-f)*float64(max(now-started, 0))/float64(g.settings.ColdFor), true
+	f := max(set.ColdFrom, leastWarmth)
+	return f + (1-f)*float64(max(now-started, 0))/float64(set.ColdFor), true
 }
 
 const leastWarmth = 0.05 // as in rules/cold.go
--- a/internal/fleet/quota/guard_test.go
+++ b/internal/fleet/quota/guard_test.go
@@ -20,8 +20,8 @@
 			{Name: "probes", On: config.LimitProbes, Rate: 10, Reserve: 0.5},
 		}})
 		classes := []rules.Class{{Name: "any"}, {Name: "own", Need: rules.NeedSession}}
-		g := NewGuard(taker, func(i int) rules.Class { return classes[i] },
-			rules.Settings{RetryAfter: true, MaxRetryAfter: 300 * time.Millisecond, ColdFrom: 0.5, ColdFor: 10 * time.Second})
+		set := rules.Settings{RetryAfter: true, MaxRetryAfter: 300 * time.Millisecond, ColdFrom: 0.5, ColdFor: 10 * time.Second}
+		g := NewGuard(taker, func(i int) rules.Class { return classes[i] }, func() rules.Settings { return set })
 		admit := func(want bool, class int, key string, group int) {
 			t.Helper()
 			a := g.Admit(0, &routing.Request{Class: class, Key: key, Group: group})
@@ -67,5 +67,11 @@
 		if dialled < 4 || dialled > 6 || probed < 4 || probed > 6 {
 			t.Errorf("%d connections and %d probes in 10 s at half a second, want 5 or 6", dialled, probed)
 		}
+		admit(true, 1, "z", 1)
+		admit(false, 1, "z", 1)
+		set.MaxRetryAfter = 200 * time.Millisecond // settings that come under way hold
+		if a := g.Admit(0, &routing.Request{Class: 1, Key: "z"}); a.After != set.MaxRetryAfter {
+			t.Errorf("%+v, want the new time", a)
+		}
 	})
 }
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -22,8 +22,8 @@
 	Build  string // version of the program
 	Open   func(FleetEvents) (Fleet, error)
 	Attach func(Front) // has the parts put their guards on a front; nil: there are none
-	// Limit returns what holds a front to the fleet's limits; nil: there are none.
-	Limit func(class func(int) rules.Class, set rules.Settings) Limiter
+	// Limit returns what holds a front to the fleet's limits, with the front's settings as they are then; nil: there are none.
+	Limit func(class func(int) rules.Class, set func() rules.Settings) Limiter
 	// Reload has the parts take their files over again, beside the pooler's own, and returns the file of the fleet as it is now, nil
 	// if the old one stands. It must not wait long; nil: nothing is read again.
 	Reload func(*config.Config) *config.Fleet
--- a/internal/program/fleet_limits.go
+++ b/internal/program/fleet_limits.go
@@ -3,7 +3,6 @@
 import (
 	"threadsail/internal/program/exchange"
 	"threadsail/internal/routing"
-	"threadsail/rules"
 )
 
 // Limiter lets a front's requests, attempts, new connections and probes pass, or not now.
@@ -13,11 +12,11 @@
 }
 
 // limit holds a front to the fleet's limits, with all that it dials by. It must be called before the first list comes.
-func (p *FleetPart) limit(core *routing.Core, set rules.Settings, dialled ...*exchange.Servers) {
+func (p *FleetPart) limit(core *routing.Core, dialled ...*exchange.Servers) {
 	if p == nil || p.Limit == nil {
 		return
 	}
-	l := p.Limit(core.ClassInfo, set)
+	l := p.Limit(core.ClassInfo, core.Settings)
 	core.Guard(l)
 	core.Gate(l)
 	for _, s := range dialled {
--- a/internal/program/limits_test.go
+++ b/internal/program/limits_test.go
@@ -59,7 +59,7 @@
 			var leave atomic.Int64
 			part := &program.FleetPart{Config: &config.Fleet{Name: "n1", Term: time.Second, Drift: 10 * time.Millisecond, Bound: time.Minute},
 				Open:  func(program.FleetEvents) (program.Fleet, error) { return idleFleet{}, nil },
-				Limit: func(func(int) rules.Class, rules.Settings) program.Limiter { return &miser{leave: &leave} }}
+				Limit: func(func(int) rules.Class, func() rules.Settings) program.Limiter { return &miser{leave: &leave} }}
 			ready, terminate, ended := make(chan program.Addrs, 1), make(chan struct{}), make(chan error, 1)
 			go func() {
 				ended <- program.Serve(cfg, my, zerolog.Nop(), program.Control{Terminate: terminate, Fleet: part}, func(a program.Addrs) { ready <- a })
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -1,6 +1,7 @@
 package program_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,7 +10,8 @@
 )
 
 // New settings come under load: a request under way keeps its class, a new class is served, one that has vanished is an
-// error, and a stricter effect holds. A file that is turned down changes nothing.
+// error, also to a statement that was prepared before, and a stricter effect holds. What the old settings had kept for reuse
+// is kept no longer than the new ones have it. A file that is turned down changes nothing.
 func TestNewSettings(t *testing.T) {
 	overBoth(t, nil, []string{"p", "r"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
 		release, waits, c := make(chan struct{}), dial(t, a), dial(t, a)
@@ -22,6 +24,12 @@
 		if !f.Servers[0].Wait(2) {
 			t.Fatal("the write never came")
 		}
+		my, mysql := c.(*standin.MySQL)
+		view := func() standin.Result { return c.Do(standin.Read("view", patience)) }
+		if mysql {
+			st := prepared(t, my, standin.Read("view", patience))
+			view = func() standin.Result { return standin.Execute(st) }
+		}
 		settings := standin.Settings()
 		lanes := settings["lanes"].([]any)
 		write, more := lanes[2].(map[string]any), map[string]any{}
@@ -38,15 +46,45 @@
 		if r := c.Do(standin.Write("k2", patience)); !r.Failed || len(f.Servers[0].Seen()) != 3 {
 			t.Errorf("a write of the stricter class got %+v after %d statements", r, len(f.Servers[0].Seen()))
 		}
-		if r := c.Do(standin.Read("view", patience)); r.Served() || r.Refused || r.Err != nil {
+		if r := view(); r.Served() || r.Refused || r.Err != nil {
 			t.Errorf("a class that has vanished got %+v", r)
 		}
 		served(t, c.Do(standin.Read("any", patience)))
 		close(release)
 		served(t, <-ended) // by its second attempt, as its class allowed when it came
-		settings["caps"].(map[string]any)["maxAttempts"] = 0
+		came := func() (n int) {
+			for _, s := range f.Servers {
+				n += s.Came()
+			}
+			return n
+		}
+		caps := settings["caps"].(map[string]any)
+		caps["connIdleMs"] = 1
+		f.Reload("settings", settings)
+		shows(t, a, "edge_proxy_config_reloads 2", "edge_proxy_config_reload_errors 0")
+		before := came()
+		for n := 0; n < 4; {
+			if r := c.Do(standin.Read("any", patience)); r.Served() {
+				n++
+			} else if !r.Refused { // as a busy machine's may be
+				t.Fatalf("a read got %+v", r)
+			}
+		}
+		if n := came() - before; n < 4 {
+			t.Errorf("%d new connections for 4 reads, where none is kept for a millisecond", n)
+		}
+		wrong := 0
+		if mysql { // whose front serves statements without a comment by a class of reads
+			settings["lanes"] = []any{write, more}
+			settings["familyInfo"].(map[string]any)["classRead"] = []string{"mutate", "mutate"}
+			f.Reload("settings", settings)
+			wrong = 1
+			shows(t, a, "edge_proxy_config_reloads 2", fmt.Sprint("edge_proxy_config_reload_errors ", wrong))
+			served(t, c.Do(standin.Read("any", patience)))
+		}
+		caps["maxAttempts"] = 0
 		f.Reload("settings", settings)
-		shows(t, a, "edge_proxy_config_reloads 1", "edge_proxy_config_reload_errors 1")
+		shows(t, a, "edge_proxy_config_reloads 2", fmt.Sprint("edge_proxy_config_reload_errors ", wrong+1))
 		served(t, c.Do(standin.Write("k3", patience)))
 	})
 }
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -131,7 +131,7 @@
 		sides = append(sides, m)
 		addrs.MySQL = m.front.Addr()
 	}
-	state := &state{sides: sides}
+	state := &state{sides: sides, my: my}
 	state.serving.Store(true)
 	state.allowed.Store(true)
 	var joined *member
@@ -207,6 +207,7 @@
 // state is what the operators' door tells of, besides the fronts' own figures.
 type state struct {
 	sides                 []*side
+	my                    *config.MySQL // nil: off
 	serving               atomic.Bool
 	allowed               atomic.Bool // the fleet has not shut this pooler out
 	reloads, reloadErrors atomic.Uint64
@@ -235,6 +236,11 @@
 // used changes nothing. It returns the configuration in force.
 func (s *state) reload(inForce *config.Config, load func(*config.Config) (*config.Config, error), log zerolog.Logger) *config.Config {
 	cfg, err := load(inForce)
+	if err == nil && s.my != nil { // its file is not read again
+		if err = s.my.Fits(cfg.ClassNames()); err != nil {
+			err = fmt.Errorf("%s: %w", s.my.File, err)
+		}
+	}
 	if err != nil {
 		s.reloadErrors.Add(1)
 		log.Error().Err(err).Msg("reload: the old configuration stands")
@@ -288,7 +294,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet.limit(core, cfg.Settings, dialled...)
+	fleet.limit(core, dialled...)
 	if err := src.begin(cfg, core); err != nil {
 		return nil, err
 	}
@@ -302,8 +308,8 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	retune := func(cfg *config.Config) {
-		own.Reports, own.ConnectTimeout = cfg.Reports, cfg.ConnectTimeout
-		own.Pool.Rest(idleFor(cfg))
+		own.Reports = cfg.Reports
+		reach(cfg, cfg.ConnectTimeout, dialled)
 		if err := core.Retune(src.settings(cfg.Settings), cfg.MaxOpen, cfg.ConnectTimeout); err != nil {
 			log.Error().Err(err).Msg("reload")
 		}
@@ -333,6 +339,7 @@
 		Log: said(log)}
 	other := &crossside.Backend{Servers: servers(), User: my.Postgres.User, Password: my.Postgres.Password, Database: my.Postgres.Database, Heartbeat: my.Postgres.Heartbeat,
 		Log: own.Log}
+	dialled := []*exchange.Servers{&own.Servers, &other.Servers}
 	backend := &wires{table: table, backends: map[routes.Wire]routing.Backend{routes.MySQL: own, routes.Postgres: other}}
 	src := newSource(cfg, mysqlSource(cfg, my), mysqlWire, table, loop, log)
 	core, err := routing.New(loop, backend, routing.Options{Settings: src.settings(probed(cfg.Settings)), Seed: cfg.Seed + 1,
@@ -340,7 +347,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet.limit(core, cfg.Settings, &own.Servers, &other.Servers)
+	fleet.limit(core, dialled...)
 	if cfg.Lists.MySQL == (config.ListSource{}) {
 		cfg = withPoll(cfg, my.Reload)
 	}
@@ -352,8 +359,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	retune := func(cfg *config.Config) {
-		own.Pool.Rest(idleFor(cfg))
-		other.Pool.Rest(idleFor(cfg))
+		reach(cfg, my.ProbeTimeout, dialled)
 		if err := core.Retune(src.settings(probed(cfg.Settings)), cfg.MaxOpen, my.ProbeTimeout); err != nil {
 			log.Error().Err(err).Msg("reload")
 		}
@@ -386,6 +392,14 @@
 	return pool
 }
 
+// reach has servers of either wire reached as a configuration says from now on.
+func reach(cfg *config.Config, connect time.Duration, dialled []*exchange.Servers) {
+	for _, s := range dialled {
+		s.ConnectTimeout = connect
+		s.Pool.Rest(idleFor(cfg))
+	}
+}
+
 func idleFor(cfg *config.Config) time.Duration {
 	return time.Duration(idleShare * float64(cfg.ConnIdle))
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -5,6 +5,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"threadsail/rules"
@@ -218,13 +219,33 @@
 // ForAll has this pooler repeat rounds for the fleet, or leaves that to others.
 func (c *Core) ForAll(on bool) { c.router.ForAll(on) }
 
-// Retune takes over new settings under way. Requests that are open keep their class.
+// Retune takes over new settings under way. Requests that are open keep their class. Settings that can't be used change nothing.
 func (c *Core) Retune(set rules.Settings, maxOpen int, probeTimeout time.Duration) error {
+	if err := set.Validate(); err != nil {
+		return err
+	}
+	unbound := c.opt.Settings.DrainOnly
 	c.enlist(set)
 	c.opt.MaxOpen, c.opt.ProbeTimeout = maxOpen, probeTimeout
-	return c.router.Retune(c.loop.Now(), c.opt.Settings)
+	if err := c.router.Retune(c.loop.Now(), c.opt.Settings); err != nil {
+		return err
+	}
+	if unbound && !set.DrainOnly { // what has left the list meanwhile was still used
+		var gone []Member
+		for name, id := range c.names {
+			if !c.listed[id] {
+				gone = append(gone, Member{Name: name, State: rules.Gone})
+			}
+		}
+		slices.SortFunc(gone, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+		c.List(rules.ListDelta, gone)
+	}
+	return nil
 }
 
+// Settings are those in force.
+func (c *Core) Settings() rules.Settings { return c.opt.Settings }
+
 // enlist numbers the classes of the settings. A number stands for the same class for good: one that has changed gets
 // another, one that comes back has the one it had.
 func (c *Core) enlist(set rules.Settings) {
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -143,6 +143,35 @@
 	}
 }
 
+// Settings that can't be used change nothing. Where leaving the list binds from now on, what has left it is used no more.
+func TestRetune(t *testing.T) {
+	c, _ := start(t)
+	class := c.ClassInfo(0)
+	set := func(name string, attempts int, drainOnly bool) rules.Settings {
+		class.Name = name
+		return rules.Settings{MaxAttempts: attempts, DrainOnly: drainOnly, Classes: []rules.Class{class}}
+	}
+	done := make(chan struct{})
+	c.loop.Post(func() {
+		defer close(done)
+		if err := c.Retune(set("x", -1, false), 1, 0); err == nil || c.classes["w"] != 0 || len(c.classes) != 1 || c.opt.MaxOpen != 9 {
+			t.Errorf("%v: classes %v, %d open at most", err, c.classes, c.opt.MaxOpen)
+		}
+		for _, drainOnly := range []bool{true, false} {
+			if err := c.Retune(set("w", 6, drainOnly), 1, 0); err != nil {
+				t.Error(err)
+			}
+			if drainOnly {
+				c.List(rules.ListFull, nil)
+			}
+			if avoids := c.router.Avoids(c.names["s"]); avoids == drainOnly {
+				t.Errorf("only drains bind: %v; what has left the list is avoided: %v", drainOnly, avoids)
+			}
+		}
+	})
+	<-done
+}
+
 // BenchmarkList hands a core of 10,000 servers in 1,000 clusters one that has changed, and the whole list for comparison.
 func BenchmarkList(b *testing.B) {
 	loop := NewLoop()
