Name file, line and key of what a configuration has wrong, refuse unknown words

Seen: PROXY_CONFIG, mysql.json and membership.json named file and key, not the line, and in part a field of the program in place of a key (settings: ColdFrom, Classes[0], Lanes.HardLimitMs); only fleet.json and scenarios named lines. An unknown word in settings.discovery was taken for pushed lists, one in familyInfo.tokens for carried ones, one in report.how for a report: a misspelt "ask" would have brought another customer's rules.

Change: located finds the line by the decoder's offset or by the key that the error begins with (placeOf, which purges used already); the settings are decoded in one pass with their file, numbers under zero are found by their keys, strict reads the two files that are ours, mysql.json now without text behind its object. TestFilesNameTheLine has a case for each; all but two fail without the change. Two older cases now want the key as the file has it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -81,7 +82,7 @@
 		err = check(c)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, located(path, text, err)
 	}
 	c.Lists, err = loadLists(getenv)
 	return c, err
@@ -95,10 +96,10 @@
 			Sockets  int
 		}
 		Known    json.RawMessage
-		Settings json.RawMessage
+		Settings *Facts
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, jsonError(err)
+		return nil, placed{jsonError(err), jsonOffset(err, 0)}
 	}
 	c := &Config{Name: or(file.Name, getenv("PROXY_NAME")), Listen: or(file.Listen, getenv("PROXY_LISTEN")),
 		Discovery: or(file.Discovery, getenv("PROXY_DISCOVERY")), Sockets: or(file.Limits.Sockets, defaultSockets),
@@ -137,47 +138,46 @@
 	if len(file.Known) > 0 {
 		known, err := discovery.ParseList(file.Known)
 		if err != nil {
-			return nil, fmt.Errorf("known: %w", err)
+			return nil, fmt.Errorf("known.%w", err)
 		}
 		c.Known = known
 	}
-	if len(file.Settings) == 0 {
+	if file.Settings == nil {
 		return nil, errors.New("settings: missing")
 	}
 	return c, c.settle(file.Settings)
 }
 
 // settle takes over the settings object.
-func (c *Config) settle(text []byte) error {
-	facts, err := ParseFacts(text)
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
+func (c *Config) settle(facts *Facts) (err error) {
 	if c.Settings, err = Settings(facts); err != nil {
 		return err
 	}
 	c.Digest = facts.digest()
 	if len(c.Settings.Classes) == 0 {
-		return errors.New("settings: lanes: no class is named")
+		return errors.New("settings.lanes: no class is named")
 	}
 	seen := map[string]bool{}
 	for i, k := range c.Settings.Classes {
 		switch {
 		case k.Name == "" || seen[k.Name]:
-			return fmt.Errorf("settings: lanes[%d].name: %q is empty or names another class too", i, k.Name)
+			return fmt.Errorf("settings.lanes[%d].name: %q is empty or names another class too", i, k.Name)
 		case k.Deadline <= 0:
-			return fmt.Errorf("settings: lanes[%d].hardLimitMs: not above 0", i)
+			return fmt.Errorf("settings.lanes[%d].hardLimitMs: not above 0", i)
 		}
 		seen[k.Name] = true
 	}
+	if err := below("settings", reflect.ValueOf(*facts)); err != nil {
+		return err
+	}
+	if f := facts.Contract.ColdFrom; f > 1 {
+		return fmt.Errorf("settings.contract.coldFrom: %v is no share from 0 to 1", f)
+	}
 	if err := c.Settings.Validate(); err != nil {
 		return err
 	}
 	if n := len(facts.FamilyInfo.ClassRead); n > 0 && n != len(facts.Lanes) {
-		return fmt.Errorf("settings: familyInfo.classRead: %d words for %d lanes", n, len(facts.Lanes))
-	}
-	if facts.Caps.MaxOpen < 0 || facts.Caps.ConnIdleMs < 0 || facts.Caps.ConnectTimeoutMs < 0 {
-		return errors.New("settings: caps: maxOpen, connIdleMs or connectTimeoutMs is below 0")
+		return fmt.Errorf("settings.familyInfo.classRead: %d words for %d lanes", n, len(facts.Lanes))
 	}
 	c.Zones = facts.Zones
 	c.MaxOpen = or(facts.Caps.MaxOpen, defaultMaxOpen)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -80,6 +80,57 @@
 	}
 }
 
+// What a file has wrong is named by file, line and key; what it lacks, by the line of what should hold it.
+func TestFilesNameTheLine(t *testing.T) {
+	dir := t.TempDir()
+	files := map[string]string{"PROXY_CONFIG": good, "PROXY_MEMBERSHIP": "{\n\"enabled\":true,\n\"keep\":2}",
+		"PROXY_MYSQL": "{\"enabled\":true,\"listen\":\"127.0.0.1:1\",\"inventory\":\"i\",\n\"user\":\"u\",\"defaults\":{\n\"read\":{\"class\":\"w\"},\"write\":{\"class\":\"w\"}}}"}
+	getenv := func(name string) string {
+		if files[name] == "" {
+			return ""
+		}
+		return filepath.Join(dir, name)
+	}
+	for _, c := range []struct{ file, old, new, want string }{
+		{"PROXY_CONFIG", "", "", ""},
+		{"PROXY_CONFIG", `6432"`, `64x"`, ":1: listen: "},
+		{"PROXY_CONFIG", `"listen"`, `"listens"`, ": listen: missing"},
+		{"PROXY_CONFIG", `:512`, `:3`, ":2: limits.sockets: 3 is under 32"},
+		{"PROXY_CONFIG", `:512`, `:1e30`, ":2: limits.sockets: a number 1e30 does not fit"},
+		{"PROXY_CONFIG", `:64,`, `:1e999,`, ":2: limits.memory_mb: a number 1e999 does not fit"},
+		{"PROXY_CONFIG", `[]`, "[{\"id\":\"a\",\"host_port\":\"b\",\"phase\":\"Ready\"},\n{\"phase\":\"Odd\"}]", `:3: known.members[1].phase: unknown word "Odd"`},
+		{"PROXY_CONFIG", `9000`, `-9000`, ":3: settings.caps.connIdleMs: -9000 is below 0"},
+		{"PROXY_CONFIG", `3000`, `3000,"worth":-1`, ":4: settings.lanes[0].worth: -1 is below 0"},
+		{"PROXY_CONFIG", `3000`, `"x"`, ":4: settings.lanes.hardLimitMs: a string does not fit"},
+		{"PROXY_CONFIG", `"mutate"`, `"mutated"`, `:4: settings.familyInfo.classRead[0]: unknown word "mutated"`},
+		{"PROXY_CONFIG", `"familyInfo":{`, `"familyInfo":{"tokens":"worn",`, `:4: settings.familyInfo.tokens: unknown word "worn"`},
+		{"PROXY_CONFIG", `"zones"`, `"discovery":"aks","zones"`, `:3: settings.discovery: unknown word "aks"`},
+		{"PROXY_CONFIG", `"zones"`, `"contract":{"coldFrom":2},"zones"`, ":3: settings.contract.coldFrom: 2 is no share"},
+		{"PROXY_CONFIG", `"zones"`, `"zones`, ":3: invalid character"},
+		{"PROXY_MEMBERSHIP", `2`, `0`, ":3: keep: 0 is not from 1"},
+		{"PROXY_MEMBERSHIP", `"keep"`, `"kept"`, `:3: json: unknown field "kept"`},
+		{"PROXY_MEMBERSHIP", `2}`, "2}\n7", ":4: text follows"},
+		{"PROXY_MYSQL", `"u"`, `7`, ":2: user: a number does not fit"},
+		{"PROXY_MYSQL", `"class":"w"}}`, `"class":"v"}}`, `:3: defaults.write.class: "v" is no class`},
+	} {
+		for name, text := range files {
+			if name == c.file {
+				text = strings.Replace(text, c.old, c.new, 1)
+			}
+			if err := os.WriteFile(getenv(name), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cfg, err := Load(getenv)
+		if err == nil {
+			_, err = LoadMySQL(getenv, cfg)
+		}
+		if (err == nil) != (c.want == "") || err != nil && !strings.HasPrefix(err.Error(), getenv(c.file)+c.want) {
+			t.Errorf("%s with %s: %v, want %s", c.file, c.new, err, c.want)
+		}
+	}
+}
+
 // A file that is half written, or wrong in part, must be turned down whole: nothing is defaulted at a reload.
 func TestReloadIsStrict(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
@@ -121,7 +172,7 @@
 		{`"connIdleMs":9000`, `"idle":9000`}:                 "settings.caps.connIdleMs: missing",
 		{`,"maxAttempts":6`, ""}:                             "settings.caps.maxAttempts: missing",
 		{`"maxAttempts":6`, `"maxAttempts":0`}:               "maxAttempts: not above 0",
-		{`"maxAttempts":6`, `"maxAttempts":-1`}:              "MaxAttempts is -1",
+		{`"maxAttempts":6`, `"maxAttempts":-1`}:              "caps.maxAttempts: -1 is below 0",
 		{`"maxAttempts":6`, `"maxAttempts":"many"`}:          "maxAttempts",
 		{`"maxAttempts":6`, `"maxAttempts":2.5`}:             "maxAttempts",
 		{`"hardLimitMs":3000`, `"hardLimitMs":0`}:            "hardLimitMs: not above 0",
--- a/internal/config/facts.go
+++ b/internal/config/facts.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -97,11 +98,27 @@
 	return fmt.Sprintf("%016x", xxhash.Sum64(text))
 }
 
+// misfit is a value of the wrong type.
+type misfit struct{ *json.UnmarshalTypeError }
+
+func (m misfit) Error() string {
+	keys := strings.Split(m.Field, ".")
+	for i, name := range keys {
+		keys[i] = keyOf(name)
+	}
+	return fmt.Sprintf("%s: a %s does not fit", strings.Join(keys, "."), m.Value)
+}
+
+// keyOf is the key of a field that has no tag.
+func keyOf(field string) string { return strings.ToLower(field[:1]) + field[1:] }
+
+func (m misfit) Unwrap() error { return m.UnmarshalTypeError }
+
 // jsonError names the key at fault where the decoder knows it.
 func jsonError(err error) error {
 	var t *json.UnmarshalTypeError
 	if errors.As(err, &t) && t.Field != "" {
-		return fmt.Errorf("%s: a %s does not fit", t.Field, t.Value)
+		return misfit{t}
 	}
 	return err
 }
--- a/internal/config/lists.go
+++ b/internal/config/lists.go
@@ -1,12 +1,10 @@
 package config
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
 	"os"
-	"strings"
 	"time"
 
 	"threadsail/internal/membership"
@@ -53,7 +51,7 @@
 	}
 	l, err := parseLists(text)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, located(path, text, err)
 	}
 	return l, nil
 }
@@ -72,13 +70,8 @@
 		PollMs          *float64     `json:"poll_ms"`
 		MySQLServers    MySQLServers `json:"mysql_servers"`
 	}
-	dec := json.NewDecoder(strings.NewReader(string(text)))
-	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
-	if err := dec.Decode(&file); err != nil {
-		return nil, jsonError(err)
-	}
-	if dec.More() {
-		return nil, errors.New("text follows the object")
+	if err := strict(text, &file); err != nil {
+		return nil, err
 	}
 	l := defaultLists()
 	if !file.Enabled {
--- a/internal/config/mysql.go
+++ b/internal/config/mysql.go
@@ -1,13 +1,11 @@
 package config
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"threadsail/internal/translate"
@@ -62,7 +60,7 @@
 	}
 	m, err := parseMySQL(text, cfg.ClassNames(), cfg.Lists.MySQL != ListSource{})
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, located(path, text, err)
 	}
 	if m != nil {
 		m.File = path
@@ -99,10 +97,8 @@
 		Postgres                     Postgres
 		Translate                    translate.Options
 	}
-	dec := json.NewDecoder(strings.NewReader(string(text)))
-	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
-	if err := dec.Decode(&file); err != nil {
-		return nil, jsonError(err)
+	if err := strict(text, &file); err != nil {
+		return nil, err
 	}
 	if !file.Enabled {
 		return nil, nil
--- a/internal/config/scenario_test.go
+++ b/internal/config/scenario_test.go
@@ -17,7 +17,7 @@
 		{"{\"poolers\": 4, \"servers\": 2, \"length_ms\": 1000,\n\"steps\": [{\"act\": \"stop\", \"poolers\": \"holder\"}]}", ":2: steps[0].poolers: holder"},
 		{"{\"poolers\": 4, \"servers\": 2, \"length_ms\": 1000,\n\"steps\": [{\"act\": \"isolate\", \"poolers\": \"0\"}]}", ":2: steps[0].act: isolate needs"},
 		{`{"poolers": 4, "servers": 2, "length_ms": 1000, "fleet": {"stewards": 2}}`, "fleet.stewards"},
-		{"{\"poolers\": 4,\n \"servers\": \"two\"}", ":2: Servers: a string"},
+		{"{\"poolers\": 4,\n \"servers\": \"two\"}", ":2: servers: a string"},
 		{`{"poolers": 0, "servers": 2, "length_ms": 1000}`, ":1: poolers"},
 		{`{"poolers": 2, "servers": 2, "length_ms": 1000, "pooler": 3}`, `unknown field "pooler"`},
 		{`{"poolers": 2, "servers": 2, "length_ms": 1000, "steps": [{"act": "kill", "poolers": "all", "when": 3}]}`, `steps[0]: json: unknown field "when"`},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"threadsail/rules"
@@ -29,7 +30,16 @@
 	case "await":
 		s.Behind = rules.BehindWaits
 	default:
-		return s, fmt.Errorf("settings: familyInfo.behind: unknown word %q", f.FamilyInfo.Behind)
+		return s, fmt.Errorf("settings.familyInfo.behind: unknown word %q", f.FamilyInfo.Behind)
+	}
+	for _, w := range []struct {
+		key, word string
+		known     []string
+	}{{"discovery", f.Discovery, []string{"", "ask", "push"}}, {"report.how", f.Report.How, []string{"", "none", "probe", "answers"}},
+		{"familyInfo.tokens", f.FamilyInfo.Tokens, []string{"", "brought", "kept"}}} {
+		if !slices.Contains(w.known, w.word) { // taken for another it would bring that one's rules
+			return s, fmt.Errorf("settings.%s: unknown word %q", w.key, w.word)
+		}
 	}
 	if f.Report.How != "none" {
 		for _, name := range f.Report.Fields {
@@ -39,7 +49,7 @@
 	for i, l := range f.Lanes {
 		c, err := class(f, i, l)
 		if err != nil {
-			return s, fmt.Errorf("settings: lanes[%d]: %w", i, err)
+			return s, fmt.Errorf("settings.%w", err)
 		}
 		s.Classes = append(s.Classes, c)
 	}
@@ -57,7 +67,7 @@
 	case "single_shot":
 		c.Effect = rules.Unsafe
 	default:
-		return c, fmt.Errorf("semantics: unknown word %q", l.Semantics)
+		return c, fmt.Errorf("lanes[%d].semantics: unknown word %q", i, l.Semantics)
 	}
 	switch l.Group {
 	case "all":
@@ -67,7 +77,7 @@
 	case "", "cell":
 		c.Scope = rules.ScopeGroup
 	default:
-		return c, fmt.Errorf("group: unknown word %q", l.Group)
+		return c, fmt.Errorf("lanes[%d].group: unknown word %q", i, l.Group)
 	}
 	if i < len(f.FamilyInfo.LagAllowedMs) {
 		c.Bound = Milliseconds(f.FamilyInfo.LagAllowedMs[i])
@@ -85,7 +95,7 @@
 		case "mutate":
 			c.Need = rules.NeedWrite
 		default:
-			return c, fmt.Errorf("familyInfo.classRead: unknown word %q", w)
+			return c, fmt.Errorf("familyInfo.classRead[%d]: unknown word %q", i, w)
 		}
 	}
 	return c, nil
