--- a/cmd/threadsail/main_test.go
+++ b/cmd/threadsail/main_test.go
@@ -65,7 +65,7 @@
 		{[]string{"check"}, f.Env, 0, "configuration is fine: 3 classes"},
 		{[]string{"check"}, nil, 1, "PROXY_CONFIG: not set"},
 		{[]string{"serve"}, nil, 1, "PROXY_CONFIG: not set"},
-		{[]string{"serve"}, bad, 1, `unknown field "`},
+		{[]string{"serve"}, bad, 1, `config.json:1: json: unknown field "`},
 	} {
 		out, err := command(c.env, c.args...).CombinedOutput()
 		var exit *exec.ExitError
