Write every answer out before a connection of a client ends: no reset overtakes it

Cause: polled.close, which Conn.Finish came to, set SO_LINGER to 0 where bytes of the client were unread and shut the socket down both ways. The kernel then drops what the client has not taken yet; the same happens where bytes come right after the shutdown. Only Part waited, and only fronts that were ending called it: a FATAL error, the last answer of a drain, KILL and a turned-away newcomer went through Finish. Conn.Reset, by which the door makes room, dropped an answer that was still being read, as a client counts as idle once its answer is with the kernel or queued.

Seen: a client that reads late behind a small window got 4096 of 65536 bytes and then the end, by Finish and by Reset. Ruled out: Nagle's delay (netpoll sets TCP_NODELAY on what it accepts and dials, an inherited listener's connections too, and a copy of a descriptor is the same socket).

Finish now closes its own half and throws away what comes until the peer closes, for 500 ms or 1 MB at most, where the peer has yet to take something or has sent something; else it closes at once, as before. At the end of that time it resets only if all has been taken. Reset finishes a connection to which something is owed. Part was the same and goes.

TestAnswerBeforeTheEnd (with Part's test in it) fails without this.

--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -144,10 +144,7 @@
 			s.open.Gone()
 			s.Fail()
 		}
-		if f.sessions[s] {
-			s.c.Part()
-			s.Closed(nil)
-		}
+		s.finish()
 	}
 }
 
@@ -281,8 +278,7 @@
 	case len(s.buf) == 0 && s.Quiet():
 		s.finish()
 	case s.paused && s.c.Seen() && !s.whole():
-		s.c.Part()
-		s.Closed(nil)
+		s.finish()
 	}
 }
 
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -88,8 +88,7 @@
 		if len(s.slots) == 0 || !s.slots[0].begun() { // no word fits into the middle of an answer
 			s.c.Write(s.failAll())
 		}
-		s.c.Part()
-		s.Closed(nil)
+		s.finish()
 	}
 }
 
@@ -210,8 +209,7 @@
 	case len(s.buf) == 0 && s.Quiet():
 		s.finish()
 	case s.paused && s.c.Seen():
-		s.c.Part()
-		s.Closed(nil)
+		s.finish()
 	}
 }
 
--- a/internal/transport/direct.go
+++ b/internal/transport/direct.go
@@ -75,6 +75,8 @@
 	_ = s.std.SetReadDeadline(time.Now().Add(lingerFor))
 }
 
+func (s *direct) finish() { s.close() }
+
 func (s *direct) reset() {
 	_ = s.std.SetLinger(0)
 	close(s.done)
@@ -98,7 +100,7 @@
 			break
 		}
 	}
-	_ = s.std.SetLinger(0)
+	s.use(resetUnlessOwed)
 }
 
 func (s *direct) pause(on bool) {
--- a/internal/transport/polled.go
+++ b/internal/transport/polled.go
@@ -19,11 +19,13 @@
 	budget  *Budget
 	raw     netpoll.Connection
 	freed   atomic.Bool
-	watched bool // the poller closes it after a hang-up
-	paused  bool // while it is leaving
+	watched bool         // the poller closes it after a hang-up
+	paused  bool         // while it is leaving
+	unread  atomic.Int64 // 1 once its owner has finished, and then counts the bytes that are thrown away
 	mu      sync.Mutex
 	gone    bool          // its descriptor is no longer ours; under mu, as what follows
 	shut    bool          // its owner has closed it
+	last    *time.Timer   // not nil: when it ends though its peer has not closed
 	writes  int           // under way through netpoll
 	leaving chan struct{} // not nil: it is leaving netpoll, closed at the end of that
 	next    *direct       // what it has become
@@ -86,13 +88,43 @@
 	}
 	s.mu.Unlock()
 	s.use(func(fd int) {
-		if how == syscall.SHUT_RDWR && (!silent(fd) || s.ahead() > 0 || s.c.unheard.Load() > 0) {
+		if how == syscall.SHUT_RDWR && !s.quiet(fd) {
 			_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
 		}
 		_ = syscall.Shutdown(fd, how)
 	})
 }
 
+// finish leaves the socket in netpoll, which reads on until the peer's close and then closes it. Where the peer has taken all
+// and sends nothing there is nothing to wait for.
+func (s *polled) finish() {
+	owed := false
+	s.use(func(fd int) { owed = unsent(fd) || !s.quiet(fd) })
+	if !s.watched || !owed {
+		s.close()
+		return
+	}
+	s.mu.Lock()
+	s.shut = true
+	if s.leaving == nil && !s.gone {
+		s.last = time.AfterFunc(lingerFor, s.giveUp)
+	}
+	s.mu.Unlock()
+	s.unread.Store(1)
+	s.use(func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) })
+}
+
+// quiet tells that all has been seen that the peer has sent.
+func (s *polled) quiet(fd int) bool { return silent(fd) && s.ahead() == 0 && s.c.unheard.Load() == 0 }
+
+// giveUp ends what its owner has finished, though the peer has not closed it.
+func (s *polled) giveUp() {
+	s.use(func(fd int) {
+		resetUnlessOwed(fd)
+		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
+	})
+}
+
 func (s *polled) reset() {
 	s.use(func(fd int) {
 		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
@@ -117,6 +149,9 @@
 	c, r := s.c, s.raw.Reader()
 	n := r.Len()
 	if c.deaf.Load() {
+		if s.unread.Load() > 0 && s.unread.Add(int64(n)) > lingerMost {
+			s.giveUp()
+		}
 		_ = r.Skip(n)
 		return r.Release()
 	}
@@ -191,6 +226,9 @@
 	}
 	s.mu.Lock()
 	s.gone = true
+	if s.last != nil {
+		s.last.Stop()
+	}
 	s.mu.Unlock()
 	s.free()
 	s.c.loop.Post(s.c.hangup)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -89,7 +90,6 @@
 	unsent  []byte
 	writing bool
 	closing bool         // close once all is written
-	parting bool         // and only the own half at first
 	written func()       // is told once all bytes given to Write are with the network; nil: nobody waits
 	hungUp  bool         // the peer has closed while a write was under way
 	deaf    atomic.Bool  // what still comes is thrown away
@@ -101,6 +101,7 @@
 	use(f func(fd int)) bool // runs f on the descriptor, if that is still ours
 	write(b []byte) error    // waits for the peer, but not for long
 	close()                  // ends the connection
+	finish()                 // ends it so that the peer gets all that was written
 	reset()                  // ends it and lets the peer know that what it may just be sending is not read
 	pause(on bool)           // stops reading for a while
 	ahead() int              // bytes that are read and not counted in unheard yet
@@ -209,7 +210,10 @@
 	}
 }
 
-// Finish closes the connection after what is queued has been written.
+// Finish closes the connection after what is queued has been written. While the peer has yet to take some of it, or still sends,
+// only the own half is closed and what comes is thrown away, until the peer closes too: so it meets the end of the stream behind
+// the last answer. Closed outright with bytes unread, or when some come right after, the connection would be reset, and the
+// reset may overtake that answer.
 func (c *Conn) Finish() {
 	c.deaf.Store(true)
 	if c.closing = true; c.Written() {
@@ -217,25 +221,23 @@
 	}
 }
 
-// Part closes the connection after what is queued has been written, while its peer may still be sending: it closes the own
-// half and reads no further, so that the peer meets the end of the stream behind the last answer. Closed outright with bytes
-// unread, the connection would be reset, and the reset may overtake that answer.
-func (c *Conn) Part() {
-	c.parting = true
-	c.Finish()
-}
-
 func (c *Conn) depart() {
-	if c.parting {
-		c.Pause(true) // what it becomes closes one half at a time
+	if !c.closed {
+		c.closed, c.handler = true, nil
+		c.socket.finish()
 	}
-	c.Close()
 }
 
 // Reset closes the connection at once and lets the peer know that what it may just be sending is not read: after an
-// ordinary close it sees the end of the stream, and can't tell.
+// ordinary close it sees the end of the stream, and can't tell. Bytes that it has not taken yet would go with it: then it is
+// finished instead.
 func (c *Conn) Reset() {
-	if !c.closed {
+	owed := !c.Written()
+	c.socket.use(func(fd int) { owed = owed || unsent(fd) })
+	switch {
+	case owed:
+		c.Finish()
+	case !c.closed:
 		c.closed, c.handler = true, nil
 		c.socket.reset()
 	}
@@ -278,6 +280,21 @@
 	return err == syscall.EAGAIN
 }
 
+// unsent tells whether the kernel holds bytes that the peer has not taken.
+func unsent(fd int) bool {
+	var n int32
+	_, _, failed := syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+	return failed == 0 && n > 0
+}
+
+// resetUnlessOwed has a socket's close reset the connection, so that a peer that is kept waiting for room learns of the end,
+// but not where the reset would take bytes with it that the peer has yet to read.
+func resetUnlessOwed(fd int) {
+	if !unsent(fd) {
+		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	}
+}
+
 // limitKernel bounds what the kernel keeps for a peer that is not read.
 func limitKernel(fd int) {
 	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelBuffer)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -352,29 +353,63 @@
 	f.free(0)
 }
 
-// A peer that is still sending when its connection is closed gets all that was written to it, and then the end of the
-// stream: a reset would take with it what the peer has not read yet.
-func TestPartFromAPeerThatSendsOn(t *testing.T) {
-	f := newFixture(t, 8)
-	c, err := net.Dial("tcp", f.ln.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	s := receive(t, f.accepted)
-	const size = 256 << 10
-	f.on(func() {
-		if _, err := c.Write([]byte("not read")); err != nil {
-			t.Error(err)
+// Whatever closes a connection, its peer gets all that was written to it and then the end of the stream, though it is still
+// sending then and begins to read late: a reset would take with it what the peer has not taken yet. The descriptor is given back
+// once the peer has closed, or sends on for good.
+func TestAnswerBeforeTheEnd(t *testing.T) {
+	for name, close := range map[string]func(*transport.Conn){
+		"finish":        (*transport.Conn).Finish,
+		"reset":         (*transport.Conn).Reset, // an answer is owed
+		"pause, finish": func(c *transport.Conn) { c.Pause(true); c.Finish() },
+	} {
+		for _, size := range []int{4, 64 << 10, 256 << 10} { // taken at once, held by the kernel here, more than it takes
+			if size == 4 && name == "reset" {
+				continue // nothing is owed
+			}
+			f := newFixture(t, 8)
+			ln, err := net.Listen("tcp", "127.0.0.1:0") // its connections take little: the rest stays with the closing side
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw, _ := ln.(*net.TCPListener).SyscallConn()
+			_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+			came := make(chan *transport.Conn, 1)
+			f.on(func() {
+				transport.Dial(f.loop, f.budget, ln.Addr().String(), time.Second, func(c *transport.Conn, _ error) {
+					c.SetHandler(newSide())
+					came <- c
+				})
+			})
+			c, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := receive(t, came)
+			send := func() {
+				if _, err := c.Write([]byte("not read")); err != nil {
+					t.Error(err)
+				}
+			}
+			f.on(func() {
+				send()
+				s.Write(make([]byte, size))
+				close(s)
+				send()
+			})
+			send()
+			_ = c.SetDeadline(time.Now().Add(late))
+			if got, err := io.ReadAll(c); len(got) != size || err != nil {
+				t.Errorf("%s: %d of %d bytes come, and then %v", name, len(got), size, err)
+			}
+			if size == 4 { // one that never stops is cut off
+				for err = nil; err == nil; _, err = c.Write(make([]byte, 64<<10)) {
+				}
+			}
+			c.Close()
+			ln.Close()
+			f.free(0)
 		}
-		s.Write(make([]byte, size))
-		s.Part()
-	})
-	_ = c.SetDeadline(time.Now().Add(late))
-	if got, err := io.ReadAll(c); len(got) != size || err != nil {
-		t.Errorf("%d of %d bytes come, and then %v", len(got), size, err)
 	}
-	f.free(0)
 }
 
 type closer func()
@@ -384,10 +419,12 @@
 
 // A listener that is closed twice, as a pooler's is at its end, must not close what has taken its descriptor's number.
 func TestListenerIsClosedOnce(t *testing.T) {
-	ln, err := transport.Listen(routing.NewLoop(), transport.NewBudget(4), "127.0.0.1:0", func(*transport.Conn) {})
-	if err != nil {
+	f := newFixture(t, 4)
+	ln := f.ln
+	if _, err := f.dial(newSide()); err != nil {
 		t.Fatal(err)
 	}
+	receive(t, f.accepted) // it serves: one closed before could still be registered, under a number that is the next test's
 	ln.Close()
 	var files []*os.File
 	for range 16 { // the lowest numbers that are free, its own among them
