Ask right before each attempt whether its client is still there

Cause: an attempt was held back only once the news of the client's close had been through the loop (transport.Conn.hangup, session.Closed, Open.Gone). Until then Core.attempt (core.go) and Attempt.Fits knew nothing of it: a close that lies in the kernel, behind bytes or events not taken in yet, behind a read that is paused (direct.read without a leave) or behind a write of ours (hangup waits for it), let an attempt out. Where the settings let nothing be cancelled (mayCancel false) it was worse: StillFits never asks whether the request has ended, so an attempt that waited for leave to dial or for its connection was written for a client whose close, CancelRequest or KILL had been taken in long before.

Ruled out: the module (Router.Gone ends what it holds, so a pause between two attempts and a held write end with the news); the order of events (all that has come is taken in before the round's attempts go out, so a cancel on another connection is never behind the attempt of its own round); reading outside a drain, which is never paused for a client: what it pipelines is taken off as it comes, and it is cut off at 64 commands (PostgreSQL) or two commands' bytes (MySQL).

Change: Replier.Left is asked in one place, Open.left, before an attempt is handed to the backend and in Fits, which every exchange asks behind a wait, translated ones too. The fronts look at the kernel by poll(2) with POLLRDHUP (Conn.PeerGone), which sees a close or reset behind unread bytes, and end the session. Such an attempt is Moot for the module and counts nowhere. A wait for leave to dial asks Fits before it asks for leave again, so the gone take no leave from others.

A close that the client's own kernel still holds, behind more unread bytes than the window has room for, is seen by nobody here; reads pause for a client only in the last stretch of a drain.

Shown: TestNoAttemptForTheGone, 40 cases: two fronts before servers of either wire; the client goes as its request is let in (20 more commands and half a one behind it), as its connection is made, between two attempts, in a held write; by a close, a reset, a cancel.

--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -35,6 +36,31 @@
 	Close() error
 }
 
+// Leave closes a client's connection, in order or by a reset, and waits until the kernel of its peer, which is this machine's, has
+// that: whatever the peer's process has read by then.
+func Leave(c net.Conn, reset bool) error {
+	port := func(a net.Addr) string { return fmt.Sprintf(":%04X", a.(*net.TCPAddr).Port) }
+	if reset {
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	c.Close()
+	for late := time.Now().Add(20 * time.Second); time.Now().Before(late); {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			return err
+		}
+		open := false
+		for line := range strings.Lines(string(table)) {
+			f := strings.Fields(line)
+			open = open || strings.HasSuffix(f[1], port(c.RemoteAddr())) && strings.HasSuffix(f[2], port(c.LocalAddr())) && f[3] == "01"
+		}
+		if !open {
+			return nil
+		}
+	}
+	return errors.New("the peer's kernel has no close")
+}
+
 var lastID atomic.Int64
 
 // Read is a read of the class, Write a write; key may be empty.
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -59,12 +59,11 @@
 
 func (x *Exchange) begin(until time.Duration, waited bool, h transport.Handler, idle func(state any), fresh func()) {
 	s, addr := x.servers, x.addr
+	if waited && !x.attempt.Fits() {
+		x.End(rules.Missed)
+		return
+	}
 	if c, state := s.Pool.Get(addr, s.Loop.Now()); c != nil {
-		if waited && !x.attempt.Fits() {
-			s.Pool.Put(addr, c, state)
-			x.End(rules.Missed)
-			return
-		}
 		x.Conn = c
 		x.timed()
 		c.SetHandler(h)
--- /dev/null
+++ b/internal/program/gone_test.go
@@ -0,0 +1,222 @@
+package program_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"threadsail/internal/config"
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/program"
+	"threadsail/internal/routing"
+	"threadsail/rules"
+)
+
+// way calls an act on a front's loop, once, at a moment of a request's way: nothing else is taken in meanwhile, so what happens in it
+// has not been read when the front goes on. Until the act's client has left no connection is made.
+type way struct {
+	mu   sync.Mutex
+	at   string
+	on   bool // the act's request has come
+	came chan struct{}
+	act  func()
+	left bool
+}
+
+func (w *way) is(moment string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if moment == "comes" && w.act != nil && !w.on {
+		w.on = true
+		close(w.came)
+	}
+	if act := w.act; w.on && moment == w.at && act != nil {
+		w.act = nil
+		act()
+	}
+}
+
+func (w *way) Admit(time.Duration, *routing.Request) (a routing.Admission) {
+	w.is("comes")
+	return a
+}
+func (w *way) MaySend(time.Duration, *routing.Request, string) routing.Sending { return routing.Send }
+func (w *way) Ended(time.Duration, *routing.Request, routing.Ending)           {}
+func (w *way) Listed(string, time.Duration)                                    {}
+func (w *way) MayProbe(time.Duration, string) bool                             { return true }
+func (w *way) MayDial(time.Duration, string) (time.Duration, bool) {
+	w.is("dials")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Millisecond, w.at != "dials" || !w.on || w.left
+}
+
+// A client that has closed its connection, or reset it, or has cancelled, gets no attempt from then on, first or further, whatever
+// the pooler has read of that: each client goes at a moment right behind which the attempt is due. A write that a server has begun
+// runs on, as these settings let nothing be cancelled.
+func TestNoAttemptForTheGone(t *testing.T) {
+	for _, pair := range pairs {
+		if strings.Contains(pair.name, " and ") {
+			continue
+		}
+		for _, at := range []string{"comes", "dials", "resends", "held"} {
+			for _, how := range []string{"close", "reset", "cancel"} {
+				if how == "cancel" && (at == "comes" || at == "resends") {
+					continue // it comes on another connection, and is taken in in its turn
+				}
+				t.Run(strings.Join([]string{pair.name, at, how}, "/"), func(t *testing.T) {
+					t.Parallel()
+					leaves(t, standin.NewMixedFleet(t, pair.mysql, pair.speak, func(s map[string]any) {
+						caps := s["caps"].(map[string]any)
+						caps["mayCancel"] = false
+						if at == "dials" {
+							caps["connIdleMs"] = 1 // no connection is kept
+						}
+					}, "p", "r", "s"), at, how)
+				})
+			}
+		}
+	}
+}
+
+func leaves(t *testing.T, f *standin.Fleet, at, how string) {
+	w := &way{at: at, came: make(chan struct{})}
+	var front program.Front
+	var none sync.Once
+	lost := make(chan struct{})
+	a, terminate, ended, err := launchWith(f.Getenv, f.Hup, &program.FleetPart{
+		Config: &config.Fleet{Name: "n1", Term: time.Second, Drift: 10 * time.Millisecond, Bound: time.Minute},
+		Open:   func(program.FleetEvents) (program.Fleet, error) { return idleFleet{}, nil },
+		Limit:  func(func(int) rules.Class, func() rules.Settings) program.Limiter { return w },
+		Attach: func(x program.Front) {
+			if x.Name != f.Wire() {
+				return
+			}
+			front = x
+			x.Core.OnOutcome(func(string, int, rules.Result, time.Duration) { w.is("resends") })
+			x.Core.OnPrimary(func(kind rules.NewsKind, _ int, _ string, _ time.Duration) {
+				switch kind {
+				case rules.PrimaryFound:
+					w.is("held")
+				case rules.PrimaryLost:
+					none.Do(func() { close(lost) })
+				}
+			})
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		close(terminate)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}()
+	other, c := dial(t, a), talk(t, a)
+	served(t, other.Do(standin.Read("any", 20*time.Second)))
+	served(t, other.Do(standin.Write("k1", 20*time.Second))) // the primary is known
+	text := standin.Read("any", 20*time.Second)
+	p := f.Servers[0]
+	switch at {
+	case "resends":
+		for _, s := range f.Servers {
+			s.Do(once(standin.Full))
+		}
+	case "held":
+		text = standin.Write("k", 20*time.Second)
+		p.Set(false, 0)
+	}
+	ids := map[string]bool{idOf(text): true}
+	out := packet(c, text)
+	if at == "comes" { // with more behind it, the last of it not whole
+		for range 20 {
+			more := standin.Read("any", 20*time.Second)
+			ids[idOf(more)] = true
+			out = append(out, packet(c, more)...)
+		}
+		out = append(out, packet(c, strings.Repeat("x", 60<<10))[:30<<10]...)
+	}
+	seen := func() (n int) {
+		for _, s := range f.Servers {
+			for _, one := range s.Seen() {
+				if ids[one.ID] {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	due, sent, before := make(chan struct{}), make(chan struct{}), 0
+	leave := func() error {
+		defer func() { before = seen() }()
+		switch raw := c.(type) {
+		case *standin.Postgres:
+			if how == "cancel" {
+				return raw.Cancel()
+			}
+			return standin.Leave(raw.Conn, how == "reset")
+		case oldTalker:
+			if how == "cancel" {
+				_, err := other.(*standin.MySQL).Exec(fmt.Sprintf("KILL QUERY %d", raw.Thread))
+				return err
+			}
+			return standin.Leave(raw.Conn, how == "reset")
+		}
+		return nil
+	}
+	w.mu.Lock()
+	w.act = func() {
+		defer close(due)
+		if <-sent; how != "cancel" {
+			if err := leave(); err != nil {
+				t.Error(err)
+			}
+			w.left = true
+		}
+	}
+	w.mu.Unlock()
+	if _, err := c.Write(out); err != nil {
+		t.Fatal(err)
+	}
+	close(sent)
+	wait := func(moment chan struct{}) {
+		t.Helper()
+		select {
+		case <-moment:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the moment never comes")
+		}
+	}
+	if wait(w.came); at == "held" {
+		wait(lost)
+	}
+	if how == "cancel" {
+		if at != "held" {
+			wait(due)
+		}
+		if err := leave(); err != nil {
+			t.Fatal(err)
+		}
+		w.mu.Lock()
+		w.left = true
+		w.mu.Unlock()
+	}
+	p.Set(true, 0)
+	wait(due)
+	open := make(chan int)
+	for until := time.Now().Add(20 * time.Second); ; {
+		front.Loop.Post(func() { open <- front.Core.Open() })
+		if <-open == 0 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("the request stays open")
+		}
+	}
+	if n := seen(); n != before {
+		t.Errorf("%d attempts after the client had gone", n-before)
+	}
+	served(t, other.Do(standin.Write("k2", 20*time.Second)))
+}
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -231,6 +231,18 @@
 	s.Closed(nil)
 }
 
+// Left ends a client's session if it has closed its connection, also where its close has not been read yet.
+func (s *session) Left() bool {
+	if !s.c.PeerGone() {
+		return false
+	}
+	if s.f.sessions[s] {
+		s.c.Close()
+		s.Closed(nil)
+	}
+	return true
+}
+
 // settle tells the door what the client is about.
 func (s *session) settle() {
 	state := door.Idle
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -119,6 +119,7 @@
 	held    int  // bytes in slots
 	reading bool // commands that have come are being taken in
 	paused  bool // no more of them are read
+	quits   bool // it goes behind the last answer that it is owed
 }
 
 // slot is a command whose answer is due.
@@ -151,6 +152,19 @@
 	s.Closed(nil)
 }
 
+// Left ends a client's session if it has closed its connection, also where its close has not been read yet.
+func (w *slot) Left() bool {
+	s := w.s
+	if !s.c.PeerGone() {
+		return false
+	}
+	if s.f.sessions[s] {
+		s.c.Close()
+		s.Closed(nil)
+	}
+	return true
+}
+
 // settle tells the door what the client is about.
 func (s *session) settle() {
 	state := door.Idle
@@ -217,14 +231,14 @@
 	s.buf = append(s.buf, b...)
 	s.reading = true
 	rest := s.buf
-	for s.f.sessions[s] {
+	for s.f.sessions[s] && !s.quits {
 		n, ok := s.next(at, rest)
 		if !ok || n == 0 {
 			break
 		}
 		rest = rest[n:]
 	}
-	if len(rest) == 0 {
+	if len(rest) == 0 || s.quits {
 		s.buf = nil // idle clients hold no memory
 	} else {
 		s.buf = append([]byte(nil), rest...)
@@ -288,7 +302,8 @@
 		}
 		s.query(at, text)
 	case 'X':
-		s.finish()
+		s.quits = true
+		s.send()
 	case 'S', 'H':
 		if m.Type == 'S' {
 			s.skip = false
@@ -386,6 +401,10 @@
 		s.slots[0].relay.start(s.slots[0])
 		return
 	}
+	if s.quits && len(s.slots) == 0 {
+		s.finish()
+		return
+	}
 	s.settle()
 	s.part(true)
 }
--- a/internal/program/rules_test.go
+++ b/internal/program/rules_test.go
@@ -46,6 +46,10 @@
 
 // launch runs the program until terminate is closed; ended tells how it ended.
 func launch(getenv func(string) string, hup <-chan struct{}) (a program.Addrs, terminate chan struct{}, ended chan error, err error) {
+	return launchWith(getenv, hup, nil)
+}
+
+func launchWith(getenv func(string) string, hup <-chan struct{}, part *program.FleetPart) (a program.Addrs, terminate chan struct{}, ended chan error, err error) {
 	cfg, err := config.Load(getenv)
 	if err != nil {
 		return a, nil, nil, err
@@ -56,7 +60,7 @@
 	}
 	ready := make(chan program.Addrs, 1)
 	terminate, ended = make(chan struct{}), make(chan error, 1)
-	control := program.Control{Terminate: terminate, Reload: hup,
+	control := program.Control{Terminate: terminate, Reload: hup, Fleet: part,
 		Load: func(inForce *config.Config) (*config.Config, error) { return inForce.Reload(getenv) }}
 	go func() {
 		ended <- program.Serve(cfg, my, zerolog.Nop(), control, func(a program.Addrs) { ready <- a })
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -21,6 +21,8 @@
 
 // Replier gives a client its one final answer.
 type Replier interface {
+	// Left tells whether the client has gone, as far as this machine can know. It is asked right before each attempt is written.
+	Left() bool
 	Serve(answer any)
 	Refuse(after time.Duration) // nothing may have run; come again after the time, if any
 	Fail()
@@ -336,6 +338,14 @@
 	}
 }
 
+// left tells that nobody waits for the answer any more. It looks for the client: its close may not have been taken in yet.
+func (o *Open) left() bool {
+	if !o.ended && o.req.Reply.Left() {
+		o.Gone()
+	}
+	return o.ended
+}
+
 // streamed counts a request whose answer was passed on as it came.
 func (o *Open) streamed(how End) {
 	o.c.pending--
@@ -566,7 +576,7 @@
 	k := &call{store: store, began: now}
 	o.live[n] = k
 	addr := c.addrs[store]
-	if o.ended || at <= now || addr == "" {
+	if o.left() || at <= now || addr == "" {
 		c.loop.Post(func() { o.outcome(n, Result{Result: rules.Moot}) })
 		return
 	}
@@ -583,6 +593,10 @@
 	}
 	k.call = c.backend.Send(addr, o.req.Payload, at-now, Attempt{
 		Fits: func() bool {
+			if o.left() {
+				o.outcome(n, Result{Result: rules.Moot})
+				return false
+			}
 			if !c.router.StillFits(c.loop.Now(), id, n) {
 				return false
 			}
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -38,6 +38,7 @@
 
 type reply struct{ ended chan string }
 
+func (r reply) Left() bool           { return false }
 func (r reply) Serve(any)            { r.ended <- "served" }
 func (r reply) Refuse(time.Duration) { r.ended <- "refused" }
 func (r reply) Fail()                { r.ended <- "failed" }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-	"unsafe"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // ErrBudget tells that no descriptor is free for a dial.
@@ -270,6 +270,13 @@
 	return quiet && c.socket.ahead() == 0 && c.unheard.Load() == 0
 }
 
+// PeerGone tells whether the peer has closed its connection, or its half of it. It asks the kernel: the close may lie there behind
+// bytes that nobody has read, and once read its news may be behind other events of the loop, or behind a write.
+func (c *Conn) PeerGone() bool {
+	gone := c.closed || c.hungUp
+	return gone || !c.socket.use(func(fd int) { gone = hungUp(fd) }) || gone
+}
+
 // Seen tells that all that has been read off the connection has come to its owner. The kernel may hold more.
 func (c *Conn) Seen() bool { return c.closed || c.socket.ahead() == 0 && c.unheard.Load() == 0 }
 
@@ -282,9 +289,8 @@
 
 // unsent tells whether the kernel holds bytes that the peer has not taken.
 func unsent(fd int) bool {
-	var n int32
-	_, _, failed := syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
-	return failed == 0 && n > 0
+	n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+	return err == nil && n > 0
 }
 
 // resetUnlessOwed has a socket's close reset the connection, so that a peer that is kept waiting for room learns of the end,
@@ -295,6 +301,14 @@
 	}
 }
 
+// hungUp tells whether the kernel has the peer's close or reset, whatever lies unread before it. Where it can't be asked, the close
+// is met when it is read.
+func hungUp(fd int) bool {
+	p := [...]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(p[:], 0)
+	return err == nil && n > 0
+}
+
 // limitKernel bounds what the kernel keeps for a peer that is not read.
 func limitKernel(fd int) {
 	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelBuffer)
