Answer all that was taken before a process ends, the backlog too

What a process that ends could still owe, and dropped: - Connections that had come up and were not accepted yet. Front.Part closed the listener 10 ms after the last accept that the loop had seen; on a machine that stood still the poller had accepted nothing meanwhile, and the close resets what waits, with the queries on it. The listener is closed now only while nothing waits (Listener.Pending), and drain ends only once it is closed: it looked at the clients alone, so that it could end with newcomers in the backlog. - netpoll's listener closes the number of its copied descriptor twice in one Close (net_listener.go); what another thread has opened between the two is closed under its owner.

Tests: TestAnswersBeforeSigkill with statements ahead (fails on MySQL's wire without: EOF), TestPendingConnectionsShow. The double close itself can't be forced from outside and was found by reading.

--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -112,9 +112,6 @@
 // Addr is where it listens.
 func (f *Front) Addr() string { return f.ln.Addr() }
 
-// Clients tells how many are connected.
-func (f *Front) Clients() int { return len(f.sessions) }
-
 // Yield takes no new clients, and closes each that there is behind its next answer.
 func (f *Front) Yield() {
 	f.draining = true
@@ -123,10 +120,10 @@
 
 // Part closes a share of the clients, from 0 to 1 (all), each between two commands: those that are idle now, and the others
 // behind an answer. It is called again and again while the program ends. Once all are to go and no more come it takes no new
-// ones. Of a client that never stops sending no more is read then than has been.
-func (f *Front) Part(share float64) {
+// ones. Of a client that never stops sending no more is read then than has been. empty: all have gone, and none can come.
+func (f *Front) Part(share float64) (empty bool) {
 	f.door.Part(share)
-	if share >= 1 && !f.last && !f.came {
+	if share >= 1 && !f.last && !f.came && !f.ln.Pending() {
 		f.last = true
 		f.Yield()
 	}
@@ -134,6 +131,7 @@
 	for s := range f.sessions {
 		s.part(false)
 	}
+	return f.last && len(f.sessions) == 0
 }
 
 // End gives what is still open its final answer, a failure, and closes all clients: there is no more time.
@@ -144,6 +142,7 @@
 			s.open.Gone()
 			s.Fail()
 		}
+		s.failAhead()
 		s.finish()
 	}
 }
@@ -283,7 +282,7 @@
 	switch {
 	case !s.f.sessions[s] || !s.guest.Parts() && !(behind && s.f.draining):
 	case s.busy:
-		if s.f.last && !s.paused && !s.Quiet() { // it sends on before it has its answers, and would for good
+		if s.f.last && !s.Quiet() { // it sends on before it has its answers, and would for good
 			s.paused = true
 			s.c.Pause(true)
 		}
@@ -294,6 +293,19 @@
 	}
 }
 
+// failAhead answers the commands that came ahead of an answer and have not been taken in: nothing of them has run.
+func (s *session) failAhead() {
+	for s.in {
+		_, p, n, err := mysql.Next(s.buf, mysql.MaxCommand)
+		if err != nil || n == 0 || len(p) == 0 || p[0] == mysql.ComQuit {
+			return
+		}
+		if s.buf = s.buf[n:]; p[0] != mysql.ComStmtClose && p[0] != mysql.ComStmtSendLong { // these two get no answer
+			s.fail(mysql.ErrInterrupted, "70100", "Query execution was interrupted: the server is shutting down")
+		}
+	}
+}
+
 // whole tells that a command has come that is not taken in yet.
 func (s *session) whole() bool {
 	_, _, n, err := mysql.Next(s.buf, mysql.MaxCommand)
--- a/internal/program/pgside/front.go
+++ b/internal/program/pgside/front.go
@@ -68,10 +68,10 @@
 
 // Part closes a share of the clients, from 0 to 1 (all), each between two requests: those that are idle now, and the others
 // behind an answer. It is called again and again while the program ends. Once all are to go and no more come it takes no new
-// ones. Of a client that never stops sending no more is read then than has been.
-func (f *Front) Part(share float64) {
+// ones. Of a client that never stops sending no more is read then than has been. empty: all have gone, and none can come.
+func (f *Front) Part(share float64) (empty bool) {
 	f.door.Part(share)
-	if share >= 1 && !f.last && !f.came {
+	if share >= 1 && !f.last && !f.came && !f.ln.Pending() {
 		f.last = true
 		f.Yield()
 	}
@@ -79,6 +79,7 @@
 	for s := range f.sessions {
 		s.part(false)
 	}
+	return f.last && len(f.sessions) == 0
 }
 
 // End gives what is still open its final answer, a failure, and closes all clients: there is no more time.
@@ -92,9 +93,6 @@
 	}
 }
 
-// Clients tells how many are connected.
-func (f *Front) Clients() int { return len(f.sessions) }
-
 func (f *Front) accept(c *transport.Conn) {
 	s := &session{f: f, c: c}
 	c.SetHandler(s)
@@ -216,7 +214,7 @@
 	switch {
 	case !s.f.sessions[s] || s.reading || !s.guest.Parts() && !(behind && s.f.draining):
 	case len(s.slots) > 0:
-		if s.f.last && !s.paused && !s.Quiet() { // it sends on before it has its answers, and would for good
+		if s.f.last && !s.Quiet() { // it sends on before it has its answers, and would for good
 			s.paused = true
 			s.c.Pause(true)
 		}
--- a/internal/program/restart_test.go
+++ b/internal/program/restart_test.go
@@ -169,6 +169,7 @@
 		for _, s := range f.Servers {
 			s.Do(always(standin.Hang))
 		}
+		const ahead = 3
 		before, after := talk(t, a), talk(t, a)
 		if err := before.Send(standin.Write("k", 20*time.Second)); err != nil || !f.Servers[0].Wait(1) {
 			t.Fatal("the write never came", err)
@@ -178,9 +179,16 @@
 		if err := after.Send(standin.Write("k", 20*time.Second)); err != nil {
 			t.Fatal(err)
 		}
+		for range ahead { // behind it, on the same connection
+			if err := before.Send(standin.Write("k", 20*time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
 		for i, c := range []talker{before, after} {
-			if r := c.Receive(); r.Err != nil {
-				t.Errorf("write %d has no answer: %v", i, r.Err)
+			for n := range 1 + ahead*(1-i) {
+				if r := c.Receive(); r.Err != nil {
+					t.Errorf("write %d on connection %d has no answer: %v", n, i, r.Err)
+				}
 			}
 			if r := c.Receive(); r.Err == nil {
 				t.Errorf("connection %d stays open", i)
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -37,7 +37,7 @@
 	killCounts = 3 * time.Second
 	killAfter  = 700 * time.Millisecond
 	endBefore  = 150 * time.Millisecond
-	flushFor   = 50 * time.Millisecond
+	flushFor   = 100 * time.Millisecond
 
 	idleShare   = 0.6 // of the time after which servers close idle connections: reuse none that is about to go
 	memoryShare = 0.7 // of the limit: the rest is for stacks, the runtime and the kernel's buffers
@@ -47,16 +47,18 @@
 	comingShare = 0.25 // and for clients that are on their way in or out
 	bufferShare = 0.06 // of the memory, for incomplete messages of clients
 
+	lookEvery    = 10 * time.Millisecond  // while it ends
 	publishEvery = 100 * time.Millisecond // the figures
 )
 
 // Front is what takes clients in.
 type front interface {
 	Addr() string
-	Clients() int
-	Yield()             // takes no new clients, and closes each that there is behind its next answer
-	Part(share float64) // closes a share of the clients, from 0 to 1, between two requests each; at 1 it takes no new ones
-	End()               // fails what is open, and closes all
+	Yield() // takes no new clients, and closes each that there is behind its next answer
+	// Part closes a share of the clients, from 0 to 1, between two requests each; at 1 it takes no new ones. empty: all have
+	// gone, and none can come.
+	Part(share float64) (empty bool)
+	End() // fails what is open, and closes all
 }
 
 // side is one front with all that is behind it, on a loop of its own.
@@ -434,16 +436,25 @@
 		now := s.loop.Now()
 		if now >= until {
 			s.front.End()
-			s.loop.After(flushFor, s.loop.Stop)
+			s.stopAfter(flushFor)
 			return
 		}
 		share := min(float64(now-began-partAfter)/float64(partOver), 1)
-		s.front.Part(share)
-		if share == 1 && s.core.Open() == 0 && s.front.Clients() == 0 && s.clients.Used() == 0 {
+		if s.front.Part(share) && s.core.Open() == 0 && s.clients.Used() == 0 {
 			s.loop.Stop()
 			return
 		}
-		s.loop.After(min(10*time.Millisecond, until-now), look)
+		s.loop.After(min(lookEvery, until-now), look)
 	}
 	s.loop.After(partAfter, look)
 }
+
+// stopAfter ends the side once the last connection of a client has ended, or after a while: bytes that are still on their way out
+// of this process go with it.
+func (s *side) stopAfter(left time.Duration) {
+	if left <= 0 || s.clients.Used() == 0 {
+		s.loop.Stop()
+		return
+	}
+	s.loop.After(lookEvery, func() { s.stopAfter(left - lookEvery) })
+}
--- /dev/null
+++ b/internal/transport/listener_test.go
@@ -0,0 +1,41 @@
+package transport
+
+import (
+	"net"
+	"testing"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// A connection that nobody has accepted shows, so that its listener is not closed over it.
+func TestPendingConnectionsShow(t *testing.T) {
+	std, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	polled, err := netpoll.ConvertListener(std)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &Listener{ln: &own{polled, std}}
+	defer ln.Close()
+	if ln.Pending() {
+		t.Error("one shows before any has come")
+	}
+	c, err := net.Dial("tcp", ln.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if !ln.Pending() {
+		t.Error("one that waits does not show")
+	}
+	accepted, err := polled.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if ln.Pending() {
+		t.Error("one that is accepted still shows")
+	}
+}
--- a/internal/transport/polled.go
+++ b/internal/transport/polled.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // polled is the socket of a connection on netpoll.
@@ -309,18 +310,45 @@
 
 // Listener accepts connections.
 type Listener struct {
-	ln     net.Listener
-	once   sync.Once
+	ln     netpoll.Listener
+	closed bool
 	events netpoll.EventLoop
 }
 
 // Listen accepts connections at one address. For each, accept runs on the loop and sets its handler, or closes it.
 func Listen(loop Loop, budget *Budget, addr string, accept func(*Conn)) (*Listener, error) {
-	ln, err := netpoll.CreateListener("tcp", addr)
+	std, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return serve(loop, budget, ln, accept)
+	ln, err := netpoll.ConvertListener(std)
+	if err != nil {
+		std.Close()
+		return nil, err
+	}
+	return serve(loop, budget, &own{ln, std}, accept)
+}
+
+// own is a listening socket of this process alone.
+type own struct {
+	netpoll.Listener // on a copy of the descriptor
+	std              net.Listener
+}
+
+// Close closes both descriptors. netpoll's Close would close the number of its copy twice, and so does the collector where that
+// is closed only here: by then it may be another's.
+func (o *own) Close() error {
+	closed.mu.Lock()
+	closed.all = append(closed.all, o.Listener)
+	closed.mu.Unlock()
+	_ = syscall.Close(o.Fd())
+	return o.std.Close()
+}
+
+// closed keeps listeners from the collector. There are few: a process closes its own as it ends.
+var closed struct {
+	mu  sync.Mutex
+	all []netpoll.Listener
 }
 
 // Inherit accepts connections, as Listen does, on a listening socket that this process was started with and shares with
@@ -391,6 +419,13 @@
 // Addr is where it listens.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
-// Close stops listening; open connections stay. Called again it does nothing: netpoll's listener closes its descriptor's number
-// at each call, which may be another's by then.
-func (l *Listener) Close() { l.once.Do(func() { _ = l.ln.Close() }) }
+// Close stops listening; open connections stay. Called again it does nothing.
+func (l *Listener) Close() {
+	if !l.closed {
+		l.closed = true
+		_ = l.ln.Close()
+	}
+}
+
+// Pending tells whether a connection has come up that is not accepted yet: closing would reset it, and what its client has sent.
+func (l *Listener) Pending() bool { return !l.closed && polls(l.ln.Fd(), unix.POLLIN) }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -303,8 +303,11 @@
 
 // hungUp tells whether the kernel has the peer's close or reset, whatever lies unread before it. Where it can't be asked, the close
 // is met when it is read.
-func hungUp(fd int) bool {
-	p := [...]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+func hungUp(fd int) bool { return polls(fd, unix.POLLRDHUP) }
+
+// polls asks the kernel whether one of some events has come to a descriptor.
+func polls(fd int, events int16) bool {
+	p := [...]unix.PollFd{{Fd: int32(fd), Events: events}}
 	n, err := unix.Poll(p[:], 0)
 	return err == nil && n > 0
 }
