End answers that never end, and believe a whole error on both wires

Found in the review of what ends on the servers' side, by stand-ins that hold, cut, reset or write on at a named byte (Server.Meet): - crossside took a whole ErrorResponse followed by the end of the connection for a reset (query.Closed): a write that the server had turned away as full counted as one that may have run, and was failed. pgside believed it already, and on MySQL's wire an error is all there is. - A long value that had begun was watched by 5 s without a byte alone (relay.watch): its client waited that long after its own time, and a server that drips held it for good. It ends with the request's time now; one of which nothing has been passed on is answered as failed and its connection serves on, where that was closed before. - Notices or parameters without end were cut off only if the kernel happened to hold none of them in the instant of a look (Exchange.Heard), and before the request is sent not at all. 4 MB end any exchange. - A connection whose answer had come before its request was written whole could be given to the next request (Pool.Get): bytes that a goroutine was still writing were not seen by Put.

TestServerEndsInItsAnswer and TestAnswersThatNeverEnd passed before as well: they show what holds. Ruled out: half a message or packet of a server counts as no answer at any byte tried, by a close and by a reset, on all seven pairs of wires.

--- a/internal/lab/standin/extended.go
+++ b/internal/lab/standin/extended.go
@@ -93,7 +93,7 @@
 	var out []byte
 	var bound string
 	var values [][]byte
-	failed := false
+	failed, ran := false, false
 	for ; ; failed = failed && m.Type != 'S' {
 		if m.Type == 'S' || !failed {
 			switch m.Type {
@@ -125,9 +125,14 @@
 				if out, failed, gone = s.execute(c, r, out, texts[bound], values); gone {
 					return
 				}
+				ran = !asksState(texts[bound])
 			case 'S':
-				c.Write(pgwire.AppendReady(out))
-				out = nil
+				if out = pgwire.AppendReady(out); ran {
+					s.answer(c, out)
+				} else {
+					c.Write(out)
+				}
+				out, ran = nil, false
 			default:
 				return
 			}
@@ -189,12 +194,17 @@
 	return pgwire.AppendFields(out, rows.Fields)
 }
 
+// asksState tells a probe from a statement.
+func asksState(text string) bool {
+	return strings.HasPrefix(text, "SELECT pg_is_in_recovery()") || text == Heartbeat
+}
+
 // execute runs a statement as the server's acts have it; gone: the connection is at its end.
 func (s *Server) execute(c net.Conn, r *buffered, out []byte, text string, values [][]byte) (_ []byte, failed, gone bool) {
 	fail := func(code string) ([]byte, bool, bool) {
 		return pgwire.AppendError(out, "ERROR", code, "as the act has it", ""), true, false
 	}
-	if !strings.HasPrefix(text, "SELECT pg_is_in_recovery()") && text != Heartbeat {
+	if !asksState(text) {
 		end, act, readOnly, spoilt := s.take(text)
 		defer end()
 		switch {
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -79,6 +79,8 @@
 	broken  error         // of the stand-in itself
 	probes  []time.Time   // of each time that health was asked for
 	changed chan struct{} // closed at the next statement
+	meetAt  int
+	meet    func(*net.TCPConn)
 	unsent  map[net.Conn]bool
 	lag     Lag
 	stops   int // reads that stop its log now
@@ -208,6 +210,30 @@
 	s.spoil = spoil
 }
 
+// Meet sets what happens at a byte of each answer to a statement: once so many have gone out, do may hold, cut or reset the
+// connection, or write on it; the rest follows when it returns. Below 0 it counts from the answer's end; a nil do ends it.
+func (s *Server) Meet(at int, do func(c *net.TCPConn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meetAt, s.meet = at, do
+}
+
+func (s *Server) answer(c net.Conn, out []byte) {
+	s.mu.Lock()
+	at, meet := s.meetAt, s.meet
+	s.mu.Unlock()
+	if meet != nil {
+		if at < 0 {
+			at += len(out)
+		}
+		at = min(at, len(out))
+		c.Write(out[:at])
+		meet(c.(*net.TCPConn))
+		out = out[at:]
+	}
+	c.Write(out)
+}
+
 // Seen is what has reached it so far.
 func (s *Server) Seen() []Seen {
 	s.mu.Lock()
@@ -501,7 +527,7 @@
 			out = pgwire.AppendParameter(out, "lsn_ms", fmt.Sprint(position))
 		}
 		end()
-		c.Write(pgwire.AppendReady(out))
+		s.answer(c, pgwire.AppendReady(out))
 	}
 }
 
@@ -674,7 +700,7 @@
 			out = mysql.Append(nil, 1, mysql.Done(1, 0, 0))
 		}
 		end()
-		c.Write(out)
+		s.answer(c, out)
 	}
 }
 
--- a/internal/program/crossside/backend.go
+++ b/internal/program/crossside/backend.go
@@ -25,7 +25,7 @@
 )
 
 var (
-	errStalled = errors.New("an answer has begun and its rest stays away")
+	errStalled = errors.New("an answer has begun and does not end")
 	errOrder   = errors.New("a message out of order")
 	errLarge   = errors.New("the answer is too large")
 )
@@ -150,8 +150,15 @@
 func (cancelling) Data(time.Duration, []byte) {}
 func (cancelling) Closed(error)               {}
 
-// Closed ends the exchange. Before the Execute's last byte has gone out nothing can have run.
-func (x *query) Closed(err error) { x.Lost(err, x.sent, x.broken) }
+// Closed ends the exchange. Before the Execute's last byte has gone out nothing can have run; a whole error is the server's word,
+// though no ReadyForQuery follows.
+func (x *query) Closed(err error) {
+	if x.sent && x.Conn.Written() && x.code != "" && len(x.buf) == 0 {
+		x.failed(false)
+		return
+	}
+	x.Lost(err, x.sent, x.broken)
+}
 
 // broken ends an exchange whose answer can't be used: it may have run, whatever stands in it.
 func (x *query) broken(err error) {
@@ -166,8 +173,8 @@
 }
 
 func (x *query) Data(_ time.Duration, b []byte) {
-	if x.sent && !x.probe {
-		x.Heard(func() { x.broken(errStalled) })
+	if !x.Heard(len(b), x.sent && !x.probe, func() { x.broken(errStalled) }) {
+		return
 	}
 	x.buf = append(x.buf, b...)
 	rest := x.buf
--- /dev/null
+++ b/internal/program/endings_test.go
@@ -0,0 +1,177 @@
+package program_test
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/program"
+	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/protocol/pgwire"
+)
+
+// first has only the first of several calls do something.
+func first(do func(*net.TCPConn)) func(*net.TCPConn) {
+	var n atomic.Int32
+	return func(c *net.TCPConn) {
+		if n.Add(1) == 1 {
+			do(c)
+		}
+	}
+}
+
+func cut(c *net.TCPConn) { c.Close() }
+
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	c.Close()
+}
+
+// A server that ends at any byte of its answer has given none: a read is served by another attempt, and a write without a key
+// is failed and not sent again.
+func TestServerEndsInItsAnswer(t *testing.T) {
+	overBoth(t, nil, []string{"p", "r"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
+		c := dial(t, a)
+		for _, at := range []int{0, 1, 5, -7, -1} {
+			for how, end := range map[string]func(*net.TCPConn){"close": cut, "reset": reset} {
+				once := first(end)
+				for _, s := range f.Servers {
+					s.Meet(at, once)
+				}
+				if r := c.Do(standin.Read("any", 5*patience)); !r.Served() || !strings.HasPrefix(r.Value, "from ") {
+					t.Errorf("%s at byte %d: a read got %+v", how, at, r)
+				}
+				f.Servers[0].Meet(at, first(end))
+				before := len(f.Servers[0].Seen())
+				if r := c.Do(standin.Write("", 5*patience)); !r.Failed || len(f.Servers[0].Seen()) != before+1 {
+					t.Errorf("%s at byte %d: a write got %+v after %d sends", how, at, r, len(f.Servers[0].Seen())-before)
+				}
+			}
+		}
+	})
+}
+
+// A whole error is a server's word though it closes before it says that it is ready again: what it turned away has not run.
+func TestWholeErrorThenTheEnd(t *testing.T) {
+	overBoth(t, nil, []string{"p"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
+		c, p := dial(t, a), f.Servers[0]
+		served(t, c.Do(standin.Write("", patience)))
+		for _, end := range []func(*net.TCPConn){cut, reset} {
+			p.Do(once(standin.Full))
+			at := 1 << 20 // on MySQL's wire the error is all
+			if !p.SpeaksMySQL() {
+				at = -len(pgwire.AppendReady(nil))
+			}
+			p.Meet(at, first(end))
+			if r := c.Do(standin.Write("", patience)); r.Failed || r.Err != nil {
+				t.Errorf("a write that was turned away got %+v", r)
+			}
+		}
+	})
+}
+
+// An answer that never ends costs its own request and connection: it is cut off long before the request's time is over, and
+// others are served meanwhile.
+func TestAnswersThatNeverEnd(t *testing.T) {
+	overBoth(t, nil, []string{"p", "r"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
+		p := f.Servers[0]
+		kinds := map[string]func(n int) []byte{
+			"notices": func(int) []byte {
+				return bytes.Repeat(pgwire.Append(nil, 'N', strings.Repeat("x", 4000), "\x00"), 256)
+			},
+			"parameters": func(int) []byte { return bytes.Repeat(pgwire.AppendParameter(nil, "x", "y"), 64<<10) },
+		}
+		if p.SpeaksMySQL() {
+			kinds = map[string]func(n int) []byte{"rows": func(n int) []byte {
+				if n == 0 {
+					out := mysql.Append(mysql.Append(nil, 1, []byte{1}), 2, mysql.ColumnDef("val"))
+					return mysql.Append(out, 3, mysql.EOF())
+				}
+				return mysql.Append(nil, byte(n+3), []byte("\x00\x00\x01x"))
+			}}
+		}
+		c, other := dial(t, a), dial(t, a)
+		for name, piece := range kinds {
+			p.Meet(0, first(func(c *net.TCPConn) {
+				for n, err := 0, error(nil); err == nil; n++ {
+					_, err = c.Write(piece(n))
+				}
+			}))
+			ended := make(chan standin.Result, 1)
+			began, had := time.Now(), len(p.Seen())
+			go func() { ended <- c.Do(standin.Write("", 30*time.Second)) }()
+			if !p.Wait(had + 1) {
+				t.Fatal("the write never came")
+			}
+			served(t, other.Do(standin.Read("any", 20*time.Second)))
+			if r := <-ended; !r.Failed || time.Since(began) > 15*time.Second {
+				t.Errorf("%s: a write got %+v after %v", name, r, time.Since(began))
+			}
+		}
+	})
+}
+
+// A long value that has begun and stops ends with its request's time: the client can tell that it is not whole, and no answer
+// waits for it longer. Where nothing of it has been passed on the request fails as others do, and its connection serves on.
+func TestLongValueThatStops(t *testing.T) {
+	f, c := postgresPooler(t, "p")
+	_, long := longAnswer(1 << 20)
+	f.Servers[0].Spoil(func(s standin.Seen) []byte {
+		if strings.Contains(s.Text, "c=any") {
+			return long[:len(long)/2]
+		}
+		return nil
+	})
+	f.Servers[0].Do(func(s standin.Seen) standin.Act {
+		if strings.Contains(s.Text, "c=write") {
+			return standin.Hang // its answer is due before the values'
+		}
+		return standin.Answer
+	})
+	began := time.Now()
+	for _, text := range []string{standin.Write("", 2*patience), standin.Read("any", patience), standin.Read("any", 3*patience)} {
+		if err := c.Send(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 2 {
+		if r := c.Receive(); r.Code == "" {
+			t.Errorf("answer %d is %+v", i, r)
+		}
+	}
+	if r := c.Receive(); r.Err == nil || time.Since(began) > 4500*time.Millisecond {
+		t.Errorf("the value's client got %d bytes and code %q after %v", len(r.Value), r.Code, time.Since(began))
+	}
+}
+
+// A client may say that it leaves right behind its last statement: it gets the answer, and then the end.
+func TestFarewellBehindAStatement(t *testing.T) {
+	restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
+		defer func() { close(terminate); <-ended }()
+		release := make(chan struct{})
+		f.Servers[0].Meet(0, func(*net.TCPConn) { <-release })
+		c := talk(t, a)
+		farewell := pgwire.Append(nil, 'X')
+		if a.MySQL != "" {
+			farewell = mysql.Append(nil, 0, []byte{mysql.ComQuit})
+		}
+		all := bytes.Join([][]byte{packet(c, standin.Write("", 20*time.Second)), farewell, packet(c, standin.Write("", 20*time.Second))}, nil)
+		if _, err := c.Write(all); err != nil {
+			t.Fatal(err)
+		}
+		if !f.Servers[0].Wait(1) {
+			t.Error("the statement never came")
+		}
+		close(release)
+		if r := c.Receive(); !r.Served() {
+			t.Errorf("the statement got %+v", r)
+		}
+		if r := c.Receive(); r.Err == nil {
+			t.Errorf("behind the farewell comes %+v", r)
+		}
+	})
+}
--- a/internal/program/exchange/exchange.go
+++ b/internal/program/exchange/exchange.go
@@ -36,10 +36,16 @@
 	wait    *routing.Timer // for leave to dial
 	rest    *routing.Timer // of an answer that has begun
 	over    bool
+	heard   int // bytes of the server
 }
 
-// restOfAnswer may pass between the first bytes of an answer and its last; values are small.
-const restOfAnswer = 100 * time.Millisecond
+const (
+	// restOfAnswer may pass between the first bytes of an answer and its last; values are small.
+	restOfAnswer = 100 * time.Millisecond
+	// maxHeard bytes are taken in for one request, its login and what goes before it with them. The answers that are kept whole
+	// have a quarter of it at most: one that goes on, with notices say, would keep this machine busy until its time is over.
+	maxHeard = 4 << 20
+)
 
 // Start takes a connection for h: an idle one, with what was put back with it, or a new one. A machine that has vanished
 // answers neither the dial nor what follows: one time-out is for all that goes before Begun.
@@ -128,10 +134,15 @@
 	return routing.Attempt{Fits: func() bool { return true }, Sent: func() {}, Done: done}
 }
 
-// Heard tells that an answer has begun: if its rest stays away, as behind a length that is too large, it is spoilt.
-func (x *Exchange) Heard(spoilt func()) {
-	if x.rest != nil {
-		return
+// Heard tells that bytes of the server have come. begun: they belong to the answer, and if its rest stays away, as behind a
+// length that is too large, it is spoilt. So it is, and false comes back, where they never end.
+func (x *Exchange) Heard(bytes int, begun bool, spoilt func()) bool {
+	if x.heard += bytes; x.heard > maxHeard {
+		spoilt()
+		return false
+	}
+	if !begun || x.rest != nil {
+		return true
 	}
 	var look func()
 	look = func() {
@@ -142,6 +153,7 @@
 		}
 	}
 	x.rest = x.servers.Loop.After(restOfAnswer, look)
+	return true
 }
 
 // Abort closes the connection, which is how an attempt is given up.
--- a/internal/program/exchange/exchange_test.go
+++ b/internal/program/exchange/exchange_test.go
@@ -79,3 +79,16 @@
 	})
 	<-ends
 }
+
+// What never ends is spoilt by its size, also before the request is sent, where no other time than that to connect is bound.
+func TestTooMuchIsSpoilt(t *testing.T) {
+	x, spoilt := &Exchange{}, 0
+	for n := 0; x.Heard(64<<10, false, func() { spoilt++ }); n++ {
+		if n > 1000 {
+			t.Fatal("64 MB are taken in")
+		}
+	}
+	if spoilt != 1 {
+		t.Errorf("it is spoilt %d times", spoilt)
+	}
+}
--- a/internal/program/mysqlside/backend.go
+++ b/internal/program/mysqlside/backend.go
@@ -18,7 +18,7 @@
 	roleQuery   = "SELECT @@global.read_only"
 )
 
-var errStalled = errors.New("an answer has begun and its rest stays away")
+var errStalled = errors.New("an answer has begun and does not end")
 
 // Backend takes attempts and probes to MySQL servers.
 type Backend struct {
@@ -124,8 +124,8 @@
 }
 
 func (x *command) Data(_ time.Duration, b []byte) {
-	if x.sent && !x.probe {
-		x.Heard(func() { x.broken(errStalled) })
+	if !x.Heard(len(b), x.sent && !x.probe, func() { x.broken(errStalled) }) {
+		return
 	}
 	x.buf = append(x.buf, b...)
 	rest := x.buf
--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -114,8 +114,9 @@
 		if b = x.relay.pass(b); len(b) == 0 {
 			return
 		}
-	} else if x.asked {
-		x.Heard(x.spoilt)
+	}
+	if !x.Heard(len(b), x.asked, x.spoilt) {
+		return
 	}
 	x.buf = append(x.buf, b...)
 	rest := x.buf
--- a/internal/program/pgside/relay.go
+++ b/internal/program/pgside/relay.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// Break ends it because its client's time is over.
+func (r *relay) Break() {
+	if r.end != nil {
+		r.x.spoilt()
+	}
+}
+
 // begin turns a row that is long into a relay; false: it is not, or not yet.
 func (x *query) begin(rest []byte) bool {
 	size := pgwire.LongRow(rest)
@@ -90,6 +97,11 @@
 
 // start is called when it is the request's turn.
 func (r *relay) start(to *slot) {
+	if r.end == nil && r.how == routing.Broken { // none of it has been passed on
+		to.relay = nil
+		to.Fail()
+		return
+	}
 	r.to = to
 	to.s.c.Narrow()
 	r.flow()
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -68,7 +68,8 @@
 // Stream is an answer that is passed on while it still comes. It is the final answer of its request from its beginning on.
 type Stream interface {
 	OnEnd(func(End))
-	Drop() // nobody waits for it
+	Drop()  // nobody waits for it
+	Break() // its time is over: it ends, and so that its client can tell
 }
 
 // End is how a stream ends.
@@ -651,7 +652,11 @@
 		o.tell(Ending{})
 	case long:
 		o.ended = true
-		stream.OnEnd(o.streamed)
+		late := o.c.loop.At(o.deadline, stream.Break)
+		stream.OnEnd(func(how End) {
+			late.Stop()
+			o.streamed(how)
+		})
 		o.c.do(func() { o.req.Reply.Serve(r.Answer) })
 	case r.Result == rules.OK && !o.ended:
 		o.close()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -66,7 +66,7 @@
 		if now-i.since >= p.idleFor { // so are all that are left
 			break
 		}
-		if now-i.since < restFor {
+		if now-i.since < restFor || !i.c.Written() { // its answer came before its request had gone out whole
 			continue
 		}
 		p.remove(addr, i)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -187,6 +187,48 @@
 	}
 }
 
+// A connection whose request is still being written, as its answer came early, is not given to the next one.
+func TestPoolWaitsForTheLastByte(t *testing.T) {
+	f := newFixture(t, 4)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	came := make(chan *transport.Conn, 1)
+	f.on(func() {
+		transport.Dial(f.loop, f.budget, ln.Addr().String(), time.Second, func(c *transport.Conn, _ error) { came <- c })
+	})
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c := receive(t, came)
+	pool := transport.NewPool(time.Minute, 4)
+	const size = 64 << 20 // more than the kernel takes
+	f.on(func() {
+		for n := 0; n < size && c.Written(); n += 1 << 20 {
+			c.Write(make([]byte, 1<<20))
+		}
+		pool.Put("a", c, nil)
+		if got, _ := pool.Get("a", f.loop.Now()+time.Second); got != nil {
+			t.Error("it is given away while it is being written to")
+		}
+	})
+	go func() { _, _ = io.Copy(io.Discard, peer) }()
+	for late := time.Now().Add(late); ; {
+		var got *transport.Conn
+		f.on(func() { got, _ = pool.Get("a", f.loop.Now()+time.Second) })
+		if got == c {
+			return
+		}
+		if time.Now().After(late) {
+			t.Fatal("it never comes back")
+		}
+	}
+}
+
 // A peer that takes all bytes and closes at once must not look as if the last byte had never gone out: the request may
 // have run. The close can overtake the news that the write is done.
 func TestCloseRightAfterTheLastByte(t *testing.T) {
