Let a client that reads a long value slowly read on past its time

Need: a long value that has begun now ends with its request's time, so that no answer waits for a server that stops or drips in the middle. A client that has not taken what it was sent is another case: the server owes nothing then, and a cut there would be ours.

Change: relay.Break leaves a relay alone that waits for its client; the watch on a silent server goes on. TestLongValueThatStops and the tests of internal/program pass.

--- a/internal/program/pgside/relay.go
+++ b/internal/program/pgside/relay.go
@@ -41,9 +41,9 @@
 	}
 }
 
-// Break ends it because its client's time is over.
+// Break ends it because its client's time is over, where it waits for the server: a client that reads slowly may read on.
 func (r *relay) Break() {
-	if r.end != nil {
+	if r.end != nil && !r.full {
 		r.x.spoilt()
 	}
 }
