Show what SIGTERM meets at each stage: silent clients, held writes, a late reader

Not looked at here: where a file is watched (MySQL's front), the process ended up to 8 s after its last answer on a busy machine, as closing an inotify descriptor took the kernel so long (a goroutine stood in close(2)); nothing is owed then.

--- a/internal/program/endings_test.go
+++ b/internal/program/endings_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -175,3 +178,104 @@
 		}
 	})
 }
+
+// SIGTERM meets clients that say nothing, have said half of their first message or rest, and writes that wait: for a primary, and
+// for a server that lets them connect and says nothing. Each write gets its answer before SIGKILL, and each client its end.
+func TestStagesThatMeetARestart(t *testing.T) {
+	for _, name := range []string{"no primary", "a silent server"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
+				p := f.Servers[0]
+				if name == "no primary" {
+					p.Set(false, 0)
+				} else {
+					p.Down()
+					silent, err := net.Listen("tcp", p.Addr)
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer silent.Close()
+				}
+				var others []net.Conn
+				for _, said := range []string{"", "\x00\x00\x00\x54\x00\x03"} {
+					c, err := net.Dial("tcp", addr(a))
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer c.Close()
+					if _, err := c.Write([]byte(said)); err != nil {
+						t.Fatal(err)
+					}
+					others = append(others, c)
+				}
+				others = append(others, talk(t, a))
+				before, after := talk(t, a), talk(t, a)
+				if err := before.Send(standin.Write("k", 20*time.Second)); err != nil {
+					t.Fatal(err)
+				}
+				told := time.Now()
+				close(terminate)
+				if err := after.Send(standin.Write("", 20*time.Second)); err != nil {
+					t.Fatal(err)
+				}
+				for i, c := range []talker{before, after} {
+					if r := c.Receive(); r.Err != nil {
+						t.Errorf("write %d has no answer: %v", i, r.Err)
+					}
+				}
+				for i, c := range others {
+					_ = c.SetDeadline(told.Add(20 * time.Second))
+					if _, err := io.Copy(io.Discard, c); errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Errorf("client %d stays connected", i)
+					}
+				}
+				if err := <-ended; err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// A client that reads late gets every answer whole though the process is told to end meanwhile, and then the end.
+func TestSlowReaderMeetsARestart(t *testing.T) {
+	restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
+		const ahead = 8
+		value := strings.Repeat("v", 60<<10)
+		if a.MySQL != "" {
+			value = value[:200] // as large as the stand-in's rows are
+		}
+		for _, s := range f.Servers {
+			s.Give(value)
+		}
+		c := talk(t, a)
+		if r, ok := c.(*standin.Postgres); ok {
+			_ = r.Conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+		}
+		for range ahead {
+			if err := c.Send(standin.Read("any", 20*time.Second)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for had := 0; had < ahead; time.Sleep(time.Millisecond) {
+			had = len(f.Servers[0].Seen()) + len(f.Servers[1].Seen())
+		}
+		told := time.Now()
+		close(terminate)
+		for time.Since(told) < 700*time.Millisecond { // by when idle clients have gone
+			time.Sleep(10 * time.Millisecond)
+		}
+		for i := range ahead {
+			if r := c.Receive(); r.Err != nil {
+				t.Fatalf("answer %d of %d: %v", i, ahead, r.Err)
+			}
+		}
+		if r := c.Receive(); r.Err == nil {
+			t.Error("it stays connected")
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
