End the process without waiting for the kernel to close a folder's watch

Cause: watchfile.Watcher.Close closed the inotify descriptor and waited for it, on the way out of Serve. On a busy machine that stood in close(2) for 3 to 12 s (a goroutine's trace: FD.Close waits for the reader, the reader is in syscall.Close), on the program before as well: with a file watched (MySQL's front) a process that had answered everything ended 5 to 15 s after SIGTERM, later than SIGKILL. Nothing is delivered any more by then, so the descriptor is closed beside.

TestAnswersBeforeSigkill on MySQL's wire failed so (15.0 s) under load and passes now, and with it TestStagesThatMeetARestart and TestSlowReaderMeetsARestart, which look at the time of the end too.

--- a/internal/program/endings_test.go
+++ b/internal/program/endings_test.go
@@ -230,9 +230,7 @@
 						t.Errorf("client %d stays connected", i)
 					}
 				}
-				if err := <-ended; err != nil {
-					t.Error(err)
-				}
+				endsInTime(t, told, ended)
 			})
 		})
 	}
@@ -274,8 +272,6 @@
 		if r := c.Receive(); r.Err == nil {
 			t.Error("it stays connected")
 		}
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
+		endsInTime(t, told, ended)
 	})
 }
--- a/internal/watchfile/watchfile.go
+++ b/internal/watchfile/watchfile.go
@@ -125,7 +125,7 @@
 	close(w.quit)
 	w.done.Wait()
 	if w.fs != nil {
-		_ = w.fs.Close()
+		go w.fs.Close() // the kernel takes seconds for it on a busy machine, and a process that ends here has less
 	}
 }
 
