Answer what is under way before a MySQL client that sends too much ahead is cut off

Cause: session.Data of MySQL's front closed a client with over 2 MB ahead of its answer (maxBuffered) without a word, so that the command under way ended with no final answer and its attempt with it. PostgreSQL's front fails what waits first (fatal, failAll). The same failOpen serves the deadline of a drain.

TestClientsThatAreCutOff, on both wires, by much sent ahead and by KILL: fails on MySQL's wire without the change (EOF).

--- a/internal/program/endings_test.go
+++ b/internal/program/endings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -275,3 +276,41 @@
 		endsInTime(t, told, ended)
 	})
 }
+
+// A client that is cut off, as it sends more than is taken in ahead of an answer, or is killed, has an answer to what was under
+// way first.
+func TestClientsThatAreCutOff(t *testing.T) {
+	restarts(t, func(t *testing.T, f *standin.Fleet, a program.Addrs, terminate chan struct{}, ended chan error) {
+		defer func() { close(terminate); <-ended }()
+		f.Servers[0].Do(always(standin.Hang))
+		killer := talk(t, a)
+		for name, cutOff := range map[string]func(c talker) error{
+			"much ahead": func(c talker) (err error) {
+				for n := 0; n < 200 && err == nil; n++ {
+					_, err = c.Write(packet(c, standin.Read("any", patience)+strings.Repeat(" ", 16<<10)))
+				}
+				return nil // it may be closed by then
+			},
+			"killed": func(c talker) error { return killer.Send(fmt.Sprint("KILL ", c.(oldTalker).Thread)) },
+		} {
+			if name == "killed" && a.MySQL == "" {
+				continue // PostgreSQL's wire has no such command
+			}
+			had := len(f.Servers[0].Seen())
+			c := talk(t, a)
+			if err := c.Send(standin.Write("", 20*time.Second)); err != nil || !f.Servers[0].Wait(had+1) {
+				t.Fatal("the write never came", err)
+			}
+			if err := cutOff(c); err != nil {
+				t.Fatal(err)
+			}
+			r, answers := c.Receive(), 0
+			for more := r; more.Err == nil; answers++ {
+				more = c.Receive()
+			}
+			if answers == 0 {
+				t.Errorf("%s: the write under way has no answer: %v", name, r.Err)
+			}
+		}
+	})
+}
--- a/internal/program/mysqlside/front.go
+++ b/internal/program/mysqlside/front.go
@@ -138,10 +138,7 @@
 func (f *Front) End() {
 	f.Yield()
 	for s := range f.sessions {
-		if s.open != nil {
-			s.open.Gone()
-			s.Fail()
-		}
+		s.failOpen()
 		s.failAhead()
 		s.finish()
 	}
@@ -268,6 +265,7 @@
 func (s *session) Data(at time.Duration, b []byte) {
 	s.buf = append(s.buf, b...)
 	if len(s.buf) > maxBuffered {
+		s.failOpen()
 		s.finish()
 		return
 	}
@@ -293,6 +291,14 @@
 	}
 }
 
+// failOpen answers the command that is under way, if there is one.
+func (s *session) failOpen() {
+	if s.open != nil {
+		s.open.Gone()
+		s.Fail()
+	}
+}
+
 // failAhead answers the commands that came ahead of an answer and have not been taken in: nothing of them has run.
 func (s *session) failAhead() {
 	for s.in {
