--- a/internal/program/endings_test.go
+++ b/internal/program/endings_test.go
@@ -314,3 +314,41 @@
 		}
 	})
 }
+
+// An attempt whose time is over is given up: the server's connection is closed, and a write without a key is not sent again.
+func TestAttemptTimesOut(t *testing.T) {
+	overBoth(t, nil, []string{"p", "r"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
+		p := f.Servers[0]
+		closed := make(chan struct{})
+		p.Meet(0, first(func(c *net.TCPConn) {
+			_, _ = io.Copy(io.Discard, c) // until the pooler closes it
+			close(closed)
+		}))
+		if r := dial(t, a).Do(standin.Write("", patience)); !r.Failed || len(p.Seen()) != 1 {
+			t.Errorf("a write got %+v after %d sends", r, len(p.Seen()))
+		}
+		select {
+		case <-closed:
+		case <-time.After(20 * time.Second):
+			t.Error("its connection stays open")
+		}
+	})
+}
+
+// A client that leaves in the middle of a long answer takes the server's connection with it.
+func TestLongAnswerIsLeft(t *testing.T) {
+	f, c := postgresPooler(t, "p")
+	_, answer := longAnswer(pgwire.MaxLong)
+	f.Servers[0].Spoil(func(standin.Seen) []byte { return answer })
+	if err := c.Send(standin.Read("any", 60*time.Second)); err != nil || !f.Servers[0].Wait(1) {
+		t.Fatal("the read never came", err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 64<<10)); err != nil { // it has begun
+		t.Fatal(err)
+	}
+	if f.Servers[0].Unsent() != 1 {
+		t.Fatal("the kernel holds all of it")
+	}
+	c.Close()
+	waitFor(t, "the server's connection stays open", func() bool { return f.Servers[0].Unsent() == 0 })
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -181,10 +181,24 @@
 	if c := get(f.loop.Now() + time.Hour); c != nil {
 		t.Error("a connection that was idle too long comes back")
 	}
+	newer, err := f.dial(newSide())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.on(func() {
+		pool.Put("b", newer, nil)
+		if !pool.Shed() {
+			t.Error("nothing is shed")
+		}
+	})
+	if c := get(f.loop.Now() + time.Second); c != nil {
+		t.Error("not the oldest was shed")
+	}
 	f.on(func() { pool.Sweep(f.loop.Now() + time.Hour) })
 	if pool.Shed() {
 		t.Error("something is left to shed")
 	}
+	f.free(0)
 }
 
 // A connection whose request is still being written, as its answer came early, is not given to the next one.
