Let fronts take turns at a cold server by plan, and count every start

Cause: each front saved up a budget for a cold server while it left it alone (coldRoom in rules/cold.go: up to a request and half a span), so fronts that turned to it together sent their savings together: 300 fronts 459 requests in a span that allows 161. A front's rate was the larger of an even share and its own load, whose sum over uneven fronts has no bound. And only a failed probe made a return a start (reached in rules/health.go): a server that fell silent under requests, or refused connections, came back as if warm; one first listed as draining was never taken for cold (rules/list.go, entry).

Change: turns begin at the same moments of the clock for all fronts. Which front has one follows from its number, the server's id and the settings (balance.Turn), with no state: each slot is another front's, thinned by its share, evenly spread by the golden section. A turn stays open until those open within a span are N + 1.5 root N, and is lost if unused. A tenth of the turns is dealt evenly, the rest by the requests that warm servers have answered for a front: the sum is no more than they bear. A turn is worth a request of the heaviest class that the server may be sent. A silence or refused connections for longer than a break end in a cold start, and no word of an earlier start undoes a later one.

--- a/internal/fleet/balance/balance.go
+++ b/internal/fleet/balance/balance.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -100,3 +101,28 @@
 	binary.LittleEndian.PutUint32(b[8:], server)
 	return xxhash.Sum64(b[:])
 }
+
+// Turn finds when the first turn at a server begins, after from and up to to, that a pooler takes, or 0. Turns begin every so
+// often by the clock, at the same moments for all poolers; share is the part of them that this one takes.
+func Turn(me, fleet int, server uint32, every, from, to time.Duration, share float64) time.Duration {
+	for n := from/every + 1; n <= to/every; n++ {
+		if place(me, fleet, server, int64(n)) < share*float64(fleet) {
+			return n * every
+		}
+	}
+	return 0
+}
+
+// place is how a pooler stands among its fleet for a turn at a server: one pooler, in the order of their numbers another one each
+// turn, has a place in [0, 1), and each other one a place in [1, fleet). So those that take a turn by places below p are p of the
+// fleet, evenly spread over turns as over poolers: the multiples of the golden section and of the root of two fill a circle more
+// evenly than chance does. A pooler that has a turn by some share has it by all larger ones.
+func place(me, fleet int, server uint32, turn int64) float64 {
+	const golden, root = 0x9e3779b97f4a7c15, 0x6a09e667f3bcc909 // their fractions, of 2^64
+	circle := func(x uint64) float64 { return float64(x>>11) / (1 << 53) }
+	n, x := int64(fleet), turn+int64(server)*(golden>>40)-int64(me)
+	if x%n == 0 {
+		return circle(uint64(x/n)*golden + uint64(me)*root)
+	}
+	return 1 + float64(n-1)*circle(uint64(x)*golden)
+}
--- a/internal/fleet/balance/balance_test.go
+++ b/internal/fleet/balance/balance_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -109,3 +111,39 @@
 		Order(299, 300, servers)
 	}
 }
+
+// In any stretch all poolers together have as many turns at a server as their shares come to, give or take less than chance
+// would: by even shares, however small, in fleets of any size, and also where one has a large share.
+func TestTurns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet, server := rapid.IntRange(1, 300).Draw(t, "fleet"), rapid.Uint32().Draw(t, "server")
+		all := rapid.Float64Range(0.05, 1).Draw(t, "all") // turns taken of each one, by the sum of the shares
+		hot := rapid.Float64Range(0, 1).Draw(t, "hot")    // of these, by one pooler
+		const every, turns = time.Millisecond, 400
+		taken := make([]int, turns)
+		begin := time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "begin")) * every
+		for me := range fleet {
+			share := all * (1 - hot) / float64(fleet)
+			if me == 0 {
+				share += all * hot
+			}
+			for at := begin; ; {
+				if at = Turn(me, fleet, server, every, at, begin+turns*every, share); at == 0 {
+					break
+				}
+				taken[(at-begin)/every-1]++
+			}
+		}
+		for length := 50; length <= turns; length += 50 {
+			for from := 0; from+length <= turns; from += 25 {
+				sum := 0
+				for _, n := range taken[from : from+length] {
+					sum += n
+				}
+				if want := all * float64(length); math.Abs(float64(sum)-want) > math.Sqrt(want)+2 {
+					t.Fatalf("%d of %d turns taken from %d on, want %.1f", sum, length, from, want)
+				}
+			}
+		}
+	})
+}
--- a/rules/cold.go
+++ b/rules/cold.go
@@ -1,30 +1,32 @@
 package rules
 
-import "time"
+import (
+	"math"
+	"time"
 
-// Cold servers: each front keeps to its share of what one may be sent.
+	"threadsail/internal/fleet/balance"
+)
+
+// Cold servers: fronts take turns by a plan that each follows by itself. A turn that passes unused is lost.
 
 const (
-	coldUse   = 0.9 // of this front's share: the rest is for probes and handshakes
-	coldCores = 2.0 // no database host is smaller than this
+	coldUse   = 0.75 // of what a server may be sent, in turns; with less, they stay open for longer
+	coldCores = 2.0  // no database host is smaller than this
+	coldEven  = 0.1  // of the turns: all fronts have some; the others go by load, to where they are used
 )
 
-func (r *Router) chill(s *store, since time.Duration) {
-	if r.set.ColdFor <= 0 || r.set.ColdMultiple <= 0 || since+r.set.ColdFor <= r.now || since <= s.coldSince {
-		return
-	}
-	s.coldSince, s.budgetAt, s.budget, s.phase = since, r.now, 0, r.random()
-}
-
-// coldRoom keeps a front inside its share of what a cold store may be sent.
-func (r *Router) coldRoom(s *store, class int) bool {
-	w := r.warmth(s)
-	if s.coldSince == 0 {
+// coldTurn tells whether it is this front's turn. N + 1.5 root N are open within a span; the rest is chance.
+func (r *Router) coldTurn(s *store, class int) bool {
+	work, slot := r.heaviest(s, class), max(r.set.ColdSpan/128, 1) // a turn may begin with any slot
+	bears, span := coldUse*coldCores*r.set.ColdMultiple*r.warmth(s), float64(r.set.ColdSpan)
+	dealt := bears * float64(slot) * (coldEven/float64(r.set.Balancers) + (1-coldEven)*r.busy()/coldCores)
+	open := time.Duration(((1+1.5*math.Sqrt(coldUse*work/bears/span))/coldUse - 1) * span)
+	if s.turnAt > r.now-open && s.budget >= float64(r.mean[class]) {
 		return true
 	}
-	rate := coldUse * r.set.ColdMultiple * w * max(coldCores/float64(r.set.Balancers), r.load)
-	work := float64(r.mean[class])
-	s.budget = min(s.budget+rate*float64(r.now-s.budgetAt), rate*float64(r.set.ColdSpan)/2+work)
-	s.budgetAt = r.now
-	return s.budget >= work*s.phase // no two fronts save up for the same moment
+	at := balance.Turn(r.set.Me, r.set.Balancers, s.Store, slot, max(r.now-open, s.turnAt), r.now, dealt/work)
+	if at > 0 {
+		s.turnAt, s.budget = at, max(work, dealt)
+	}
+	return at > 0
 }
--- a/rules/health.go
+++ b/rules/health.go
@@ -143,7 +143,7 @@
 		held = held[1:] // what hangs there since before must not keep it from its trial
 	}
 	return float64(len(held)) < max(s.window, 1) && r.now >= s.pausedTo && r.now >= s.ended+rest &&
-		r.coldRoom(s, class)
+		(!r.cold(s) || r.coldTurn(s, class))
 }
 
 // gauge moves a window: up when it was used up and answers come in good time, down when they show a queue.
@@ -252,8 +252,8 @@
 
 // reached notes an answer: after a while out of reach, longer than a break, a store may have restarted cold.
 func (r *Router) reached(s *store) {
-	if s.unreach && r.now >= s.reachedAt+outOfReach {
-		r.chill(s, r.now)
+	if (s.unreach || s.silent || s.lost && s.heard == 0) && r.now >= s.reachedAt+outOfReach {
+		s.coldSince = max(s.coldSince, r.now)
 	}
 	s.unreach, s.reachedAt = false, r.now
 }
--- a/rules/ledger.go
+++ b/rules/ledger.go
@@ -92,7 +92,7 @@
 		return "paused"
 	case float64(len(s.out)) >= max(s.window, 1):
 		return "window"
-	case !r.coldRoom(s, q.class):
+	case r.cold(s) && !r.coldTurn(s, q.class):
 		return "cold"
 	case !r.room(s, q.class):
 		return "rest"
--- a/rules/list.go
+++ b/rules/list.go
@@ -42,6 +42,7 @@
 	if s == nil {
 		s = r.add(m)
 	}
+	s.coldSince = max(s.coldSince, m.Started)
 	if m.State != Ready {
 		r.leave(s, m.State)
 		return
@@ -60,9 +61,6 @@
 		r.act.Primary(News{Kind: PrimaryListed, Group: g.id, Store: s.Store, AsOf: s.claimAt})
 	}
 	g.weigh()
-	if m.Started > 0 {
-		r.chill(s, m.Started)
-	}
 }
 
 // SendTakes takes in the longest time that a send has lately taken, from its choice to its last byte. Nothing
--- a/rules/reads.go
+++ b/rules/reads.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		c := r.cost(s)
-		if s.coldSince == 0 { // what cold ones may be sent is to come from all fronts
+		if !r.cold(s) { // what cold ones may be sent is to come from all fronts
 			c += away * float64(i)
 		}
 		if g.weighed { // smooth turns; a store that is cold or jammed has fewer
@@ -153,7 +153,7 @@
 	}
 	turned := s.turned >= max(s.posAt, ms) && r.now < s.turned+roundSeen // with no newer position
 	return r.set.Behind != BehindAnswers && !turned &&
-		(s.posAt == 0 && s.coldSince == 0 || !r.proves(q.c) && r.behind(q, s) <= 0)
+		(s.posAt == 0 && !r.cold(s) || !r.proves(q.c) && r.behind(q, s) <= 0)
 }
 
 func (r *Router) cost(s *store) float64 {
--- a/rules/state.go
+++ b/rules/state.go
@@ -80,11 +80,10 @@
 	inRound   bool
 	silent    bool
 	ended     time.Duration // when an attempt last ended
-	coldSince time.Duration // 0: warm
-	budget    float64       // cold: work (in time) that may be sent now
-	budgetAt  time.Duration
-	credit    float64 // weighed: turns that it is owed
-	phase     float64 // cold: share of a request's work at which it may be sent, drawn at the start
+	coldSince time.Duration // its last start, as told or seen
+	turnAt    time.Duration // cold: when this front's last turn that it used began
+	budget    float64       // and what that leaves: work, in time
+	credit    float64       // weighed: turns that it is owed
 	unreach   bool
 	scarceAt  time.Duration // it last refused connections again and again
 	reachedAt time.Duration // last answer to a request or a probe
@@ -211,8 +210,9 @@
 	keptOld map[uint64]time.Duration
 	keptMax time.Duration // newest commit forgotten
 	order   []*store      // all stores, in the order of their first listing
-	load    float64       // own work per warm store, as cores kept busy
+	load    []float64     // per class: requests that each warm store has served of late, as of loadAt
 	loadAt  time.Duration
+	began   time.Duration // when this front's time began, or a second earlier
 	takes   time.Duration // from a choice to the last byte of its send, as the host has lately seen it
 	scratch []*store
 	ledger  ledger
@@ -261,12 +261,6 @@
 		if s.stopAt > 0 { // a longer grace is for those that drain from now on
 			s.stopAt = max(min(s.stopAt, s.stopAt+set.DrainGrace-grace), 1)
 		}
-		if set.ColdMultiple <= 0 {
-			s.coldSince = 0
-		}
-		if s.Started > 0 {
-			r.chill(s, s.Started)
-		}
 	}
 	return nil
 }
@@ -306,6 +300,7 @@
 			}
 		}
 		r.mean, r.base, r.usual = append(r.mean, mean), append(r.base, b), append(r.usual, u)
+		r.load = append(r.load, 0)
 	}
 }
 
@@ -313,6 +308,9 @@
 func (r *Router) spent(q *request) bool { return len(q.tries) >= min(q.most, r.set.MaxAttempts) }
 
 func (r *Router) tick(now time.Duration) {
+	if r.now == 0 {
+		r.began = now - time.Second // a first answer is not much
+	}
 	if now > r.now {
 		r.now = now
 	}
@@ -451,6 +449,9 @@
 	a := q.tries[o.Attempt]
 	a.done = true
 	a.s.ended = r.now
+	if o.Result == OK && !r.cold(a.s) {
+		r.worked(q.class)
+	}
 	q.live--
 	for i, x := range a.s.out {
 		if x == a {
@@ -619,28 +620,61 @@
 
 // warmth is the share of its capacity that a store has at the least, by the time since its start.
 func (r *Router) warmth(s *store) float64 {
-	if s.coldSince == 0 || r.set.ColdFor <= 0 || r.now >= s.coldSince+r.set.ColdFor {
-		s.coldSince = 0
+	if !r.cold(s) {
 		return 1
 	}
 	f := max(r.set.ColdFrom, 0.05)
-	return f + (1-f)*float64(r.now-s.coldSince)/float64(r.set.ColdFor)
+	return f + (1-f)*float64(max(r.now-s.coldSince, 0))/float64(r.set.ColdFor)
 }
 
-// spend takes an attempt off a cold store's budget, or counts it to the work of warm ones.
-func (r *Router) spend(s *store, class int) {
-	if work := float64(r.mean[class]); s.coldSince > 0 {
-		s.budget -= work
-	} else {
-		r.worked(work)
-	}
+// cold tells whether a store has not had its time yet since its last start that was told or seen, and may fall.
+func (r *Router) cold(s *store) bool {
+	return s.coldSince > 0 && r.now < s.coldSince+r.set.ColdFor && r.set.ColdMultiple > 0 && r.set.ColdSpan > 0
 }
 
-// worked averages the work sent to a warm store over loadMemory.
-func (r *Router) worked(work float64) {
-	r.load *= math.Exp(-float64(r.now-r.loadAt) / float64(loadMemory))
+// spend takes an attempt off this front's turn at a cold store.
+func (r *Router) spend(s *store, class int) { s.budget -= float64(r.mean[class]) }
+
+// worked counts a request that a warm store has served. What is not answered does not count: the sum over all fronts is no more
+// than what a store bears, however much is sent.
+func (r *Router) worked(class int) {
+	warm := 0
+	for _, s := range r.order {
+		if s.State != Gone && !r.cold(s) {
+			warm++
+		}
+	}
+	for i := range r.load {
+		r.load[i] *= forgotten(r.now - r.loadAt)
+	}
+	r.load[class] += 1 / float64(max(warm, 1))
 	r.loadAt = r.now
-	r.load += work / float64(loadMemory) / float64(max(len(r.stores), 1))
+}
+
+// busy is how many cores this front's work keeps busy at each warm store, over loadMemory or as long as it has been known.
+func (r *Router) busy() float64 {
+	work := 0.0
+	for i, n := range r.load {
+		work += n * float64(r.mean[i])
+	}
+	if work > 0 {
+		work *= forgotten(r.now-r.loadAt) / (1 - forgotten(r.now-r.began)) / float64(loadMemory)
+	}
+	return work
+}
+
+func forgotten(d time.Duration) float64 { return math.Exp(-float64(d) / float64(loadMemory)) }
+
+// heaviest is the mean work of a request of the heaviest class that has been measured and that a store may be sent, or of the
+// one in question.
+func (r *Router) heaviest(s *store, class int) float64 {
+	work, primary := r.mean[class], r.group(s.Group).primary == s
+	for i, b := range r.base {
+		if (b.at > 0 || b.count > 0) && (primary || r.set.Classes[i].Need < NeedFresh) {
+			work = max(work, r.mean[i])
+		}
+	}
+	return float64(work)
 }
 
 // spread is a wait that the fronts of a large fleet do not all end together: half to all of it.
