Cut no long value off while its server gives it, also past its request's time

Sparing slow readers alone was not enough: a server that gives a value in pieces is as slow.

Change: Break ends a value only while none of it has been passed on; the request then fails in its time.

--- a/internal/program/pgside/relay.go
+++ b/internal/program/pgside/relay.go
@@ -41,9 +41,10 @@
 	}
 }
 
-// Break ends it because its client's time is over, where it waits for the server: a client that reads slowly may read on.
+// Break ends it because its client's time is over, where none of it has been passed on. What has begun goes on for as long as its
+// server gives it: cut off before, it would be lost here.
 func (r *relay) Break() {
-	if r.end != nil && !r.full {
+	if r.end != nil && r.to == nil {
 		r.x.spoilt()
 	}
 }
