Test that a close is known behind unread bytes, and what a burst of leavers costs others

TestPeerGone: a peer's close or reset is known to who asks while the loop is busy, while the connection's reads are paused over 100 KB, and while a write waits for a peer that has closed its half.

--- a/internal/program/gone_test.go
+++ b/internal/program/gone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -151,20 +152,14 @@
 	due, sent, before := make(chan struct{}), make(chan struct{}), 0
 	leave := func() error {
 		defer func() { before = seen() }()
-		switch raw := c.(type) {
-		case *standin.Postgres:
-			if how == "cancel" {
-				return raw.Cancel()
-			}
-			return standin.Leave(raw.Conn, how == "reset")
-		case oldTalker:
-			if how == "cancel" {
-				_, err := other.(*standin.MySQL).Exec(fmt.Sprintf("KILL QUERY %d", raw.Thread))
-				return err
-			}
-			return standin.Leave(raw.Conn, how == "reset")
+		if how != "cancel" {
+			return standin.Leave(rawOf(c), how == "reset")
 		}
-		return nil
+		if old, ok := c.(oldTalker); ok {
+			_, err := other.(*standin.MySQL).Exec(fmt.Sprintf("KILL QUERY %d", old.Thread))
+			return err
+		}
+		return c.(*standin.Postgres).Cancel()
 	}
 	w.mu.Lock()
 	w.act = func() {
@@ -220,3 +215,48 @@
 	}
 	served(t, other.Do(standin.Write("k2", 20*time.Second)))
 }
+
+// Clients that send much at once and go, in order or by a reset, cost nobody else an answer, and leave nothing behind.
+func TestClientsThatSendMuchAndGo(t *testing.T) {
+	overBoth(t, nil, []string{"p", "r"}, func(t *testing.T, f *standin.Fleet, a program.Addrs) {
+		other := dial(t, a)
+		served(t, other.Do(standin.Read("any", 20*time.Second)))
+		var gone sync.WaitGroup
+		for i := range 60 {
+			gone.Go(func() {
+				c, err := tryTalk(t, a)
+				if err != nil {
+					return // turned away
+				}
+				var out []byte
+				for range 1 + i {
+					out = append(out, packet(c, standin.Read("any", patience))...)
+				}
+				if i%3 == 0 {
+					out = append(out, strings.Repeat("\xff", 1<<20)...)
+				}
+				_, _ = c.Write(out) // may be cut off
+				if i%2 == 0 {
+					_ = rawOf(c).(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+			})
+		}
+		for range 40 {
+			if r := other.Do(standin.Read("any", 20*time.Second)); r.Err != nil || r.Failed { // a busy machine may refuse
+				t.Errorf("got %+v", r)
+			}
+		}
+		gone.Wait()
+		shows(t, a, "edge_proxy_pending 0")
+		waitFor(t, "an answer", func() bool { return other.Do(standin.Read("any", 20*time.Second)).Served() })
+	})
+}
+
+// rawOf is a client's connection itself.
+func rawOf(c talker) net.Conn {
+	if old, ok := c.(oldTalker); ok {
+		return old.Conn
+	}
+	return c.(*standin.Postgres).Conn
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"threadsail/internal/lab/standin"
 	"threadsail/internal/routing"
 	"threadsail/internal/transport"
 )
@@ -468,6 +470,61 @@
 	}
 }
 
+// A peer's close or reset is known to who asks, at a moment when its owner can't have been told: the loop is busy, bytes lie
+// unread before it on a paused connection, or a write still waits for a peer that has closed its half only.
+func TestPeerGone(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		for _, how := range []string{"busy", "paused", "writing"} {
+			if reset && how == "writing" { // the write meets the reset
+				continue
+			}
+			t.Run(fmt.Sprint(how, reset), func(t *testing.T) {
+				f := newFixture(t, 8)
+				c, err := net.Dial("tcp", f.ln.Addr())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				s := receive(t, f.accepted)
+				switch how {
+				case "paused":
+					f.on(func() { s.Pause(true) })
+				case "writing":
+					f.on(func() { s.Pause(true); s.Pause(false); s.Write(make([]byte, 1<<20)) })
+				}
+				f.on(func() {
+					if s.PeerGone() {
+						t.Error("it has gone before its close")
+					}
+				})
+				gone := func() bool {
+					if how != "writing" {
+						if _, err := c.Write(make([]byte, 100<<10)); err != nil {
+							t.Error(err)
+						}
+						if err := standin.Leave(c, reset); err != nil {
+							t.Error(err)
+						}
+						return s.PeerGone()
+					}
+					_ = c.(*net.TCPConn).CloseWrite()
+					for until := time.Now().Add(late); !s.PeerGone(); {
+						if time.Now().After(until) {
+							return false
+						}
+					}
+					return true
+				}
+				f.on(func() {
+					if !gone() || len(f.server.closed) > 0 {
+						t.Error("its close is not known to who asks")
+					}
+				})
+			})
+		}
+	}
+}
+
 type closer func()
 
 func (c closer) Data(time.Duration, []byte) {}
