Let few poolers save up their part of a cold server's bound instead of taking turns

Cause: turns that pass unused are lost and open for 0.75 of what a server may be sent (rules/cold.go, coldTurn).

More fronts take turns as before. spend counts cold servers only.

--- a/rules/state.go
+++ b/rules/state.go
@@ -82,8 +82,9 @@
 	ended     time.Duration // when an attempt last ended
 	coldSince time.Duration // its last start, as told or seen
 	turnAt    time.Duration // cold: when this front's last turn that it used began
-	budget    float64       // and what that leaves: work, in time
-	credit    float64       // weighed: turns that it is owed
+	budget    float64       // what that leaves, or what is saved up: work, in time
+	budgetAt  time.Duration
+	credit    float64 // weighed: turns that it is owed
 	unreach   bool
 	scarceAt  time.Duration // it last refused connections again and again
 	reachedAt time.Duration // last answer to a request or a probe
@@ -633,7 +634,11 @@
 }
 
 // spend takes an attempt off this front's turn at a cold store.
-func (r *Router) spend(s *store, class int) { s.budget -= float64(r.mean[class]) }
+func (r *Router) spend(s *store, class int) {
+	if r.cold(s) {
+		s.budget -= float64(r.mean[class])
+	}
+}
 
 // worked counts a request that a warm store has served. What is not answered does not count: the sum over all fronts is no more
 // than what a store bears, however much is sent.
