Bring what all share to poolers by streams from distributors, in a package of its own

Ruled out: partial-view gossip, two levels of SWIM, polling (docs/distribution.md has what speaks for and against). Not wired yet.

--- a/internal/fleet/bus/bus.go
+++ b/internal/fleet/bus/bus.go
@@ -15,10 +15,13 @@
 	// Self is this pooler's name.
 	Self() string
 	// Members are the poolers held to be alive, this one among them, by name. One that is cut off may stay in it for seconds,
-	// and one that is alive may be missing.
+	// and one that is alive may be missing. Where distributors carry the bus they are the distributors alone, and this pooler: no
+	// pooler knows all others there.
 	Members() []string
-	// Send gives one pooler a message. nil: it was written to a connection; whether it was read is not known. An error: it may
-	// have come all the same. It waits for the network, but no longer than ctx.
+	// Size is how many poolers are held to be alive, this one among them, of which Members may be some.
+	Size() int
+	// Send gives one pooler a message, whether it is among Members or not. nil: it was written to a connection, or waits for one that
+	// is open; whether it was read is not known. An error: it may have come all the same. It waits for the network, but no longer than ctx.
 	Send(ctx context.Context, to, topic string, body []byte) error
 	// Cast gives all others a datagram each, and gossip for those that are not known here. It may be lost, come twice, or
 	// overtake another. A newer one of the same topic takes the place of one that is still being passed on by gossip.
--- a/internal/fleet/bus/bustest/bustest.go
+++ b/internal/fleet/bus/bustest/bustest.go
@@ -163,6 +163,9 @@
 	return out
 }
 
+// Size is documented with bus.Bus.
+func (b *Bus) Size() int { return max(len(b.Members()), 1) }
+
 func (n *Network) gone(from, to string) bool {
 	since, cut := n.cut[[2]string{from, to}]
 	return cut && time.Since(since) >= noticed
--- /dev/null
+++ b/internal/fleet/distribution/distribution.go
@@ -0,0 +1,136 @@
+// Package distribution brings what all poolers share to each of them, at a cost that does not depend on how many there are. Some
+// dozens of distributors know each other; every other pooler holds one stream to one of them (Subscriber), and knows the others
+// to turn to. Down the stream go the feeds, as deltas from the version that the pooler has, and words that tell how new they are; up
+// goes that the pooler lives and what it has in force. Messages of the parts (bus.Bus) go along the same streams. docs/distribution.md
+// has the rules and their bounds.
+//
+// What holds: a pooler's copy only moves forward, whole version by whole version; nothing is sent that the pooler has; a reader
+// that is slow is cut off at a bound and comes again by its version; without a distributor a pooler goes on by its last copy and
+// knows its age.
+package distribution
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"threadsail/internal/fleet/shared"
+)
+
+// Place is a distributor as a pooler knows it: its name among the poolers, the address of its streams, and its region.
+type Place struct{ Name, Addr, Region string }
+
+// Feed is a copy that the streams bring up to date: of the fleet's documents, or of the list of servers.
+type Feed struct {
+	Name string
+	Copy *shared.Copy
+}
+
+// Status is what a pooler tells of itself.
+type Status struct {
+	Build  string `json:"build,omitempty"`
+	Config string `json:"config,omitempty"`
+	Token  uint64 `json:"token,omitempty"` // of the list in force, as duty.Word
+	Seq    uint64 `json:"seq,omitempty"`
+}
+
+// Dialer opens a connection; it fails once ctx ends.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Counter counts what goes over the streams, by kind of frame, in bytes as they stand on the connection; it must not wait.
+type Counter interface {
+	In(kind string, bytes int)
+	Out(kind string, bytes int)
+}
+
+type uncounted struct{}
+
+func (uncounted) In(string, int)  {}
+func (uncounted) Out(string, int) {}
+
+// Every bound of time follows from the beat, a third of a lease's term: 1 s at the default term of 3 s.
+const (
+	// lostBeats without a byte end a stream, on either side, in tenths of a beat: two words may come late, or one be lost with
+	// its connection's retransmission.
+	lostBeats = 25
+	// answerBeats is how long a distributor may take to answer a call, in tenths of a beat.
+	answerBeats = 5
+	// writeBeats is how long a frame may take to be written, in beats: a reader that is slower is cut off.
+	writeBeats = 4
+	// behindBeats is how long a distributor may show an older version than the pooler has before it is left, in beats: one that
+	// has just started catches up within a beat.
+	behindBeats = 3
+	// shunBeats is how long a distributor that was lost, or did not answer, is tried after all others, in beats.
+	shunBeats = 10
+	// homeBeats is how long a pooler stays at another than its first choice before it looks there again, in beats, from half of it to
+	// one and a half by its seed: 5,000 poolers that all have been moved ask one every 6 ms.
+	homeBeats = 30
+)
+
+func tenths(beat time.Duration, n int) time.Duration { return beat * time.Duration(n) / 10 }
+
+// handlers are what hears the messages of each topic.
+type handlers struct {
+	mu      sync.Mutex
+	byTopic map[string]func(from string, body []byte)
+}
+
+// Handle is documented with bus.Bus.
+func (h *handlers) Handle(topic string, f func(from string, body []byte)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.byTopic == nil {
+		h.byTopic = map[string]func(string, []byte){}
+	}
+	h.byTopic[topic] = f
+}
+
+// hear gives a message to whom it concerns. One that nobody handles has no effect.
+func (h *handlers) hear(from, topic string, body []byte) {
+	h.mu.Lock()
+	f := h.byTopic[topic]
+	h.mu.Unlock()
+	if f != nil {
+		f(from, body)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// leastPace is how fast a peer must take what is longer than its buffers, in bytes a second: a whole copy of 5 MB within nine seconds.
+const leastPace = 1 << 20
+
+// living is a connection that fails where its peer gives no byte for a while, or takes none.
+type living struct {
+	net.Conn
+	silent, blocked time.Duration
+}
+
+func (l living) Read(b []byte) (int, error) {
+	if err := l.SetReadDeadline(time.Now().Add(l.silent)); err != nil {
+		return 0, err
+	}
+	return l.Conn.Read(b)
+}
+
+func (l living) Write(b []byte) (int, error) {
+	within := l.blocked + time.Duration(len(b))*(time.Second/leastPace)
+	if err := l.SetWriteDeadline(time.Now().Add(within)); err != nil {
+		return 0, err
+	}
+	return l.Conn.Write(b)
+}
--- /dev/null
+++ b/internal/fleet/distribution/distribution_test.go
@@ -0,0 +1,298 @@
+package distribution
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"threadsail/internal/fleet/shared"
+)
+
+const beat = time.Second
+
+// fleet is distributors and poolers on one network. All distributors hold the same copy, as the stewards' log would have them.
+type fleet struct {
+	t            *testing.T
+	n            *network
+	places       []Place
+	distributors map[string]*Distributor
+	copies       map[string]*shared.Copy // of distributors
+	poolers      map[string]*Subscriber
+	has          map[string]*shared.Copy // of poolers
+	docs         map[string]shared.Doc
+	version      uint64
+	mu           sync.Mutex
+	log          []string
+}
+
+// newFleet starts distributors d0, d1, ..., dealt over regions r0, r1, ....
+func newFleet(t *testing.T, distributors, regions int) *fleet {
+	f := &fleet{t: t, n: newNetwork(), distributors: map[string]*Distributor{}, copies: map[string]*shared.Copy{}, poolers: map[string]*Subscriber{},
+		has: map[string]*shared.Copy{}, docs: map[string]shared.Doc{}}
+	for i := range distributors {
+		f.places = append(f.places, Place{fmt.Sprint("d", i), fmt.Sprint("d", i), fmt.Sprint("r", i%regions)})
+	}
+	for _, p := range f.places {
+		f.distribute(p)
+	}
+	return f
+}
+
+func (f *fleet) say(line string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log = append(f.log, line)
+}
+
+// logged counts the lines that contain a text.
+func (f *fleet) logged(text string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, line := range f.log {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+// distribute starts a distributor with an empty copy, which catches up at once, as from the stewards.
+func (f *fleet) distribute(p Place) {
+	if f.copies[p.Name] = shared.NewCopy(shared.State{}); f.version > 0 {
+		f.copies[p.Name].Take(shared.State{Version: f.version, Docs: maps.Clone(f.docs)})
+	}
+	f.distributors[p.Name] = NewDistributor(f.n.listen(p.Name), DistributorOptions{Name: p.Name, Region: p.Region, All: f.places,
+		Feeds: []Feed{{"shared", f.copies[p.Name]}}, Beat: beat, Dial: f.n.dialer(p.Name), Log: f.say})
+}
+
+// kill ends a distributor.
+func (f *fleet) kill(name string) {
+	f.distributors[name].Close()
+	delete(f.distributors, name)
+	delete(f.copies, name)
+}
+
+// join starts a pooler; of several, the spread follows from the number.
+func (f *fleet) join(i, of int, region string) string {
+	name := fmt.Sprint("n", i)
+	f.has[name] = shared.NewCopy(shared.State{})
+	f.subscribe(name, region, float64(i)/float64(of))
+	return name
+}
+
+func (f *fleet) subscribe(name, region string, spread float64) {
+	f.poolers[name] = Subscribe(SubscriberOptions{Name: name, Region: region, Distributors: f.places, Feeds: []Feed{{"shared", f.has[name]}}, Beat: beat,
+		Spread: spread, Dial: f.n.dialer(name), Log: f.say})
+}
+
+// put writes a document, which all distributors have at once and confirm.
+func (f *fleet) put(key, value string) {
+	f.version += 3
+	if f.docs = maps.Clone(f.docs); value == "" {
+		delete(f.docs, key)
+	} else {
+		f.docs[key] = shared.Doc{Key: key, Version: f.version, Value: []byte(value)}
+	}
+	for _, c := range f.copies {
+		c.Take(shared.State{Version: f.version, Docs: f.docs})
+	}
+	f.confirm()
+}
+
+func (f *fleet) confirm() {
+	for _, c := range f.copies {
+		c.Confirm(c.Version(), time.Now())
+	}
+}
+
+// within fails unless all poolers have the newest version some time from now.
+func (f *fleet) within(d time.Duration, what string) {
+	f.t.Helper()
+	time.Sleep(d)
+	synctest.Wait()
+	late := 0
+	for name, c := range f.has {
+		if c.Version() != f.version {
+			if late++; late < 4 {
+				f.t.Errorf("%s: %s at %q has version %d after %v, want %d", what, name, f.poolers[name].At(), c.Version(), d, f.version)
+			}
+		}
+	}
+	if late > 0 {
+		f.t.Errorf("%s: %d poolers are behind", what, late)
+	}
+}
+
+func (f *fleet) end() {
+	for _, p := range f.poolers {
+		p.Close()
+	}
+	for _, d := range f.distributors {
+		d.Close()
+	}
+	time.Sleep(time.Minute) // what is under way on the network
+}
+
+// A change reaches all poolers by deltas; messages and casts go between poolers of different distributors and to distributors; the
+// poolers' number and what they have in force come up.
+func TestStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.end()
+		time.Sleep(3 * beat)
+		for i := range 12 {
+			f.join(i, 12, "r0")
+		}
+		f.put("p/a", "1")
+		f.within(3*beat, "the join")
+		f.put("p/b", "2")
+		f.within(10*time.Millisecond, "a change")
+		for name, p := range f.poolers {
+			if p.Size() != 15 || len(p.Members()) != 4 {
+				t.Errorf("%s knows of %d poolers, members %v", name, p.Size(), p.Members())
+			}
+		}
+		f.confirm()
+		time.Sleep(2 * beat)
+		for name, c := range f.has {
+			if age := time.Since(c.Confirmed()); age > 3*beat {
+				t.Errorf("%s was confirmed %v ago", name, age)
+			}
+		}
+		for name, d := range f.distributors {
+			if behind, _ := d.Behind("shared"); behind > 0 {
+				t.Errorf("%s: %d are behind", name, behind)
+			}
+		}
+		heard := map[string]string{}
+		var mu sync.Mutex
+		note := func(name string) func(string, []byte) {
+			return func(from string, body []byte) {
+				mu.Lock()
+				defer mu.Unlock()
+				heard[name] += from + ":" + string(body) + " "
+			}
+		}
+		for name, p := range f.poolers {
+			p.Handle("t", note(name))
+		}
+		for name, d := range f.distributors {
+			d.Handle("t", note(name))
+		}
+		f.poolers["n0"].Cast("t", []byte("all"))
+		time.Sleep(beat)
+		for i := range 12 {
+			if err := f.poolers["n0"].Send(t.Context(), fmt.Sprint("n", i), "t", []byte("one")); err != nil {
+				t.Error(err)
+			}
+		}
+		if err := f.poolers["n0"].Send(t.Context(), "d1", "t", []byte("one")); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(beat) // two speakers have no order between them
+		if err := f.distributors["d1"].Send(t.Context(), "n7", "t", []byte("back")); err != nil {
+			t.Error(err)
+		}
+		if err := f.distributors["d1"].Send(t.Context(), "n99", "t", nil); err == nil {
+			t.Error("a pooler that there is not")
+		}
+		time.Sleep(beat)
+		mu.Lock()
+		defer mu.Unlock()
+		for i := range 12 {
+			want := "n0:all n0:one "
+			switch i {
+			case 0:
+				want = "n0:one "
+			case 7:
+				want += "d1:back "
+			}
+			if got := heard[fmt.Sprint("n", i)]; got != want {
+				t.Errorf("n%d heard %q, want %q", i, got, want)
+			}
+		}
+		if heard["d0"] != "n0:all " || heard["d1"] != "n0:all n0:one " {
+			t.Errorf("distributors heard %q and %q", heard["d0"], heard["d1"])
+		}
+	})
+}
+
+// Whatever one distributor does (ends, stalls, is cut off one way or the other, starts again with nothing), its poolers have each
+// change within 6 s, and go back to their first choice once it is there again.
+func TestOneDistributorIsLost(t *testing.T) {
+	for what, lose := range map[string]struct{ lose, heal func(f *fleet, all []string) }{
+		"killed":    {func(f *fleet, _ []string) { f.kill("d1") }, func(f *fleet, _ []string) { f.distribute(f.places[1]) }},
+		"stalled":   {func(f *fleet, all []string) { f.n.part([]string{"d1"}, all, true) }, func(f *fleet, all []string) { f.n.part([]string{"d1"}, all, false) }},
+		"not heard": {func(f *fleet, all []string) { oneWay(f, "d1", all, true, true) }, func(f *fleet, all []string) { oneWay(f, "d1", all, true, false) }},
+		"deaf":      {func(f *fleet, all []string) { oneWay(f, "d1", all, false, true) }, func(f *fleet, all []string) { oneWay(f, "d1", all, false, false) }},
+	} {
+		t.Run(what, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 4, 1)
+				defer f.end()
+				var all []string
+				for i := range 60 {
+					all = append(all, f.join(i, 60, "r0"))
+				}
+				all = append(all, "d0", "d2", "d3")
+				f.put("p/a", "1")
+				f.within(3*beat, "the join")
+				before := f.distributors["d1"].Streams()
+				lose.lose(f, all)
+				time.Sleep(200 * time.Millisecond)
+				f.put("p/b", "2")
+				f.within(6*time.Second, what)
+				f.put("p/b", "")
+				f.within(20*time.Millisecond, "by the others")
+				lose.heal(f, all)
+				time.Sleep(2 * homeBeats * beat)
+				if after := f.distributors["d1"].Streams(); before < 5 || after != before {
+					t.Errorf("%d streams after its return, %d before", after, before)
+				}
+				f.put("p/c", "3")
+				f.within(20*time.Millisecond, "after the return")
+			})
+		})
+	}
+}
+
+// oneWay cuts what goes out of a name to all, or what comes in from all.
+func oneWay(f *fleet, name string, all []string, out, cut bool) {
+	for _, other := range all {
+		if out {
+			f.n.cut(name, other, cut)
+		} else {
+			f.n.cut(other, name, cut)
+		}
+	}
+}
+
+// A frame that can't be read, of any bytes, ends in an error, and takes no more memory than came.
+func FuzzFrame(f *testing.F) {
+	f.Add(sealJSON(kindHello, hello{Protocol: 1, Name: "n"}))
+	f.Add(seal(kindMessage, named([]byte("x"), "to", "from", "topic")))
+	f.Add([]byte{0xff, 0xff, 0xff, 0x7f, 1})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		in := bufio.NewReader(bytes.NewReader(text))
+		for {
+			k, body, size, err := readFrame(in, mostUp)
+			if err != nil {
+				return
+			}
+			if size > len(text) || len(body) >= size {
+				t.Errorf("%d bytes of %d", size, len(text))
+			}
+			var to, from, topic string
+			if rest, err := unnamed(body, &to, &from, &topic); err == nil && !bytes.Equal(named(rest, to, from, topic), body) {
+				t.Skip("a length in more bytes than it needs")
+			}
+			_, _ = advance(k, body, shared.State{Version: 3})
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/distribution/distributor.go
@@ -0,0 +1,610 @@
+package distribution
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"threadsail/internal/fleet/bus"
+)
+
+// DistributorOptions of a distributor.
+type DistributorOptions struct {
+	Name   string // among the poolers: a distributor is one itself
+	Region string
+	All    []Place // the distributors, this one among them or not
+	Feeds  []Feed
+	Beat   time.Duration
+	Dial   Dialer // nil: TCP
+	Count  Counter
+	Log    func(string)
+}
+
+// Distributor is one running. It implements bus.Bus for its own process. It is safe for use by several goroutines.
+type Distributor struct {
+	handlers
+	o      DistributorOptions
+	ln     net.Listener
+	feeds  []*feed
+	whole  chan struct{} // tokens of the wholes under way
+	cancel context.CancelFunc
+	ctx    context.Context
+	done   sync.WaitGroup
+
+	mu        sync.Mutex
+	streams   map[string]*stream // by pooler, and by distributor that has called
+	poolers   int                // of streams
+	links     map[string]*outbox // to other distributors, by name
+	dir       directory
+	admission admission
+	refused   map[string]bool // reasons that were logged
+}
+
+// stream is a caller that has been taken.
+type stream struct {
+	hello
+	conn   net.Conn
+	out    *outbox
+	has    []uint64 // by feed: what was sent, or was there; the writer's alone
+	status Status   // guarded by Distributor.mu, as is inForce
+	force  map[string]uint64
+}
+
+var _ bus.Bus = (*Distributor)(nil)
+
+// NewDistributor takes callers from a listener, which it closes at its end, and calls the other distributors, until Close.
+func NewDistributor(ln net.Listener, o DistributorOptions) *Distributor {
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	if o.Count == nil {
+		o.Count = uncounted{}
+	}
+	if o.Log == nil {
+		o.Log = func(string) {}
+	}
+	d := &Distributor{o: o, ln: ln, whole: make(chan struct{}, wholes), streams: map[string]*stream{}, links: map[string]*outbox{}, dir: newDirectory(),
+		refused: map[string]bool{}}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	for _, f := range o.Feeds {
+		kept := &feed{Feed: f}
+		kept.note()
+		d.feeds = append(d.feeds, kept)
+		d.done.Go(func() { kept.follow(d.ctx, d.news) })
+	}
+	for _, p := range o.All {
+		if p.Name != o.Name {
+			d.done.Go(func() { d.link(p) })
+		}
+	}
+	d.done.Go(d.accept)
+	return d
+}
+
+// Close ends all streams and waits for them.
+func (d *Distributor) Close() {
+	d.cancel()
+	_ = d.ln.Close()
+	d.done.Wait()
+}
+
+// news has all streams look at the feeds.
+func (d *Distributor) news() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.streams {
+		s.out.nudge()
+	}
+}
+
+func (d *Distributor) accept() {
+	for {
+		c, err := d.ln.Accept()
+		if err != nil {
+			if d.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			d.o.Log("distributor: accept: " + err.Error())
+			pause(d.ctx, d.o.Beat) // of descriptors, for want of which it failed, some may come free
+			continue
+		}
+		d.done.Go(func() { d.serve(c) })
+	}
+}
+
+// serve serves one caller until either side ends.
+func (d *Distributor) serve(c net.Conn) {
+	defer c.Close()
+	defer context.AfterFunc(d.ctx, func() { _ = c.Close() })()
+	conn := living{c, tenths(d.o.Beat, lostBeats), writeBeats * d.o.Beat}
+	in := bufio.NewReaderSize(conn, 4<<10)
+	k, body, size, err := readFrame(in, mostUp)
+	if err != nil || k != kindHello {
+		return // no peer of ours, or one that has gone
+	}
+	d.o.Count.In(k.String(), size)
+	var h hello
+	if err := json.Unmarshal(body, &h); err != nil {
+		d.refuse(conn, "", refusal{Why: "a call that can't be read: " + err.Error()})
+		return
+	}
+	s := &stream{hello: h, conn: conn, has: make([]uint64, len(d.feeds)), status: h.Status, force: h.Has}
+	for i, f := range d.feeds {
+		s.has[i] = h.Has[f.Name]
+	}
+	s.out = newOutbox(mostBytes, func() {
+		d.o.Log(fmt.Sprintf("distributor: %s is cut off: too much waits for it", h.Name))
+		_ = c.Close()
+	})
+	if no := d.enter(s); no != nil {
+		d.refuse(conn, h.Name, *no)
+		return
+	}
+	defer d.leave(s)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		if err := d.write(s); err != nil {
+			_ = c.Close()
+		}
+	}()
+	err = d.read(in, s)
+	_ = c.Close()
+	s.out.put(nil) // wakes the writer, whose next write fails
+	<-written
+	if errors.Is(err, errFrame) || errors.Is(err, errLong) {
+		d.once(h.Name, err.Error())
+	}
+}
+
+// enter takes a caller in, or says why not.
+func (d *Distributor) enter(s *stream) *refusal {
+	if err := s.valid(); err != nil {
+		return &refusal{Why: err.Error()}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.streams[s.Name]
+	if !s.Distributor {
+		if old == nil {
+			if d.poolers >= mostStreams {
+				return &refusal{Why: "no descriptor is left", Full: true}
+			}
+			streams, others := d.dir.load(d.o.Region)
+			if bound := room(streams+d.poolers, others+1); d.poolers >= bound && !s.Insists {
+				return &refusal{Why: fmt.Sprintf("it holds %d streams, %d are its share", d.poolers, bound), Full: true}
+			}
+		}
+		if later := d.admission.admit(time.Now()); later > 0 {
+			return &refusal{Why: "too many call at once", Later: max(later.Milliseconds(), 1)}
+		}
+	}
+	if old != nil {
+		_ = old.conn.Close() // its pooler has come again: what it sent there is in its new call
+	}
+	d.streams[s.Name] = s
+	switch {
+	case s.Distributor:
+		d.dir.opened(s.Name, s.Region)
+	case old == nil || old.Distributor:
+		d.poolers++
+		d.tell(holds{Came: []string{s.Name}})
+	}
+	return nil
+}
+
+// leave ends a caller's stream, unless a newer one has its place.
+func (d *Distributor) leave(s *stream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s.Distributor {
+		d.dir.closed(s.Name, time.Now())
+	}
+	if d.streams[s.Name] != s {
+		return
+	}
+	delete(d.streams, s.Name)
+	if !s.Distributor {
+		d.poolers--
+		d.tell(holds{Went: []string{s.Name}})
+	}
+}
+
+// tell tells all other distributors. The caller has the lock.
+func (d *Distributor) tell(h holds) {
+	frame := sealJSON(kindHolds, h)
+	for _, out := range d.links {
+		out.put(frame)
+	}
+}
+
+func (d *Distributor) refuse(c net.Conn, name string, no refusal) {
+	frame := sealJSON(kindRefusal, no)
+	d.o.Count.Out(kindRefusal.String(), len(frame))
+	_, _ = c.Write(frame)
+	if !no.Full && no.Later == 0 {
+		d.once(name, no.Why)
+	}
+}
+
+// once logs why a caller is refused, once for each reason.
+func (d *Distributor) once(name, why string) {
+	d.mu.Lock()
+	said := d.refused[why] || len(d.refused) >= 1024
+	d.refused[why] = true
+	d.mu.Unlock()
+	if !said {
+		d.o.Log(fmt.Sprintf("distributor: %s is refused: %s", name, why))
+	}
+}
+
+// read takes in what a caller says.
+func (d *Distributor) read(in *bufio.Reader, s *stream) error {
+	for {
+		k, body, size, err := readFrame(in, d.most(s))
+		if err != nil {
+			return err
+		}
+		d.o.Count.In(k.String(), size)
+		switch {
+		case k == kindLive:
+			err = d.lives(s, body)
+		case k == kindMessage:
+			err = d.message(s, body)
+		case k == kindCast:
+			err = d.casts(s, body)
+		case k == kindHolds && s.Distributor:
+			var h holds
+			if err = json.Unmarshal(body, &h); err == nil {
+				d.told(s.Name, h)
+			}
+		default:
+			err = fmt.Errorf("%w: %s", errFrame, k)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// told takes in whom another distributor holds. A pooler that has come there has left here, whatever its old stream says.
+func (d *Distributor) told(name string, h holds) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dir.take(name, h)
+	for _, pooler := range h.Came {
+		if s := d.streams[pooler]; s != nil && !s.Distributor && !h.All {
+			_ = s.conn.Close()
+		}
+	}
+}
+
+// most bounds what a caller may send: another distributor may hand on what was sent down to it.
+func (d *Distributor) most(s *stream) int {
+	if s.Distributor {
+		return mostDown
+	}
+	return mostUp
+}
+
+func (d *Distributor) lives(s *stream, body []byte) error {
+	if len(body) == 0 {
+		return nil
+	}
+	var l live
+	if err := json.Unmarshal(body, &l); err != nil {
+		return fmt.Errorf("%w: %w", errFrame, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.status, s.force = l.Status, l.Has
+	return nil
+}
+
+// message passes a message on towards its pooler. What another distributor has passed on goes no further than here.
+func (d *Distributor) message(s *stream, body []byte) error {
+	var to, from, topic string
+	text, err := unnamed(body, &to, &from, &topic)
+	if err != nil {
+		return err
+	}
+	if from != s.Name && !s.Distributor {
+		return fmt.Errorf("%w: it speaks for %s", errFrame, from)
+	}
+	d.pass(to, from, topic, text, s.Distributor)
+	return nil
+}
+
+// pass gives a message to a pooler, if it is known; its sender will miss the answer else.
+func (d *Distributor) pass(to, from, topic string, text []byte, last bool) (known bool) {
+	if to == d.o.Name {
+		d.hear(from, topic, text)
+		return true
+	}
+	frame := seal(kindMessage, named(text, to, from, topic))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.streams[to]; s != nil && !s.Distributor {
+		return s.out.put(frame)
+	}
+	if last {
+		return false
+	}
+	out := d.links[to]
+	if out == nil {
+		out = d.links[d.dir.at[to]]
+	}
+	return out != nil && out.put(frame)
+}
+
+// casts passes a cast on to all: a pooler's to this distributor's own and to the other distributors, another's to its own.
+func (d *Distributor) casts(s *stream, body []byte) error {
+	var from, topic string
+	text, err := unnamed(body, &from, &topic)
+	if err != nil {
+		return err
+	}
+	if from != s.Name && !s.Distributor {
+		return fmt.Errorf("%w: it speaks for %s", errFrame, from)
+	}
+	d.spread(from, topic, body, s.Distributor)
+	d.hear(from, topic, text)
+	return nil
+}
+
+func (d *Distributor) spread(from, topic string, body []byte, last bool) {
+	frame, key := seal(kindCast, body), from+"\x00"+topic
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.streams {
+		if !s.Distributor && s.Name != from {
+			s.out.cast(key, frame)
+		}
+	}
+	if !last {
+		for _, out := range d.links {
+			out.cast(key, frame)
+		}
+	}
+}
+
+// write gives a caller what it lacks, until the connection fails.
+func (d *Distributor) write(s *stream) error {
+	out := bufio.NewWriterSize(s.conn, 4<<10)
+	send := func(k kind, frame []byte) error {
+		d.o.Count.Out(k.String(), len(frame))
+		_, err := out.Write(frame)
+		return err
+	}
+	if err := send(kindWelcome, seal(kindWelcome)); err != nil {
+		return err
+	}
+	beat := time.NewTicker(d.o.Beat)
+	defer beat.Stop()
+	for due := true; ; {
+		for _, frame := range s.out.take() {
+			if len(frame) == 0 {
+				return net.ErrClosed
+			}
+			if err := send(kindOf(frame), frame); err != nil {
+				return err
+			}
+		}
+		if !s.Distributor {
+			news, err := d.bring(s, send)
+			if err != nil {
+				return err
+			}
+			due = due || news
+		}
+		if due {
+			if err := send(kindWord, sealJSON(kindWord, d.word())); err != nil {
+				return err
+			}
+		}
+		if err := out.Flush(); err != nil {
+			return err
+		}
+		select {
+		case <-d.ctx.Done():
+			return d.ctx.Err()
+		case <-s.out.wake:
+			due = false
+		case <-beat.C:
+			due = true
+		}
+	}
+}
+
+// bring sends what a caller lacks of the feeds, and tells whether it lacked anything. Whole copies wait for their turn.
+func (d *Distributor) bring(s *stream, send func(kind, []byte) error) (news bool, err error) {
+	for i, f := range d.feeds {
+		k, frame, newest := f.since(s.has[i])
+		if frame == nil {
+			continue
+		}
+		if k == kindWhole {
+			select {
+			case d.whole <- struct{}{}:
+			case <-d.ctx.Done():
+				return false, d.ctx.Err()
+			}
+			err = send(k, frame)
+			<-d.whole
+		} else {
+			err = send(k, frame)
+		}
+		if err != nil {
+			return false, err
+		}
+		s.has[i], news = newest, true
+	}
+	return news, nil
+}
+
+func (d *Distributor) word() word {
+	w := word{Poolers: d.Size()}
+	now := time.Now()
+	for _, f := range d.feeds {
+		w.Feeds = append(w.Feeds, f.word(now))
+	}
+	return w
+}
+
+// link keeps a stream open to another distributor, by which this one tells it whom it holds and passes messages on.
+func (d *Distributor) link(p Place) {
+	for d.ctx.Err() == nil {
+		if err := d.linked(p); err != nil && d.ctx.Err() == nil {
+			d.once(p.Name, "link: "+err.Error())
+		}
+		pause(d.ctx, d.o.Beat)
+		d.mu.Lock()
+		d.dir.expire(time.Now(), shunBeats*d.o.Beat)
+		d.mu.Unlock()
+	}
+}
+
+func (d *Distributor) linked(p Place) error {
+	conn, in, err := call(d.ctx, d.o.Dial, p, d.o.Beat, d.o.Count, hello{Protocol: protocol, Name: d.o.Name, Region: d.o.Region, Distributor: true})
+	if err != nil {
+		return nil // it is not there: the poolers' affair, and tried again
+	}
+	defer conn.Close()
+	defer context.AfterFunc(d.ctx, func() { _ = conn.Close() })()
+	out := newOutbox(mostLinked, func() { _ = conn.Close() })
+	d.mu.Lock()
+	all := holds{All: true}
+	for name, s := range d.streams {
+		if !s.Distributor {
+			all.Came = append(all.Came, name)
+		}
+	}
+	slices.Sort(all.Came)
+	out.put(sealJSON(kindHolds, all))
+	d.links[p.Name] = out
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.links[p.Name] == out {
+			delete(d.links, p.Name)
+		}
+	}()
+	go func() { // the words that come back tell that it lives
+		for {
+			k, _, size, err := readFrame(in, mostDown)
+			if err != nil {
+				_ = conn.Close()
+				out.put(nil)
+				return
+			}
+			d.o.Count.In(k.String(), size)
+		}
+	}()
+	w := bufio.NewWriterSize(conn, 16<<10)
+	beat := time.NewTicker(d.o.Beat)
+	defer beat.Stop()
+	for {
+		for _, frame := range out.take() {
+			if len(frame) == 0 {
+				return nil
+			}
+			d.o.Count.Out(kindOf(frame).String(), len(frame))
+			if _, err := w.Write(frame); err != nil {
+				return nil
+			}
+		}
+		if err := w.Flush(); err != nil {
+			return nil
+		}
+		select {
+		case <-d.ctx.Done():
+			return nil
+		case <-out.wake:
+		case <-beat.C:
+			out.put(seal(kindLive))
+		}
+	}
+}
+
+// Self is documented with bus.Bus.
+func (d *Distributor) Self() string { return d.o.Name }
+
+// Members are the distributors that are alive: those that any pooler may ask.
+func (d *Distributor) Members() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := append(d.dir.alive(), d.o.Name)
+	slices.Sort(out)
+	return out
+}
+
+// Size is documented with bus.Bus.
+func (d *Distributor) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.dir.at) + d.poolers + len(d.dir.alive()) + 1
+}
+
+// Streams is how many poolers' streams end here.
+func (d *Distributor) Streams() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.poolers
+}
+
+// Send is documented with bus.Bus.
+func (d *Distributor) Send(ctx context.Context, to, topic string, body []byte) error {
+	if err := fits(topic, body); err != nil {
+		return err
+	}
+	if !d.pass(to, d.o.Name, topic, slices.Clone(body), false) {
+		return fmt.Errorf("%w: %s", bus.ErrUnknown, to)
+	}
+	return ctx.Err()
+}
+
+// Cast is documented with bus.Bus.
+func (d *Distributor) Cast(topic string, body []byte) {
+	if err := fits(topic, body); err != nil {
+		d.o.Log("distributor: " + err.Error())
+		return
+	}
+	d.spread(d.o.Name, topic, named(body, d.o.Name, topic), false)
+}
+
+// Behind tells of the poolers here how many have an older version of a feed in force than this distributor, and the oldest one.
+func (d *Distributor) Behind(feed string) (poolers int, oldest uint64) {
+	for _, f := range d.feeds {
+		if f.Name != feed {
+			continue
+		}
+		oldest = f.Copy.Version()
+		newest := oldest
+		d.mu.Lock()
+		for _, s := range d.streams {
+			if has := s.force[feed]; !s.Distributor && has < newest {
+				poolers++
+				oldest = min(oldest, has)
+			}
+		}
+		d.mu.Unlock()
+	}
+	return poolers, oldest
+}
+
+func fits(topic string, body []byte) error {
+	switch {
+	case topic == "" || len(topic) > mostName:
+		return fmt.Errorf("a topic of %d bytes", len(topic))
+	case len(body) > mostBytes:
+		return fmt.Errorf("%w: %d bytes on %s", errLong, len(body), topic)
+	}
+	return nil
+}
--- a/internal/fleet/peers/bus.go
+++ b/internal/fleet/peers/bus.go
@@ -59,6 +59,9 @@
 	return out
 }
 
+// Size is documented with bus.Bus.
+func (b *Bus) Size() int { return max(len(b.p.nodes()), 1) }
+
 // Send is documented with bus.Bus. To this pooler itself it goes without the network.
 func (b *Bus) Send(ctx context.Context, to, topic string, body []byte) error {
 	text, err := seal(b.Self(), topic, body)
--- a/internal/fleet/quota/part.go
+++ b/internal/fleet/quota/part.go
@@ -229,7 +229,7 @@
 }
 
 // size is how many poolers share a reserve: the settings' number, or those alive where they are more.
-func (p *Part) size(b bus.Bus) int { return max(p.o.Fleet, len(b.Members()), 1) }
+func (p *Part) size(b bus.Bus) int { return max(p.o.Fleet, b.Size()) }
 
 // look takes over the set of limits that the fleet agrees on, and as the holder writes the operators' file's where that is newer.
 func (p *Part) look(ctx context.Context, g fleet.Ground, tenure shared.Tenure) {
--- a/internal/fleet/shared/bring.go
+++ b/internal/fleet/shared/bring.go
@@ -32,15 +32,15 @@
 	Version uint64        `json:"version"`
 	AsOf    int64         `json:"as_of_ns"`        // Unix time, of the speaker's clock
 	Age     time.Duration `json:"age_ns"`          // since then, on the speaker's monotonic clock as it spoke
-	Delta   *delta        `json:"delta,omitempty"` // what has changed lately, if it is small
+	Delta   *Delta        `json:"delta,omitempty"` // what has changed lately, if it is small
 }
 
-// heardAt is the time that a word is about, on this process's clock: the older of what the two clocks say (all machines read one,
+// HeardAt is the time that a word is about, on this process's clock: the older of what the two clocks say (all machines read one,
 // so that a word that was long on its way, or spoken by one that had stalled, is as old as it is) and what the speaker counted
 // (so that a clock here that was set back makes nothing young). A clock here that runs behind by D can make a delayed word too
-// young by D at the most.
-func (w word) heardAt(now time.Time) time.Time {
-	return now.Add(-max(now.Sub(time.Unix(0, w.AsOf)), w.Age, 0))
+// young by D at the most. asOf is Unix time in ns of the speaker's clock, age what the speaker's monotonic clock counted since.
+func HeardAt(now time.Time, asOf int64, age time.Duration) time.Time {
+	return now.Add(-max(now.Sub(time.Unix(0, asOf)), age, 0))
 }
 
 // Stewards are asked for documents where nobody else has them.
@@ -130,9 +130,9 @@
 		b.Log("shared: a word that can't be read: " + err.Error())
 		return
 	}
-	at := w.heardAt(time.Now())
+	at := HeardAt(time.Now(), w.AsOf, w.Age)
 	if w.Delta != nil {
-		if next, ok := w.Delta.on(b.Copy.State()); ok {
+		if next, ok := w.Delta.On(b.Copy.State()); ok {
 			b.Copy.Take(next)
 		}
 	}
@@ -239,7 +239,7 @@
 			}
 			continue
 		}
-		pause(ctx, time.Duration(b.Spread*float64(fetchEach)*float64(len(b.Bus.Members()))))
+		pause(ctx, time.Duration(b.Spread*float64(fetchEach)*float64(b.Bus.Size())))
 		for try := 0; ctx.Err() == nil; try++ {
 			b.mu.Lock()
 			want, from := b.newest.Version, b.from
--- a/internal/fleet/shared/delta.go
+++ b/internal/fleet/shared/delta.go
@@ -5,10 +5,10 @@
 // maxDelta bounds the values that a word carries with it: a datagram of a few packets. What is larger is fetched.
 const maxDelta = 4 << 10
 
-// delta is what has changed from one version of the documents to another. It brings a copy of any version between the two to its own:
+// Delta is what has changed from one version of the documents to another. It brings a copy of any version between the two to its own:
 // a document that was last written up to Since and that it does not name is the same in all of them, as one that is deleted and made
 // again gets a version that none had before; and one that was written since, and that it does not name, is gone again.
-type delta struct {
+type Delta struct {
 	Since   uint64   `json:"since"`
 	Version uint64   `json:"version"`
 	Docs    []Doc    `json:"docs,omitempty"`
@@ -16,7 +16,7 @@
 }
 
 // deltaOf is what has changed from one state of the log to a later one; ok false: nothing has, or it is too large for a word.
-func deltaOf(from, to State) (d delta, ok bool) {
+func deltaOf(from, to State) (d Delta, ok bool) {
 	d.Since, d.Version = from.Version, to.Version
 	bytes := 0
 	for key, doc := range to.Docs {
@@ -35,8 +35,8 @@
 	return d, from.Version < to.Version && bytes <= maxDelta
 }
 
-// on is the state that the delta makes of another; ok false: that one is not between its versions.
-func (d delta) on(s State) (next State, ok bool) {
+// On is the state that the delta makes of another; ok false: that one is not between its versions.
+func (d Delta) On(s State) (next State, ok bool) {
 	if s.Version < d.Since || s.Version >= d.Version {
 		return s, false
 	}
--- a/internal/fleet/shared/delta_test.go
+++ b/internal/fleet/shared/delta_test.go
@@ -33,7 +33,7 @@
 		to := at("to", from+1, last)
 		d, ok := deltaOf(states[from], states[to])
 		text, err := json.Marshal(d)
-		var read delta
+		var read Delta
 		if err == nil {
 			err = json.Unmarshal(text, &read)
 		}
@@ -41,7 +41,7 @@
 			t.Fatal(ok, err)
 		}
 		for i, s := range states {
-			got, ok := read.on(s)
+			got, ok := read.On(s)
 			if between := i >= from && i < to; ok != between {
 				t.Fatalf("from %d to %d, on %d: %v", from, to, i, ok)
 			}
@@ -70,7 +70,7 @@
 	if !ok {
 		t.Fatal("no delta")
 	}
-	if got, ok := d.on(states[1]); !ok || len(got.Docs) > 0 {
+	if got, ok := d.On(states[1]); !ok || len(got.Docs) > 0 {
 		t.Errorf("%v, %v: want no document", got, ok)
 	}
 }
--- a/internal/fleet/shared/disk_test.go
+++ b/internal/fleet/shared/disk_test.go
@@ -136,7 +136,7 @@
 		{2000 * time.Second, 3 * time.Second, 3 * time.Second}, // the clock here is behind
 		{2000 * time.Second, -time.Second, 0},
 	} {
-		if got := now.Sub(word{AsOf: int64(c.asOf), Age: c.age}.heardAt(now)); got != c.want {
+		if got := now.Sub(HeardAt(now, int64(c.asOf), c.age)); got != c.want {
 			t.Errorf("%+v: %v old", c, got)
 		}
 	}
