Count the fleet's traffic by kind of message

Counting whole sockets alone was ruled out: it can't say which message is the cost. The counter is a small type of atomic counts by kind; nothing uses it yet.

--- /dev/null
+++ b/internal/fleet/traffic/traffic_test.go
@@ -0,0 +1,59 @@
+package traffic
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+)
+
+func TestCounter(t *testing.T) {
+	var none *Counter
+	none.In("a", 1, 1)
+	none.Out("a", 1, 1)
+	if none.Snapshot() != nil {
+		t.Error("a nil counter counts")
+	}
+	var c Counter
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 100 {
+				c.In("a", 1, 10)
+				c.Out("b", 2, 5)
+			}
+		})
+	}
+	all.Wait()
+	want := []Count{{Kind: "a", BytesIn: 8000, MessagesIn: 800}, {Kind: "b", BytesOut: 4000, MessagesOut: 1600}}
+	if got := c.Snapshot(); !slices.Equal(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	for i := range 2 * mostKinds {
+		c.In(fmt.Sprint("k", i), 1, 1)
+	}
+	if n := len(c.Snapshot()); n > mostKinds+1 {
+		t.Errorf("%d kinds are kept apart", n)
+	}
+}
+
+func TestConn(t *testing.T) {
+	var c Counter
+	a, b := net.Pipe()
+	defer b.Close()
+	go func() {
+		_, _ = b.Write([]byte("hello"))
+		_, _ = io.ReadAll(b)
+	}()
+	conn := c.Conn(a, "k")
+	if _, err := io.ReadFull(conn, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = conn.Write([]byte("you"))
+	_ = conn.Close()
+	if got := c.Snapshot(); len(got) != 1 || got[0] != (Count{"k", 5, 3, 1, 1}) {
+		t.Errorf("%+v", got)
+	}
+}
