Wire distributors into the fleet: documents, lists, words and messages by streams

A list was fetched whole from pooler to pooler, spread by 5 ms a pooler: 25 s at 5,000. Change: the key distribution of deploy/fleet.json (off as shipped) has a pooler hold a stream instead of gossiping; only distributors gossip and stand for duties (duty.Lists.Follows, a tenure that is never won). The holder's list is a feed of its own: a delta names the servers that changed, also where a new holder missed the last list of the one before (shared.History.Rewritten).

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -58,6 +58,7 @@
 	LeastConfig     uint64 // the least revision that may take writes, which this pooler tells the fleet
 	LeastBuild      string // a version such as v1.4.0, which this pooler tells the fleet; empty: any will do
 	Shared          SharedPart
+	Distribution    DistributionPart
 }
 
 // JournalPart is the pooler's journal of acts; File empty: it keeps none.
@@ -162,6 +163,7 @@
 		Calendars         map[string]calendar.Calendar
 		Sites             map[string]calendar.Site
 		Shared            SharedPart
+		Distribution      DistributionPart
 		Journal           struct {
 			File  string
 			MaxMB float64 `json:"max_mb"`
@@ -182,7 +184,7 @@
 	f := &Fleet{Name: or(file.Name, name), Listen: file.Listen, Advertise: file.Advertise, Peers: file.Peers, Stewards: file.Stewards,
 		Steward: file.Steward, Term: or(Milliseconds(file.TermMs), defaultTerm), Drift: or(Milliseconds(file.DriftMs), defaultDrift),
 		SharedAddresses: file.SharedAddresses, Bound: Milliseconds(file.StragglerMs), LeastBuild: file.LeastBuild,
-		ConfigRevision: file.ConfigRevision, LeastConfig: file.LeastConfig, Shared: file.Shared}
+		ConfigRevision: file.ConfigRevision, LeastConfig: file.LeastConfig, Shared: file.Shared, Distribution: file.Distribution}
 	f.Bound = or(f.Bound, stragglerTerms*f.Term)
 	f.Journal = JournalPart{File: file.Journal.File, Bytes: int64(or(file.Journal.MaxMB, defaultJournalMB) * (1 << 20)), Keep: defaultKeep}
 	if file.Journal.Keep != nil {
@@ -207,7 +209,7 @@
 		err error
 	}{
 		{"name", missing(f.Name)},
-		{"listen", ipAddress("listen", f.Listen)},
+		{"listen", listens(f)},
 		{"advertise", optional(f.Advertise, ipAddress("advertise", f.Advertise))},
 		{"peers", named("peers", f.Peers)},
 		{"stewards", named("stewards", f.Stewards)},
@@ -224,6 +226,9 @@
 			return nil, int64(bytes.Index(text, []byte(`"`+check.key+`"`))), check.err
 		}
 	}
+	if key, err := distribution(f); err != nil {
+		return nil, within(text, "distribution", key), err
+	}
 	if f.Shards, path, err = file.Shards.part(f.Term, f.Drift, clusters); err != nil {
 		return nil, placeOf(text, path), err
 	}
@@ -257,6 +262,14 @@
 	return fallback
 }
 
+// listens checks the address for peers, which only those that gossip need.
+func listens(f *Fleet) error {
+	if !f.Gossips() {
+		return nil
+	}
+	return ipAddress("listen", f.Listen)
+}
+
 func missing(name string) error {
 	if name == "" {
 		return errors.New("name: missing, here and in PROXY_CONFIG")
--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -47,6 +47,8 @@
 // ScenarioFleet is how the poolers of a scenario know each other; Stewards 0: they don't.
 type ScenarioFleet struct {
 	Stewards        int           // the first so many poolers keep the leases
+	Distributors    int           // the first so many bring what all share, the stewards among them; 0: by gossip
+	Regions         int           // poolers are in so many regions, by turns; 0: one
 	Term            time.Duration // as Fleet.Term; the drift is 3% of it, the election a third
 	Relays          bool          // a relay on each link between two poolers, for faults
 	SharedAddresses bool          // as Fleet.SharedAddresses
@@ -165,6 +167,8 @@
 		WorkMs           float64 `json:"work_ms"`
 		Fleet            struct {
 			Stewards        int
+			Distributors    int
+			Regions         int
 			TermMs          float64 `json:"term_ms"`
 			Relays          bool
 			SharedAddresses bool   `json:"shared_addresses"`
@@ -235,7 +239,7 @@
 	case s.Log.Wait < 0 || s.Log.Bound < 0 || s.Log.Reports < 0 || s.Log.Reports > 1 || s.Log.Report < 0 || s.Log.Report > s.Patience:
 		return s, 0, errors.New("log: wait_ms or bound_ms is below 0, reports no share from 0 to 1, or report_ms not from 0 to the patience")
 	}
-	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
+	s.Fleet = ScenarioFleet{Stewards: file.Fleet.Stewards, Distributors: file.Fleet.Distributors, Regions: file.Fleet.Regions, Term: or(ms(file.Fleet.TermMs), defaultTerm), Relays: file.Fleet.Relays,
 		SharedAddresses: file.Fleet.SharedAddresses, LeastBuild: file.Fleet.LeastBuild, Zones: file.Fleet.Zones, Verdicts: file.Fleet.Verdicts}
 	purges := file.Fleet.Purges
 	s.Fleet.Purges = ScenarioPurges{purges.Sites, or(purges.Rows, 1), or(ms(purges.ClockMs), defaultGuard), or(ms(purges.ConfirmMs), defaultConfirm), ms(purges.SettleMs)}
@@ -243,6 +247,10 @@
 	case fl.Stewards == 0:
 	case fl.Stewards%2 == 0 || fl.Stewards < 0 || fl.Stewards > min(mostStewards, s.Poolers):
 		return s, 0, fmt.Errorf("fleet.stewards: %d is not an odd number of the poolers, up to %d", fl.Stewards, mostStewards)
+	case fl.Distributors != 0 && (fl.Distributors < fl.Stewards || fl.Distributors > min(mostDistributors, s.Poolers)):
+		return s, 0, fmt.Errorf("fleet.distributors: %d is not from the number of stewards to that of poolers, or over %d", fl.Distributors, mostDistributors)
+	case fl.Regions < 0 || fl.Regions > mostZones:
+		return s, 0, fmt.Errorf("fleet.regions: %d is not from 0 to %d", fl.Regions, mostZones)
 	case fl.Zones < 0 || fl.Zones > mostZones:
 		return s, 0, fmt.Errorf("fleet.zones: %d is not from 0 to %d", fl.Zones, mostZones)
 	case fl.Term < leastTerm:
--- a/internal/fleet/distribution/distribution.go
+++ b/internal/fleet/distribution/distribution.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,8 +24,9 @@
 
 // Feed is a copy that the streams bring up to date: of the fleet's documents, or of the list of servers.
 type Feed struct {
-	Name string
-	Copy *shared.Copy
+	Name      string
+	Copy      *shared.Copy
+	Rewritten bool // as shared.History.Rewritten
 }
 
 // Status is what a pooler tells of itself.
@@ -81,7 +83,7 @@
 	byTopic map[string]func(from string, body []byte)
 }
 
-// Handle is documented with bus.Bus.
+// Handle is documented with bus.Bus. A topic that ends in a slash stands for all that begin with it and have no handler of their own.
 func (h *handlers) Handle(topic string, f func(from string, body []byte)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -95,6 +97,9 @@
 func (h *handlers) hear(from, topic string, body []byte) {
 	h.mu.Lock()
 	f := h.byTopic[topic]
+	if i := strings.IndexByte(topic, '/'); f == nil && i >= 0 {
+		f = h.byTopic[topic[:i+1]]
+	}
 	h.mu.Unlock()
 	if f != nil {
 		f(from, body)
--- a/internal/fleet/distribution/distribution_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -68,7 +68,7 @@
 		f.copies[p.Name].Take(shared.State{Version: f.version, Docs: maps.Clone(f.docs)})
 	}
 	f.distributors[p.Name] = NewDistributor(f.n.listen(p.Name), DistributorOptions{Name: p.Name, Region: p.Region, All: f.places,
-		Feeds: []Feed{{"shared", f.copies[p.Name]}}, Beat: beat, Dial: f.n.dialer(p.Name), Log: f.say})
+		Feeds: []Feed{{Name: "shared", Copy: f.copies[p.Name]}}, Beat: beat, Dial: f.n.dialer(p.Name), Log: f.say})
 }
 
 // kill ends a distributor.
@@ -87,7 +87,7 @@
 }
 
 func (f *fleet) subscribe(name, region string, spread float64) {
-	f.poolers[name] = Subscribe(SubscriberOptions{Name: name, Region: region, Distributors: f.places, Feeds: []Feed{{"shared", f.has[name]}}, Beat: beat,
+	f.poolers[name] = Subscribe(SubscriberOptions{Name: name, Region: region, Distributors: f.places, Feeds: []Feed{{Name: "shared", Copy: f.has[name]}}, Beat: beat,
 		Spread: spread, Dial: f.n.dialer(name), Log: f.say})
 }
 
--- a/internal/fleet/duty/lists.go
+++ b/internal/fleet/duty/lists.go
@@ -46,6 +46,8 @@
 	Drift  time.Duration // as in lease.Table
 	Spread float64       // from 0 up to 1, by the pooler's own seed: when it asks and acts alone, among all
 	Fleet  int           // poolers, for the spread of fetches
+	// Follows: this pooler never asks for the lease; others stand for the duty.
+	Follows bool
 	// Bound is how long this pooler may lack a list that the fleet has, while neither a fetch nor an own call brings it up,
 	// before it is shut out; 0: for good.
 	Bound time.Duration
@@ -244,7 +246,7 @@
 		l.holder.Lost()
 		l.heard = now
 	}
-	if !l.asking && !l.ShutOut(now) && now >= l.askDue(acts) {
+	if !l.Follows && !l.asking && !l.ShutOut(now) && now >= l.askDue(acts) {
 		l.asking, l.asked, do.Ask = true, now, true
 	}
 	switch watch := l.want && (acts || l.blind || now >= l.aloneAt()); {
@@ -294,7 +296,7 @@
 			due = min(due, at)
 		}
 	}
-	if !l.asking {
+	if !l.Follows && !l.asking {
 		next(l.askDue(acts))
 	}
 	if acts {
--- a/internal/fleet/duty/lists_test.go
+++ b/internal/fleet/duty/lists_test.go
@@ -272,3 +272,22 @@
 		}
 	})
 }
+
+// A pooler that follows alone asks for no lease, whatever it does not hear; without a word it calls the list service itself.
+func TestFollower(t *testing.T) {
+	l := Lists{Name: "n", Term: time.Second, Spread: 0.5, Follows: true}
+	opened := false
+	for now, do := time.Duration(0), l.Want(0); now < 10*time.Second; do = l.Timer(now) {
+		if do.Ask {
+			t.Fatalf("it asks after %v", now)
+		}
+		if do.Open && now > l.AloneAfter() {
+			t.Errorf("alone after %v, want %v at the most", now, l.AloneAfter())
+		}
+		opened = opened || do.Open
+		now = l.Due(now)
+	}
+	if !opened {
+		t.Error("it never calls the list service")
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"threadsail/internal/config"
+	"threadsail/internal/fleet/distribution"
 	"threadsail/internal/fleet/duty"
 	"threadsail/internal/fleet/lease"
 	"threadsail/internal/fleet/peers"
@@ -50,7 +50,8 @@
 type Fleet struct {
 	c       *config.Fleet
 	holder  string // this process among the holders: a restarted pooler does not own what the one before it held
-	peers   *peers.Peers
+	network network
+	events  program.FleetEvents
 	steward *steward.Steward // nil: this pooler is none
 	asks    chan func()
 	words   chan func()
@@ -63,6 +64,12 @@
 	least   atomic.Pointer[duty.Least]
 }
 
+// The feeds that streams bring.
+const (
+	sharedFeed = "shared"
+	listsFeed  = "lists"
+)
+
 // Options of a pooler's part in its fleet.
 type Options struct {
 	Config *config.Fleet
@@ -74,7 +81,7 @@
 // Open starts the pooler's part and returns at once; errors are of its addresses and folders.
 func Open(o Options, events program.FleetEvents) (*Fleet, error) {
 	c, log := o.Config, o.Log
-	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), asks: make(chan func(), queuedAsks), words: make(chan func(), queuedActs), ending: make(chan struct{}),
+	f := &Fleet{c: c, holder: fmt.Sprintf("%s/%d-%d", c.Name, os.Getpid(), time.Now().UnixNano()), events: events, asks: make(chan func(), queuedAsks), words: make(chan func(), queuedActs), ending: make(chan struct{}),
 		giving: make(chan struct{}, gives), log: log.With().Str("part", "fleet").Logger()}
 	f.Refile(c)
 	say := func(line string) { f.log.Warn().Msg(line) }
@@ -93,12 +100,7 @@
 			return nil, err
 		}
 	}
-	var others []peers.Peer
-	for _, p := range c.Peers {
-		others = append(others, peers.Peer(p))
-	}
-	if f.peers, err = peers.Start(peers.Options{Name: c.Name, Listen: c.Listen, Advertise: c.Advertise, Peers: others,
-		Heard: func(text []byte) { f.heard(text, events) }, Log: say}, peers.Meta{}); err != nil {
+	if err = f.join(o.Spread, say); err != nil {
 		if f.steward != nil {
 			f.steward.Close()
 		}
@@ -114,10 +116,47 @@
 		for f.next(f.asks) {
 		}
 	})
-	f.ground.begin(f.peers.Bus(), f.steward)
+	bringing := f.network.Bus()
+	if n, ok := f.network.(*streams); ok {
+		bringing = nil
+		if n.inner != nil {
+			bringing = n.inner.Bus()
+		}
+	}
+	f.ground.begin(f.network.Bus(), bringing, c.Gossips(), f.steward)
 	return f, nil
 }
 
+// join opens the way to the other poolers.
+func (f *Fleet) join(spread float64, say func(string)) error {
+	var others []peers.Peer
+	for _, p := range f.c.Peers {
+		others = append(others, peers.Peer(p))
+	}
+	heard := func(text []byte) { f.heard(text, f.events) }
+	var known *peers.Peers
+	if f.c.Gossips() {
+		var err error
+		if known, err = peers.Start(peers.Options{Name: f.c.Name, Listen: f.c.Listen, Advertise: f.c.Advertise, Peers: others, Heard: heard, Log: say}, peers.Meta{}); err != nil {
+			return err
+		}
+	}
+	if !f.c.Distributes() {
+		f.network = gossip{known}
+		return nil
+	}
+	n, err := newStreams(f.c, spread, []distribution.Feed{{Name: sharedFeed, Copy: f.ground.copy}, {Name: listsFeed, Copy: f.ground.lists.copy, Rewritten: true}},
+		known, heard, say, nil)
+	if err != nil {
+		if known != nil {
+			known.Close()
+		}
+		return err
+	}
+	f.network = n
+	return nil
+}
+
 // heard sorts what other poolers say. What can't be read is logged and has no effect.
 func (f *Fleet) heard(text []byte, events program.FleetEvents) {
 	var m message
@@ -187,6 +226,9 @@
 // Tell passes a word on to all, and TellFound which server the holder found to be a group's primary; empty: none yet.
 func (f *Fleet) Tell(w duty.Word, left time.Duration, done func(all bool)) {
 	least := f.least.Load()
+	if l := f.ground.lists; l != nil && l.holds(w, time.Now().Add(left)) {
+		f.events.Wanted(f.c.Name) // the loop gives it to the feed
+	}
 	f.say("lists", message{Kind: "word", Word: w, Least: least.Build, LeastConfig: least.Config}, left, done)
 }
 
@@ -200,7 +242,7 @@
 func (f *Fleet) say(topic string, m message, left time.Duration, done func(all bool)) {
 	until := time.Now().Add(left)
 	select {
-	case f.words <- func() { done(f.peers.Tell(topic, encode(m), until)) }:
+	case f.words <- func() { done(f.network.Tell(topic, encode(m), until)) }:
 	default: // the sender is behind; the holder repeats its words
 		done(false)
 	}
@@ -208,29 +250,34 @@
 
 // Report tells a holder that this pooler has lost a group's primary: a hint, by a datagram.
 func (f *Fleet) Report(holder string, group int) {
-	f.peers.Hint(holder, encode(message{Kind: "lost", From: f.c.Name, Group: group}))
+	f.network.Hint(holder, encode(message{Kind: "lost", From: f.c.Name, Group: group}))
 }
 
-// Fetch asks one of the poolers that show the word's list, or the word's source while none does.
+// Fetch asks a pooler that has it for the list of a word.
 func (f *Fleet) Fetch(w duty.Word) {
-	from, n := w.Source, 0
-	for _, m := range f.peers.Members() {
-		if m.Name != f.c.Name && m.Meta.Token == w.Token && m.Meta.Seq == w.Seq {
-			if n++; rand.IntN(n) == 0 {
-				from = m.Name
-			}
-		}
-	}
+	from, ask := f.network.Source(w)
 	text := encode(message{Kind: "want", From: f.c.Name})
 	go func() {
-		if err := f.peers.Send(from, text); err != nil {
+		if !ask {
+			f.ground.lists.again(w, f.events.List)
+			return
+		}
+		if err := f.network.Send(from, text); err != nil {
 			f.log.Warn().Err(err).Str("from", from).Msg("list: can't be fetched")
 		}
 	}()
 }
 
-// Give sends a list to a pooler that asked for it.
+// Give sends a list to a pooler that asked for it, or hands its own on to all by the feed.
 func (f *Fleet) Give(to string, w duty.Word, list []byte) {
+	if l := f.ground.lists; l != nil && to == f.c.Name {
+		go func() {
+			if err := l.hand(w, list); err != nil {
+				f.log.Error().Err(err).Msg("list: can't be handed on")
+			}
+		}()
+		return
+	}
 	select {
 	case f.giving <- struct{}{}:
 	default:
@@ -239,7 +286,7 @@
 	text := encode(message{Kind: "list", Word: w, List: list})
 	go func() {
 		defer func() { <-f.giving }()
-		if err := f.peers.Send(to, text); err != nil {
+		if err := f.network.Send(to, text); err != nil {
 			f.log.Warn().Err(err).Str("to", to).Msg("list: can't be given")
 		}
 	}()
@@ -247,7 +294,7 @@
 
 // Show changes what the others see of this pooler.
 func (f *Fleet) Show(w duty.Word, build, config string) {
-	f.peers.Show(peers.Meta{Build: build, Config: config, Token: w.Token, Seq: w.Seq})
+	f.network.Show(w, build, config)
 }
 
 // Refile is documented with program.Fleet.
@@ -277,7 +324,7 @@
 	f.ground.end()
 	close(f.ending) // and not the queues: the loop may still be running where the start has failed
 	f.done.Wait()
-	f.peers.Close()
+	f.network.Close()
 	if f.steward != nil {
 		f.steward.Close()
 	}
--- a/internal/fleet/ground.go
+++ b/internal/fleet/ground.go
@@ -28,6 +28,7 @@
 type ground struct {
 	o       Options
 	copy    *shared.Copy
+	lists   *lists         // nil: lists are fetched from pooler to pooler
 	keeper  *shared.Keeper // nil: the copy is kept in memory alone
 	store   *steward.Clients
 	leases  *steward.Clients
@@ -59,11 +60,15 @@
 		}
 	}
 	g.copy = shared.NewCopy(begun)
+	if o.Config.Distributes() {
+		g.lists = newLists()
+	}
 	return g, nil
 }
 
-// begin has the copy brought and kept, and runs the parts.
-func (g *ground) begin(way bus.Bus, own *steward.Steward) {
+// begin has the copies brought and kept, and runs the parts. bringing is the bus by which copies are brought from pooler to pooler;
+// nil: a stream brings them. stands false: this pooler stands for no duty.
+func (g *ground) begin(way, bringing bus.Bus, stands bool, own *steward.Steward) {
 	say := func(line string) { g.log.Warn().Msg(line) }
 	var confirm func() (uint64, time.Time, bool)
 	if own != nil {
@@ -72,12 +77,24 @@
 	if dir := g.o.Config.Shared.Dir; dir != "" {
 		g.keeper = shared.Keep(g.ctx, dir, g.copy, g.kept)
 	}
-	shared.Bring(g.ctx, shared.Bringing{Bus: way, Copy: g.copy, Stewards: g.store, Confirm: confirm, Beat: g.o.Config.Term / 3,
-		Spread: g.o.Spread, Log: say})
+	beat := g.o.Config.Term / 3
+	if bringing != nil {
+		shared.Bring(g.ctx, shared.Bringing{Bus: bringing, Copy: g.copy, Stewards: g.store, Confirm: confirm, Beat: beat, Spread: g.o.Spread, Log: say})
+	}
+	if bringing != nil && g.lists != nil {
+		shared.Bring(g.ctx, shared.Bringing{Name: listsFeed, Bus: bringing, Copy: g.lists.copy, Confirm: g.lists.confirm, Beat: beat, Spread: g.o.Spread, Log: say})
+	}
+	if g.lists != nil {
+		g.running.Go(func() { g.lists.follow(g.ctx, g.o.Config.Name, g.events.List, say) })
+	}
+	stand := g.stand
+	if !stands {
+		stand = func(context.Context, lease.Duty) shared.Tenure { return bystander{} }
+	}
 	for _, p := range g.o.Parts {
 		g.running.Go(func() {
 			err := p.Run(g.ctx, Ground{Bus: way, View: g.copy, Store: g.store, Journal: g.events.Acted, Log: g.o.Log,
-				Stand: g.stand})
+				Stand: stand})
 			if err != nil && g.ctx.Err() == nil {
 				g.events.Failed(fmt.Errorf("%T: %w", p, err))
 			}
@@ -92,6 +109,12 @@
 	return s
 }
 
+// bystander is the tenure of a pooler that stands for no duty.
+type bystander struct{}
+
+func (bystander) Token() (uint64, time.Time, bool) { return 0, time.Time{}, false }
+func (bystander) Changed() <-chan struct{}         { return nil } // never
+
 // kept tells that the copy can't be written to the disk, or can again. The pooler goes on from memory.
 func (g *ground) kept(err error) {
 	if err != nil {
--- a/internal/fleet/shared/bring.go
+++ b/internal/fleet/shared/bring.go
@@ -11,11 +11,11 @@
 	"threadsail/internal/fleet/bus"
 )
 
-// The topics by which copies are brought.
+// The topics by which copies are brought, each behind the copy's name and a slash.
 const (
-	topicWord  = "shared/word"  // to all: the newest version, by the leading steward's process
-	topicWant  = "shared/want"  // to one: its documents, if they are newer
-	topicState = "shared/state" // back: them; or nothing, if they are not
+	topicWord  = "/word"  // to all: the newest version, by the leading steward's process
+	topicWant  = "/want"  // to one: its documents, if they are newer
+	topicState = "/state" // back: them; or nothing, if they are not
 )
 
 const (
@@ -52,10 +52,11 @@
 
 // Bringing is what a copy is brought by.
 type Bringing struct {
+	Name     string // of the copy, among those on the bus; empty: "shared"
 	Bus      bus.Bus
 	Copy     *Copy
-	Stewards Stewards
-	// Confirm is the steward of this process, if it is one: as steward.Steward.Confirm. nil: it is none.
+	Stewards Stewards // nil: there are none to ask
+	// Confirm is the steward of this process, if it is one: as steward.Steward.Confirm; of another copy, whoever writes it. nil: it is none.
 	Confirm func() (version uint64, at time.Time, ok bool)
 	Beat    time.Duration // between words: a third of a lease's term
 	Spread  float64       // from 0 up to 1, by the pooler's own seed
@@ -80,10 +81,13 @@
 // Bring keeps a copy as new as what can be reached, until ctx ends: by words of the leading steward's process, fetched from any
 // pooler that has it, and from the stewards themselves as the last resort. It returns at once.
 func Bring(ctx context.Context, o Bringing) {
+	if o.Name == "" {
+		o.Name = "shared"
+	}
 	b := &bringer{Bringing: o, giving: make(chan struct{}, gives), news: make(chan struct{}, 1), heard: time.Now(), came: make(chan struct{}, 1)}
-	o.Bus.Handle(topicWord, b.word)
-	o.Bus.Handle(topicWant, b.wanted)
-	o.Bus.Handle(topicState, b.state)
+	o.Bus.Handle(o.Name+topicWord, b.word)
+	o.Bus.Handle(o.Name+topicWant, b.wanted)
+	o.Bus.Handle(o.Name+topicState, b.state)
 	if o.Confirm != nil {
 		go b.speak(ctx)
 	}
@@ -111,7 +115,7 @@
 			}
 			w.Age = time.Since(at)
 			if text, err := json.Marshal(w); err == nil {
-				b.Bus.Cast(topicWord, text)
+				b.Bus.Cast(b.Name+topicWord, text)
 			}
 		}
 		pause(ctx, wordEach)
@@ -194,7 +198,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), stewardAsk)
 		defer cancel()
-		_ = b.Bus.Send(ctx, from, topicState, text) // it asks another
+		_ = b.Bus.Send(ctx, from, b.Name+topicState, text) // it asks another
 	}()
 }
 
@@ -289,7 +293,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchWait)
 	defer cancel()
-	if b.Bus.Send(ctx, name, topicWant, text) != nil {
+	if b.Bus.Send(ctx, name, b.Name+topicWant, text) != nil {
 		return
 	}
 	select {
--- a/internal/fleet/shared/copy.go
+++ b/internal/fleet/shared/copy.go
@@ -62,7 +62,7 @@
 }
 
 // Under is documented with View.
-func (c *Copy) Under(prefix string) []Doc { return c.State().under(prefix) }
+func (c *Copy) Under(prefix string) []Doc { return c.State().Under(prefix) }
 
 // Version is documented with View.
 func (c *Copy) Version() uint64 { return c.State().Version }
--- a/internal/fleet/shared/docs.go
+++ b/internal/fleet/shared/docs.go
@@ -93,8 +93,8 @@
 	Docs    map[string]Doc
 }
 
-// under are the documents whose key has a prefix, by key.
-func (s State) under(prefix string) (out []Doc) {
+// Under are the documents whose key has a prefix, by key.
+func (s State) Under(prefix string) (out []Doc) {
 	for k, d := range s.Docs {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, d)
@@ -111,7 +111,7 @@
 }
 
 // MarshalJSON lists the documents by key.
-func (s State) MarshalJSON() ([]byte, error) { return json.Marshal(saved{s.Version, s.under("")}) }
+func (s State) MarshalJSON() ([]byte, error) { return json.Marshal(saved{s.Version, s.Under("")}) }
 
 // UnmarshalJSON reads what MarshalJSON wrote, and refuses what no log can have made.
 func (s *State) UnmarshalJSON(text []byte) error {
--- a/internal/fleet/shared/history.go
+++ b/internal/fleet/shared/history.go
@@ -1,6 +1,7 @@
 package shared
 
 import (
+	"bytes"
 	"slices"
 	"time"
 )
@@ -16,6 +17,11 @@
 // The values are those of the newest version alone, so that what changes often is told once. It is not safe for use by several
 // goroutines. The zero History has seen nothing.
 type History struct {
+	// Rewritten: each version is written whole by whoever has the right to, who may not have seen the one before. The versions of its
+	// documents then say nothing of what another version holds: what has changed is found here by comparing what was noted, and a
+	// copy of any version that was not noted here needs the whole.
+	Rewritten bool
+
 	state State
 	steps []step // oldest first; the version of each is a base for deltas
 	bytes int
@@ -33,6 +39,9 @@
 	if s.Version <= h.state.Version && len(h.steps) > 0 {
 		return
 	}
+	if h.Rewritten {
+		s = restamp(h.state, s)
+	}
 	next := step{version: s.Version, at: time.Now()}
 	for key := range h.state.Docs {
 		if _, there := s.Docs[key]; !there {
@@ -50,6 +59,19 @@
 	h.steps = slices.Delete(h.steps, 0, drop)
 }
 
+// restamp has each document tell at which of the versions noted it was last another one.
+func restamp(old, s State) State {
+	out := State{Version: s.Version, Docs: make(map[string]Doc, len(s.Docs))}
+	for key, d := range s.Docs {
+		d.Version = s.Version
+		if same, ok := old.Docs[key]; ok && bytes.Equal(same.Value, d.Value) {
+			d.Version = same.Version
+		}
+		out.Docs[key] = d
+	}
+	return out
+}
+
 // Version is the newest that was noted.
 func (h *History) Version() uint64 { return h.state.Version }
 
@@ -69,6 +91,9 @@
 		}
 		return 0
 	})
+	if !found && h.Rewritten {
+		return d, false
+	}
 	if !found {
 		base--
 	}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -17,6 +17,7 @@
 const (
 	gossipPort  = 7946
 	stewardPort = 7950
+	streamPort  = 7952
 	firstBlock  = 64
 	blocks      = 128
 	aBlock      = 250 // addresses of a third octet
@@ -71,13 +72,24 @@
 		n.links[[2]int{i, j}] = append(n.links[[2]int{i, j}], l)
 		return l.Addr()
 	}
+	region := func(i int) string {
+		if fleet.Regions == 0 {
+			return ""
+		}
+		return fmt.Sprint("region", i%fleet.Regions)
+	}
 	for i, m := range members {
 		var peers, stewards []config.Peer
+		var streams config.DistributionPart
+		gossips := fleet.Distributors == 0 || i < fleet.Distributors
 		for j := range members {
+			if j < fleet.Distributors {
+				streams.Distributors = append(streams.Distributors, config.Distributor{Name: name(j), Addr: to(i, j, streamPort), Region: region(j)})
+			}
 			if j < fleet.Stewards {
 				stewards = append(stewards, config.Peer{Name: name(j), Addr: to(i, j, stewardPort)})
 			}
-			if i != j && (fleet.Relays || j < fleet.Stewards) {
+			if i != j && gossips && (fleet.Relays && (fleet.Distributors == 0 || j < fleet.Distributors) || j < fleet.Stewards) {
 				peers = append(peers, config.Peer{Name: name(j), Addr: to(i, j, gossipPort)})
 			}
 		}
@@ -85,6 +97,12 @@
 			"term_ms": fleet.Term.Milliseconds(), "drift_ms": fleet.DriftOf().Milliseconds(), "election_ms": fleet.ElectionOf().Milliseconds(),
 			"shared_addresses": fleet.SharedAddresses, "least_build": fleet.LeastBuild, "journal": map[string]any{"file": n.journal(m)},
 			"shared": config.SharedPart{Dir: filepath.Join(m.Dir(), "shared")}}
+		if fleet.Distributors > 0 {
+			if streams.Region = region(i); gossips {
+				streams.Listen = n.addr(i, streamPort)
+			}
+			file["distribution"] = streams
+		}
 		if i < fleet.Stewards {
 			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
 		}
--- a/internal/program/fleet_lists.go
+++ b/internal/program/fleet_lists.go
@@ -37,7 +37,7 @@
 func newListDuty(m *member, w *watcher, core *routing.Core, cfg *config.Config, fc *config.Fleet, ready func(bool)) *listDuty {
 	d := &listDuty{member: m, watcher: w, core: core, shared: fc.SharedAddresses, ready: ready, revision: fc.ConfigRevision,
 		list:  discovery.List{Complete: true, Revision: cfg.Known.Revision, Members: cfg.Known.Members},
-		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Bound: fc.Bound, Spread: Spread(cfg), Fleet: max(cfg.Settings.Balancers, 1)}}
+		lists: duty.Lists{Name: fc.Name, Term: fc.Term, Drift: fc.Drift, Follows: !fc.Gossips(), Bound: fc.Bound, Spread: Spread(cfg), Fleet: max(cfg.Settings.Balancers, 1)}}
 	w.duty = d
 	if w.pushed { // else the module asks
 		w.loop.After(0, d.want)
@@ -94,6 +94,9 @@
 
 // took takes in a list that was handed on: whole, or not at all.
 func (d *listDuty) took(w duty.Word, text []byte) {
+	if d.watcher.pushed { // nobody's list goes before the own agent's
+		return
+	}
 	d.late.Stop()
 	now := d.loop.Now()
 	list, err := discovery.ParseList(text)
