--- a/rules/health.go
+++ b/rules/health.go
@@ -41,18 +41,7 @@
 		return
 	}
 	q, s := a.req, a.s
-	if !o.Result.NeverRan() && q.risk == nil {
-		q.risk = a
-	}
-	if o.Result == Missed && q.c.Need != NeedWrite {
-		s.turned = r.now
-	}
-	q.reached = q.reached || o.Result != NoConnect && o.Result != Moot
 	r.health(s, a, o)
-	if o.HasPosition && !(q.c.Need == NeedWrite && o.Result == OK) {
-		r.proved(s, o.Position)
-	}
-	r.untold = r.untold || o.Result == OK && q.c.Need < NeedFresh && !o.HasPosition
 	switch o.Role {
 	case RolePrimary:
 		r.claim(s, r.now-r.set.Tick)
@@ -60,9 +49,6 @@
 		r.deny(s, r.now)
 	}
 	r.learn(s, o.Report)
-	if q.c.Need == NeedWrite && o.Result == OK && o.HasPosition && r.set.Remembered && q.session != 0 {
-		r.keep(q.session, o.Position)
-	}
 	q.ended = q.ended || o.Closed
 	if !q.ended && q.live == 0 {
 		r.again(q, s, o.Result)
@@ -72,9 +58,6 @@
 }
 
 func (r *Router) health(s *store, a *attempt, o Outcome) {
-	if o.Result == OK || o.Result == Missed || o.Result == Errored {
-		s.answered = max(s.answered, a.sent)
-	}
 	switch o.Result {
 	case TimedOut, Cancelled:
 		if !a.req.gone { // a client's own cancel says nothing of the store
@@ -238,13 +221,11 @@
 // rescue takes the safe requests of a silent store elsewhere.
 func (r *Router) rescue(s *store) {
 	for _, a := range append([]*attempt(nil), s.out...) {
-		q := a.req
-		if q.ended || q.c.Effect != Safe || q.live > 1 || r.retry < 1 {
-			continue
-		}
-		if r.set.SecondCopies && r.place(q) {
+		switch q := a.req; {
+		case q.ended || q.c.Effect != Safe || q.live > 1 || r.retry < 1:
+		case r.set.SecondCopies && r.place(q):
 			r.retry--
-		} else if !r.set.SecondCopies && r.set.MayCancel {
+		case !r.set.SecondCopies && r.set.MayCancel:
 			r.act.Cancel(q.id, indexOf(q, a))
 		}
 	}
--- a/rules/list.go
+++ b/rules/list.go
@@ -20,13 +20,13 @@
 	seen := map[uint32]bool{}
 	for _, m := range entries {
 		seen[m.Store] = true
-		r.entry(m)
+		if s := r.known(m); s != nil {
+			r.entry(s, m)
+		}
 	}
-	if kind != ListDelta {
-		for _, s := range r.order {
-			if s.listed && !seen[s.Store] && s.State != Gone {
-				r.leave(s, Gone)
-			}
+	for _, s := range r.order {
+		if kind != ListDelta && s.listed && !seen[s.Store] && s.State != Gone {
+			r.leave(s, Gone)
 		}
 	}
 	if kind == ListCached {
@@ -34,15 +34,7 @@
 	}
 }
 
-func (r *Router) entry(m Member) {
-	s := r.stores[m.Store]
-	if s == nil && m.State == Gone {
-		return
-	}
-	if s == nil {
-		s = r.add(m)
-	}
-	s.coldSince = max(s.coldSince, m.Started)
+func (r *Router) entry(s *store, m Member) {
 	if m.State != Ready {
 		r.leave(s, m.State)
 		return
@@ -63,11 +55,8 @@
 	g.weigh()
 }
 
-// SendTakes takes in the longest time that a send has lately taken, from its choice to its last byte. Nothing
-// new is chosen for a draining store once less of the grace is left, less a tick; graceMargin at the least.
-func (r *Router) SendTakes(d time.Duration) { r.takes = d }
-
-// stops tells whether a store that drains gets no more attempts.
+// stops tells whether a store that drains gets no more attempts: once less of its grace is left, less a tick,
+// than a send has lately taken; graceMargin at the least.
 func (r *Router) stops(s *store) bool {
 	return s.stopAt > 0 && r.now >= s.stopAt-max(r.takes-graceMargin, 0)
 }
@@ -97,3 +86,24 @@
 		}
 	})
 }
+
+// retuned has what the old settings had put off or counted be as the new ones would have it: the gap between
+// pings, the time over which first calls are spread, the grace of a drain.
+func (r *Router) retuned(pings, span, grace time.Duration) {
+	if r.asking && r.askSpan < span { // the call that is due may be as far off as the larger fleet had it
+		r.asking = false
+		r.askIn(r.dealt(r.askSpan))
+	}
+	for _, g := range r.inOrder() {
+		g.dealtOf, g.needed = nil, false // rounds may be allowed only now
+		if g.pinging && r.pingGap != pings {
+			r.pingIn(g, r.pingGap)
+		}
+	}
+	for _, s := range r.order {
+		s.window = max(s.window, r.least)
+		if s.stopAt > 0 { // a longer grace is for those that drain from now on
+			s.stopAt = max(s.stopAt+min(r.set.DrainGrace-grace, 0), 1)
+		}
+	}
+}
--- a/rules/reads.go
+++ b/rules/reads.go
@@ -24,8 +24,8 @@
 func (r *Router) replicaFor(q *request) *store {
 	g := q.g
 	var best, trial, ask *store
-	q.stale = false
-	soon, holdFor := false, time.Duration(holdShare*float64(q.c.Aim)) // soon: a replica is about to qualify
+	q.stale, q.soon = false, false
+	holdFor := time.Duration(holdShare * float64(q.c.Aim))
 	cost, turns := math.Inf(1), 0.0
 	members, at, away := g.members, g.cursor, 0.0
 	if r.large {
@@ -43,7 +43,7 @@
 		}
 		if !r.fresh(q, s) {
 			q.stale = true
-			soon = soon || !s.lost && r.behind(q, s) <= holdFor
+			q.soon = q.soon || !s.lost && r.behind(q, s) <= holdFor
 			wait := refreshGap
 			if r.behind(q, s) > 0 || s.askedAt > s.posAt { // was too far behind, or has not answered yet
 				wait = roundSeen
@@ -84,10 +84,9 @@
 		ask.askedAt = r.now
 		r.probe(ask, "position")
 	}
-	if best = cmp.Or(trial, best); best == nil && (!soon && g.primary != nil || r.now-q.arrived >= holdFor) {
+	if best = cmp.Or(trial, best); best == nil && (!q.soon && g.primary != nil || r.now-q.arrived >= holdFor) {
 		best = r.fallback(q)
 	}
-	q.soon = soon
 	if best != nil {
 		g.cursor++
 	}
--- a/rules/repeats.go
+++ b/rules/repeats.go
@@ -15,11 +15,9 @@
 func (r *Router) mayTry(q *request, s *store) bool {
 	c := q.c
 	switch {
-	case !s.listed:
-		return false
-	case q.risk == nil && q.live == 0 || c.Effect == Safe:
+	case s.listed && (q.risk == nil && q.live == 0 || c.Effect == Safe):
 		return true
-	case c.Effect == Unsafe || q.risk == nil || r.now >= q.risk.sent+c.Window-graceMargin:
+	case !s.listed || c.Effect == Unsafe || q.risk == nil || r.now >= q.risk.sent+c.Window-graceMargin:
 		return false
 	}
 	return c.Scope == ScopeAll || c.Scope == ScopeZone && s.Zone == q.risk.s.Zone ||
@@ -36,7 +34,7 @@
 	}
 	s := q.tries[attempt].s
 	return !r.stops(s) && (q.risk == nil || r.mayTry(q, s)) &&
-		(s == q.g.primary || q.c.Need == NeedWrite || q.c.Need == NeedFresh || r.fresh(q, s))
+		(s == q.g.primary || q.c.Need >= NeedFresh || r.fresh(q, s))
 }
 
 // again decides what follows an attempt that served nothing.
@@ -44,8 +42,7 @@
 	c, ran := q.c, q.risk != nil
 	pointless := q.deadline-r.now <= endMargin+r.set.Tick || r.now >= q.useful && c.LateWorth == 0
 	repeats := ran && c.Effect == Safe && res != Cancelled
-	if pointless || ran && c.Effect == Unsafe || r.spent(q) || res == Moot ||
-		repeats && r.retry < 1 {
+	if pointless || ran && c.Effect == Unsafe || r.spent(q) || res == Moot || repeats && r.retry < 1 {
 		r.end(q)
 		return
 	}
--- a/rules/requests.go
+++ b/rules/requests.go
@@ -68,14 +68,10 @@
 }
 
 func (r *Router) send(q *request, s *store) {
-	a := &attempt{s: s, sent: r.now, req: q}
-	q.tries = append(q.tries, a)
-	q.live++
-	s.out = append(s.out, a)
+	r.book(q, s)
 	if s.lost {
 		s.trialAt, s.trialWait = r.now+s.trialWait, min(2*s.trialWait, trialMost)
 	}
-	r.spend(s, q.class)
 	timeout := time.Duration(0)
 	if c := q.c; c.LateWorth == 0 && c.Effect == Safe {
 		timeout = max(q.aimAt-r.now, ms) // nothing is spent on an answer past all worth
@@ -88,10 +84,9 @@
 
 // density is what the answer is still worth for the work; past the aim only the late share is left.
 func (r *Router) density(q *request) float64 {
-	c := q.c
-	w := c.Worth / float64(r.base[q.class].time)
+	w := q.c.Worth / float64(r.base[q.class].time)
 	if r.now >= q.useful {
-		w *= c.LateWorth
+		w *= q.c.LateWorth
 	}
 	return w
 }
--- a/rules/rounds.go
+++ b/rules/rounds.go
@@ -35,17 +35,11 @@
 	}
 }
 
-func (r *Router) roundIn(g *group, d time.Duration) {
-	due := r.now + d
-	if g.roundDue > r.now && g.roundDue <= due {
-		return
+// repeat is a round that is due: in a large fleet for fronts that hold work for the group, or one for all.
+func (r *Router) repeat(g *group) {
+	if g.primary == nil && (!r.large || len(g.held) > 0 || r.forAll) {
+		r.round(g)
 	}
-	g.roundDue = due
-	r.after(d, func() {
-		if g.roundDue == due && g.primary == nil && (!r.large || len(g.held) > 0 || r.forAll) {
-			r.round(g) // in a large fleet only fronts that hold work for the group repeat it, or one for all
-		}
-	})
 }
 
 // ProbeResult takes in what a probe found.
--- a/rules/state.go
+++ b/rules/state.go
@@ -12,7 +12,8 @@
 	"threadsail/internal/fleet/balance"
 )
 
-// What a Router remembers and measures, and its timers. Nothing is decided here.
+// What a Router remembers and measures, its timers, and the pace that follows from its settings. What is decided stands in
+// the policy's files.
 
 const (
 	ms = time.Millisecond
@@ -246,29 +247,16 @@
 		r.keptMax = r.now // whatever was written until now was not noted down, session by session
 	}
 	r.tune(set)
-	if r.asking && r.askSpan < span { // the call that is due may be as far off as the larger fleet had it
-		r.asking = false
-		r.askIn(r.dealt(r.askSpan))
-	}
-	for _, id := range slices.Sorted(maps.Keys(r.groups)) {
-		g := r.groups[id]
-		g.dealtOf, g.needed = nil, false // rounds may be allowed only now
-		if g.pinging && r.pingGap != pings {
-			r.pingIn(g, r.pingGap)
-		}
-	}
-	for _, s := range r.order {
-		s.window = max(s.window, r.least)
-		if s.stopAt > 0 { // a longer grace is for those that drain from now on
-			s.stopAt = max(min(s.stopAt, s.stopAt+set.DrainGrace-grace), 1)
-		}
-	}
+	r.retuned(pings, span, grace)
 	return nil
 }
 
 func (r *Router) tune(set Settings) {
 	old := r.set.Classes
 	set.Balancers = max(set.Balancers, 1)
+	if set.ColdMultiple <= 0 || set.ColdSpan <= 0 {
+		set.ColdFor = 0 // none falls that is sent too much
+	}
 	if set.MaxAttempts == 0 {
 		set.MaxAttempts = math.MaxInt32
 	}
@@ -345,6 +333,20 @@
 	})
 }
 
+// roundIn has a round repeated in a while, unless one is due sooner.
+func (r *Router) roundIn(g *group, d time.Duration) {
+	due := r.now + d
+	if g.roundDue > r.now && g.roundDue <= due {
+		return
+	}
+	g.roundDue = due
+	r.after(d, func() {
+		if g.roundDue == due {
+			r.repeat(g)
+		}
+	})
+}
+
 func (r *Router) arm() {
 	if len(r.timers) > 0 && (r.armed == 0 || r.timers[0].at < r.armed) {
 		r.armed = r.timers[0].at
@@ -373,6 +375,14 @@
 	return g
 }
 
+// inOrder is all groups, the same way each time.
+func (r *Router) inOrder() (all []*group) {
+	for _, id := range slices.Sorted(maps.Keys(r.groups)) {
+		all = append(all, r.groups[id])
+	}
+	return all
+}
+
 func indexOf(q *request, a *attempt) int {
 	for i, t := range q.tries {
 		if t == a {
@@ -441,7 +451,19 @@
 	g.held = append(kept, g.held...)
 }
 
-// settle finds the attempt that an outcome ends and takes it off the books; nil if there is none.
+// book enters an attempt.
+func (r *Router) book(q *request, s *store) {
+	a := &attempt{s: s, sent: r.now, req: q}
+	q.tries = append(q.tries, a)
+	q.live++
+	s.out = append(s.out, a)
+	if r.cold(s) {
+		s.budget -= float64(r.mean[q.class])
+	}
+}
+
+// settle finds the attempt that an outcome ends, takes it off the books and enters what it tells of its request, its store and
+// its session; nil if there is none.
 func (r *Router) settle(o Outcome) *attempt {
 	q := r.reqs[o.ID]
 	if q == nil || o.Attempt < 0 || o.Attempt >= len(q.tries) || q.tries[o.Attempt].done {
@@ -460,6 +482,24 @@
 			break
 		}
 	}
+	if !o.Result.NeverRan() && q.risk == nil {
+		q.risk = a
+	}
+	q.reached = q.reached || o.Result != NoConnect && o.Result != Moot
+	if o.Result == OK || o.Result == Missed || o.Result == Errored {
+		a.s.answered = max(a.s.answered, a.sent)
+	}
+	if o.Result == Missed && q.c.Need != NeedWrite {
+		a.s.turned = r.now
+	}
+	r.untold = r.untold || o.Result == OK && q.c.Need < NeedFresh && !o.HasPosition
+	switch wrote := q.c.Need == NeedWrite && o.Result == OK; {
+	case !o.HasPosition:
+	case !wrote:
+		r.proved(a.s, o.Position)
+	case r.set.Remembered && q.session != 0:
+		r.keep(q.session, o.Position)
+	}
 	return a
 }
 
@@ -473,12 +513,20 @@
 	}
 }
 
-// add makes a store known, join and part put it into its group and take it out again.
-func (r *Router) add(m Member) *store {
-	s := &store{Member: m, slow: 1, window: max(windowFirst/float64(r.set.Balancers), r.least)}
-	r.stores[m.Store] = s
-	r.order = append(r.order, s)
-	r.join(s)
+// known is the store that a list names, with the latest start that was told; nil: it has left before it was known. join and
+// part put it into its group and take it out again.
+func (r *Router) known(m Member) *store {
+	s := r.stores[m.Store]
+	if s == nil && m.State == Gone {
+		return nil
+	}
+	if s == nil {
+		s = &store{Member: m, slow: 1, window: max(windowFirst/float64(r.set.Balancers), r.least)}
+		r.stores[m.Store] = s
+		r.order = append(r.order, s)
+		r.join(s)
+	}
+	s.coldSince = max(s.coldSince, m.Started)
 	return s
 }
 
@@ -548,6 +596,9 @@
 	}
 }
 
+// SendTakes takes in the longest time that a send has lately taken, from its choice to its last byte.
+func (r *Router) SendTakes(d time.Duration) { r.takes = d }
+
 // ForAll has this front repeat rounds for all fronts, also of groups that it holds no work for, or leaves that to others.
 func (r *Router) ForAll(on bool) { r.forAll = on }
 
@@ -619,27 +670,6 @@
 	return 1 + (s.slow-1)*math.Exp2(-float64(r.now-s.slowAt)/float64(slowForgets))
 }
 
-// warmth is the share of its capacity that a store has at the least, by the time since its start.
-func (r *Router) warmth(s *store) float64 {
-	if !r.cold(s) {
-		return 1
-	}
-	f := max(r.set.ColdFrom, 0.05)
-	return f + (1-f)*float64(max(r.now-s.coldSince, 0))/float64(r.set.ColdFor)
-}
-
-// cold tells whether a store has not had its time yet since its last start that was told or seen, and may fall.
-func (r *Router) cold(s *store) bool {
-	return s.coldSince > 0 && r.now < s.coldSince+r.set.ColdFor && r.set.ColdMultiple > 0 && r.set.ColdSpan > 0
-}
-
-// spend takes an attempt off this front's turn at a cold store.
-func (r *Router) spend(s *store, class int) {
-	if r.cold(s) {
-		s.budget -= float64(r.mean[class])
-	}
-}
-
 // worked counts a request that a warm store has served. What is not answered does not count: the sum over all fronts is no more
 // than what a store bears, however much is sent.
 func (r *Router) worked(class int) {
@@ -656,32 +686,8 @@
 	r.loadAt = r.now
 }
 
-// busy is how many cores this front's work keeps busy at each warm store, over loadMemory or as long as it has been known.
-func (r *Router) busy() float64 {
-	work := 0.0
-	for i, n := range r.load {
-		work += n * float64(r.mean[i])
-	}
-	if work > 0 {
-		work *= forgotten(r.now-r.loadAt) / (1 - forgotten(r.now-r.began)) / float64(loadMemory)
-	}
-	return work
-}
-
 func forgotten(d time.Duration) float64 { return math.Exp(-float64(d) / float64(loadMemory)) }
 
-// heaviest is the mean work of a request of the heaviest class that has been measured and that a store may be sent, or of the
-// one in question.
-func (r *Router) heaviest(s *store, class int) float64 {
-	work, primary := r.mean[class], r.group(s.Group).primary == s
-	for i, b := range r.base {
-		if (b.at > 0 || b.count > 0) && (primary || r.set.Classes[i].Need < NeedFresh) {
-			work = max(work, r.mean[i])
-		}
-	}
-	return float64(work)
-}
-
 // spread is a wait that the fronts of a large fleet do not all end together: half to all of it.
 func (r *Router) spread(d time.Duration) time.Duration {
 	if r.large {
--- a/rules/writes.go
+++ b/rules/writes.go
@@ -1,5 +1,7 @@
 package rules
 
+import "slices"
+
 // Writes and fresh reads go to the recorded primary. What finds no store is held: it can still be refused.
 
 const (
@@ -86,10 +88,8 @@
 	if g.watching {
 		return
 	}
-	soon, stale := false, false
-	for _, q := range g.held {
-		soon, stale = soon || q.soon, stale || q.stale
-	}
+	soon := slices.ContainsFunc(g.held, func(q *request) bool { return q.soon })
+	stale := slices.ContainsFunc(g.held, func(q *request) bool { return q.stale })
 	if r.set.MayProbe && !r.large && (soon || stale && r.now >= g.refreshAt) {
 		g.refreshAt = r.now + roundSeen // replicas far behind are asked as seldom as rounds are held
 		for _, s := range g.members {
