Tell what the planned fleet takes: threadlab capacity and docs/CAPACITY.md

Cause: the operators plan 5,000 poolers before 8,800 databases, and nothing says what that takes or what gives way first. Ruled out: figures written into the page by hand, which drift; slopes chosen by hand in the plan. Change: internal/capacity fits lines to the records and makes the page's tables; internal/config reads plan and records, with errors by file, line and key; threadlab capacity prints the tables or writes them into the page. A test holds the page to the output, another the code's constants that bounds come from to their source. No record is there yet: rows say so, with bounds. Measured: tests of internal/capacity, internal/config, and Capacity of cmd/threadlab pass; nothing else was run.

--- /dev/null
+++ b/cmd/threadlab/capacity_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"threadsail/internal/capacity"
+	"threadsail/internal/config"
+)
+
+// The page says what the command prints.
+func TestCapacityPage(t *testing.T) {
+	const path = "../../docs/CAPACITY.md"
+	plan, slopes, err := config.LoadCapacity("../../docs/capacity")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := fillPage(path, capacity.Tables(plan, slopes))
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, string(text)); diff != "" {
+		t.Errorf("go run ./cmd/threadlab capacity --write docs/CAPACITY.md has not been run (- as it prints, + the page):\n%s", diff)
+	}
+}
--- a/cmd/threadlab/main.go
+++ b/cmd/threadlab/main.go
@@ -33,6 +33,7 @@
 	Compatibility compatibilityCmd `cmd:"" help:"Write the page that says what is translated."`
 	Schema        schemaCmd        `cmd:"" help:"Check an operators' file against its CUE schema."`
 	Fleet         fleetCmd         `cmd:"" help:"Start many poolers among stand-in servers, put a scenario's faults between them, and judge what came of it."`
+	Capacity      capacityCmd      `cmd:"" help:"Print what a fleet of the size that is coming takes, by what was recorded, or write it into the page."`
 	Pooler        poolerCmd        `cmd:"" hidden:"" help:"Run the pooler; its front's address is the first line of its output."`
 }
 
--- /dev/null
+++ b/internal/capacity/claims.go
@@ -0,0 +1,183 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+)
+
+// What the code says of the size that is coming where no record does: bounds by its constants, and which mechanism carries what.
+
+func (g *page) roles() Table {
+	n, term := g.n, c("config.defaultTerm")
+	pull := c("peers.pullEvery") * (math.Ceil(math.Log2(n)-5) + 1)
+	return Table{"roles", []string{"role", "state it holds", "bound at this size, by the code", "carried by"}, [][]string{
+		{"client", "one connection, one request at a time", fmt.Sprintf("%s connections a pooler; no control message reaches it", digits(float64(g.Clients)/n)), "`internal/program/door`, `internal/transport`"},
+		{"pooler", fmt.Sprintf("the list of %s databases, a copy of the documents, a member of each other pooler", digits(float64(g.Databases))),
+			fmt.Sprintf("list: up to %s databases (`membership.MaxServers`); documents: up to %s (`shared.MaxTotal`); whole view of %s members to and from one other each %s s (`peers.pullEvery`, memberlist's scale)",
+				digits(c("membership.MaxServers")), quantity(c("shared.MaxTotal"), "B"), digits(n), digits(pull)),
+			"`internal/program`, `internal/fleet/shared`, `internal/fleet/peers`"},
+		{"steward", "leases and all documents, its log, a connection of each asker", fmt.Sprintf("%s askers at once (`steward.maxCallers`), %s poolers with a connection or two each; at most %s stewards (`config.mostStewards`)",
+			digits(c("steward.maxCallers")), digits(n), digits(c("config.mostStewards"))), "`internal/fleet/steward`"},
+		{"leader", "the same, and a datagram a pooler for each word", fmt.Sprintf("%s datagrams a beat of %s, and as many at each change (one in %s)", digits(n-1), quantity(term/3, "s"), quantity(day/g.ConfigChanges.PerDay, "s")),
+			"`internal/fleet/shared` (`bringer.speak`), `internal/fleet/peers` (`Bus.Cast`)"},
+		{"holder of the list duty", "the list service's watch, the newest list", fmt.Sprintf("%s datagrams a third of a term; whole lists to %d askers at once (`fleet.gives`); a pooler shows its list %s after it has it at the latest (`peers.metaEach`), so nearly all ask the holder",
+			digits(n-1), int(c("fleet.gives")), quantity(c("peers.metaEach")*n, "s")), "`internal/fleet/duty`, `internal/fleet`"},
+		{"distributor", "a stream of each pooler that turned to it, the documents, what changed lately", NotMeasured + "; streams: see machines", "`internal/fleet/distribution`, in the making"},
+		{"dealer of limits", "an account of each pooler, each key's wants and slices", fmt.Sprintf("%s asks and as many answers a second (one a pooler each third of a term), each over a connection of its own (`peers.Send`); %s of them may wait (`quota.queued`)",
+			digits(3*n/term), digits(c("quota.queued"))), "`internal/fleet/quota` (`Dealer`)"},
+		{"judge of verdicts", "the newest report of each observer; every pooler is one", fmt.Sprintf("%s observers are heard (`verdict.maxObservers`) of %s; while they complain %s reports a second at each pooler of up to %s bytes: %s",
+			digits(c("verdict.maxObservers")), digits(n), digits(n/c("verdict.mostEvery")), digits(c("verdict.maxReport")), quantity(n/c("verdict.mostEvery")*c("verdict.maxReport"), "B/s")), "`internal/fleet/verdict`"},
+		{"mover of shards", "the map, and each pooler's word in a move", fmt.Sprintf("in a move %s asks a second and as many answers to one; at rest none", digits(c("shardmap.askEvery")*n/term)), "`internal/fleet/shardmap` (`Holder`)"},
+		{"list service, as we call it", "one watch of the holder's", fmt.Sprintf("one watch while a holder is heard; without one each of %s poolers calls for itself, spread over %s (`rules.listGap`) but no longer than a change counts as told", digits(n), quantity(c("rules.listGap")*n, "s")),
+			"`internal/fleet/duty`, `internal/program` (`watcher`)"},
+		{"database, as we load it", "connections of each pooler that sends there", fmt.Sprintf("up to one connection and more of each of %s poolers; a primary %s pings a second of all together (`rules.pingEvery`)", digits(n), digits(1/c("rules.pingEvery"))),
+			"`internal/transport` (`Pool`), `rules`"},
+	}}
+}
+
+// rows are those that a page of this size may not leave out.
+func (g *page) rows() Table {
+	n, term, within := g.n, c("config.defaultTerm"), g.ConfigChanges.Within
+	fetch := c("shared.wordEach") + c("shared.fetchEach")*n
+	sites := c("shared.MaxValue") / n
+	perRange := c("shared.MaxValue") / float64(g.Groups())
+	return Table{"rows", []string{"what", "limit", "at this size", "carried today by", "gives way at", "instead"}, [][]string{
+		{"a document's change in force everywhere", quantity(within, "s"),
+			fmt.Sprintf("%s; bound: 50 ms and two messages by a word, but %s (`shared.wordEach` + `shared.fetchEach` × poolers) where the word is lost or what changed is over %s (`shared.maxDelta`)", g.seenOr("gossip", "change", "lag"), quantity(fetch, "s"), quantity(c("shared.maxDelta"), "B")),
+			"words and fetches: `internal/fleet/shared`", digits(g.untilFetch("shared.fetchEach")) + " poolers", "first: distribution"},
+		{"a list's change in force everywhere", quantity(within, "s"), fmt.Sprintf("%s; bound: %s (`duty.fetchEach` × poolers) and the giving, %d at once", NotMeasured, quantity(c("duty.fetchEach")*n, "s"), int(c("fleet.gives"))),
+			"word and whole list: `internal/fleet/duty`, `internal/fleet`", digits(math.Floor(within/c("duty.fetchEach"))) + " poolers", "first: distribution, lists as deltas"},
+		{"changes all day", "the budget", fmt.Sprintf("%s; bound: %s datagrams a second from the leading steward's process, words each %s and changes", g.seenOr("gossip", "changes60", "cpu"),
+			digits(n*(3/term+g.ConfigChanges.PerDay/day)), quantity(term/3, "s")), "`internal/fleet/peers` (`Bus.Cast`)", "see order", "first: distribution"},
+		{"a change of primary over", quantity(g.PrimaryChanges.Within, "s"), NotMeasured + fmt.Sprintf("; noticed by whoever uses the group, by an attempt or by a ping of all poolers' %s a second; told to the holder by a datagram; the holder's word goes to all. A holder that never used the group does not look, and each pooler repeats rounds for itself",
+			digits(1/c("rules.pingEvery"))), "`rules` (rounds), `internal/program` (`listDuty`)", "groups that the holder does not use", "fifth: groups dealt to watchers"},
+		{"who must know of it", "poolers that use the group", fmt.Sprintf("today all: %s datagrams each, %s a day", digits(n-1), digits((n-1)*g.PrimaryChanges.PerDay)), "`fleet.TellFound`", "no limit found", "first: distribution carries it"},
+		{fmt.Sprintf("watching %s databases", digits(float64(g.Databases))), "none stated", fmt.Sprintf("primaries alone: %s pings a second for %s groups, %s a pooler, and only of groups that a pooler used in the last %s (`rules.pingEvery` × poolers); replicas by what requests meet",
+			digits(float64(g.Groups())/c("rules.pingEvery")), digits(float64(g.Groups())), digits(float64(g.Groups())/c("rules.pingEvery")/n), quantity(c("rules.pingEvery")*n, "s")), "`rules` (ping)", "an idle group is watched by nobody", "fifth: groups dealt to watchers"},
+		{"whole lists at start and at return", "the 2 KB a second", fmt.Sprintf("%s; a list goes whole to each pooler at each change of it: %s a second if all changes were of lists", NotMeasured, digits(g.ConfigChanges.PerDay/day)), "`fleet.Give`, `discovery.List`", "see order", "first: lists as deltas"},
+		{"whole documents at start and at return", "the 2 KB a second", fmt.Sprintf("up to %s a pooler (`shared.MaxTotal`), %s for all; at %s restarts a day %s a second for all", quantity(c("shared.MaxTotal"), "B"), quantity(c("shared.MaxTotal")*n, "B"),
+			digits(g.Faults.RestartsPerDay), quantity(c("shared.MaxTotal")*g.Faults.RestartsPerDay/day, "B")), "`internal/fleet/shared` (`bringer.fetch`), copy on disk", "holds while documents are few", "first: deltas from the copy on disk"},
+		{"connections at a database", "not told by the operators", fmt.Sprintf("%s busy at a time if a statement takes 5 ms (assumed), but up to %s held, one a pooler: nothing bounds how many poolers hold one", digits(g.Statements/float64(g.Databases)*0.005), digits(n)),
+			"`internal/transport` (`Pool`); limits bound the rate of new ones only", "by the database's own limit", "sixth: each pooler uses some replicas of a group only"},
+		{fmt.Sprintf("memory of %s clients", digits(float64(g.Clients)/n)), "the pooler's own, beside control", g.alone("rss", "client"), "`internal/transport`", "–", "–"},
+		{"limits: asks of one dealer", "one core of a pooler", fmt.Sprintf("%s; bound: %s asks a second; after a change of dealer all %s at once, of which %s may wait (`quota.queued`)", NotMeasured, digits(3*n/term), digits(n), digits(c("quota.queued"))),
+			"`internal/fleet/quota`", digits(c("quota.queued")) + " poolers", "third: dealing in two steps"},
+		{"limits: standing for the duty", fmt.Sprintf("%s connections at a steward", digits(c("steward.maxCallers"))), fmt.Sprintf("%s poolers stand, each with a connection to the leader, and ask once in a term or so", digits(n)), "`shared.Stand`", digits(c("steward.maxCallers")) + " poolers", "first: ordinary poolers stand for no duty"},
+		{"limits at each database", fmt.Sprintf("%s keys a pooler (`quota.mostBuckets`)", digits(c("quota.mostBuckets"))), fmt.Sprintf("%s databases are as many keys of each limit on connections, cold or probes; an ask names %s (`quota.mostAsked`)", digits(float64(g.Databases)), digits(c("quota.mostAsked"))),
+			"`internal/fleet/quota`", digits(c("quota.mostBuckets")) + " databases used by one pooler", "third"},
+		{"verdicts: reports to all", "the 2 KB a second", fmt.Sprintf("%s; bound while poolers complain: %s messages a second in the fleet, %s at each pooler", NotMeasured, digits(n*n/c("verdict.mostEvery")), quantity(n/c("verdict.mostEvery")*c("verdict.maxReport"), "B/s")),
+			"`internal/fleet/verdict`", digits(c("verdict.maxObservers")) + " observers, " + digits(c("verdict.maxServers")) + " databases seen by one", "second: evidence summed on its way up"},
+		{"purges: the plan", quantity(c("shared.MaxValue"), "B") + " a document (`shared.MaxValue`)", fmt.Sprintf("all sites are in one document: %s bytes each if every pooler had a site of its own; each edge compares clocks once in %s or sooner", digits(sites), quantity(c("purge.slowestRound"), "s")),
+			"`internal/fleet/purge`", "by sites, of which the operators tell none", "seventh: a document a site"},
+		{"shard maps: enrolment", fmt.Sprintf("%s documents (`shared.MaxDocs`)", digits(c("shared.MaxDocs"))), fmt.Sprintf("a document a pooler: %s; %s writes a day by restarts", digits(n), digits(2*g.Faults.RestartsPerDay)), "`internal/fleet/shardmap` (`shards/router/NAME`)", digits(c("shared.MaxDocs")) + " poolers", "fourth: enrolment at distributors"},
+		{"shard maps: the map", quantity(c("shared.MaxValue"), "B") + " a document", fmt.Sprintf("one document: %s bytes a group if each has one range", digits(perRange)), "`internal/fleet/shardmap` (`shards/map`)", "by ranges", "fourth: a map in parts"},
+		{"the audit's journals", "disk", fmt.Sprintf("up to %s MB a pooler (`config.defaultJournalMB`, `config.defaultKeep`), %s for all; merging them: %s", digits(c("config.defaultJournalMB")*(1+c("config.defaultKeep"))), quantity(c("config.defaultJournalMB")*(1+c("config.defaultKeep"))*n*1e6, "B"), NotMeasured),
+			"`internal/fleet/audit`", NotMeasured, "eighth: journals merged by region"},
+	}}
+}
+
+// untilFetch is the largest fleet whose fetches, spread by a constant, are over in time.
+func (g *page) untilFetch(each string) float64 {
+	return math.Floor((g.ConfigChanges.Within - c("shared.wordEach")) / c(each))
+}
+
+// seenOr is what a record says of an ordinary pooler at the plan's size, if one does.
+func (g *page) seenOr(mechanism, phase, figure string) string {
+	return g.pick(mechanism, phase, "pooler", figure).value(g.n)
+}
+
+// alone is what one real pooler by itself takes at the plan's size, by what grows with per.
+func (g *page) alone(figure, per string) string {
+	for k, s := range g.slopes {
+		if n, ok := g.Of(per); ok && k.Mechanism == "alone" && k.Figure == figure && k.Per == per && k.Phase == "rest" {
+			r := reading{s}
+			return fmt.Sprintf("%s (%s; seen %s)", r.value(float64(n)), r.line(), r.seen())
+		}
+	}
+	return NotMeasured
+}
+
+// faults are the worst hours: what they are by numbers, and what was measured of them.
+func (g *page) faults() Table {
+	t := Table{Name: "faults", Head: []string{"what happens", "by numbers", "phase that shows it", "pooler's bytes, gossip", "distribution", "pooler's processor, gossip", "distribution"}}
+	for _, f := range []struct{ what, numbers, phase string }{
+		{"an ordinary day", fmt.Sprintf("a change each %s, a restart each %s", quantity(day/g.ConfigChanges.PerDay, "s"), quantity(day/g.Faults.RestartsPerDay, "s")), "rest"},
+		{"changes, far more often than expected", "60 a minute", "changes60"},
+		{"one machine", fmt.Sprintf("%d of %s poolers", g.Assumed.PoolersPerHost, digits(g.n)), "restart"},
+		{"a rack or switch", fmt.Sprintf("%d poolers at once", g.InRack()), ""},
+		{"a zone", fmt.Sprintf("%d poolers (%s%%) and %d databases at once", g.InZone(g.Poolers), digits(100*float64(g.InZone(g.Poolers))/g.n), g.InZone(g.Databases)), "loss5"},
+		{"regions apart for " + quantity(g.Faults.Apart/60, "min"), fmt.Sprintf("%s poolers without the others", digits(float64(g.InRegion(g.Poolers)))), ""},
+		{"and their return", fmt.Sprintf("%s changes missed, %s poolers that fetch", digits(math.Ceil(g.ConfigChanges.PerDay*g.Faults.Apart/day)), digits(float64(g.InRegion(g.Poolers)))), "join"},
+		{digits(g.Faults.RestartsPerDay) + " restarts in a day", quantity(g.Faults.RestartsPerDay/day, "1/s"), "restart"},
+		{fmt.Sprintf("%d restarts in a minute", g.Faults.RestartsAtOnce), quantity(float64(g.Faults.RestartsAtOnce)/60, "1/s"), "join"},
+		{"all poolers started at once", digits(g.n), "startup"},
+	} {
+		row := []string{f.what, f.numbers, or(f.phase, "none")}
+		for _, figures := range [][]string{{"bytes_in", "bytes_out"}, {"cpu"}} {
+			for _, m := range mechanisms {
+				row = append(row, g.pick(m, f.phase, "pooler", figures...).value(g.n))
+			}
+		}
+		t.Rows = append(t.Rows, row)
+	}
+	return t
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// regions is what each side decides, and what it refuses, while regions are apart.
+func (g *page) regions() Table {
+	return Table{"regions", []string{"what", "side with a majority of stewards", "side without", "at the return"}, [][]string{
+		{"requests, reads and writes at databases that are reached", "go on", "go on", "nothing to do"},
+		{"leases and duties", "held and passed on", "those held end a drift before their term; none is granted", "the side without follows the other's holder"},
+		{"documents", "written", "every write is refused or gets no answer; the copy stands and its age is told", "the newest version by word or fetch"},
+		{"server lists", "one call for all", fmt.Sprintf("each pooler calls the list service by itself: up to %s of them", digits(float64(g.InRegion(g.Poolers)))), "a word with a newer token, a whole list each"},
+		{"limits", "dealt", "slices end within a term and a drift, then safe shares: the reserve, divided by all poolers", "an ask of each pooler at once"},
+		{"verdicts", "by what is seen on this side", "the same", "reports of both sides, within a report's life"},
+		{"purges by calendar", "at their instant", "at their instant; nothing from the cache once the copy is older than `confirm_ms`", "orders missed are noted"},
+		{"shard maps at rest", "nothing changes", "enrolled poolers write; one that starts takes no writes of mapped keys", "it enrols"},
+		{"a move under way", "waits for those cut off, by their right's end, or is undone", "no write to the moving range once the right is over", "the map as it stands then"},
+	}}
+}
+
+// machines is what those set aside hold, and how many may fail.
+func (g *page) machines() Table {
+	t := Table{Name: "machines", Head: []string{"left", "when", "poolers on each, evenly", "of the descriptors, a stream each", "budget of all poolers' control, a machine", "all documents to all poolers, by the network alone"}}
+	count, zones := g.Machines.Count, g.Zones()
+	inZone := int(math.Ceil(float64(count) / float64(zones)))
+	for _, m := range []struct {
+		lost int
+		when string
+	}{{0, "none has failed"}, {1, "one has failed"}, {inZone, "a zone is lost"}, {g.InRegion(count), "the largest region is lost or apart"}, {count - 3, "three are left"}} {
+		left := float64(count - m.lost)
+		each := math.Ceil(g.n / left)
+		t.Rows = append(t.Rows, []string{fmt.Sprint(count - m.lost), m.when, digits(each), digits(100*each/float64(g.Machines.Descriptors)) + "%", quantity(each*g.Control.Bytes, "B/s"),
+			quantity(g.n*c("shared.MaxTotal")/left/g.Machines.Bytes, "s")})
+	}
+	return t
+}
+
+// order is what is missing, first things first.
+func (g *page) order() Table {
+	n := g.n
+	bytes := "by bytes: " + NotMeasured
+	if until, ok := g.pick("gossip", "rest", "pooler", "bytes_in", "bytes_out").until(g.Control.Bytes); ok {
+		bytes = "by bytes at rest: " + digits(math.Floor(until)) + " poolers"
+	}
+	return Table{"order", []string{"place", "mechanism", "why", "today's gives way at", "state"}, [][]string{
+		{"first", "distribution: one stream a pooler, documents and lists as deltas, words the newest only, who is alive summed on its way up; ordinary poolers stand for no duty", "a change in time, the 2 KB a second, connections at stewards",
+			fmt.Sprintf("by fetches' spread: %s poolers; by askers: %s; %s", digits(g.untilFetch("shared.fetchEach")), digits(c("steward.maxCallers")), bytes), "in the making: `internal/fleet/distribution`"},
+		{"second", "evidence for verdicts summed by distributors", fmt.Sprintf("%s reports a second in the fleet", digits(n*n/c("verdict.mostEvery"))), fmt.Sprintf("%s observers (`verdict.maxObservers`), %s databases of one observer (`verdict.maxServers`)", digits(c("verdict.maxObservers")), digits(c("verdict.maxServers"))), "missing"},
+		{"third", "limits dealt in two steps, to distributors and by them", "one dealer hears all", fmt.Sprintf("%s asks that wait (`quota.queued`), %s keys of a pooler (`quota.mostBuckets`)", digits(c("quota.queued")), digits(c("quota.mostBuckets"))), "missing"},
+		{"fourth", "enrolment of routers at distributors, the shard map in parts", "a document a pooler", fmt.Sprintf("%s documents (`shared.MaxDocs`)", digits(c("shared.MaxDocs"))), "missing; shard maps are off as shipped"},
+		{"fifth", "groups dealt to watchers, two or three for each, in its own region", "groups that the holder does not use are looked after by nobody, or by all", "no size: it holds for small fleets too", "missing"},
+		{"sixth", "each pooler uses a few replicas of each group", "connections at a database", NotMeasured, "half: homes by `internal/fleet/balance`, not the connections"},
+		{"seventh", "a document a site for purges", "one document for all", "by sites: " + NotMeasured, "missing; purges are off as shipped"},
+		{"eighth", "journals merged by region", "reading all at one place", NotMeasured, "missing"},
+	}}
+}
--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,117 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// Key tells which figure of a record a slope is of.
+type Key struct{ Mechanism, Phase, Role, Kind, Figure, Per string }
+
+// String is the key as a plan names it.
+func (k Key) String() string {
+	return strings.Join([]string{k.Mechanism, k.Phase, k.Role, k.Kind, k.Figure, k.Per}, "/")
+}
+
+// Slope is how a figure grows, by the medians of one run.
+type Slope struct {
+	Key
+	Unit, Run  string
+	Base, Each float64 // the line of least squares: at size n it is Base + Each*n
+	First      Row     // at the least size
+	Last       Row     // at the largest
+	Sizes      int
+	Growth     Growth
+}
+
+// Growth is what the last two sizes say of a figure.
+type Growth string
+
+// What a figure may do between two sizes. A figure is flat if it changes by less than its plays differ by, or by less than the
+// fourth root of the sizes' ratio; worse if it grows by more than the 1.15th power of it.
+const (
+	Alone  Growth = "one size"
+	Flat   Growth = "flat"
+	Linear Growth = "linear"
+	Worse  Growth = "worse than linear"
+)
+
+const (
+	flatPower  = 0.25
+	worsePower = 1.15
+)
+
+// Fit fits a line to each figure of the named runs. Where two runs have the same figure, the later one of names counts, whole.
+func Fit(runs []Run, names []string) (map[Key]Slope, error) {
+	out := map[Key]Slope{}
+	for i, name := range names {
+		at := slices.IndexFunc(runs, func(r Run) bool { return r.Name == name })
+		if at < 0 {
+			return nil, fmt.Errorf("runs[%d]: there is no record %q", i, name)
+		}
+		rows := map[Key][]Row{}
+		for _, r := range runs[at].Rows {
+			k := Key{r.Mechanism, r.Phase, r.Role, r.Kind, r.Figure, r.Per}
+			rows[k] = append(rows[k], r)
+		}
+		for k, of := range rows {
+			slices.SortFunc(of, func(a, b Row) int { return a.Size - b.Size })
+			for j := range of[1:] {
+				if of[j].Size == of[j+1].Size {
+					return nil, fmt.Errorf("runs[%d]: record %q has two rows of %s at size %d", i, name, k, of[j].Size)
+				}
+			}
+			out[k] = fit(k, name, of)
+		}
+	}
+	return out, nil
+}
+
+func fit(k Key, run string, rows []Row) Slope {
+	n, last := float64(len(rows)), rows[len(rows)-1]
+	s := Slope{Key: k, Unit: last.Unit, Run: run, First: rows[0], Last: last, Sizes: len(rows), Growth: Alone, Base: last.Median}
+	if len(rows) == 1 {
+		return s
+	}
+	var x, y, xx, xy float64
+	for _, r := range rows {
+		size := float64(r.Size)
+		x, y, xx, xy = x+size, y+r.Median, xx+size*size, xy+size*r.Median
+	}
+	s.Each = (n*xy - x*y) / (n*xx - x*x)
+	s.Base = (y - s.Each*x) / n
+	before := rows[len(rows)-2]
+	power := math.Log(last.Median/before.Median) / math.Log(float64(last.Size)/float64(before.Size))
+	switch within := last.Median <= before.Most && before.Median >= last.Least; {
+	case last.Median <= before.Median || within || power < flatPower:
+		s.Growth = Flat
+	case power > worsePower:
+		s.Growth = Worse
+	default:
+		s.Growth = Linear
+	}
+	return s
+}
+
+// At is the figure at a size; ok false: one size tells nothing of another. Beyond the largest size that was seen it is never less
+// than what was seen there: a line that falls is no promise.
+func (s Slope) At(n float64) (v float64, ok bool) {
+	if s.Growth == Alone {
+		return s.Last.Median, n == float64(s.Last.Size)
+	}
+	v = s.Base + s.Each*n
+	if n >= float64(s.Last.Size) {
+		v = max(v, s.Last.Median)
+	}
+	return max(v, 0), true
+}
+
+// Until is the largest size at which the figure keeps to a limit; ok false: no size tells, by what was measured.
+func (s Slope) Until(limit float64) (n float64, ok bool) {
+	if s.Growth == Alone || s.Each <= 0 {
+		return 0, false
+	}
+	return max((limit-s.Base)/s.Each, 0), true
+}
--- a/internal/capacity/record.go
+++ b/internal/capacity/record.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -53,35 +54,101 @@
 		if err != nil {
 			return nil, err
 		}
-		var r Run
-		dec := json.NewDecoder(bytes.NewReader(text))
-		dec.DisallowUnknownFields()
-		if err := dec.Decode(&r); err != nil {
-			return nil, fmt.Errorf("%s:%d: %w", name, 1+bytes.Count(text[:min(dec.InputOffset(), int64(len(text)))], []byte("\n")), err)
+		r, err := parse(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%w", name, err)
 		}
 		if r.Name != strings.TrimSuffix(filepath.Base(name), ".json") {
-			return nil, fmt.Errorf("%s: name: %q is not the file's", name, r.Name)
-		}
-		for i, row := range r.Rows {
-			if err := row.valid(); err != nil {
-				return nil, fmt.Errorf("%s: rows[%d]: %w", name, i, err)
-			}
+			return nil, fmt.Errorf("%s:%d: name: %q is not the file's", name, lineOf(text, -1, "name"), r.Name)
 		}
 		out = append(out, r)
 	}
 	return out, nil
 }
 
-func (r Row) valid() error {
+// parse reads a record's text. An error begins with the line.
+func parse(text []byte) (Run, error) {
+	var file struct {
+		Run
+		Rows []json.RawMessage `json:"rows"`
+	}
+	if err := strict(text, &file); err != nil {
+		return Run{}, fmt.Errorf("%d: %w", lineOf(text, -1, unknown(err)), err)
+	}
+	for i, raw := range file.Rows {
+		var row Row
+		if err := strict(raw, &row); err != nil {
+			return Run{}, fmt.Errorf("%d: rows[%d]: %w", lineOf(text, i, unknown(err)), i, err)
+		}
+		if key, err := row.valid(); err != nil {
+			return Run{}, fmt.Errorf("%d: rows[%d].%s: %w", lineOf(text, i, key), i, key, err)
+		}
+		file.Run.Rows = append(file.Run.Rows, row)
+	}
+	return file.Run, nil
+}
+
+func strict(text []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	return dec.Decode(into)
+}
+
+// unknown is the key that a decoder's error is about, if it is one.
+func unknown(err error) string {
+	var typed *json.UnmarshalTypeError
+	if errors.As(err, &typed) {
+		return typed.Field[strings.LastIndexByte(typed.Field, '.')+1:]
+	}
+	_, key, _ := strings.Cut(err.Error(), "unknown field ")
+	return strings.Trim(key, `"`)
+}
+
+// valid names the key that is wrong.
+func (r Row) valid() (key string, err error) {
+	for _, named := range [][2]string{{"mechanism", r.Mechanism}, {"phase", r.Phase}, {"role", r.Role}, {"kind", r.Kind}, {"figure", r.Figure},
+		{"unit", r.Unit}, {"per", r.Per}} {
+		if named[1] == "" {
+			return named[0], errors.New("missing or empty")
+		}
+	}
 	switch {
-	case r.Mechanism == "" || r.Phase == "" || r.Role == "" || r.Kind == "" || r.Figure == "" || r.Unit == "" || r.Per == "":
-		return fmt.Errorf("%+v lacks a key", r)
-	case r.Size <= 0 || r.Plays <= 0:
-		return fmt.Errorf("size %d, plays %d: not above 0", r.Size, r.Plays)
+	case r.Size <= 0:
+		return "size", fmt.Errorf("%d is not above 0", r.Size)
+	case r.Plays <= 0:
+		return "plays", fmt.Errorf("%d is not above 0", r.Plays)
 	case r.Least > r.Median || r.Median > r.Most:
-		return fmt.Errorf("least %v, median %v, most %v are out of order", r.Least, r.Median, r.Most)
+		return "median", fmt.Errorf("least %v, median %v, most %v are out of order", r.Least, r.Median, r.Most)
+	}
+	return "", nil
+}
+
+// lineOf is the line of a row's key in a record's text, or that of the row where it lacks the key; row below 0: of the record's own key,
+// or its end.
+func lineOf(text []byte, row int, key string) int {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	line := func(at int) int { return 1 + bytes.Count(text[:at], []byte("\n")) }
+	_, err := dec.Token()
+	for err == nil && dec.More() {
+		var name json.Token
+		var skip json.RawMessage
+		if name, err = dec.Token(); err != nil || row < 0 && name == key {
+			break
+		}
+		if name != "rows" || row < 0 {
+			err = dec.Decode(&skip)
+			continue
+		}
+		_, _ = dec.Token()
+		for range row {
+			_ = dec.Decode(&skip)
+		}
+		at := int(dec.InputOffset())
+		at += max(bytes.IndexByte(text[at:], '{'), 0)
+		_ = dec.Decode(&skip)
+		return line(at + max(bytes.Index(skip, []byte(`"`+key+`"`)), 0))
 	}
-	return nil
+	return line(int(dec.InputOffset()))
 }
 
 // Save writes a run as DIR/NAME.json.
--- /dev/null
+++ b/internal/capacity/tables.go
@@ -0,0 +1,251 @@
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+)
+
+// NotMeasured stands where there is no record.
+const NotMeasured = "not measured"
+
+const day = 86400.0 // s
+
+// page is what the tables are made of.
+type page struct {
+	Plan
+	n      float64 // poolers
+	slopes map[Key]Slope
+}
+
+// Tables are the page's, in its order. They hold no figure that is not the plan's, a constant of the code's, or a record's.
+func Tables(p Plan, slopes map[Key]Slope) []Table {
+	g := &page{Plan: p, n: float64(p.Poolers), slopes: slopes}
+	return []Table{g.plan(), g.control(), g.measured(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(), g.lines()}
+}
+
+func (g *page) plan() Table {
+	perPooler, zones := float64(g.Clients)/g.n, g.Zones()
+	failed := float64(g.Machines.Count)
+	return Table{"plan", []string{"what", "the operators' number", "what follows by division"}, [][]string{
+		{"poolers", digits(g.n), fmt.Sprintf("%d a zone, %s in the largest region", g.InZone(g.Poolers), digits(float64(g.InRegion(g.Poolers))))},
+		{"databases", digits(float64(g.Databases)), fmt.Sprintf("%d a zone; %s groups of %d (assumed)", g.InZone(g.Databases), digits(float64(g.Groups())), g.Assumed.Group)},
+		{"client connections", digits(float64(g.Clients)), digits(perPooler) + " a pooler"},
+		{"statements", quantity(g.Statements, "1/s"), fmt.Sprintf("%s a pooler, %s a database", quantity(g.Statements/g.n, "1/s"), quantity(g.Statements/float64(g.Databases), "1/s"))},
+		{"regions and zones", fmt.Sprintf("%d and %d", len(g.Regions), zones), fmt.Sprintf("zones of each region: %s", join(g.Regions))},
+		{"changes of primary", digits(g.PrimaryChanges.PerDay) + " a day", fmt.Sprintf("one in %s h; each over within %s", digits(24/g.PrimaryChanges.PerDay), quantity(g.PrimaryChanges.Within, "s"))},
+		{"changes of configuration", digits(g.ConfigChanges.PerDay) + " a day", fmt.Sprintf("one in %s; each in force within %s", quantity(day/g.ConfigChanges.PerDay, "s"), quantity(g.ConfigChanges.Within, "s"))},
+		{"control, a pooler", fmt.Sprintf("%s, %s, %s", quantity(g.Control.Core, "core"), quantity(g.Control.Memory, "B"), quantity(g.Control.Bytes, "B/s")),
+			fmt.Sprintf("%s cores and %s for all poolers together", digits(g.Control.Core*g.n), quantity(g.Control.Bytes*g.n, "B/s"))},
+		{"machines for control", fmt.Sprintf("%d", g.Machines.Count), fmt.Sprintf("%s cores, %s, %s and %s descriptors each (assumed): %s poolers on each", digits(g.Machines.Cores), quantity(g.Machines.Memory, "B"),
+			quantity(g.Machines.Bytes, "B/s"), digits(float64(g.Machines.Descriptors)), digits(math.Ceil(g.n/failed)))},
+		{"machines that fail", digits(g.Faults.MachinesPerDay) + " a day", fmt.Sprintf("one in %s min", digits(1440/g.Faults.MachinesPerDay))},
+		{"restarts and replacements", digits(g.Faults.RestartsPerDay) + " a day", fmt.Sprintf("one in %s; %d in the worst minute, %s", quantity(day/g.Faults.RestartsPerDay, "s"), g.Faults.RestartsAtOnce, quantity(float64(g.Faults.RestartsAtOnce)/60, "1/s"))},
+		{"racks or switches", digits(g.Faults.RacksPerWeek) + " a week", fmt.Sprintf("%d poolers at once (%d machines a rack, %d poolers a machine: assumed)", g.InRack(), g.Assumed.HostsPerRack, g.Assumed.PoolersPerHost)},
+		{"zones", digits(g.Faults.ZonesPerYear) + " a year", fmt.Sprintf("%d poolers and %d databases at once", g.InZone(g.Poolers), g.InZone(g.Databases))},
+		{"regions apart", "now and then", quantity(g.Faults.Apart/60, "min") + " each time"},
+	}}
+}
+
+func join(n []int) string {
+	var out []string
+	for _, v := range n {
+		out = append(out, fmt.Sprint(v))
+	}
+	return strings.Join(out, ", ")
+}
+
+// The mechanisms that the page sets beside each other, and the order of what they were measured in.
+var (
+	mechanisms = []string{"gossip", "distribution"}
+	phases     = []string{"rest", "change", "changes60", "restart", "loss5", "join", "startup"}
+)
+
+// reading is a figure that may be a sum of several: bytes in and out.
+type reading []Slope
+
+// pick is the figure's slope over poolers; of several kinds the one that was seen at the largest size.
+func (g *page) pick(mechanism, phase, role string, figures ...string) (r reading) {
+	for _, figure := range figures {
+		var best *Slope
+		for _, k := range slices.SortedFunc(maps.Keys(g.slopes), func(a, b Key) int { return cmp.Compare(a.String(), b.String()) }) {
+			s := g.slopes[k]
+			if k.Mechanism == mechanism && k.Phase == phase && k.Role == role && k.Figure == figure && k.Per == "pooler" && (best == nil || s.Last.Size > best.Last.Size) {
+				best = &s
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		r = append(r, *best)
+	}
+	return r
+}
+
+func (r reading) at(n float64) (v float64, ok bool) {
+	for _, s := range r {
+		part, known := s.At(n)
+		if !known {
+			return v, false
+		}
+		v += part
+	}
+	return v, len(r) > 0
+}
+
+// until is documented with Slope.Until.
+func (r reading) until(limit float64) (n float64, ok bool) {
+	var sum Slope
+	for _, s := range r {
+		if s.Growth == Alone {
+			return 0, false
+		}
+		sum.Base, sum.Each = sum.Base+s.Base, sum.Each+s.Each
+	}
+	return sum.Until(limit)
+}
+
+func (r reading) growth() (worst Growth) {
+	worst = Flat
+	for _, s := range r {
+		for _, g := range []Growth{Linear, Worse, Alone} {
+			if s.Growth == g && (worst == Flat || g != Linear) {
+				worst = g
+			}
+		}
+	}
+	return worst
+}
+
+// seen is the largest size at which it was measured, with what was measured there.
+func (r reading) seen() string {
+	var least, median, most float64
+	for _, s := range r {
+		least, median, most = least+s.Last.Least, median+s.Last.Median, most+s.Last.Most
+	}
+	return fmt.Sprintf("%s (%s to %s) at %s", quantity(median, r[0].Unit), quantity(least, r[0].Unit), quantity(most, r[0].Unit), digits(float64(r[0].Last.Size)))
+}
+
+func (r reading) line() string {
+	if r.growth() == Alone {
+		return NotMeasured + " at another size"
+	}
+	var base, each float64
+	for _, s := range r {
+		base, each = base+s.Base, each+s.Each
+	}
+	return fmt.Sprintf("%s + %s each", quantity(base, r[0].Unit), quantity(each, r[0].Unit))
+}
+
+// value is what follows at a size, marked where the line is known to tell too little.
+func (r reading) value(n float64) string {
+	v, ok := r.at(n)
+	switch {
+	case len(r) == 0:
+		return NotMeasured
+	case !ok:
+		return NotMeasured + " beyond " + digits(float64(r[0].Last.Size))
+	case r.growth() == Worse:
+		return "at least " + quantity(v, r[0].Unit)
+	}
+	return quantity(v, r[0].Unit)
+}
+
+// budget is one thing that control may spend at a pooler.
+type budget struct {
+	name    string
+	figures []string
+	limit   float64
+	unit    string
+}
+
+func (g *page) budgets() []budget {
+	return []budget{
+		{"processor", []string{"cpu"}, g.Control.Core, "core"},
+		{"memory", []string{"rss"}, g.Control.Memory, "B"},
+		{"bytes in and out", []string{"bytes_in", "bytes_out"}, g.Control.Bytes, "B/s"},
+	}
+}
+
+// control holds an ordinary pooler to its budget.
+func (g *page) control() Table {
+	t := Table{Name: "control", Head: []string{"spent", "mechanism", "while", fmt.Sprintf("at %s poolers", digits(g.n)), "limit", "headroom", "keeps to it up to", "growth", "seen", "run"}}
+	for _, b := range g.budgets() {
+		for _, m := range mechanisms {
+			some := false
+			for _, phase := range phases {
+				r := g.pick(m, phase, "pooler", b.figures...)
+				if r == nil {
+					continue
+				}
+				some = true
+				headroom, until := "?", "any size seen"
+				if v, ok := r.at(g.n); ok && v > 0 {
+					headroom = digits(b.limit/v) + " times"
+				}
+				if n, ok := r.until(b.limit); ok {
+					until = digits(math.Floor(n)) + " poolers"
+				}
+				t.Rows = append(t.Rows, []string{b.name, m, phase, r.value(g.n), quantity(b.limit, b.unit), headroom, until, string(r.growth()), r.seen(), r[0].Run})
+			}
+			if !some {
+				t.Rows = append(t.Rows, []string{b.name, m, "any", NotMeasured, quantity(b.limit, b.unit), "", "", "", "", ""})
+			}
+		}
+	}
+	return t
+}
+
+// measured is what each role was measured to take, at the plan's size.
+func (g *page) measured() Table {
+	t := Table{Name: "measured", Head: []string{"role", "mechanism", "while", "messages in", "messages out", "bytes in", "bytes out", "processor", "memory", "descriptors", "seen up to"}}
+	roles := map[string]bool{}
+	for k := range g.slopes {
+		if k.Per == "pooler" {
+			roles[k.Role] = true
+		}
+	}
+	for _, role := range slices.Sorted(maps.Keys(roles)) {
+		for _, m := range mechanisms {
+			for _, phase := range phases {
+				row, most := []string{role, m, phase}, 0
+				for _, figure := range []string{"messages_in", "messages_out", "bytes_in", "bytes_out", "cpu", "rss", "descriptors"} {
+					r := g.pick(m, phase, role, figure)
+					row = append(row, r.value(g.n))
+					if r != nil {
+						most = max(most, r[0].Last.Size)
+					}
+				}
+				if most > 0 {
+					t.Rows = append(t.Rows, append(row, digits(float64(most))))
+				}
+			}
+		}
+	}
+	if len(t.Rows) == 0 {
+		t.Rows = [][]string{{"all", "all", "any", NotMeasured, "", "", "", "", "", "", ""}}
+	}
+	return t
+}
+
+// lines are all slopes, as they were fitted.
+func (g *page) lines() Table {
+	t := Table{Name: "slopes", Head: []string{"slope", "line", "growth", "least size: median (spread)", "largest size: median (spread)", "plays", "at the plan's size", "run"}}
+	for _, k := range slices.SortedFunc(maps.Keys(g.slopes), func(a, b Key) int { return cmp.Compare(a.String(), b.String()) }) {
+		s := g.slopes[k]
+		r := reading{s}
+		first := reading{{Unit: s.Unit, Last: s.First}}
+		at := ""
+		if n, ok := g.Of(k.Per); ok {
+			at = fmt.Sprintf("%s at %s", r.value(float64(n)), digits(float64(n)))
+		}
+		t.Rows = append(t.Rows, []string{k.String(), r.line(), string(s.Growth), first.seen(), r.seen(), fmt.Sprint(s.Last.Plays), at, s.Run})
+	}
+	if len(t.Rows) == 0 {
+		t.Rows = [][]string{{NotMeasured, "", "", "", "", "", "", ""}}
+	}
+	return t
+}
