Tell what clients, databases and statements take of one pooler on the capacity page

Cause: the page held no rows for the records of one real pooler (mechanism "alone"). At the largest size seen a figure is what was seen, not the line's.

--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -38,6 +38,8 @@
 // rows are those that a page of this size may not leave out.
 func (g *page) rows() Table {
 	n, term, within := g.n, c("config.defaultTerm"), g.ConfigChanges.Within
+	clients := float64(g.Clients / g.Poolers)
+	fleet := func(phase string) string { return fmt.Sprintf("%s_fleet_%d", phase, g.Poolers) }
 	fetch := c("shared.wordEach") + c("shared.fetchEach")*n
 	sites := c("shared.MaxValue") / n
 	perRange := c("shared.MaxValue") / float64(g.Groups())
@@ -54,12 +56,13 @@
 		{"who must know of it", "poolers that use the group", fmt.Sprintf("today all: %s datagrams each, %s a day", digits(n-1), digits((n-1)*g.PrimaryChanges.PerDay)), "`fleet.TellFound`", "no limit found", "first: distribution carries it"},
 		{fmt.Sprintf("watching %s databases", digits(float64(g.Databases))), "none stated", fmt.Sprintf("primaries alone: %s pings a second for %s groups, %s a pooler, and only of groups that a pooler used in the last %s (`rules.pingEvery` × poolers); replicas by what requests meet",
 			digits(float64(g.Groups())/c("rules.pingEvery")), digits(float64(g.Groups())), digits(float64(g.Groups())/c("rules.pingEvery")/n), quantity(c("rules.pingEvery")*n, "s")), "`rules` (ping)", "an idle group is watched by nobody", "fifth: groups dealt to watchers"},
-		{"whole lists at start and at return", "the 2 KB a second", fmt.Sprintf("%s; a list goes whole to each pooler at each change of it: %s a second if all changes were of lists", NotMeasured, digits(g.ConfigChanges.PerDay/day)), "`fleet.Give`, `discovery.List`", "see order", "first: lists as deltas"},
+		{"whole lists at start and at return", "the 2 KB a second", g.lists(), "`fleet.Give`, `discovery.List`", "see order", "first: lists as deltas"},
 		{"whole documents at start and at return", "the 2 KB a second", fmt.Sprintf("up to %s a pooler (`shared.MaxTotal`), %s for all; at %s restarts a day %s a second for all", quantity(c("shared.MaxTotal"), "B"), quantity(c("shared.MaxTotal")*n, "B"),
 			digits(g.Faults.RestartsPerDay), quantity(c("shared.MaxTotal")*g.Faults.RestartsPerDay/day, "B")), "`internal/fleet/shared` (`bringer.fetch`), copy on disk", "holds while documents are few", "first: deltas from the copy on disk"},
-		{"connections at a database", "not told by the operators", fmt.Sprintf("%s busy at a time if a statement takes 5 ms (assumed), but up to %s held, one a pooler: nothing bounds how many poolers hold one", digits(g.Statements/float64(g.Databases)*0.005), digits(n)),
+		{"connections at a database", "not told by the operators", fmt.Sprintf("at a primary %s if each pooler uses all groups alike, %s if it uses a tenth of them; %s busy at a time if a statement takes 5 ms (assumed). Nothing bounds how many poolers hold one",
+			g.of(fleet("all_groups"), "derived", "connections_primary", "pooler").value(n), g.of(fleet("tenth_of_groups"), "derived", "connections_primary", "pooler").value(n), digits(g.Statements/float64(g.Databases)*0.005)),
 			"`internal/transport` (`Pool`); limits bound the rate of new ones only", "by the database's own limit", "sixth: each pooler uses some replicas of a group only"},
-		{fmt.Sprintf("memory of %s clients", digits(float64(g.Clients)/n)), "the pooler's own, beside control", g.alone("rss", "client"), "`internal/transport`", "–", "–"},
+		{fmt.Sprintf("memory of %s clients", digits(float64(g.Clients)/n)), "the pooler's own, beside control", "resting " + g.of("resting", "pooler", "rss", "client").value(clients) + ", with a request of each open " + g.of("busy", "pooler", "rss", "client").value(clients), "`internal/transport`", "–", "–"},
 		{"limits: asks of one dealer", "one core of a pooler", fmt.Sprintf("%s; bound: %s asks a second; after a change of dealer all %s at once, of which %s may wait (`quota.queued`)", NotMeasured, digits(3*n/term), digits(n), digits(c("quota.queued"))),
 			"`internal/fleet/quota`", digits(c("quota.queued")) + " poolers", "third: dealing in two steps"},
 		{"limits: standing for the duty", fmt.Sprintf("%s connections at a steward", digits(c("steward.maxCallers"))), fmt.Sprintf("%s poolers stand, each with a connection to the leader, and ask once in a term or so", digits(n)), "`shared.Stand`", digits(c("steward.maxCallers")) + " poolers", "first: ordinary poolers stand for no duty"},
@@ -76,6 +79,18 @@
 	}}
 }
 
+// lists is what whole lists take.
+func (g *page) lists() string {
+	r := g.of("startup", "pooler", "list_bytes", "server")
+	text := fmt.Sprintf("a whole list: %s; it goes whole to each pooler at each change of it", r.value(float64(g.Databases)))
+	if bytes, ok := r.at(float64(g.Databases)); ok {
+		day := bytes * g.ConfigChanges.PerDay / day
+		text += fmt.Sprintf(": %s to each and %s to all if all changes were of lists, and %s at the return of a region", quantity(day, "B/s"), quantity(day*g.n, "B/s"),
+			quantity(bytes*float64(g.InRegion(g.Poolers)), "B"))
+	}
+	return text
+}
+
 // untilFetch is the largest fleet whose fetches, spread by a constant, are over in time.
 func (g *page) untilFetch(each string) float64 {
 	return math.Floor((g.ConfigChanges.Within - c("shared.wordEach")) / c(each))
@@ -86,17 +101,6 @@
 	return g.pick(mechanism, phase, "pooler", figure).value(g.n)
 }
 
-// alone is what one real pooler by itself takes at the plan's size, by what grows with per.
-func (g *page) alone(figure, per string) string {
-	for k, s := range g.slopes {
-		if n, ok := g.Of(per); ok && k.Mechanism == "alone" && k.Figure == figure && k.Per == per && k.Phase == "rest" {
-			r := reading{s}
-			return fmt.Sprintf("%s (%s; seen %s)", r.value(float64(n)), r.line(), r.seen())
-		}
-	}
-	return NotMeasured
-}
-
 // faults are the worst hours: what they are by numbers, and what was measured of them.
 func (g *page) faults() Table {
 	t := Table{Name: "faults", Head: []string{"what happens", "by numbers", "phase that shows it", "pooler's bytes, gossip", "distribution", "pooler's processor, gossip", "distribution"}}
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -95,10 +95,10 @@
 	return s
 }
 
-// At is the figure at a size; ok false: one size tells nothing of another. Beyond the largest size that was seen it is never less
-// than what was seen there: a line that falls is no promise.
+// At is the figure at a size; ok false: one size tells nothing of another. At the largest size that was seen it is what was seen, and
+// beyond it never less than that: a line that falls is no promise.
 func (s Slope) At(n float64) (v float64, ok bool) {
-	if s.Growth == Alone {
+	if s.Growth == Alone || n == float64(s.Last.Size) {
 		return s.Last.Median, n == float64(s.Last.Size)
 	}
 	v = s.Base + s.Each*n
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -24,7 +24,7 @@
 // Tables are the page's, in its order. They hold no figure that is not the plan's, a constant of the code's, or a record's.
 func Tables(p Plan, slopes map[Key]Slope) []Table {
 	g := &page{Plan: p, n: float64(p.Poolers), slopes: slopes}
-	return []Table{g.plan(), g.control(), g.measured(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(), g.lines()}
+	return []Table{g.plan(), g.control(), g.alone(), g.measured(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(), g.lines()}
 }
 
 func (g *page) plan() Table {
@@ -199,6 +199,60 @@
 	return t
 }
 
+// of is a slope of one real pooler by itself.
+func (g *page) of(phase, kind, figure, per string) reading {
+	if s, ok := g.slopes[Key{"alone", phase, "pooler", kind, figure, per}]; ok {
+		return reading{s}
+	}
+	return nil
+}
+
+// alone is what one real pooler takes by itself, at its share of the plan.
+func (g *page) alone() Table {
+	t := Table{Name: "alone", Head: []string{"what", "at", "takes", "line", "growth", "seen", "run"}}
+	fleet := fmt.Sprintf("_fleet_%d", g.Poolers)
+	for _, w := range []struct{ what, phase, kind, figure, per string }{
+		{"memory without clients", "empty", "pooler", "rss", "pooler"},
+		{"memory with resting clients", "resting", "pooler", "rss", "client"},
+		{"processor with resting clients", "resting", "pooler", "cpu", "client"},
+		{"memory with a request of each open", "busy", "pooler", "rss", "client"},
+		{"memory with a list", "rest", "pooler", "rss", "server"},
+		{"processor at rest with a list", "rest", "pooler", "cpu", "server"},
+		{"processor with a second's reads of 100 clients", fmt.Sprintf("reads_100_clients_%d_servers", g.Databases), "pooler", "cpu", "statement"},
+		{"processor with a second's writes of 100 clients", fmt.Sprintf("writes_100_clients_%d_servers", g.Databases), "pooler", "cpu", "statement"},
+		{"bytes of a whole list", "startup", "pooler", "list_bytes", "server"},
+		{"processor time of a start", "startup", "pooler", "cpu", "server"},
+		{"until a start has taken a whole list", "startup", "pooler", "list_taken", "server"},
+		{"processor time of a whole list told again", "whole_list", "pooler", "cpu", "server"},
+		{"until a whole list is taken", "whole_list", "pooler", "list_taken", "server"},
+		{"processor time of a change of one server", "delta", "pooler", "cpu", "server"},
+		{"until a change of one server is taken", "delta", "pooler", "list_taken", "server"},
+		{"pings of primaries, groups in use", "rest" + fleet, "pooler", "pings", "group"},
+		{"processor for them", "rest" + fleet, "pooler", "cpu", "group"},
+		{"pings before any client has asked", "untouched" + fleet, "pooler", "pings", "group"},
+		{"connections of all poolers at a primary, all groups used alike", "all_groups" + fleet, "derived", "connections_primary", "pooler"},
+		{"at the replica that is home to most", "all_groups" + fleet, "derived", "connections_replica_most_homes", "pooler"},
+		{"at a primary, a tenth of the groups used by each", "tenth_of_groups" + fleet, "derived", "connections_primary", "pooler"},
+		{"at a primary, a hundredth of the groups used by each", "hundredth_of_groups" + fleet, "derived", "connections_primary", "pooler"},
+	} {
+		r := g.of(w.phase, w.kind, w.figure, w.per)
+		n, _ := g.Of(w.per)
+		if w.phase == "empty" {
+			n = 1
+		}
+		at := digits(float64(n)) + " " + w.per
+		if n != 1 {
+			at += "s"
+		}
+		row := []string{w.what, at, r.value(float64(n)), "", "", "", ""}
+		if r != nil {
+			copy(row[3:], []string{r.line(), string(r.growth()), r.seen(), r[0].Run})
+		}
+		t.Rows = append(t.Rows, row)
+	}
+	return t
+}
+
 // measured is what each role was measured to take, at the plan's size.
 func (g *page) measured() Table {
 	t := Table{Name: "measured", Head: []string{"role", "mechanism", "while", "messages in", "messages out", "bytes in", "bytes out", "processor", "memory", "descriptors", "seen up to"}}
