--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -13,7 +13,7 @@
 	return Table{"roles", []string{"role", "state it holds", "bound at this size, by the code", "carried by"}, [][]string{
 		{"client", "one connection, one request at a time", fmt.Sprintf("%s connections a pooler; no control message reaches it", digits(float64(g.Clients)/n)), "`internal/program/door`, `internal/transport`"},
 		{"pooler", fmt.Sprintf("the list of %s databases, a copy of the documents, a member of each other pooler", digits(float64(g.Databases))),
-			fmt.Sprintf("list: up to %s databases (`membership.MaxServers`); documents: up to %s (`shared.MaxTotal`); whole view of %s members to and from one other each %s s (`peers.pullEvery`, memberlist's scale)",
+			fmt.Sprintf("list: up to %s databases (`membership.MaxServers`); documents: up to %s (`shared.MaxTotal`); the whole view of %s members goes to and from one other each %s s (`peers.pullEvery`, memberlist's scale), and to and from whoever asks",
 				digits(c("membership.MaxServers")), quantity(c("shared.MaxTotal"), "B"), digits(n), digits(pull)),
 			"`internal/program`, `internal/fleet/shared`, `internal/fleet/peers`"},
 		{"steward", "leases and all documents, its log, a connection of each asker", fmt.Sprintf("%s askers at once (`steward.maxCallers`), %s poolers with a connection or two each; at most %s stewards (`config.mostStewards`)",
@@ -74,7 +74,7 @@
 			"`internal/fleet/purge`", "by sites, of which the operators tell none", "seventh: a document a site"},
 		{"shard maps: enrolment", fmt.Sprintf("%s documents (`shared.MaxDocs`)", digits(c("shared.MaxDocs"))), fmt.Sprintf("a document a pooler: %s; %s writes a day by restarts", digits(n), digits(2*g.Faults.RestartsPerDay)), "`internal/fleet/shardmap` (`shards/router/NAME`)", digits(c("shared.MaxDocs")) + " poolers", "fourth: enrolment at distributors"},
 		{"shard maps: the map", quantity(c("shared.MaxValue"), "B") + " a document", fmt.Sprintf("one document: %s bytes a group if each has one range", digits(perRange)), "`internal/fleet/shardmap` (`shards/map`)", "by ranges", "fourth: a map in parts"},
-		{"the audit's journals", "disk", fmt.Sprintf("up to %s MB a pooler (`config.defaultJournalMB`, `config.defaultKeep`), %s for all; merging them: %s", digits(c("config.defaultJournalMB")*(1+c("config.defaultKeep"))), quantity(c("config.defaultJournalMB")*(1+c("config.defaultKeep"))*n*1e6, "B"), NotMeasured),
+		{"the audit's journals", "disk", fmt.Sprintf("up to %s MB a pooler (`config.defaultJournalMB`, `config.defaultKeep`), %s for all; a record for each list or configuration taken: up to %s a day in the fleet; merging them: %s", digits(c("config.defaultJournalMB")*(1+c("config.defaultKeep"))), quantity(c("config.defaultJournalMB")*(1+c("config.defaultKeep"))*n*1e6, "B"), digits(g.ConfigChanges.PerDay*n), NotMeasured),
 			"`internal/fleet/audit`", NotMeasured, "eighth: journals merged by region"},
 	}}
 }
@@ -142,10 +142,11 @@
 		{"documents", "written", "every write is refused or gets no answer; the copy stands and its age is told", "the newest version by word or fetch"},
 		{"server lists", "one call for all", fmt.Sprintf("each pooler calls the list service by itself: up to %s of them", digits(float64(g.InRegion(g.Poolers)))), "a word with a newer token, a whole list each"},
 		{"limits", "dealt", "slices end within a term and a drift, then safe shares: the reserve, divided by all poolers", "an ask of each pooler at once"},
-		{"verdicts", "by what is seen on this side", "the same", "reports of both sides, within a report's life"},
+		{"a group without a primary", "the holder repeats its rounds for this side", fmt.Sprintf("each pooler that holds writes repeats rounds by itself: up to %s of them. Poolers elect no primary: they follow the one that they reach", digits(float64(g.InRegion(g.Poolers)))), "newer evidence stands"},
+		{"verdicts", "by what is seen on this side: each region has the zones for it", "the same", "reports of both sides, within a report's life"},
 		{"purges by calendar", "at their instant", "at their instant; nothing from the cache once the copy is older than `confirm_ms`", "orders missed are noted"},
 		{"shard maps at rest", "nothing changes", "enrolled poolers write; one that starts takes no writes of mapped keys", "it enrols"},
-		{"a move under way", "waits for those cut off, by their right's end, or is undone", "no write to the moving range once the right is over", "the map as it stands then"},
+		{"a move under way", "in `prepared` waits for those cut off, and is undone in the end; later waits for their rights' end", "in `prepared` writes go on; later none to the moving range once the right is over", "the map as it stands then"},
 	}}
 }
 
