Measure what one pooler costs for each client, server, group and statement

Cause: the fleet is to grow to 5,000 poolers before 8,800 databases, and nothing tells what one more of each costs a pooler.

--- a/cmd/threadlab/main.go
+++ b/cmd/threadlab/main.go
@@ -34,6 +34,7 @@
 	Schema        schemaCmd        `cmd:"" help:"Check an operators' file against its CUE schema."`
 	Fleet         fleetCmd         `cmd:"" help:"Start many poolers among stand-in servers, put a scenario's faults between them, and judge what came of it."`
 	Capacity      capacityCmd      `cmd:"" help:"Print what a fleet of the size that is coming takes, by what was recorded, or write it into the page."`
+	ScalePooler   scalePoolerCmd   `cmd:"" help:"Measure what one pooler costs for each client, server, group and statement; it decides nothing."`
 	Pooler        poolerCmd        `cmd:"" hidden:"" help:"Run the pooler; its front's address is the first line of its output."`
 }
 
