Count membership's, the bus's and the stewards' traffic where their sockets are

Counting in memberlist's own metrics was ruled out: they know no topics and no kinds. The membership's transport counts each message inside a packet by its type (user messages by topic) and streams by what they begin with; a member has one goroutine more for it, since memberlist takes packets off a channel. Stewards and their clients count asks by the line, the consensus engine by reads and writes. The operators' door tells fleet_bytes and fleet_messages by kind and way. Two members count the same bytes of a topic as gone and come (test); the packages' tests pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"threadsail/internal/fleet/peers"
 	"threadsail/internal/fleet/shared"
 	"threadsail/internal/fleet/steward"
+	"threadsail/internal/fleet/traffic"
 	"threadsail/internal/program"
 	"threadsail/internal/program/admin"
 )
@@ -61,6 +62,7 @@
 	log     zerolog.Logger
 	done    sync.WaitGroup
 	ground  *ground
+	traffic traffic.Counter
 	least   atomic.Pointer[duty.Least]
 }
 
@@ -90,12 +92,14 @@
 	if f.ground, err = newGround(o, f.holder, stewards, events); err != nil {
 		return nil, err
 	}
+	f.ground.leases.Count(&f.traffic)
+	f.ground.store.Count(&f.traffic)
 	if c.Steward.Listen != "" {
 		if err := os.MkdirAll(c.Steward.Dir, 0o700); err != nil {
 			return nil, err
 		}
 		f.steward, err = steward.Start(steward.Options{Name: c.Name, Listen: c.Steward.Listen, Dir: c.Steward.Dir, Stewards: stewards, Join: c.Steward.Join, Revision: c.ConfigRevision,
-			Drift: c.Drift, Election: c.Election, Log: say, Changed: func(s shared.State) { f.ground.copy.Take(s) }})
+			Drift: c.Drift, Election: c.Election, Log: say, Traffic: &f.traffic, Changed: func(s shared.State) { f.ground.copy.Take(s) }})
 		if err != nil {
 			return nil, err
 		}
@@ -111,7 +115,7 @@
 		}
 	})
 	f.done.Go(func() {
-		f.client = &steward.Client{Holder: f.holder, Stewards: stewards, Timeout: c.Term / 4} // so that a renewal, a third of the term in, can be tried twice
+		f.client = &steward.Client{Holder: f.holder, Stewards: stewards, Timeout: c.Term / 4, Traffic: &f.traffic} // so that a renewal, a third of the term in, can be tried twice
 		defer f.client.Close()
 		for f.next(f.asks) {
 		}
@@ -137,7 +141,7 @@
 	var known *peers.Peers
 	if f.c.Gossips() {
 		var err error
-		if known, err = peers.Start(peers.Options{Name: f.c.Name, Listen: f.c.Listen, Advertise: f.c.Advertise, Peers: others, Heard: heard, Log: say}, peers.Meta{}); err != nil {
+		if known, err = peers.Start(peers.Options{Name: f.c.Name, Listen: f.c.Listen, Advertise: f.c.Advertise, Peers: others, Heard: heard, Log: say, Traffic: &f.traffic}, peers.Meta{}); err != nil {
 			return err
 		}
 	}
@@ -146,7 +150,7 @@
 		return nil
 	}
 	n, err := newStreams(f.c, spread, []distribution.Feed{{Name: sharedFeed, Copy: f.ground.copy}, {Name: listsFeed, Copy: f.ground.lists.copy, Rewritten: true}},
-		known, heard, say, nil)
+		known, heard, say, &f.traffic)
 	if err != nil {
 		if known != nil {
 			known.Close()
@@ -315,6 +319,7 @@
 // Figures are documented with program.Fleet.
 func (f *Fleet) Figures() admin.Fleet {
 	out := f.ground.figures()
+	out.Traffic = f.traffic.Snapshot()
 	out.StewardFails = f.steward != nil && f.steward.Full()
 	return out
 }
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"threadsail/internal/fleet/traffic"
 )
 
 // Peer is a pooler by its name and the address at which it is reached from here, TCP and UDP.
@@ -48,6 +50,8 @@
 	// Heard takes a message of another pooler that is not of the Bus. It is called on memberlist's goroutines and must not wait; the bytes are its own.
 	Heard func(text []byte)
 	Log   func(string) // nil: nowhere
+	// Traffic counts what goes and comes at the member's sockets; nil: nothing does.
+	Traffic *traffic.Counter
 }
 
 const (
@@ -116,7 +120,7 @@
 	for _, peer := range o.Peers {
 		via[peer.Name] = peer.Addr
 	}
-	c.Transport = &routed{NetTransport: nt, via: via}
+	c.Transport = count(&routed{NetTransport: nt, via: via}, o.Traffic)
 	p.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: repeats, NumNodes: func() int {
 		if list := p.size.Load(); list != nil {
 			return list.NumMembers()
@@ -124,7 +128,7 @@
 		return 1
 	}}
 	if p.list, err = memberlist.Create(c); err != nil {
-		_ = nt.Shutdown()
+		_ = c.Transport.Shutdown()
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	p.size.Store(p.list)
--- a/internal/fleet/steward/client.go
+++ b/internal/fleet/steward/client.go
@@ -13,6 +13,7 @@
 
 	"threadsail/internal/fleet/lease"
 	"threadsail/internal/fleet/shared"
+	"threadsail/internal/fleet/traffic"
 )
 
 // Client asks stewards for leases and documents, for one pooler, one thing at a time. It is not safe for use by several
@@ -20,10 +21,11 @@
 type Client struct {
 	Holder   string // this pooler's name
 	Stewards []Peer
-	Timeout  time.Duration // of one ask, over all stewards tried
-	at       int           // the steward asked last
-	in       *bufio.Reader // of c
-	used     time.Time     // c
+	Timeout  time.Duration    // of one ask, over all stewards tried
+	Traffic  *traffic.Counter // counts what goes and comes; nil: nothing does
+	at       int              // the steward asked last
+	in       *bufio.Reader    // of c
+	used     time.Time        // c
 
 	mu sync.Mutex // of c: an ask is ended by its context
 	c  net.Conn
@@ -117,7 +119,7 @@
 			case <-time.After(min(each/4, time.Until(until))):
 			}
 		}
-		out, said, err := c.exchange(text, min(each, time.Until(until)))
+		out, said, err := c.exchange(a.kind(), text, min(each, time.Until(until)))
 		unsure = unsure || out.Unsure || said && err != nil
 		switch {
 		case err != nil:
@@ -146,7 +148,7 @@
 
 // exchange sends one line to the steward at hand and reads its answer; said tells whether the line may have reached it. A
 // connection that fails is not used again: a late answer would be taken for the next one's.
-func (c *Client) exchange(line []byte, d time.Duration) (out answer, said bool, err error) {
+func (c *Client) exchange(kind string, line []byte, d time.Duration) (out answer, said bool, err error) {
 	defer func() {
 		if err != nil {
 			c.Close()
@@ -171,10 +173,12 @@
 	if _, err = conn.Write(append(slices.Clip(line), '\n')); err != nil {
 		return out, true, err
 	}
+	c.Traffic.Out(kind, 1, len(line)+1)
 	text, err := readLine(c.in, maxAnswer)
 	if err != nil {
 		return out, true, err
 	}
+	c.Traffic.In(kind, 1, len(text)+1)
 	return out, true, json.Unmarshal(text, &out)
 }
 
--- a/internal/fleet/steward/clients.go
+++ b/internal/fleet/steward/clients.go
@@ -6,6 +6,7 @@
 
 	"threadsail/internal/fleet/lease"
 	"threadsail/internal/fleet/shared"
+	"threadsail/internal/fleet/traffic"
 )
 
 // Clients asks stewards for several goroutines of one pooler, over a connection for each ask that is under way. It implements
@@ -28,6 +29,15 @@
 	return c
 }
 
+// Count has what goes and comes counted from the first ask on.
+func (c *Clients) Count(t *traffic.Counter) {
+	for range cap(c.idle) {
+		one := <-c.idle
+		one.Traffic = t
+		c.idle <- one
+	}
+}
+
 // with does something with a client that is idle.
 func (c *Clients) with(ctx context.Context, do func(*Client) error) error {
 	select {
--- a/internal/fleet/steward/layer.go
+++ b/internal/fleet/steward/layer.go
@@ -7,13 +7,16 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+
+	"threadsail/internal/fleet/traffic"
 )
 
 // layer is the engine's network: it dials stewards by name, at the addresses known here.
 type layer struct {
-	ln     net.Listener
-	calls  chan net.Conn
-	ending chan struct{}
+	ln      net.Listener
+	calls   chan net.Conn
+	ending  chan struct{}
+	counter *traffic.Counter
 
 	mu    sync.Mutex
 	addrs map[raft.ServerAddress]string
@@ -46,5 +49,5 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return c, nil
+	return l.counter.Conn(c, kindRaft), nil
 }
--- a/internal/fleet/steward/office.go
+++ b/internal/fleet/steward/office.go
@@ -38,6 +38,22 @@
 	return nil
 }
 
+// kindRaft is what stewards say to each other, counted by reads and writes; asks and answers are counted by the line.
+const kindRaft = "raft"
+
+// kind is what an ask and its answer are counted as.
+func (a ask) kind() string {
+	switch {
+	case a.Put != nil:
+		return "documents/put"
+	case a.Read != "":
+		return "documents/read"
+	case a.Since != nil:
+		return "documents/fetch"
+	}
+	return "lease"
+}
+
 type answer struct {
 	OK      bool          `json:"ok"`
 	Grant   lease.Grant   `json:"grant"`
--- a/internal/fleet/steward/steward.go
+++ b/internal/fleet/steward/steward.go
@@ -21,6 +21,7 @@
 
 	"threadsail/internal/fleet/lease"
 	"threadsail/internal/fleet/shared"
+	"threadsail/internal/fleet/traffic"
 )
 
 // Peer is a steward, by its pooler's name and the address at which it is reached from here.
@@ -42,6 +43,7 @@
 	// Changed takes the documents after each change in the log as this steward has applied it, newer each time but for a
 	// restore from a leader's snapshot, and must not wait; nil: nobody.
 	Changed func(shared.State)
+	Traffic *traffic.Counter // counts what goes and comes at its sockets; nil: nothing does
 
 	wrap func(store) store // of tests: puts a slow or full disk under the engine
 }
@@ -92,7 +94,7 @@
 		o.Changed = func(shared.State) {}
 	}
 	s := &Steward{o: o, table: &table{leases: lease.Table{Drift: o.Drift}, changed: o.Changed}, start: time.Now(), ending: make(chan struct{})}
-	s.layer = &layer{ln: ln, addrs: map[raft.ServerAddress]string{}, calls: make(chan net.Conn), ending: s.ending}
+	s.layer = &layer{ln: ln, addrs: map[raft.ServerAddress]string{}, calls: make(chan net.Conn), ending: s.ending, counter: o.Traffic}
 	if err := s.found(); err != nil {
 		_ = ln.Close()
 		if s.store != nil {
@@ -214,7 +216,7 @@
 	switch first[0] {
 	case callRaft:
 		select {
-		case s.layer.calls <- c: // the engine's from here on
+		case s.layer.calls <- s.o.Traffic.Conn(c, kindRaft): // the engine's from here on
 		case <-s.ending:
 			_ = c.Close()
 		}
@@ -257,9 +259,12 @@
 		if err != nil {
 			return
 		}
+		kind := a.kind()
+		s.o.Traffic.In(kind, 1, len(line)+1)
 		if _, err := c.Write(append(text, '\n')); err != nil {
 			return
 		}
+		s.o.Traffic.Out(kind, 1, len(text)+1)
 	}
 }
 
--- a/internal/program/admin/admin.go
+++ b/internal/program/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"threadsail/internal/fleet/traffic"
 	"threadsail/internal/protocol/admin"
 	"threadsail/internal/routing"
 	"threadsail/internal/transport"
@@ -38,6 +39,7 @@
 	StewardFails bool          // its steward's log can't be written
 	Dropped      uint64        // acts that are not in its journal
 	JournalFails bool          // the last act could not be written
+	Traffic      []traffic.Count
 }
 
 // List is how a front's list of servers stands.
@@ -159,6 +161,14 @@
 			b = admin.AppendFigure(b, "shared_age_ms", uint64(fl.Age.Milliseconds()))
 		}
 		b = admin.AppendFigure(b, "journal_acts_dropped", fl.Dropped)
+		for _, t := range fl.Traffic {
+			kind := admin.Label{Name: "kind", Value: t.Kind}
+			in, out := admin.Label{Name: "way", Value: "in"}, admin.Label{Name: "way", Value: "out"}
+			b = admin.AppendFigure(b, "fleet_bytes", t.BytesIn, kind, in)
+			b = admin.AppendFigure(b, "fleet_bytes", t.BytesOut, kind, out)
+			b = admin.AppendFigure(b, "fleet_messages", t.MessagesIn, kind, in)
+			b = admin.AppendFigure(b, "fleet_messages", t.MessagesOut, kind, out)
+		}
 		for _, d := range []struct {
 			what  string
 			fails bool
