Tell operators of streams, and bound calls at a distributor that say nothing

Cause: on call nobody could see whether a pooler has a stream, how many hang on a distributor and how many of these are behind; connections that never say who calls were not bounded; whoever said it was a distributor was believed.

--- a/internal/fleet/distribution/admission.go
+++ b/internal/fleet/distribution/admission.go
@@ -13,6 +13,8 @@
 	few = 64
 	// mostStreams is the bound of descriptors, which no caller is taken over: the whole fleet that is coming fits on one distributor.
 	mostStreams = 8192
+	// mostCalls is how many connections may be open that have not said yet who calls.
+	mostCalls = 1024
 	// admitEach is the pace of new streams, and admitBurst how many may come at once. A whole fleet of 5,000 comes to 18 distributors,
 	// 278 each, within 0.5 s; the poolers of one that was lost, 16 for each of the others, at once.
 	admitEach  = 2 * time.Millisecond
--- a/internal/fleet/distribution/distributor.go
+++ b/internal/fleet/distribution/distributor.go
@@ -34,6 +34,7 @@
 	ln     net.Listener
 	feeds  []*feed
 	whole  chan struct{} // tokens of the wholes under way
+	calls  chan struct{} // tokens of the connections that are no stream yet
 	cancel context.CancelFunc
 	ctx    context.Context
 	done   sync.WaitGroup
@@ -70,7 +71,7 @@
 	if o.Log == nil {
 		o.Log = func(string) {}
 	}
-	d := &Distributor{o: o, ln: ln, whole: make(chan struct{}, wholes), streams: map[string]*stream{}, links: map[string]*outbox{}, dir: newDirectory(),
+	d := &Distributor{o: o, ln: ln, whole: make(chan struct{}, wholes), calls: make(chan struct{}, mostCalls), streams: map[string]*stream{}, links: map[string]*outbox{}, dir: newDirectory(),
 		refused: map[string]bool{}}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	for _, f := range o.Feeds {
@@ -115,7 +116,12 @@
 			pause(d.ctx, d.o.Beat) // of descriptors, for want of which it failed, some may come free
 			continue
 		}
-		d.done.Go(func() { d.serve(c) })
+		select {
+		case d.calls <- struct{}{}:
+			d.done.Go(func() { d.serve(c) })
+		default: // more than a whole fleet calls, and says nothing
+			_ = c.Close()
+		}
 	}
 }
 
@@ -126,6 +132,7 @@
 	conn := living{c, tenths(d.o.Beat, lostBeats), writeBeats * d.o.Beat}
 	in := bufio.NewReaderSize(conn, 4<<10)
 	k, body, size, err := readFrame(in, mostUp)
+	<-d.calls
 	if err != nil || k != kindHello {
 		return // no peer of ours, or one that has gone
 	}
@@ -169,6 +176,9 @@
 	if err := s.valid(); err != nil {
 		return &refusal{Why: err.Error()}
 	}
+	if s.Distributor && !slices.ContainsFunc(d.o.All, func(p Place) bool { return p.Name == s.Name }) {
+		return &refusal{Why: "a distributor that is not among those named here"}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.streams[s.Name]
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -320,6 +320,7 @@
 func (f *Fleet) Figures() admin.Fleet {
 	out := f.ground.figures()
 	out.Traffic = f.traffic.Snapshot()
+	f.network.figures(&out)
 	out.StewardFails = f.steward != nil && f.steward.Full()
 	return out
 }
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -13,6 +13,7 @@
 	"threadsail/internal/fleet/duty"
 	"threadsail/internal/fleet/peers"
 	"threadsail/internal/fleet/traffic"
+	"threadsail/internal/program/admin"
 )
 
 // network is the way to the other poolers: gossip among all, or streams by way of distributors.
@@ -24,6 +25,7 @@
 	Hint(name string, text []byte)              // may be lost
 	Show(w duty.Word, build, config string)     // what the others see of this pooler
 	Source(w duty.Word) (name string, ask bool) // whom to ask for the list of a word; ask false: it comes by itself
+	figures(*admin.Fleet)                       // fills in Poolers and all after it
 	Close()
 }
 
@@ -49,6 +51,8 @@
 	return name, true
 }
 
+func (g gossip) figures(f *admin.Fleet) { f.Poolers, f.Way = g.Bus().Size(), "gossip" }
+
 // The topics by which the list duty's words go along streams.
 const (
 	topicDuty  = "duty/"           // all of them begin so
@@ -117,6 +121,19 @@
 // Source is nobody: the lists are a feed.
 func (n *streams) Source(duty.Word) (name string, ask bool) { return "", false }
 
+func (n *streams) figures(f *admin.Fleet) {
+	f.Poolers = n.bus.Size()
+	switch {
+	case n.distributor != nil:
+		f.Way, f.Streams = "distributor", n.distributor.Streams()
+		f.Behind, _ = n.distributor.Behind(sharedFeed)
+	case n.subscriber.At() != "":
+		f.Way = "stream"
+	default:
+		f.Way = "none"
+	}
+}
+
 func (n *streams) Close() {
 	if n.subscriber != nil {
 		n.subscriber.Close()
--- a/internal/program/admin/admin.go
+++ b/internal/program/admin/admin.go
@@ -40,6 +40,10 @@
 	Dropped      uint64        // acts that are not in its journal
 	JournalFails bool          // the last act could not be written
 	Traffic      []traffic.Count
+	Poolers      int    // held to be alive, this one among them
+	Way          string // by which it hears of what all share: "gossip", "stream", "distributor", or "none" where it has no stream
+	Streams      int    // of a distributor: poolers that hang on it
+	Behind       int    // and of those, how many have an older version of the documents in force than it has
 }
 
 // List is how a front's list of servers stands.
@@ -161,6 +165,12 @@
 			b = admin.AppendFigure(b, "shared_age_ms", uint64(fl.Age.Milliseconds()))
 		}
 		b = admin.AppendFigure(b, "journal_acts_dropped", fl.Dropped)
+		b = admin.AppendFigure(b, "fleet_poolers", uint64(fl.Poolers))
+		for _, way := range []string{"gossip", "stream", "distributor", "none"} {
+			b = admin.AppendFigure(b, "fleet_way", yes(fl.Way == way), admin.Label{Name: "way", Value: way})
+		}
+		b = admin.AppendFigure(b, "streams", uint64(fl.Streams))
+		b = admin.AppendFigure(b, "streams_behind", uint64(fl.Behind))
 		for _, t := range fl.Traffic {
 			kind := admin.Label{Name: "kind", Value: t.Kind}
 			in, out := admin.Label{Name: "way", Value: "in"}, admin.Label{Name: "way", Value: "out"}
