Sum what poolers tell of themselves at their distributor, and tell operators of all

Cause: that a change is in force everywhere could be told by nobody: each pooler's version came up its stream and ended at its distributor. Change: each distributor tells the others each beat how many poolers it has, of which builds and configurations, how many are behind and the oldest version in force; the operators' door of a distributor tells the sum over the fleet. Measured: three distributors and twelve poolers on a clock: every distributor has the whole fleet's sum within three beats.

--- a/internal/fleet/distribution/directory.go
+++ b/internal/fleet/distribution/directory.go
@@ -11,6 +11,7 @@
 // told is what one other distributor has told.
 type told struct {
 	region  string
+	sum     Summary   // of its poolers
 	poolers int       // of those that at names it for
 	live    int       // links of it that are open here
 	lost    time.Time // when the last one ended
--- a/internal/fleet/distribution/distribution_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -165,9 +165,12 @@
 				t.Errorf("%s was confirmed %v ago", name, age)
 			}
 		}
+		f.poolers["n3"].Show(Status{Build: "v2"})
+		time.Sleep(3 * beat)
 		for name, d := range f.distributors {
-			if behind, _ := d.Behind("shared"); behind > 0 {
-				t.Errorf("%s: %d are behind", name, behind)
+			own, all := d.Summary()
+			if own.Poolers != d.Streams() || all.Poolers != 12 || all.Behind != 0 || all.Oldest != f.version || all.Builds["v2"] != 1 || all.Builds[""] != 11 {
+				t.Errorf("%s: %+v, of all %+v", name, own, all)
 			}
 		}
 		heard := map[string]string{}
--- a/internal/fleet/distribution/distributor.go
+++ b/internal/fleet/distribution/distributor.go
@@ -53,9 +53,9 @@
 	hello
 	conn   net.Conn
 	out    *outbox
-	has    []uint64 // by feed: what was sent, or was there; the writer's alone
-	status Status   // guarded by Distributor.mu, as is inForce
-	force  map[string]uint64
+	has    []uint64          // by feed: what was sent, or was there; the writer's alone
+	status Status            // guarded by Distributor.mu, as is force
+	force  map[string]uint64 // by feed: the version in force there
 }
 
 var _ bus.Bus = (*Distributor)(nil)
@@ -308,6 +308,18 @@
 	if len(body) == 0 {
 		return nil
 	}
+	if s.Distributor {
+		var sum Summary
+		if err := json.Unmarshal(body, &sum); err != nil {
+			return fmt.Errorf("%w: %w", errFrame, err)
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if t := d.dir.links[s.Name]; t != nil {
+			t.sum = sum
+		}
+		return nil
+	}
 	var l live
 	if err := json.Unmarshal(body, &l); err != nil {
 		return fmt.Errorf("%w: %w", errFrame, err)
@@ -521,6 +533,7 @@
 	w := bufio.NewWriterSize(conn, 16<<10)
 	beat := time.NewTicker(d.o.Beat)
 	defer beat.Stop()
+	told := ""
 	for {
 		for _, frame := range out.take() {
 			if len(frame) == 0 {
@@ -539,7 +552,9 @@
 			return nil
 		case <-out.wake:
 		case <-beat.C:
-			out.put(seal(kindLive))
+			var frame []byte
+			frame, told = d.livesOn(told)
+			out.put(frame)
 		}
 	}
 }
@@ -590,26 +605,6 @@
 	d.spread(d.o.Name, topic, named(body, d.o.Name, topic), false)
 }
 
-// Behind tells of the poolers here how many have an older version of a feed in force than this distributor, and the oldest one.
-func (d *Distributor) Behind(feed string) (poolers int, oldest uint64) {
-	for _, f := range d.feeds {
-		if f.Name != feed {
-			continue
-		}
-		oldest = f.Copy.Version()
-		newest := oldest
-		d.mu.Lock()
-		for _, s := range d.streams {
-			if has := s.force[feed]; !s.Distributor && has < newest {
-				poolers++
-				oldest = min(oldest, has)
-			}
-		}
-		d.mu.Unlock()
-	}
-	return poolers, oldest
-}
-
 func fits(topic string, body []byte) error {
 	switch {
 	case topic == "" || len(topic) > mostName:
--- a/internal/fleet/distribution/frame.go
+++ b/internal/fleet/distribution/frame.go
@@ -23,7 +23,7 @@
 	kindHello   kind = iota + 1 // up: who calls; JSON hello
 	kindWelcome                 // down: taken; no body
 	kindRefusal                 // down: not taken, and the connection ends; JSON refusal
-	kindLive                    // up, each beat: JSON live, or no body where nothing has changed
+	kindLive                    // up, each beat: JSON live, between distributors JSON Summary; no body where nothing has changed
 	kindWord                    // down, each beat and at each change: JSON word
 	kindDelta                   // down: feed, JSON shared.Delta
 	kindWhole                   // down: feed, JSON shared.State
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -125,8 +125,8 @@
 	f.Poolers = n.bus.Size()
 	switch {
 	case n.distributor != nil:
-		f.Way, f.Streams = "distributor", n.distributor.Streams()
-		f.Behind, _ = n.distributor.Behind(sharedFeed)
+		own, all := n.distributor.Summary()
+		f.Way, f.Streams, f.Behind, f.Oldest = "distributor", own.Poolers, all.Behind, all.Oldest
 	case n.subscriber.At() != "":
 		f.Way = "stream"
 	default:
--- a/internal/program/admin/admin.go
+++ b/internal/program/admin/admin.go
@@ -43,7 +43,8 @@
 	Poolers      int    // held to be alive, this one among them
 	Way          string // by which it hears of what all share: "gossip", "stream", "distributor", or "none" where it has no stream
 	Streams      int    // of a distributor: poolers that hang on it
-	Behind       int    // and of those, how many have an older version of the documents in force than it has
+	Behind       int    // of a distributor: of all poolers with a stream anywhere, how many have older documents in force than their distributor
+	Oldest       uint64 // and the oldest version in force among them
 }
 
 // List is how a front's list of servers stands.
@@ -170,7 +171,8 @@
 			b = admin.AppendFigure(b, "fleet_way", yes(fl.Way == way), admin.Label{Name: "way", Value: way})
 		}
 		b = admin.AppendFigure(b, "streams", uint64(fl.Streams))
-		b = admin.AppendFigure(b, "streams_behind", uint64(fl.Behind))
+		b = admin.AppendFigure(b, "fleet_behind", uint64(fl.Behind))
+		b = admin.AppendFigure(b, "fleet_oldest_version", fl.Oldest)
 		for _, t := range fl.Traffic {
 			kind := admin.Label{Name: "kind", Value: t.Kind}
 			in, out := admin.Label{Name: "way", Value: "in"}, admin.Label{Name: "way", Value: "out"}
