Log what a peer says that can't be once for each peer and fault

Cause: the reason that is logged once held versions and lengths, so that it was another one at each reconnect after a change ("a delta that does not follow", "tells of version"): ten lines in 24 calls. What a first choice refuses for, or answers with that is no frame of ours, was not logged at all where a pooler looked there again; a link's holds that can't be read neither. Change: the reason is the peer's name and the fault without its figures; the line keeps them. All calls' refusals go one way.

--- a/internal/fleet/distribution/distributor.go
+++ b/internal/fleet/distribution/distributor.go
@@ -167,7 +167,7 @@
 	s.out.put(nil) // wakes the writer, whose next write fails
 	<-written
 	if errors.Is(err, errFrame) || errors.Is(err, errLong) {
-		d.once(h.Name, err.Error())
+		d.once(h.Name+": "+fault(err).Error(), h.Name, err.Error())
 	}
 }
 
@@ -240,15 +240,15 @@
 	d.o.Count.Out(kindRefusal.String(), len(frame))
 	_, _ = c.Write(frame)
 	if !no.Full && no.Later == 0 {
-		d.once(name, no.Why)
+		d.once(no.Why, name, no.Why)
 	}
 }
 
 // once logs why a caller is refused, once for each reason.
-func (d *Distributor) once(name, why string) {
+func (d *Distributor) once(reason, name, why string) {
 	d.mu.Lock()
-	said := d.refused[why] || len(d.refused) >= 1024
-	d.refused[why] = true
+	said := d.refused[reason] || len(d.refused) >= 1024
+	d.refused[reason] = true
 	d.mu.Unlock()
 	if !said {
 		d.o.Log(fmt.Sprintf("distributor: %s is refused: %s", name, why))
@@ -272,9 +272,10 @@
 			err = d.casts(s, body)
 		case k == kindHolds && s.Distributor:
 			var h holds
-			if err = json.Unmarshal(body, &h); err == nil {
-				d.told(s.Name, h)
+			if err = json.Unmarshal(body, &h); err != nil {
+				return fmt.Errorf("%w: %w", errFrame, err)
 			}
+			d.told(s.Name, h)
 		default:
 			err = fmt.Errorf("%w: %s", errFrame, k)
 		}
@@ -484,7 +485,7 @@
 func (d *Distributor) link(p Place) {
 	for d.ctx.Err() == nil {
 		if err := d.linked(p); err != nil && d.ctx.Err() == nil {
-			d.once(p.Name, "link: "+err.Error())
+			d.once("link: "+err.Error(), p.Name, "link: "+err.Error())
 		}
 		pause(d.ctx, d.o.Beat)
 		d.mu.Lock()
--- a/internal/fleet/distribution/frame.go
+++ b/internal/fleet/distribution/frame.go
@@ -104,8 +104,22 @@
 var (
 	errFrame = errors.New("a frame that can't be read")
 	errLong  = errors.New("a frame over its bound")
+	// What a distributor alone can say that can't be.
+	errFollow = errors.New("a delta that does not follow")
+	errFeed   = errors.New("a feed that this pooler does not know")
+	errBehind = errors.New("it stays behind what this pooler has")
 )
 
+// fault is what about a peer can't be, without the versions and lengths that it comes with; err itself where it is none of these.
+func fault(err error) error {
+	for _, f := range []error{errFrame, errLong, errFollow, errFeed, errBehind} {
+		if errors.Is(err, f) {
+			return f
+		}
+	}
+	return err
+}
+
 // seal puts a frame in the form that it has on a connection.
 func seal(k kind, parts ...[]byte) []byte {
 	n := 1
@@ -193,7 +207,7 @@
 	if k == kindWhole {
 		var next shared.State
 		if err := json.Unmarshal(text, &next); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", errFrame, err)
 		}
 		if next.Version <= s.Version {
 			return nil, nil
@@ -202,14 +216,14 @@
 	}
 	var d shared.Delta
 	if err := json.Unmarshal(text, &d); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errFrame, err)
 	}
 	if d.Version <= s.Version {
 		return nil, nil
 	}
 	next, ok := d.On(s)
 	if !ok {
-		return nil, fmt.Errorf("a delta from version %d to %d does not follow %d", d.Since, d.Version, s.Version)
+		return nil, fmt.Errorf("%w: from version %d to %d, on %d", errFollow, d.Since, d.Version, s.Version)
 	}
 	return &next, nil
 }
--- a/internal/fleet/distribution/subscriber.go
+++ b/internal/fleet/distribution/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -117,7 +118,20 @@
 		s.o.Log(line)
 		return
 	}
-	s.once(line)
+	s.once(fmt.Sprintf("ended %s: %v", name, fault(why)), line)
+}
+
+// refused logs why a distributor does not take this pooler, if it is neither for want of room nor of the network.
+func (s *Subscriber) refused(p Place, err error) {
+	var no refused
+	switch {
+	case errors.As(err, &no):
+		if !no.Full && no.Later == 0 {
+			s.once("", fmt.Sprintf("distribution: %s refuses this pooler: %s", p.Name, no.Why))
+		}
+	case errors.Is(err, errFrame) || errors.Is(err, errLong):
+		s.once("answer "+p.Name, fmt.Sprintf("distribution: what %s answers a call is none: %v", p.Name, err))
+	}
 }
 
 // wait is from half of d up to one and a half of it, by the pooler's seed.
@@ -149,8 +163,9 @@
 			case errors.As(err, &no) && no.Full:
 				full = true
 			case errors.As(err, &no):
-				s.once(fmt.Sprintf("distribution: %s refuses this pooler: %s", p.Name, no.Why))
+				s.refused(p, err)
 			default:
+				s.refused(p, err)
 				s.mu.Lock()
 				s.lost[p.Name] = time.Now()
 				s.mu.Unlock()
@@ -233,11 +248,13 @@
 		if stream.Err() != nil {
 			return
 		}
-		if t, err := s.call(ctx, first, false); err == nil {
+		t, err := s.call(ctx, first, false)
+		if err == nil {
 			home <- t
 			_ = at.conn.Close()
 			return
 		}
+		s.refused(first, err)
 	}
 }
 
@@ -280,11 +297,6 @@
 	}
 }
 
-var (
-	errBehind = errors.New("it stays behind what this pooler has")
-	errFeed   = errors.New("a feed that this pooler does not know")
-)
-
 // read takes in what the distributor says, until the stream fails or says what can't be.
 func (s *Subscriber) read(t *taken) error {
 	behind := time.Time{} // since when the distributor has shown an older version than this pooler has
@@ -342,7 +354,7 @@
 			}
 			late = late || fw.Version < f.Copy.Version()
 			if fw.AsOf > 0 && !f.Copy.Confirm(fw.Version, shared.HeardAt(now, fw.AsOf, fw.Age)) {
-				s.once(fmt.Sprintf("distribution: %s tells of version %d, this copy is at %d already: if the stewards' log has begun anew, stop this pooler, empty shared.dir and start it",
+				s.once("foreign "+f.Name, fmt.Sprintf("distribution: %s tells of version %d, this copy is at %d already: if the stewards' log has begun anew, stop this pooler, empty shared.dir and start it",
 					f.Name, fw.Version, f.Copy.Version()))
 			}
 		}
@@ -370,11 +382,12 @@
 	return fmt.Errorf("%w: %s", errFeed, name)
 }
 
-// once logs a line once.
-func (s *Subscriber) once(line string) {
+// once logs a line once for each reason; "": the line itself.
+func (s *Subscriber) once(reason, line string) {
+	reason = cmp.Or(reason, line)
 	s.mu.Lock()
-	said := s.said[line] || len(s.said) >= 1024
-	s.said[line] = true
+	said := s.said[reason] || len(s.said) >= 1024
+	s.said[reason] = true
 	s.mu.Unlock()
 	if !said {
 		s.o.Log(line)
