Refuse a pooler's message that its distributor would end the stream for

Cause: Subscriber.Send and Cast took up to 4 MB, and a receiver of no name or a long one, where a distributor ends the stream at 128 KB or at a name that can't be read: a part that sent one again and again cost its pooler the stream each time. Change: fits has the bound that holds at the other end, names and lengths counted in.

--- a/internal/fleet/distribution/distributor.go
+++ b/internal/fleet/distribution/distributor.go
@@ -588,7 +588,7 @@
 
 // Send is documented with bus.Bus.
 func (d *Distributor) Send(ctx context.Context, to, topic string, body []byte) error {
-	if err := fits(topic, body); err != nil {
+	if err := fits(topic, body, mostBytes); err != nil {
 		return err
 	}
 	if !d.pass(to, d.o.Name, topic, slices.Clone(body), false) {
@@ -599,18 +599,19 @@
 
 // Cast is documented with bus.Bus.
 func (d *Distributor) Cast(topic string, body []byte) {
-	if err := fits(topic, body); err != nil {
+	if err := fits(topic, body, mostBytes); err != nil {
 		d.o.Log("distributor: " + err.Error())
 		return
 	}
 	d.spread(d.o.Name, topic, named(body, d.o.Name, topic), false)
 }
 
-func fits(topic string, body []byte) error {
+// fits refuses what the receiver would end the stream for.
+func fits(topic string, body []byte, most int) error {
 	switch {
 	case topic == "" || len(topic) > mostName:
 		return fmt.Errorf("a topic of %d bytes", len(topic))
-	case len(body) > mostBytes:
+	case len(body) > most:
 		return fmt.Errorf("%w: %d bytes on %s", errLong, len(body), topic)
 	}
 	return nil
--- a/internal/fleet/distribution/frame.go
+++ b/internal/fleet/distribution/frame.go
@@ -49,6 +49,8 @@
 	mostDown = 8 << 20
 	// mostName bounds names, regions, feeds and topics.
 	mostName = 128
+	// mostSent bounds the body of a message or cast of a pooler, so that its frame, with three names and their lengths, is within mostUp.
+	mostSent = mostUp - 3*(mostName+2) - 1
 	// grown is up to where a frame's bytes are allocated by its own word for its length; what is longer grows as it comes.
 	grown = 64 << 10
 )
--- a/internal/fleet/distribution/subscriber.go
+++ b/internal/fleet/distribution/subscriber.go
@@ -432,7 +432,7 @@
 
 // Send is documented with bus.Bus. What it returns tells of the stream to the distributor; to this pooler itself it goes without it.
 func (s *Subscriber) Send(ctx context.Context, to, topic string, body []byte) error {
-	if err := fits(topic, body); err != nil {
+	if err := fits(topic, body, mostSent); err != nil {
 		return err
 	}
 	if to == s.o.Name {
@@ -442,7 +442,7 @@
 	s.mu.Lock()
 	out := s.out
 	s.mu.Unlock()
-	if out == nil || !out.put(seal(kindMessage, named(body, to, s.o.Name, topic))) {
+	if out == nil || to == "" || len(to) > mostName || !out.put(seal(kindMessage, named(body, to, s.o.Name, topic))) {
 		return fmt.Errorf("%w: %s, without a distributor", bus.ErrUnknown, to)
 	}
 	return ctx.Err()
@@ -450,7 +450,7 @@
 
 // Cast is documented with bus.Bus.
 func (s *Subscriber) Cast(topic string, body []byte) {
-	if err := fits(topic, body); err != nil {
+	if err := fits(topic, body, mostSent); err != nil {
 		s.o.Log("distribution: " + err.Error())
 		return
 	}
