Bound the wait for a member's news to be passed on, and tell it again

Ruled out: the counting transport and the hollow pooler's loop (both idle in the dump). The wait is bounded by 2 s and the news is told again, no more often than before (200 ms times the fleet's size).

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -64,6 +64,7 @@
 	leaveFor     = 200 * time.Millisecond
 	metaEvery    = 2 * time.Second        // looks for news of the member's own versions
 	metaEach     = 200 * time.Millisecond // times the fleet's size: between two of those, each of which all pass on to all
+	tellWithin   = 2 * time.Second        // the news is told again if it was not passed on in it
 	repeats      = 3                      // times log10 of the fleet: how often a word is passed on
 )
 
@@ -237,8 +238,11 @@
 				p.news, told = false, time.Now()
 			}
 			p.mu.Unlock()
-			if due {
-				_ = p.list.UpdateNode(0)
+			// memberlist may take the news without ever telling that it has passed it on: where it defends this member's life meanwhile.
+			if due && p.list.UpdateNode(tellWithin) != nil {
+				p.mu.Lock()
+				p.news = true
+				p.mu.Unlock()
 			}
 		}
 	}
