--- /dev/null
+++ b/internal/program/hollow_test.go
@@ -0,0 +1,64 @@
+package program
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"threadsail/internal/config"
+	"threadsail/internal/fleet/duty"
+	"threadsail/internal/fleet/lease"
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/program/admin"
+)
+
+// alone is a fleet of one, which gives the duty to whoever asks.
+type alone struct {
+	Fleet
+	told, closed chan struct{}
+}
+
+func (a alone) Acquire(done func(lease.Grant, bool, error)) {
+	go done(lease.Grant{Token: 1, Holder: "n1", Term: 300 * time.Millisecond}, true, nil)
+}
+func (a alone) Tell(_ duty.Word, _ time.Duration, done func(bool)) {
+	select {
+	case a.told <- struct{}{}:
+	default:
+	}
+	go done(true)
+}
+func (alone) Release()                       {}
+func (alone) Report(string, int)             {}
+func (alone) Show(duty.Word, string, string) {}
+func (alone) Fetch(duty.Word)                {}
+func (a alone) Figures() admin.Fleet         { return admin.Fleet{Version: 7} }
+func (a alone) Close()                       { close(a.closed) }
+func (alone) TellFound(_ uint64, _ int, _ string, _, _ time.Duration, done func(bool)) {
+	go done(true)
+}
+
+// A hollow pooler takes the list duty, brings the list, hands it on, and ends, though its watch is open.
+func TestHollow(t *testing.T) {
+	f := standin.NewFleet(t, false, nil, "db1", "db2")
+	cfg, err := config.Load(f.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := alone{told: make(chan struct{}, 1), closed: make(chan struct{})}
+	h, err := OpenHollow(cfg, &FleetPart{Config: &config.Fleet{Name: "n1", Term: 300 * time.Millisecond, Drift: 10 * time.Millisecond, Bound: time.Hour, SharedAddresses: true},
+		Open: func(FleetEvents) (Fleet, error) { return a, nil }}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-a.told
+	if h.Figures().Version != 7 {
+		t.Errorf("figures %+v", h.Figures())
+	}
+	for f.Discovery.Watches() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.Close()
+	<-a.closed
+}
