Add threadlab scale: what one more pooler costs its fleet

Some real poolers and many hollow ones in a few processes, one core each; traffic by role and kind of message, processor time, memory, descriptors, over joins, rest, changes, restarts and losses.

--- a/cmd/threadlab/main.go
+++ b/cmd/threadlab/main.go
@@ -35,6 +35,8 @@
 	Fleet         fleetCmd         `cmd:"" help:"Start many poolers among stand-in servers, put a scenario's faults between them, and judge what came of it."`
 	Capacity      capacityCmd      `cmd:"" help:"Print what a fleet of the size that is coming takes, by what was recorded, or write it into the page."`
 	ScalePooler   scalePoolerCmd   `cmd:"" help:"Measure what one pooler costs for each client, server, group and statement; it decides nothing."`
+	Scale         scaleCmd         `cmd:"" help:"Measure what one more pooler costs its fleet: a few real poolers and many hollow ones."`
+	ScaleHollow   scaleHollowCmd   `cmd:"" hidden:"" help:"Run hollow poolers as the laboratory asks on standard input."`
 	Pooler        poolerCmd        `cmd:"" hidden:"" help:"Run the pooler; its front's address is the first line of its output."`
 }
 
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -12,42 +12,51 @@
 	"threadsail/internal/lab/standin"
 )
 
-// Where a laboratory's poolers speak with each other: each on a loopback address of its own, at ports that no outgoing
-// connection can take, in a block of addresses that no other laboratory of this machine has.
+// Ports at which a laboratory's poolers speak with each other: none that an outgoing connection can take.
 const (
-	gossipPort  = 7946
-	stewardPort = 7950
-	streamPort  = 7952
-	firstBlock  = 64
-	blocks      = 128
-	aBlock      = 250 // addresses of a third octet
+	GossipPort  = 7946
+	StewardPort = 7950
+	StreamPort  = 7952
 )
 
-var laboratories atomic.Int32
+const (
+	firstBlock = 64
+	blocks     = 128
+	aBlock     = 250 // addresses of a third octet
+)
 
-// peerNet is the links between poolers; the zero peerNet has none.
-type peerNet struct {
-	block   int
-	links   map[[2]int][]*relay.Link // from pooler i to pooler j
-	claimed net.Listener             // holds the block
-	files   []map[string]any         // of the fleet, by pooler
-}
+var laboratories atomic.Int32
 
-func (n *peerNet) addr(i, port int) string {
-	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", n.block, 1+i/aBlock, 1+i%aBlock), fmt.Sprint(port))
+// Block is loopback addresses, one for each pooler, that no other laboratory of this machine has.
+type Block struct {
+	octet   int
+	claimed net.Listener
 }
 
-// claim takes a block of addresses.
-func (n *peerNet) claim(h standin.Host) {
+// ClaimBlock takes a block of addresses until the host's end.
+func ClaimBlock(h standin.Host) (b Block) {
 	var err error
 	for range blocks {
-		n.block = firstBlock + (os.Getpid()+int(laboratories.Add(1)))%blocks
-		if n.claimed, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n.block, gossipPort)); err == nil {
-			h.Cleanup(func() { _ = n.claimed.Close() })
-			return
+		b.octet = firstBlock + (os.Getpid()+int(laboratories.Add(1)))%blocks
+		if b.claimed, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", b.octet, GossipPort)); err == nil {
+			h.Cleanup(func() { _ = b.claimed.Close() })
+			return b
 		}
 	}
 	h.Fatal(err)
+	return b
+}
+
+// Addr is pooler i's address, with a port.
+func (b Block) Addr(i, port int) string {
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", b.octet, 1+i/aBlock, 1+i%aBlock), fmt.Sprint(port))
+}
+
+// peerNet is the links between poolers; the zero peerNet has none.
+type peerNet struct {
+	block Block
+	links map[[2]int][]*relay.Link // from pooler i to pooler j
+	files []map[string]any         // of the fleet, by pooler
 }
 
 // join writes each member's file of the fleet, with a relay on each link to another if the scenario wants them.
@@ -56,11 +65,11 @@
 	if fleet.Stewards == 0 {
 		return
 	}
-	n.claim(h)
+	n.block = ClaimBlock(h)
 	n.links = map[[2]int][]*relay.Link{}
 	name := func(i int) string { return fmt.Sprint("n", i+1) }
 	to := func(i, j, port int) string {
-		addr := n.addr(j, port)
+		addr := n.block.Addr(j, port)
 		if i == j || !fleet.Relays {
 			return addr
 		}
@@ -84,27 +93,27 @@
 		gossips := fleet.Distributors == 0 || i < fleet.Distributors
 		for j := range members {
 			if j < fleet.Distributors {
-				streams.Distributors = append(streams.Distributors, config.Distributor{Name: name(j), Addr: to(i, j, streamPort), Region: region(j)})
+				streams.Distributors = append(streams.Distributors, config.Distributor{Name: name(j), Addr: to(i, j, StreamPort), Region: region(j)})
 			}
 			if j < fleet.Stewards {
-				stewards = append(stewards, config.Peer{Name: name(j), Addr: to(i, j, stewardPort)})
+				stewards = append(stewards, config.Peer{Name: name(j), Addr: to(i, j, StewardPort)})
 			}
 			if i != j && gossips && (fleet.Relays && (fleet.Distributors == 0 || j < fleet.Distributors) || j < fleet.Stewards) {
-				peers = append(peers, config.Peer{Name: name(j), Addr: to(i, j, gossipPort)})
+				peers = append(peers, config.Peer{Name: name(j), Addr: to(i, j, GossipPort)})
 			}
 		}
-		file := map[string]any{"enabled": true, "name": name(i), "listen": n.addr(i, gossipPort), "peers": peers, "stewards": stewards,
+		file := map[string]any{"enabled": true, "name": name(i), "listen": n.block.Addr(i, GossipPort), "peers": peers, "stewards": stewards,
 			"term_ms": fleet.Term.Milliseconds(), "drift_ms": fleet.DriftOf().Milliseconds(), "election_ms": fleet.ElectionOf().Milliseconds(),
 			"shared_addresses": fleet.SharedAddresses, "least_build": fleet.LeastBuild, "journal": map[string]any{"file": n.journal(m)},
 			"shared": config.SharedPart{Dir: filepath.Join(m.Dir(), "shared")}}
 		if fleet.Distributors > 0 {
 			if streams.Region = region(i); gossips {
-				streams.Listen = n.addr(i, streamPort)
+				streams.Listen = n.block.Addr(i, StreamPort)
 			}
 			file["distribution"] = streams
 		}
 		if i < fleet.Stewards {
-			file["steward"] = config.StewardPart{Listen: n.addr(i, stewardPort), Dir: filepath.Join(m.Dir(), "steward")}
+			file["steward"] = config.StewardPart{Listen: n.block.Addr(i, StewardPort), Dir: filepath.Join(m.Dir(), "steward")}
 		}
 		if fleet.Verdicts {
 			file["verdicts"] = map[string]any{"enabled": true}
