--- a/cmd/threadlab/scale.go
+++ b/cmd/threadlab/scale.go
@@ -29,6 +29,7 @@
 	Phases    []string      `help:"Play only these (rest, change, changes60, restart, loss5), behind the join."`
 	Binary    string        `default:"bin/threadsail-fleet" help:"The pooler to run."`
 	JSON      string        `help:"Write the report as JSON to this file."`
+	Plot      string        `help:"Draw bytes a second by size into this PNG file."`
 	Record    string        `help:"Keep the run in this folder, as docs/capacity/runs does; needs --name."`
 	Name      string        `help:"Name of the kept run."`
 	Note      string        `help:"What else there is to say of the kept run."`
@@ -84,6 +85,11 @@
 			return err
 		}
 	}
+	if c.Plot != "" {
+		if err := drawScale(rep.Rows, "what one pooler sends, by "+c.Mechanism, c.Plot); err != nil {
+			return err
+		}
+	}
 	if c.Record != "" && len(rep.Rows) > 0 {
 		if err := c.keep(rep, time.Since(began)); err != nil {
 			return err
@@ -101,10 +107,24 @@
 	if c.Note != "" {
 		notes = append([]string{c.Note}, notes...)
 	}
-	return capacity.Run{Name: c.Name, Command: "threadlab " + strings.Join(os.Args[1:], " "), Commit: commit(), Machine: machine(), Date: time.Now().Format(time.DateOnly),
+	return capacity.Run{Name: c.Name, Command: c.command(), Commit: commit(), Machine: machine(), Date: time.Now().Format(time.DateOnly),
 		Note: strings.Join(notes, " "), Rows: rep.Rows}.Save(c.Record)
 }
 
+// command is how the run can be had again, wherever its files lie.
+func (c *scaleCmd) command() string {
+	sizes := make([]string, len(c.Sizes))
+	for i, n := range c.Sizes {
+		sizes[i] = fmt.Sprint(n)
+	}
+	out := fmt.Sprintf("threadlab scale --mechanism %s --sizes %s --plays %d --real %d --children %d --window %v --settle %v --join-most %v --fill %d", c.Mechanism, strings.Join(sizes, ","),
+		c.Plays, c.Real, c.Children, c.Window, c.Settle, c.JoinMost, c.Fill)
+	if len(c.Phases) > 0 {
+		out += " --phases " + strings.Join(c.Phases, ",")
+	}
+	return out
+}
+
 // commit is that of this program's build, with "+dirty" if files differed from it; "unknown" outside of a repository.
 func commit() string {
 	info, ok := debug.ReadBuildInfo()
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -43,16 +43,17 @@
 var Phases = []string{Join, Rest, Change, Changes60, Restart, Loss5}
 
 const (
-	changeEvery  = 21600 * time.Millisecond
-	restartEvery = 18 * time.Second
-	lossShare    = 0.05
-	stewards     = 3
-	term         = 3 * time.Second
-	forceGrace   = 10 * time.Second // for the last change of a phase to come into force everywhere
-	knowEvery    = time.Second      // looks who knows all
-	putFor       = 5 * time.Second
-	mostSize     = 5000
-	memoryShare  = 0.5 // of the machine's, for all that runs
+	changeEvery   = 21600 * time.Millisecond
+	restartEvery  = 18 * time.Second
+	lossShare     = 0.05
+	stewards      = 3
+	term          = 3 * time.Second
+	forceGrace    = 10 * time.Second // for the last change of a phase to come into force everywhere
+	knowEvery     = time.Second      // looks who knows all
+	putFor        = 5 * time.Second
+	mostSize      = 5000
+	mostProcesses = 290
+	memoryShare   = 0.5 // of the machine's, for all that runs
 )
 
 // Options of a run.
@@ -110,6 +111,9 @@
 	if o.Mechanism != Gossip {
 		return rep, fmt.Errorf("mechanism %q is not known", o.Mechanism)
 	}
+	if o.Plays < 1 || o.Children < 1 || o.Real < 0 || o.Real > 0 && o.Real < stewards || o.Real+o.Children > mostProcesses {
+		return rep, fmt.Errorf("%d plays, %d real poolers (none, or %d at the least), %d processes of hollow ones: not above 0, or more than %d processes", o.Plays, o.Real, stewards, o.Children, mostProcesses)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.Most)
 	defer cancel()
 	if o.Stop != nil {
