--- a/cmd/threadlab/scale.go
+++ b/cmd/threadlab/scale.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -22,7 +23,7 @@
 	Real      int           `default:"12" help:"How many of them are processes of the pooler, the stewards first; 0: the stewards are hollow too."`
 	Children  int           `default:"2" help:"Processes of hollow poolers, of one core each, and one more for those that are killed."`
 	Window    time.Duration `default:"65s" help:"How long each phase is measured; whole views are exchanged in bursts each 10 s."`
-	Settle    time.Duration `default:"15s" help:"Pause between the join and the first phase."`
+	Settle    time.Duration `default:"15s" help:"Pause between the join and the first phase, and 0.25 s for each pooler: they tell their news by then."`
 	JoinMost  time.Duration `default:"90s" help:"A fleet that does not know itself whole by then is measured as it is."`
 	Most      time.Duration `default:"40m" help:"The run ends after it, with the plays that are whole."`
 	Fill      int           `default:"200" help:"Bytes of a changed document."`
@@ -32,6 +33,7 @@
 	Plot      string        `help:"Draw bytes a second by size into this PNG file."`
 	Record    string        `help:"Keep the run in this folder, as docs/capacity/runs does; needs --name."`
 	Name      string        `help:"Name of the kept run."`
+	Commit    string        `help:"Commit of the kept run; otherwise what this build knows."`
 	Note      string        `help:"What else there is to say of the kept run."`
 }
 
@@ -107,7 +109,7 @@
 	if c.Note != "" {
 		notes = append([]string{c.Note}, notes...)
 	}
-	return capacity.Run{Name: c.Name, Command: c.command(), Commit: commit(), Machine: machine(), Date: time.Now().Format(time.DateOnly),
+	return capacity.Run{Name: c.Name, Command: c.command(), Commit: cmp.Or(c.Commit, commit()), Machine: machine(), Date: time.Now().Format(time.DateOnly),
 		Note: strings.Join(notes, " "), Rows: rep.Rows}.Save(c.Record)
 }
 
--- a/internal/lab/scale/phases.go
+++ b/internal/lab/scale/phases.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	p.say("settling")
-	if !pause(p.stop, p.Settle) {
+	if !pause(p.stop, p.Settle+time.Duration(p.size)*settleEach) {
 		return errStopped
 	}
 	for _, phase := range []struct {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -48,8 +48,9 @@
 	lossShare     = 0.05
 	stewards      = 3
 	term          = 3 * time.Second
-	forceGrace    = 10 * time.Second // for the last change of a phase to come into force everywhere
-	knowEvery     = time.Second      // looks who knows all
+	settleEach    = 250 * time.Millisecond // a member tells its news no more often than 200 ms times the fleet: those of the join are no rest
+	forceGrace    = 10 * time.Second       // for the last change of a phase to come into force everywhere
+	knowEvery     = time.Second            // looks who knows all
 	putFor        = 5 * time.Second
 	mostSize      = 5000
 	mostProcesses = 290
@@ -64,7 +65,7 @@
 	Real      int   // processes of the pooler itself, the first of which are the stewards; 0: hollow ones are
 	Children  int   // processes of hollow poolers, of one core each, besides the one of those that are killed
 	Window    time.Duration
-	Settle    time.Duration // from when all know all to the first phase
+	Settle    time.Duration // from when all know all to the first phase, and settleEach for each pooler
 	JoinMost  time.Duration // a fleet that does not know itself after it is measured all the same
 	Most      time.Duration // the run ends after it, with what it has measured
 	Fill      int           // bytes of a changed document's value, about
