--- a/cmd/threadlab/scale.go
+++ b/cmd/threadlab/scale.go
@@ -17,24 +17,25 @@
 )
 
 type scaleCmd struct {
-	Mechanism string        `enum:"gossip" default:"gossip" help:"How what all share reaches all: gossip."`
-	Sizes     []int         `default:"50,100,200,400" help:"Poolers at once, real and hollow together, up to 5000 where it fits."`
-	Plays     int           `default:"3" help:"Plays at each size; the table and the record hold least, median and most of them."`
-	Real      int           `default:"12" help:"How many of them are processes of the pooler, the stewards first; 0: the stewards are hollow too."`
-	Children  int           `default:"2" help:"Processes of hollow poolers, of one core each, and one more for those that are killed."`
-	Window    time.Duration `default:"65s" help:"How long each phase is measured; whole views are exchanged in bursts each 10 s."`
-	Settle    time.Duration `default:"15s" help:"Pause between the join and the first phase, and 0.25 s for each pooler: they tell their news by then."`
-	JoinMost  time.Duration `default:"90s" help:"A fleet that does not know itself whole by then is measured as it is."`
-	Most      time.Duration `default:"40m" help:"The run ends after it, with the plays that are whole."`
-	Fill      int           `default:"200" help:"Bytes of a changed document."`
-	Phases    []string      `help:"Play only these (rest, change, changes60, restart, loss5), behind the join."`
-	Binary    string        `default:"bin/threadsail-fleet" help:"The pooler to run."`
-	JSON      string        `help:"Write the report as JSON to this file."`
-	Plot      string        `help:"Draw bytes a second by size into this PNG file."`
-	Record    string        `help:"Keep the run in this folder, as docs/capacity/runs does; needs --name."`
-	Name      string        `help:"Name of the kept run."`
-	Commit    string        `help:"Commit of the kept run; otherwise what this build knows."`
-	Note      string        `help:"What else there is to say of the kept run."`
+	Mechanism    string        `enum:"gossip,distribution" default:"gossip" help:"How what all share reaches all: gossip, or distribution."`
+	Distributors int           `default:"6" help:"Of distribution: the first so many poolers, the three stewards among them."`
+	Sizes        []int         `default:"50,100,200,400" help:"Poolers at once, real and hollow together, up to 5000 where it fits."`
+	Plays        int           `default:"3" help:"Plays at each size; the table and the record hold least, median and most of them."`
+	Real         int           `default:"12" help:"How many of them are processes of the pooler, the stewards first; 0: the stewards are hollow too."`
+	Children     int           `default:"2" help:"Processes of hollow poolers, of one core each, and one more for those that are killed."`
+	Window       time.Duration `default:"65s" help:"How long each phase is measured; whole views are exchanged in bursts each 10 s."`
+	Settle       time.Duration `default:"15s" help:"Pause between the join and the first phase, and 0.25 s for each pooler: they tell their news by then."`
+	JoinMost     time.Duration `default:"90s" help:"A fleet that does not know itself whole by then is measured as it is."`
+	Most         time.Duration `default:"40m" help:"The run ends after it, with the plays that are whole."`
+	Fill         int           `default:"200" help:"Bytes of a changed document."`
+	Phases       []string      `help:"Play only these (rest, change, changes60, restart, loss5), behind the join."`
+	Binary       string        `default:"bin/threadsail-fleet" help:"The pooler to run."`
+	JSON         string        `help:"Write the report as JSON to this file."`
+	Plot         string        `help:"Draw bytes a second by size into this PNG file."`
+	Record       string        `help:"Keep the run in this folder, as docs/capacity/runs does; needs --name."`
+	Name         string        `help:"Name of the kept run."`
+	Commit       string        `help:"Commit of the kept run; otherwise what this build knows."`
+	Note         string        `help:"What else there is to say of the kept run."`
 }
 
 func (c *scaleCmd) Run() error {
@@ -68,7 +69,7 @@
 	var rep scale.Report
 	var failed error
 	if err := run(func(b *bench) {
-		rep, failed = scale.Run(b, scale.Options{Mechanism: c.Mechanism, Sizes: c.Sizes, Plays: c.Plays, Real: c.Real, Children: c.Children, Window: c.Window, Settle: c.Settle,
+		rep, failed = scale.Run(b, scale.Options{Mechanism: c.Mechanism, Distributors: c.Distributors, Sizes: c.Sizes, Plays: c.Plays, Real: c.Real, Children: c.Children, Window: c.Window, Settle: c.Settle,
 			JoinMost: c.JoinMost, Most: c.Most, Fill: c.Fill, Phases: c.Phases, Pooler: start(c.Binary, "serve"), Hollow: start(self, "scale-hollow"),
 			Progress: func(line string) { fmt.Println(line) }, Stop: stop})
 	}); err != nil {
@@ -121,6 +122,9 @@
 	}
 	out := fmt.Sprintf("threadlab scale --mechanism %s --sizes %s --plays %d --real %d --children %d --window %v --settle %v --join-most %v --fill %d", c.Mechanism, strings.Join(sizes, ","),
 		c.Plays, c.Real, c.Children, c.Window, c.Settle, c.JoinMost, c.Fill)
+	if c.Mechanism == scale.Distribution {
+		out += fmt.Sprintf(" --distributors %d", c.Distributors)
+	}
 	if len(c.Phases) > 0 {
 		out += " --phases " + strings.Join(c.Phases, ",")
 	}
--- a/internal/lab/scale/account.go
+++ b/internal/lab/scale/account.go
@@ -56,15 +56,17 @@
 	for name, a := range after.poolers {
 		gone[name] = since(before.poolers[name].traffic, a.traffic)
 	}
-	leader, holder := most(gone, "shared/word"), most(gone, "duty/word")
+	leader, holder := most(gone, "shared/word"), cmp.Or(most(gone, "duty/word"), most(gone, "lists/word"))
 	role := func(name string) string {
 		switch {
 		case name == leader:
 			return "leader"
 		case name == holder:
 			return "holder"
-		case p.steward(name):
+		case p.among(stewards, name):
 			return "steward"
+		case p.among(p.Distributors, name):
+			return "distributor"
 		}
 		return "pooler"
 	}
@@ -147,8 +149,9 @@
 	}
 }
 
-func (p *play) steward(who string) bool {
-	for i := range stewards {
+// among tells whether a pooler is one of the first n.
+func (p *play) among(n int, who string) bool {
+	for i := range n {
 		if name(i) == who {
 			return true
 		}
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -91,7 +91,7 @@
 		}
 	case doKnow:
 		for name, p := range w.poolers {
-			known := len(p.own.Bus.Members())
+			known := p.own.Bus.Size()
 			if out.Known += known; known >= a.Members {
 				out.Knowing = append(out.Knowing, name)
 			}
--- a/internal/lab/scale/phases.go
+++ b/internal/lab/scale/phases.go
@@ -62,7 +62,11 @@
 		return err
 	}
 	p.say("settling")
-	if !pause(p.stop, p.Settle+time.Duration(p.size)*settleEach) {
+	settle := p.Settle
+	if p.Mechanism == Gossip {
+		settle += time.Duration(p.size) * settleEach
+	}
+	if !pause(p.stop, settle) {
 		return errStopped
 	}
 	for _, phase := range []struct {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -26,8 +26,11 @@
 	"threadsail/internal/lab/standin"
 )
 
-// Gossip is the mechanism by which all reach all through membership's packets.
-const Gossip = "gossip"
+// The mechanisms by which what all share reaches all.
+const (
+	Gossip       = "gossip"       // membership's packets, from each to each
+	Distribution = "distribution" // a stream from each to one of some distributors
+)
 
 // The phases of a play, in their order.
 const (
@@ -47,6 +50,7 @@
 	restartEvery  = 18 * time.Second
 	lossShare     = 0.05
 	stewards      = 3
+	regions       = 3 // of distributors and their poolers
 	term          = 3 * time.Second
 	settleEach    = 250 * time.Millisecond // a member tells its news no more often than 200 ms times the fleet: those of the join are no rest
 	forceGrace    = 10 * time.Second       // for the last change of a phase to come into force everywhere
@@ -60,20 +64,22 @@
 // Options of a run.
 type Options struct {
 	Mechanism string
-	Sizes     []int // poolers, real and hollow together, rising
-	Plays     int   // at each size
-	Real      int   // processes of the pooler itself, the first of which are the stewards; 0: hollow ones are
-	Children  int   // processes of hollow poolers, of one core each, besides the one of those that are killed
-	Window    time.Duration
-	Settle    time.Duration // from when all know all to the first phase, and settleEach for each pooler
-	JoinMost  time.Duration // a fleet that does not know itself after it is measured all the same
-	Most      time.Duration // the run ends after it, with what it has measured
-	Fill      int           // bytes of a changed document's value, about
-	Phases    []string      // Join is always played; empty: all
-	Pooler    func() *exec.Cmd
-	Hollow    func() *exec.Cmd // a process that runs Hollow on its standard input and output
-	Progress  func(line string)
-	Stop      <-chan struct{} // closed: the run ends, with the plays that are whole
+	// Distributors: of Distribution, the first so many poolers; the stewards are among them.
+	Distributors int
+	Sizes        []int // poolers, real and hollow together, rising
+	Plays        int   // at each size
+	Real         int   // processes of the pooler itself, the first of which are the stewards; 0: hollow ones are
+	Children     int   // processes of hollow poolers, of one core each, besides the one of those that are killed
+	Window       time.Duration
+	Settle       time.Duration // from when all know all to the first phase, and settleEach for each pooler
+	JoinMost     time.Duration // a fleet that does not know itself after it is measured all the same
+	Most         time.Duration // the run ends after it, with what it has measured
+	Fill         int           // bytes of a changed document's value, about
+	Phases       []string      // Join is always played; empty: all
+	Pooler       func() *exec.Cmd
+	Hollow       func() *exec.Cmd // a process that runs Hollow on its standard input and output
+	Progress     func(line string)
+	Stop         <-chan struct{} // closed: the run ends, with the plays that are whole
 }
 
 // Report is what a run measured.
@@ -109,7 +115,16 @@
 // Run measures all sizes. What it has started has ended when it returns, whatever it returns.
 func Run(h standin.Host, o Options) (Report, error) {
 	var rep Report
-	if o.Mechanism != Gossip {
+	growth := 2. // a pooler holds a view of all, so that their memory together may grow with the square of the size
+	switch o.Mechanism {
+	case Gossip:
+		o.Distributors = 0
+	case Distribution:
+		growth = 1
+		if o.Distributors < stewards {
+			return rep, fmt.Errorf("%d distributors, %d at the least", o.Distributors, stewards)
+		}
+	default:
 		return rep, fmt.Errorf("mechanism %q is not known", o.Mechanism)
 	}
 	if o.Plays < 1 || o.Children < 1 || o.Real < 0 || o.Real > 0 && o.Real < stewards || o.Real+o.Children > mostProcesses {
@@ -132,11 +147,10 @@
 	}
 	var took, before float64 // memory of hollow poolers at the size before, and that size
 	for _, size := range o.Sizes {
-		if size > mostSize || size < o.Real+1 || size < stewards {
-			return rep, fmt.Errorf("size %d: not from %d to %d", size, max(o.Real+1, stewards), mostSize)
+		if size > mostSize || size < o.Real+1 || size < max(stewards, o.Distributors) {
+			return rep, fmt.Errorf("size %d: not from %d to %d", size, max(o.Real+1, stewards, o.Distributors), mostSize)
 		}
-		// A pooler holds a view of all, so that their memory together may grow with the square of the size.
-		want := took * math.Pow(float64(size)/max(before, 1), 2)
+		want := took * math.Pow(float64(size)/max(before, 1), growth)
 		if _, free, err := memory(); err != nil || want > memoryShare*float64(total) || want > float64(free) {
 			rep.note(o, "size %d is refused: %.1f GB may be needed by what %0.f took; half of the machine's is %.1f, %.1f are free", size, want/(1<<30), before, memoryShare*float64(total)/(1<<30), float64(free)/(1<<30))
 			break
@@ -193,6 +207,17 @@
 	file := map[string]any{"enabled": true, "name": name(i), "listen": p.block.Addr(i, lab.GossipPort), "peers": peers, "stewards": founders,
 		"term_ms": term.Milliseconds(), "shared_addresses": true, "journal": map[string]any{"file": filepath.Join(dir, "acts")},
 		"shared": config.SharedPart{Dir: filepath.Join(dir, "shared")}}
+	if p.Mechanism == Distribution {
+		region := func(i int) string { return fmt.Sprint("region", i%regions) }
+		d := config.DistributionPart{Region: region(i)}
+		for j := range p.Distributors {
+			d.Distributors = append(d.Distributors, config.Distributor{Name: name(j), Addr: p.block.Addr(j, lab.StreamPort), Region: region(j)})
+		}
+		if i < p.Distributors {
+			d.Listen = p.block.Addr(i, lab.StreamPort)
+		}
+		file["distribution"] = d
+	}
 	if i < stewards {
 		file["steward"] = config.StewardPart{Listen: p.block.Addr(i, lab.StewardPort), Dir: filepath.Join(dir, "steward")}
 	}
