Let the laboratory cut poolers off one way, and wipe a distributor's copy

The laboratory's black holes between poolers took both ways, and a restart kept the disk: a distributor that is not heard, that hears nothing, or that starts with nothing could not be played. A steward can't be wiped: what it has voted must not be forgotten, the scenario is refused. The report has the times of list calls by pooler.

Relay, schedule and scenario tests pass; the relay's new test sees each way pass or be lost on a connection that was open before.

--- a/internal/config/scenario.go
+++ b/internal/config/scenario.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 
 	"threadsail/internal/lab/faults"
@@ -310,6 +311,8 @@
 			return s, at[i], fmt.Errorf("steps[%d].poolers: holder: the poolers have no stewards", i)
 		case dealer && (s.Fleet.Stewards == 0 || len(s.Fleet.Limits.List) == 0):
 			return s, at[i], fmt.Errorf("steps[%d].poolers: dealer: the poolers have no limits", i)
+		case act == faults.Wipe && slices.ContainsFunc(poolers, func(i int) bool { return i < s.Fleet.Stewards }):
+			return s, at[i], fmt.Errorf("steps[%d].poolers: wipe: the first %d are stewards, which must not forget what they have said", i, s.Fleet.Stewards)
 		case act.OnPurges() && s.Fleet.Purges.Sites == 0:
 			return s, at[i], fmt.Errorf("steps[%d].act: %s needs fleet.purges", i, act)
 		case act == faults.Reshard && s.Fleet.Shards.Keys == 0:
--- a/internal/lab/act.go
+++ b/internal/lab/act.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"syscall"
 	"time"
 
@@ -93,6 +94,16 @@
 				<-exited
 			}
 		})
+	case faults.Wipe:
+		each(func(p *pooler) {
+			p.goOut()
+			if exited := p.signal(syscall.SIGKILL); exited != nil {
+				<-exited
+			}
+			if err := os.RemoveAll(r.peers.copyDir(r.members[p.i])); err != nil {
+				r.fail(err.Error())
+			}
+		})
 	case faults.Stop:
 		each(func(p *pooler) { p.goOut(); p.signal(syscall.SIGSTOP) })
 	case faults.Cont:
@@ -157,6 +168,8 @@
 		r.peers.set(step.Poolers, relay.Fault{Drop: true}, false)
 	case faults.Lag:
 		r.peers.set(step.Poolers, relay.Fault{Delay: step.Delay, Jitter: step.Jitter}, true)
+	case faults.Mute, faults.Deaf:
+		r.peers.oneWay(step.Poolers, step.Act == faults.Mute)
 	case faults.Rejoin:
 		r.peers.set(step.Poolers, relay.Fault{}, true)
 	case faults.Replace:
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -46,6 +46,9 @@
 	Boot    Act = "boot"    // those machines are there again, and their processes started
 	Isolate Act = "isolate" // links between the poolers and all other poolers, stewards among them, drop all; For: rejoined after it
 	Lag     Act = "lag"     // links of the poolers to all other poolers hold each piece back by Delay, up to Jitter more; For: rejoined after it
+	Mute    Act = "mute"    // what the poolers say to all other poolers is lost, what these say arrives; For: rejoined after it
+	Deaf    Act = "deaf"    // what all other poolers say to them is lost, what they say arrives; For: rejoined after it
+	Wipe    Act = "wipe"    // SIGKILL the poolers, and their disks lose the fleet's copy; For: restarted after it
 	Rejoin  Act = "rejoin"  // those links pass all again
 	Move    Act = "move"    // the poolers get a new list service, named in their configuration, and a SIGHUP
 	Closes  Act = "closes"  // the poolers' files get a newer plan, by which all sites close Delay from now, and a SIGHUP
@@ -53,11 +56,11 @@
 	Order   Act = "order"   // the poolers' files get an order to purge all sites, and a SIGHUP
 )
 
-var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Drain, Ready, Full, Room, Machine, Boot, Isolate, Lag, Rejoin, Move, Closes, Order, Reshard}
+var acts = []Act{Kill, Stop, Cont, Term, Restart, Hup, Retune, NoList, Lists, Cut, OneWay, Delay, Reset, Heal, Down, Up, Err, Right, Promote, Replace, Drain, Ready, Full, Room, Machine, Boot, Isolate, Lag, Mute, Deaf, Wipe, Rejoin, Move, Closes, Order, Reshard}
 
 // undo is the step that ends a fault of some length.
 var undo = map[Act]Act{Kill: Restart, Term: Restart, Stop: Cont, Cut: Heal, OneWay: Heal, Delay: Heal, Reset: Heal, Down: Up, Err: Right, Drain: Ready,
-	Full: Room, Machine: Boot, Isolate: Rejoin, Lag: Rejoin, NoList: Lists}
+	Full: Room, Machine: Boot, Isolate: Rejoin, Lag: Rejoin, Mute: Rejoin, Deaf: Rejoin, Wipe: Restart, NoList: Lists}
 
 // Undo is the act that ends a fault of some length; empty: it has none.
 func (a Act) Undo() Act { return undo[a] }
@@ -73,7 +76,9 @@
 }
 
 // OnPeers tells whether the act is on links between poolers.
-func (a Act) OnPeers() bool { return a == Isolate || a == Lag || a == Rejoin }
+func (a Act) OnPeers() bool {
+	return a == Isolate || a == Lag || a == Mute || a == Deaf || a == Rejoin
+}
 
 // OnPurges tells whether the act is on the operators' files of purges.
 func (a Act) OnPurges() bool { return a == Closes || a == Order }
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 
 	"threadsail/internal/config"
@@ -105,7 +106,7 @@
 		file := map[string]any{"enabled": true, "name": name(i), "listen": n.block.Addr(i, GossipPort), "peers": peers, "stewards": stewards,
 			"term_ms": fleet.Term.Milliseconds(), "drift_ms": fleet.DriftOf().Milliseconds(), "election_ms": fleet.ElectionOf().Milliseconds(),
 			"shared_addresses": fleet.SharedAddresses, "least_build": fleet.LeastBuild, "journal": map[string]any{"file": n.journal(m)},
-			"shared": config.SharedPart{Dir: filepath.Join(m.Dir(), "shared")}}
+			"shared": config.SharedPart{Dir: n.copyDir(m)}}
 		if fleet.Distributors > 0 {
 			if streams.Region = region(i); gossips {
 				streams.Listen = n.block.Addr(i, StreamPort)
@@ -134,6 +135,9 @@
 // journal is where a member keeps its acts.
 func (n *peerNet) journal(m *standin.Member) string { return filepath.Join(m.Dir(), "acts") }
 
+// copyDir is where a member keeps its copy of the fleet's documents.
+func (n *peerNet) copyDir(m *standin.Member) string { return filepath.Join(m.Dir(), "shared") }
+
 // journals are those of all members, after the run.
 func (n *peerNet) journals(members []*standin.Member) (out []string) {
 	if n.links != nil {
@@ -144,6 +148,19 @@
 	return out
 }
 
+// oneWay loses what the poolers of a set say to all others, or what these say to them.
+func (n *peerNet) oneWay(poolers []int, said bool) {
+	for ends, links := range n.links {
+		calls, called := slices.Contains(poolers, ends[0]), slices.Contains(poolers, ends[1])
+		if calls == called {
+			continue
+		}
+		for _, l := range links {
+			l.Set(relay.Fault{Drop: true, OneWay: called == said, Unheard: calls == said})
+		}
+	}
+}
+
 // set puts a fault on the links between the poolers of a set and all others; or, within, on those inside the set too.
 func (n *peerNet) set(poolers []int, fault relay.Fault, within bool) {
 	in := map[int]bool{}
--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -23,10 +23,17 @@
 	Drop bool
 	// OneWay limits Drop to what the target sends back: requests arrive, answers are lost.
 	OneWay bool
+	// Unheard limits Drop to what callers send: requests are lost, what the target sends arrives.
+	Unheard bool
 	// Refuse resets the open connections and every new one at once.
 	Refuse bool
 }
 
+// drops tells whether what goes one way is lost: to the caller (answer), or to the target.
+func (f Fault) drops(answer bool) bool {
+	return f.Drop && (answer || !f.OneWay) && (!answer || !f.Unheard)
+}
+
 // Link is one link with faults: a listener on loopback and the connections passed through it.
 type Link struct {
 	ln     net.Listener
@@ -125,7 +132,7 @@
 // pass sends one datagram as the fault says; delayed ones may overtake each other.
 func (l *Link) pass(answer bool, b []byte, send func([]byte)) {
 	f := l.Fault()
-	if f.Refuse || f.Drop && (answer || !f.OneWay) {
+	if f.Refuse || f.drops(answer) {
 		return
 	}
 	wait := f.Delay
@@ -264,7 +271,7 @@
 			n, err := from.Read(buf)
 			if n > 0 {
 				f := l.Fault()
-				if f.Drop && (answers || !f.OneWay) {
+				if f.drops(answers) {
 					continue
 				}
 				due := time.Now().Add(f.Delay)
--- a/internal/lab/relay/relay_test.go
+++ b/internal/lab/relay/relay_test.go
@@ -97,17 +97,17 @@
 
 // A black hole takes the request and answers nothing, on open and new connections alike; once healed, new ones pass.
 func TestDrops(t *testing.T) {
-	for _, oneWay := range []bool{false, true} {
+	for _, fault := range []Fault{{Drop: true}, {Drop: true, OneWay: true}, {Drop: true, Unheard: true}} {
 		l := link(t)
 		open := dial(t, l)
 		if _, err := ask(open, 5*time.Second); err != nil {
 			t.Fatal(err)
 		}
-		l.Set(Fault{Drop: true, OneWay: oneWay})
+		l.Set(fault)
 		for _, c := range []net.Conn{open, dial(t, l)} {
 			var timeout net.Error
 			if got, err := ask(c, 100*time.Millisecond); !errors.As(err, &timeout) || !timeout.Timeout() {
-				t.Errorf("one way %v: %q, %v, want a time-out", oneWay, got, err)
+				t.Errorf("%+v: %q, %v, want a time-out", fault, got, err)
 			}
 		}
 		l.Set(Fault{})
@@ -117,6 +117,41 @@
 	}
 }
 
+// What one way loses, the other still carries, on a connection that was open before: the target speaks first and is heard, or hears.
+func TestDropsOneWay(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l, err := Listen(ln.Addr().String(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	caller := dial(t, l)
+	target, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	passes := func(from, to net.Conn) bool {
+		_, _ = from.Write([]byte("a"))
+		_ = to.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		n, _ := to.Read(make([]byte, 1))
+		return n == 1
+	}
+	for _, c := range []struct {
+		fault       Fault
+		there, back bool
+	}{{Fault{}, true, true}, {Fault{Drop: true, OneWay: true}, true, false}, {Fault{Drop: true, Unheard: true}, false, true}} {
+		l.Set(c.fault)
+		if there, back := passes(caller, target), passes(target, caller); there != c.there || back != c.back {
+			t.Errorf("%+v: passes there %v, back %v", c.fault, there, back)
+		}
+	}
+}
+
 // A refusing link resets what is open and what comes.
 func TestRefuses(t *testing.T) {
 	l := link(t)
@@ -176,7 +211,7 @@
 	for _, c := range []struct {
 		fault Fault
 		want  string
-	}{{Fault{}, "a"}, {Fault{Drop: true}, ""}, {Fault{Drop: true, OneWay: true}, ""}, {Fault{Refuse: true}, ""},
+	}{{Fault{}, "a"}, {Fault{Drop: true}, ""}, {Fault{Drop: true, OneWay: true}, ""}, {Fault{Drop: true, Unheard: true}, ""}, {Fault{Refuse: true}, ""},
 		{Fault{Delay: 10 * time.Millisecond, Jitter: 10 * time.Millisecond}, "a"}} {
 		l.Set(c.fault)
 		within := 5 * time.Second
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -30,6 +30,7 @@
 	AfterKill        [2]float64    // new connections at one server from the first kill on, in the worst 100 ms and second; 0: none
 	Over             []Over        `json:",omitempty"`
 	ListCalls        int           // watches opened at the list services, all poolers
+	ListCallsAt      [][]time.Time `json:"-"` // of them, by pooler, those at the list service that it has last
 	Starts           int           // pooler processes started, restarts among them
 	Met              [][]bool      `json:"-"`          // by pooler, then server place: whether a connection came to who stands there last
 	Journals         []string      `json:",omitempty"` // of a fleet that knows its members; they are gone with the run
@@ -123,6 +124,9 @@
 	for _, l := range r.lists {
 		rep.ListCalls += l.Watches()
 	}
+	for _, m := range r.members {
+		rep.ListCallsAt = append(rep.ListCallsAt, m.Discovery.WatchedAt())
+	}
 	for i := range r.relays {
 		met := make([]bool, len(r.relays[i]))
 		for j, link := range r.relays[i] {
--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,7 +29,7 @@
 	revision int
 	entries  []Entry
 	changed  chan struct{}
-	watches  int
+	watches  []time.Time // when each was opened
 	since    string
 	out      bool
 	hush     bool
@@ -77,7 +78,7 @@
 func (d *Discovery) Strand() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.stranded = d.watches
+	d.stranded = len(d.watches)
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -100,7 +101,14 @@
 func (d *Discovery) Watches() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.watches
+	return len(d.watches)
+}
+
+// WatchedAt tells when each watch was opened.
+func (d *Discovery) WatchedAt() []time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.watches)
 }
 
 // Open is when the oldest watch that is open now began; false: none is open.
@@ -134,9 +142,9 @@
 		http.Error(w, "out", http.StatusServiceUnavailable)
 		return
 	}
-	d.watches++
-	n := d.watches
-	d.open[n] = time.Now()
+	d.watches = append(d.watches, time.Now())
+	n := len(d.watches)
+	d.open[n] = d.watches[n-1]
 	d.since = r.URL.Query().Get("since")
 	d.mu.Unlock()
 	defer func() {
