Let others have the list duty where its holder does not hear the stewards

Cause: a holder that is cut off one way (the stewards hear it, it does not hear them) asked again each half a term, and each ask renewed at the stewards a lease that it never knew of. Nobody acted for as long as the cut lasted, and every pooler called the list service alone; in a fleet of thousands that is the herd which the duty is there to spare. Found by a play of ten processes on distributors with the holder deaf for 4.2 s: no word for all of that, six calls by six followers. It is the lease's, not the streams': gossip has it too.

Change: a holder whose lease has run out leaves the asking to others for two terms, as one whose own watch fails already did.

Ruled out: the stewards' one-way link itself (they renew by what they hear, rightly), and the streams (poolers had changed over, and copies advanced). The case in TestLists fails without the change.

--- a/internal/fleet/duty/lists.go
+++ b/internal/fleet/duty/lists.go
@@ -242,9 +242,9 @@
 		return do
 	}
 	_, acts := l.holder.MayAct(now)
-	if !acts && l.holder.Until() > 0 { // it ran out
+	if !acts && l.holder.Until() > 0 { // it ran out: if the stewards hear this pooler and it does not hear them, its asks would keep the lease from others
 		l.holder.Lost()
-		l.heard = now
+		l.heard, l.askAt = now, now+2*l.Term
 	}
 	if !l.Follows && !l.asking && !l.ShutOut(now) && now >= l.askDue(acts) {
 		l.asking, l.asked, do.Ask = true, now, true
--- a/internal/fleet/duty/lists_test.go
+++ b/internal/fleet/duty/lists_test.go
@@ -49,6 +49,18 @@
 		}
 	}
 	for name, steps := range map[string][]step{
+		"the stewards hear it, and it does not hear them": {
+			{"the start", 0, (*Lists).Want, Do{}},
+			{"the spread is over", term, (*Lists).Timer, Do{Ask: true}},
+			{"the lease", term, func(l *Lists, at time.Duration) Do { return l.Answer(at, grant, true, nil) }, Do{Open: true}},
+			{"a third of the term", 4 * s, (*Lists).Timer, Do{Ask: true}},
+			{"no answer", 4750 * time.Millisecond, func(l *Lists, at time.Duration) Do { return l.Answer(at, lease.Grant{}, false, errors.New("silent")) }, Do{}},
+			{"again", 5 * s, (*Lists).Timer, Do{Ask: true}},
+			{"no answer again", 5750 * time.Millisecond, func(l *Lists, at time.Duration) Do { return l.Answer(at, lease.Grant{}, false, errors.New("silent")) }, Do{}},
+			{"the lease has run out", 5900 * time.Millisecond, (*Lists).Timer, Do{Close: true}},
+			{"others have two terms", 11800 * time.Millisecond, (*Lists).Timer, Do{}},
+			{"it asks again", 11900 * time.Millisecond, (*Lists).Timer, Do{Ask: true}},
+		},
 		"nobody holds it": {
 			{"the start", 0, (*Lists).Want, Do{}},
 			{"the spread is over", term, (*Lists).Timer, Do{Ask: true}},
