Name the line of an unknown key of the fleet's file, and a steward that is no distributor

Cause: encoding/json says no place of a field that it refuses, and the fallback was the end of the text: an unknown key under distribution was told at the file's last line. It is told now where the key first stands. A steward that is not among the distributors was found at that steward alone, by its missing listen; every pooler's file that names one is refused now.

The table of TestFleet has the part's cases: unknown key, at both depths; a name twice; a steward that is none; listen alone; bad addresses; this pooler not among them; 65 of them, and 64 that pass; regions over their bound.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -9,7 +9,9 @@
 	"io/fs"
 	"math"
 	"os"
+	"regexp"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/mod/semver"
@@ -173,7 +175,7 @@
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields() // this file is ours: a misspelt key must not go unnoticed
 	if err := dec.Decode(&file); err != nil {
-		return nil, jsonOffset(err, dec.InputOffset()), jsonError(err)
+		return nil, jsonOffset(err, unknownKey(text, err, dec.InputOffset())), jsonError(err)
 	}
 	if dec.More() {
 		return nil, dec.InputOffset(), errors.New("text follows the object")
@@ -247,6 +249,16 @@
 	return int64(at)
 }
 
+// unknownKey is where a key that a decoder refused as unknown first stands, for it tells none; else fallback.
+func unknownKey(text []byte, err error, fallback int64) int64 {
+	if _, key, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		if at := regexp.MustCompile(regexp.QuoteMeta(key) + `\s*:`).FindIndex(text); at != nil {
+			return int64(at[0])
+		}
+	}
+	return fallback
+}
+
 // jsonOffset is where a decoder's error lies, if it says; else fallback.
 func jsonOffset(err error, fallback int64) int64 {
 	var syntax *json.SyntaxError
--- a/internal/config/fleet_distribution.go
+++ b/internal/config/fleet_distribution.go
@@ -52,6 +52,11 @@
 	among := func(name string) bool {
 		return slices.ContainsFunc(p.Distributors, func(d Distributor) bool { return d.Name == name })
 	}
+	for _, s := range f.Stewards {
+		if f.Distributes() && !among(s.Name) {
+			return "distributors", fmt.Errorf("distribution.distributors: %q is a steward and not among them", s.Name)
+		}
+	}
 	switch {
 	case len(p.Region) > mostRegion:
 		return "region", fmt.Errorf("distribution.region: over %d bytes", mostRegion)
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -22,6 +23,14 @@
 	limit := func(text string) string {
 		return "{" + peers + ", " + stewards + ",\n\"limits\": {\"revision\": 1, \"list\": [\n{\"name\": \"a\", \"on\": \"probes\", \"rate\": 1},\n" + text + "]}}"
 	}
+	distribution := func(text string, more ...string) string {
+		return "{" + strings.Join(append(more, peers, stewards), ", ") + ",\n\"distribution\": {\n" + text + "},\n\"drift_ms\": 100}"
+	}
+	many := ""
+	for i := range 65 {
+		many += fmt.Sprintf(`{"name": "n%d", "addr": "127.0.0.1:1"}, `, 65-i)
+	}
+	many = strings.TrimSuffix(many, ", ")
 	for _, c := range []struct{ text, want string }{
 		{limit(`{"name": "b", "on": "requests", "tenants": true, "rate": 100, "burst": 5, "reserve": 0.5}`), ""},
 		{limit(`{"name": "a", "on": "cold", "rate": 1}`), ":4: limits.list[1].name"},
@@ -35,6 +44,22 @@
 		{limit(`{"name": "b", "on": "requests", "rates": 1}`), `:4: limits.list[1]: json: unknown field "rates"`},
 		{"{" + peers + ", " + stewards + ",\n\"limits\": {\"list\": [{\"name\": \"a\", \"on\": \"probes\", \"rate\": 1}]}}", ":2: limits.revision"},
 		{`{` + peers + `, ` + stewards + `}`, ""},
+		{distribution(`"region": "a", "listen": "127.0.0.1:1", "distributors": [{"name": "n1", "addr": "127.0.0.1:1"}, {"name": "n2", "addr": "127.0.0.1:2", "region": "b"}]`), ""},
+		{distribution(`"distributors": [{"name": "n1", "addr": "127.0.0.1:1"}]`), ""},
+		{distribution(`"regions": 2`), `:3: json: unknown field "regions"`},
+		{distribution(`"distributors": [{"name": "n1", "address": "127.0.0.1:1"}]`), `:3: json: unknown field "address"`},
+		{distribution(`"distributors": [{"name": "n1", "addr": "127.0.0.1:1"}, {"name": "n1", "addr": "127.0.0.1:2"}]`), `:3: distribution.distributors[1].name: "n1"`},
+		{distribution(`"distributors": [{"name": "n1", "addr": "here"}]`), ":3: distribution.distributors[0].addr"},
+		{distribution(`"distributors": [{"name": "n1", "addr": "127.0.0.1:1", "region": "` + strings.Repeat("r", 129) + `"}]`), ":3: distribution.distributors[0].region: over 128"},
+		{distribution(`"region": "` + strings.Repeat("r", 129) + `"`), ":3: distribution.region: over 128"},
+		{distribution(`"region": 3`), ":3: distribution.region: a number does not fit"},
+		{distribution(`"listen": "127.0.0.1:1"`), ":3: distribution.listen: no distributors"},
+		{distribution(`"listen": "here", "distributors": [{"name": "n1", "addr": "127.0.0.1:1"}]`), ":3: distribution.listen"},
+		{distribution(`"listen": "127.0.0.1:1", "distributors": [{"name": "n1", "addr": "127.0.0.1:1"}]`, `"name": "n9"`), `:3: distribution.distributors: this pooler, "n9"`},
+		{distribution(`"distributors": [{"name": "n2", "addr": "127.0.0.1:1"}]`), `:3: distribution.distributors: "n1" is a steward and not among them`},
+		{distribution(`"listen": "", "distributors": [{"name": "n1", "addr": "127.0.0.1:1"}]`, `"steward": {"listen": "127.0.0.1:1", "dir": "d"}`), ":3: distribution.listen: missing"},
+		{distribution(`"distributors": [` + many + `]`), ":3: distribution.distributors: 65 are named, at most 64"},
+		{strings.Replace(distribution(`"distributors": [`+many+`]`), `{"name": "n64", "addr": "127.0.0.1:1"}, `, "", 1), ""},
 		{"{\n" + peers + ",\n" + stewards + ",\n\"term_msec\": 3}", `unknown field "term_msec"`},
 		{"{\n" + peers + ",\n" + stewards + ",\n\"term_ms\": 10}", ":4: term_ms"},
 		{"{" + peers + ", " + stewards + ",\n\"term_ms\": \"3\"}", ":2: term_ms: a string does not fit"},
