Let others have a part's duty where its holder does not hear the stewards

Cause: as for the list duty: a holder of limits, purges or moves that the stewards hear and that does not hear them asks on, a quarter of a term after each failure, and each ask renews at the stewards a lease that it never knows of. Ruled out: the stewards can't tell an ask whose answer is lost from another. Change: a holder whose term ran out unrenewed leaves the duty to others for two terms. Measured: TestDeafHolder: another acts within two terms; without the change nobody does.

--- a/internal/fleet/shared/shared_test.go
+++ b/internal/fleet/shared/shared_test.go
@@ -261,6 +261,45 @@
 	})
 }
 
+// deaf asks the stewards, which hear it, and does not hear them from some time on.
+type deaf struct {
+	shared.Asker
+	since time.Time
+}
+
+var errUnheard = errors.New("no answer")
+
+func (d deaf) Acquire(ctx context.Context, duty lease.Duty, term time.Duration) (lease.Grant, bool, error) {
+	g, ok, err := d.Asker.Acquire(ctx, duty, term)
+	if time.Now().After(d.since) {
+		return lease.Grant{}, false, errUnheard
+	}
+	return g, ok, err
+}
+
+// A holder that the stewards hear and that does not hear them can't keep the duty from others.
+func TestDeafHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const term, drift = 3 * time.Second, 100 * time.Millisecond
+		r := sharedtest.New(drift)
+		ctx, end := context.WithCancel(t.Context())
+		terms := shared.Terms{Term: term, Drift: drift}
+		first := shared.Stand(ctx, deaf{r.Client("a"), time.Now().Add(2 * term)}, "d", terms)
+		<-first.Changed()
+		second := shared.Stand(ctx, r.Client("b"), "d", terms)
+		lost := first.Changed()
+		<-lost
+		select {
+		case <-second.Changed():
+		case <-time.After(2 * term):
+			t.Error("nobody else has the duty two terms after the deaf one has stopped")
+		}
+		end()
+		<-first.Ended()
+		<-second.Ended()
+	})
+}
+
 // A copy follows the register, grows old in a cut, and starts again from what it held, unconfirmed.
 func TestView(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/shared/tenure.go
+++ b/internal/fleet/shared/tenure.go
@@ -42,6 +42,7 @@
 	mu      sync.Mutex
 	holder  lease.Holder
 	acts    bool // as was last told by changed
+	held    bool // it has acted, and no answer since has said that another may
 	changed chan struct{}
 	lapse   *time.Timer
 }
@@ -79,18 +80,24 @@
 }
 
 // nextAsk is how long to wait: until a third of the term is over for the holder, a twelfth after a renewal that failed, as long
-// as another's lease has left and a share of half a term by the spread, so that of many the first comes soon. The caller has the
-// lock.
+// as another's lease has left and a share of half a term by the spread, so that of many the first comes soon. A holder whose term
+// ran out unrenewed leaves the duty to others for two terms: stewards that hear it and that it does not hear would renew it again
+// and again, and nobody would act. The caller has the lock.
 func (s *Standing) nextAsk(now time.Duration, g lease.Grant, err error) time.Duration {
 	spread := time.Duration(s.terms.Spread * float64(s.terms.Term) / 2)
 	switch _, acts := s.holder.MayAct(now); {
 	case acts && err != nil:
 		return s.terms.Term / 12
 	case acts:
+		s.held = true
 		return max(s.holder.RenewAt()-now, 0)
+	case err != nil && s.held:
+		s.held = false
+		return 2 * s.terms.Term
 	case err != nil:
 		return s.terms.Term/4 + spread
 	default:
+		s.held = false
 		return min(max(g.Term, 0), s.terms.Term) + s.terms.Drift + spread
 	}
 }
