--- a/internal/fleet/distribution/net_test.go
+++ b/internal/fleet/distribution/net_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -131,13 +132,13 @@
 	chunks := make(chan []byte, 16) // of 4 KB: the buffers of both sides
 	go func() {
 		defer close(chunks)
+		b := make([]byte, 4<<10)
 		for {
-			b := make([]byte, 4<<10)
 			k, err := in.Read(b)
 			if err != nil {
 				return
 			}
-			chunks <- b[:k]
+			chunks <- bytes.Clone(b[:k])
 		}
 	}()
 	broken := false
