--- a/internal/fleet/distribution/distributor.go
+++ b/internal/fleet/distribution/distributor.go
@@ -496,8 +496,12 @@
 
 func (d *Distributor) linked(p Place) error {
 	conn, in, err := call(d.ctx, d.o.Dial, p, d.o.Beat, d.o.Count, hello{Protocol: protocol, Name: d.o.Name, Region: d.o.Region, Distributor: true})
-	if err != nil {
-		return nil // it is not there: the poolers' affair, and tried again
+	var no refused
+	switch {
+	case errors.As(err, &no):
+		return err
+	case err != nil:
+		return nil // it is not there: tried again
 	}
 	defer conn.Close()
 	defer context.AfterFunc(d.ctx, func() { _ = conn.Close() })()
@@ -588,7 +592,7 @@
 
 // Send is documented with bus.Bus.
 func (d *Distributor) Send(ctx context.Context, to, topic string, body []byte) error {
-	if err := fits(topic, body, mostBytes); err != nil {
+	if err := fits(topic, body, mostBytes/2); err != nil {
 		return err
 	}
 	if !d.pass(to, d.o.Name, topic, slices.Clone(body), false) {
@@ -599,7 +603,7 @@
 
 // Cast is documented with bus.Bus.
 func (d *Distributor) Cast(topic string, body []byte) {
-	if err := fits(topic, body, mostBytes); err != nil {
+	if err := fits(topic, body, mostBytes/2); err != nil {
 		d.o.Log("distributor: " + err.Error())
 		return
 	}
--- a/internal/fleet/distribution/subscriber.go
+++ b/internal/fleet/distribution/subscriber.go
@@ -299,7 +299,7 @@
 
 // read takes in what the distributor says, until the stream fails or says what can't be.
 func (s *Subscriber) read(t *taken) error {
-	behind := time.Time{} // since when the distributor has shown an older version than this pooler has
+	behind := time.Time{} // since when the distributor has told of another version than this pooler has
 	for {
 		k, body, size, err := readFrame(t.in, mostDown)
 		if err != nil {
@@ -337,7 +337,7 @@
 	}
 }
 
-// word confirms the copies by what the distributor knows. late: it shows an older version of one than this pooler has.
+// word confirms the copies by what the distributor knows. late: it tells of another version of one than this pooler has.
 func (s *Subscriber) word(body []byte) (late bool, err error) {
 	var w word
 	if err := json.Unmarshal(body, &w); err != nil {
@@ -352,7 +352,7 @@
 			if fw.Feed != f.Name {
 				continue
 			}
-			late = late || fw.Version < f.Copy.Version()
+			late = late || fw.Version != f.Copy.Version()
 			if fw.AsOf > 0 && !f.Copy.Confirm(fw.Version, shared.HeardAt(now, fw.AsOf, fw.Age)) {
 				s.once("foreign "+f.Name, fmt.Sprintf("distribution: %s tells of version %d, this copy is at %d already: if the stewards' log has begun anew, stop this pooler, empty shared.dir and start it",
 					f.Name, fw.Version, f.Copy.Version()))
