Pass a long value on in pieces also where it has come whole at once

Cause: pgside's query.Data made a relay only of a row that had not come whole. A late loop finds megabytes read ahead by netpoll; such a value was held like a short one and given to its client's connection by one Write, and what the kernel does not take of it at once is more than a connection queues (ErrOverrun, 1 MB): the client was cut off inside the value. No relay was under way then, so neither query.spoilt nor relay.Drop nor the end of a session with a relay showed it.

Change: begin takes a long row off what has come, whole or not; the relay passes it on by 64 KB as the client takes it, and what follows the row is read on.

Measured: TestLongAnswersThatComeAtOnce fails five of five without the change and passes five of five.

--- a/internal/program/pgside/backend.go
+++ b/internal/program/pgside/backend.go
@@ -126,10 +126,11 @@
 			x.spoilt()
 			return
 		}
+		var long bool
+		if rest, long = x.begin(rest); long {
+			continue
+		}
 		if n == 0 {
-			if x.begin(rest) {
-				return
-			}
 			break
 		}
 		rest = rest[n:]
--- a/internal/program/pgside/relay.go
+++ b/internal/program/pgside/relay.go
@@ -49,20 +49,22 @@
 	}
 }
 
-// begin turns a row that is long into a relay; false: it is not, or not yet.
-func (x *query) begin(rest []byte) bool {
-	size := pgwire.LongRow(rest)
-	if size == 0 || x.stage != 'T' || x.code != "" || len(rest) < relayFrom {
-		return false
+// begin turns a row that is long into a relay and takes what has come of it off b; false: it is not, or not yet. One that has come
+// whole is none the less: netpoll reads megabytes ahead of a late loop, and no connection queues so much at once.
+func (x *query) begin(b []byte) (rest []byte, ok bool) {
+	size := pgwire.LongRow(b)
+	if size == 0 || x.stage != 'T' || x.code != "" || len(b) < relayFrom {
+		return b, false
 	}
 	x.stage = 'D'
-	x.relay = &relay{x: x, left: size - len(rest), out: append(x.rows, rest...), heard: x.Loop().Now(),
+	n := min(size, len(b))
+	x.relay = &relay{x: x, left: size - n, out: append(x.rows, b[:n]...), heard: x.Loop().Now(),
 		end: func(routing.End) {}}
 	x.buf, x.rows, x.Res.Answer = nil, nil, x.relay
 	x.relay.watch()
 	x.Conn.Pause(true) // before much has been read ahead of the client
 	x.End(rules.OK)
-	return true
+	return b[n:], true
 }
 
 // watch looks out for a server that stops in the middle.
