--- a/internal/lab/scalepooler/ground.go
+++ b/internal/lab/scalepooler/ground.go
@@ -73,10 +73,14 @@
 	patience  time.Duration // for reads; 0: as the stand-in fleet's settings have it
 }
 
+// maxOpen is settings.caps.maxOpen: more requests than clients, none is to be refused for its number.
+const maxOpen = 20000
+
 // pooler writes the configuration and starts the pooler.
 func (r *run) pooler(ctx context.Context, s setup) (*process, error) {
 	settings := standin.Settings()
 	settings["balancers"], settings["me"] = s.balancers, 0
+	settings["caps"].(map[string]any)["maxOpen"] = maxOpen
 	if s.patience > 0 {
 		for _, l := range settings["lanes"].([]any) {
 			lane := l.(map[string]any)
