Bound the asking of all groups in threadlab scale-pooler

Cause: on a busy machine a pooler that pings 2,934 groups ten times a second had no processor left, and 5,868 statements waited 2 s each: the run went on for minutes. Change: 30 s, and then the play of that size has failed and says so.

--- a/internal/lab/scalepooler/statements.go
+++ b/internal/lab/scalepooler/statements.go
@@ -108,9 +108,14 @@
 	return cpu, took, asked, unserved, errors.Join(err, context.Cause(ctx))
 }
 
+// touchMost bounds the asking of all groups: a pooler that has no processor left for them is what was measured then.
+const touchMost = 30 * time.Second
+
 // touch has each group asked once, a read and a write.
 func (r *run) touch(ctx context.Context, p *process, groups int) error {
 	const askers = 10
+	ctx, cancel := context.WithTimeoutCause(ctx, touchMost, fmt.Errorf("%d groups can't be asked within %v", groups, touchMost))
+	defer cancel()
 	failed := make([]error, askers)
 	var wg sync.WaitGroup
 	for i := range askers {
