Let threadlab scale start its hollow poolers over a time, not all at once

400 that start at once on two cores, on a machine that others share, did not calm down within 90 s (6 of 388 knew all). The way of starting must be a choice to tell a fleet's cost at rest from its start's.

--- a/cmd/threadlab/scale.go
+++ b/cmd/threadlab/scale.go
@@ -25,6 +25,7 @@
 	Children     int           `default:"2" help:"Processes of hollow poolers, of one core each, and one more for those that are killed."`
 	Window       time.Duration `default:"65s" help:"How long each phase is measured; whole views are exchanged in bursts each 10 s."`
 	Settle       time.Duration `default:"15s" help:"Pause between the join and the first phase, and 0.25 s for each pooler: they tell their news by then."`
+	JoinOver     time.Duration `default:"0s" help:"Start the hollow poolers one by one over so long; 0: all at once."`
 	JoinMost     time.Duration `default:"90s" help:"A fleet that does not know itself whole by then is measured as it is."`
 	Most         time.Duration `default:"40m" help:"The run ends after it, with the plays that are whole."`
 	Fill         int           `default:"200" help:"Bytes of a changed document."`
@@ -70,7 +71,7 @@
 	var failed error
 	if err := run(func(b *bench) {
 		rep, failed = scale.Run(b, scale.Options{Mechanism: c.Mechanism, Distributors: c.Distributors, Sizes: c.Sizes, Plays: c.Plays, Real: c.Real, Children: c.Children, Window: c.Window, Settle: c.Settle,
-			JoinMost: c.JoinMost, Most: c.Most, Fill: c.Fill, Phases: c.Phases, Pooler: start(c.Binary, "serve"), Hollow: start(self, "scale-hollow"),
+			JoinOver: c.JoinOver, JoinMost: c.JoinMost, Most: c.Most, Fill: c.Fill, Phases: c.Phases, Pooler: start(c.Binary, "serve"), Hollow: start(self, "scale-hollow"),
 			Progress: func(line string) { fmt.Println(line) }, Stop: stop})
 	}); err != nil {
 		return err
@@ -120,8 +121,8 @@
 	for i, n := range c.Sizes {
 		sizes[i] = fmt.Sprint(n)
 	}
-	out := fmt.Sprintf("threadlab scale --mechanism %s --sizes %s --plays %d --real %d --children %d --window %v --settle %v --join-most %v --fill %d", c.Mechanism, strings.Join(sizes, ","),
-		c.Plays, c.Real, c.Children, c.Window, c.Settle, c.JoinMost, c.Fill)
+	out := fmt.Sprintf("threadlab scale --mechanism %s --sizes %s --plays %d --real %d --children %d --window %v --settle %v --join-over %v --join-most %v --fill %d", c.Mechanism, strings.Join(sizes, ","),
+		c.Plays, c.Real, c.Children, c.Window, c.Settle, c.JoinOver, c.JoinMost, c.Fill)
 	if c.Mechanism == scale.Distribution {
 		out += fmt.Sprintf(" --distributors %d", c.Distributors)
 	}
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -74,6 +74,7 @@
 			if err := w.open(h, nil); err != nil {
 				return out, fmt.Errorf("%s: %w", h.Name, err)
 			}
+			time.Sleep(a.Over / time.Duration(len(a.Poolers)))
 		}
 	case doRestart:
 		for _, h := range a.Poolers {
--- a/internal/lab/scale/phases.go
+++ b/internal/lab/scale/phases.go
@@ -130,6 +130,7 @@
 // join starts all poolers at once and waits until all know all.
 func (p *play) join() error {
 	began := time.Now()
+	first := began
 	before := shot{poolers: map[string]point{}, reals: map[string]process{}}
 	for _, c := range p.children {
 		before.hollows, before.at = append(before.hollows, c.base), append(before.at, began)
@@ -142,7 +143,7 @@
 		all.Go(func() { reals[i], errs[i] = startReal(p.Pooler(), name(i), m.Env) })
 	}
 	err := p.each(func(c *child) error {
-		_, err := c.ask(ask{Do: doStart, Config: p.files.Env["PROXY_CONFIG"], Poolers: c.poolers})
+		_, err := c.ask(ask{Do: doStart, Config: p.files.Env["PROXY_CONFIG"], Poolers: c.poolers, Over: p.JoinOver})
 		return err
 	})
 	all.Wait()
@@ -154,6 +155,7 @@
 	if err = cmp.Or(err, cmp.Or(errs...)); err != nil {
 		return err
 	}
+	began = began.Add(p.JoinOver) // what they take to know each other counts from the last start
 	p.say("%d poolers are up, %d of them hollow in %d processes", p.size, p.size-p.Real, len(p.children))
 	knew := map[string]time.Duration{}
 	for short := p.size - p.Real; len(knew) < short && time.Since(began) < p.JoinMost; {
@@ -177,7 +179,7 @@
 		return err
 	}
 	for name, at := range after.poolers {
-		before.poolers[name] = point{at: began, kind: at.kind}
+		before.poolers[name] = point{at: first, kind: at.kind}
 	}
 	for name := range after.reals {
 		before.reals[name] = process{}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -72,6 +72,7 @@
 	Children     int   // processes of hollow poolers, of one core each, besides the one of those that are killed
 	Window       time.Duration
 	Settle       time.Duration // from when all know all to the first phase, and settleEach for each pooler
+	JoinOver     time.Duration // over which the hollow ones start; 0: all at once
 	JoinMost     time.Duration // a fleet that does not know itself after it is measured all the same
 	Most         time.Duration // the run ends after it, with what it has measured
 	Fill         int           // bytes of a changed document's value, about
--- a/internal/lab/scale/wire.go
+++ b/internal/lab/scale/wire.go
@@ -8,10 +8,11 @@
 
 // ask is what the laboratory has a process of hollow poolers do, one JSON object; answer comes back, one for each ask in turn.
 type ask struct {
-	Do      string   `json:"do"`                // one of those below
-	Poolers []hollow `json:"poolers,omitempty"` // of doStart and doRestart
-	Config  string   `json:"config,omitempty"`  // of doStart: the file that PROXY_CONFIG names
-	Members int      `json:"members,omitempty"` // of doKnow
+	Do      string        `json:"do"`                // one of those below
+	Poolers []hollow      `json:"poolers,omitempty"` // of doStart and doRestart
+	Config  string        `json:"config,omitempty"`  // of doStart: the file that PROXY_CONFIG names
+	Members int           `json:"members,omitempty"` // of doKnow
+	Over    time.Duration `json:"over_ns,omitempty"` // of doStart: they start one by one over so long
 }
 
 const (
