Hold the capacity page to what one pooler was measured to take by itself

Cause: records of clients and statements and the wording of threadlab scale's phases have come. Change: the page names their runs; faults are worked out from the phases that were played, by what they took beyond rest; the kinds of messages that bytes are made of; the list's part in a pooler's budget. The lengths of the phases are held to the laboratory's source. Ruled out: all slopes on the page, some 700 lines; it has those that a table uses.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -64,7 +64,7 @@
 		text += table.Markdown()
 	}
 	for _, want := range []string{
-		"| bytes in and out | gossip | rest | 10 kB/s | 2 kB/s | 0.2 times | 1,000 poolers | linear | 400 B/s (400 B/s to 400 B/s) at 200 | made-up |",
+		"| bytes in and out | gossip | rest | 10 kB/s at 5,000 poolers | 2 kB/s | none: 5 times the limit | 1,000 poolers | linear | 400 B/s (400 B/s to 400 B/s) at 200 | made-up |",
 		"| bytes in and out | distribution | any | not measured |",
 		"by bytes at rest: 1,000 poolers",
 	} {
--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -45,18 +45,18 @@
 	perRange := c("shared.MaxValue") / float64(g.Groups())
 	return Table{"rows", []string{"what", "limit", "at this size", "carried today by", "gives way at", "instead"}, [][]string{
 		{"a document's change in force everywhere", quantity(within, "s"),
-			fmt.Sprintf("%s; bound: 50 ms and two messages by a word, but %s (`shared.wordEach` + `shared.fetchEach` × poolers) where the word is lost or what changed is over %s (`shared.maxDelta`)", g.seenOr("gossip", "change", "lag"), quantity(fetch, "s"), quantity(c("shared.maxDelta"), "B")),
+			fmt.Sprintf("%s; bound: 50 ms and two messages by a word, but %s (`shared.wordEach` + `shared.fetchEach` × poolers) where the word is lost or what changed is over %s (`shared.maxDelta`)", "the last pooler: "+g.seenOr("gossip", "change", "in_force_last")+" by gossip, "+g.seenOr("distribution", "change", "in_force_last")+" by distribution", quantity(fetch, "s"), quantity(c("shared.maxDelta"), "B")),
 			"words and fetches: `internal/fleet/shared`", digits(g.untilFetch("shared.fetchEach")) + " poolers", "first: distribution"},
 		{"a list's change in force everywhere", quantity(within, "s"), fmt.Sprintf("%s; bound: %s (`duty.fetchEach` × poolers) and the giving, %d at once", NotMeasured, quantity(c("duty.fetchEach")*n, "s"), int(c("fleet.gives"))),
 			"word and whole list: `internal/fleet/duty`, `internal/fleet`", digits(math.Floor(within/c("duty.fetchEach"))) + " poolers", "first: distribution, lists as deltas"},
-		{"changes all day", "the budget", fmt.Sprintf("%s; bound: %s datagrams a second from the leading steward's process, words each %s and changes", g.seenOr("gossip", "changes60", "cpu"),
+		{"60 changes a minute", quantity(within, "s"), fmt.Sprintf("the last pooler: %s; bound on an ordinary day: %s datagrams a second from the leading steward's process, words each %s and changes", g.seenOr("gossip", "changes60", "in_force_last"),
 			digits(n*(3/term+g.ConfigChanges.PerDay/day)), quantity(term/3, "s")), "`internal/fleet/peers` (`Bus.Cast`)", "see order", "first: distribution"},
 		{"a change of primary over", quantity(g.PrimaryChanges.Within, "s"), NotMeasured + fmt.Sprintf("; noticed by whoever uses the group, by an attempt or by a ping of all poolers' %s a second; told to the holder by a datagram; the holder's word goes to all. A holder that never used the group does not look, and each pooler repeats rounds for itself",
 			digits(1/c("rules.pingEvery"))), "`rules` (rounds), `internal/program` (`listDuty`)", "groups that the holder does not use", "fifth: groups dealt to watchers"},
 		{"who must know of it", "poolers that use the group", fmt.Sprintf("today all: %s datagrams each, %s a day", digits(n-1), digits((n-1)*g.PrimaryChanges.PerDay)), "`fleet.TellFound`", "no limit found", "first: distribution carries it"},
 		{fmt.Sprintf("watching %s databases", digits(float64(g.Databases))), "none stated", fmt.Sprintf("primaries alone: %s pings a second for %s groups, %s a pooler, and only of groups that a pooler used in the last %s (`rules.pingEvery` × poolers); replicas by what requests meet",
 			digits(float64(g.Groups())/c("rules.pingEvery")), digits(float64(g.Groups())), digits(float64(g.Groups())/c("rules.pingEvery")/n), quantity(c("rules.pingEvery")*n, "s")), "`rules` (ping)", "an idle group is watched by nobody", "fifth: groups dealt to watchers"},
-		{"whole lists at start and at return", "the 2 KB a second", g.lists(), "`fleet.Give`, `discovery.List`", "see order", "first: lists as deltas"},
+		{"whole lists at start and at return", "the 2 KB a second", g.lists(), "`fleet.Give`, `discovery.List`", g.listsUntil(), "first: lists as deltas"},
 		{"whole documents at start and at return", "the 2 KB a second", fmt.Sprintf("up to %s a pooler (`shared.MaxTotal`), %s for all; at %s restarts a day %s a second for all", quantity(c("shared.MaxTotal"), "B"), quantity(c("shared.MaxTotal")*n, "B"),
 			digits(g.Faults.RestartsPerDay), quantity(c("shared.MaxTotal")*g.Faults.RestartsPerDay/day, "B")), "`internal/fleet/shared` (`bringer.fetch`), copy on disk", "holds while documents are few", "first: deltas from the copy on disk"},
 		{"connections at a database", "not told by the operators", fmt.Sprintf("at a primary %s if each pooler uses all groups alike, %s if it uses a tenth of them; %s busy at a time if a statement takes 5 ms (assumed). Nothing bounds how many poolers hold one",
@@ -91,6 +91,15 @@
 	return text
 }
 
+// listsUntil is the largest list that may go whole to a pooler at each change within its budget.
+func (g *page) listsUntil() string {
+	bytes := g.Control.Bytes * day / g.ConfigChanges.PerDay
+	if n, ok := g.of("startup", "pooler", "list_bytes", "server").until(bytes); ok {
+		return digits(math.Floor(n)) + " databases, if all changes are of lists"
+	}
+	return "a list of " + quantity(bytes, "B") + ", if all changes are of lists"
+}
+
 // untilFetch is the largest fleet whose fetches, spread by a constant, are over in time.
 func (g *page) untilFetch(each string) float64 {
 	return math.Floor((g.ConfigChanges.Within - c("shared.wordEach")) / c(each))
@@ -101,25 +110,45 @@
 	return g.pick(mechanism, phase, "pooler", figure).value(g.n)
 }
 
-// faults are the worst hours: what they are by numbers, and what was measured of them.
+// excess is how many times what a phase takes beyond rest.
+type excess struct {
+	phase string
+	times float64
+}
+
+// faults are the worst hours: what they are by numbers, and what follows from what was played: rest, and what a phase took beyond it
+// times how much more of it there is.
 func (g *page) faults() Table {
-	t := Table{Name: "faults", Head: []string{"what happens", "by numbers", "phase that shows it", "pooler's bytes, gossip", "distribution", "pooler's processor, gossip", "distribution"}}
-	for _, f := range []struct{ what, numbers, phase string }{
-		{"an ordinary day", fmt.Sprintf("a change each %s, a restart each %s", quantity(day/g.ConfigChanges.PerDay, "s"), quantity(day/g.Faults.RestartsPerDay, "s")), "rest"},
-		{"changes, far more often than expected", "60 a minute", "changes60"},
-		{"one machine", fmt.Sprintf("%d of %s poolers", g.Assumed.PoolersPerHost, digits(g.n)), "restart"},
-		{"a rack or switch", fmt.Sprintf("%d poolers at once", g.InRack()), ""},
-		{"a zone", fmt.Sprintf("%d poolers (%s%%) and %d databases at once", g.InZone(g.Poolers), digits(100*float64(g.InZone(g.Poolers))/g.n), g.InZone(g.Databases)), "loss5"},
-		{"regions apart for " + quantity(g.Faults.Apart/60, "min"), fmt.Sprintf("%s poolers without the others", digits(float64(g.InRegion(g.Poolers)))), ""},
-		{"and their return", fmt.Sprintf("%s changes missed, %s poolers that fetch", digits(math.Ceil(g.ConfigChanges.PerDay*g.Faults.Apart/day)), digits(float64(g.InRegion(g.Poolers)))), "join"},
-		{digits(g.Faults.RestartsPerDay) + " restarts in a day", quantity(g.Faults.RestartsPerDay/day, "1/s"), "restart"},
-		{fmt.Sprintf("%d restarts in a minute", g.Faults.RestartsAtOnce), quantity(float64(g.Faults.RestartsAtOnce)/60, "1/s"), "join"},
-		{"all poolers started at once", digits(g.n), "startup"},
+	t := Table{Name: "faults", Head: []string{"what happens", "by numbers", "worked out from", "pooler's bytes, gossip", "distribution", "pooler's processor, gossip", "distribution"}}
+	change, restart := g.ConfigChanges.PerDay/day*c("scale.changeEvery"), g.Faults.RestartsPerDay/day*c("scale.restartEvery")
+	minute := float64(g.Faults.RestartsAtOnce) / 60 * c("scale.restartEvery")
+	lost := func(n int) float64 { return float64(n) / g.n / c("scale.lossShare") }
+	for _, f := range []struct {
+		what, numbers string
+		from          []excess
+	}{
+		{"an ordinary day", fmt.Sprintf("a change each %s, a restart each %s", quantity(day/g.ConfigChanges.PerDay, "s"), quantity(day/g.Faults.RestartsPerDay, "s")), []excess{{"change", change}, {"restart", restart}}},
+		{"60 changes a minute", "as might be in an incident", []excess{{"changes60", 1}}},
+		{"one machine fails", fmt.Sprintf("%d of %s poolers", g.Assumed.PoolersPerHost, digits(g.n)), []excess{{"loss5", lost(g.Assumed.PoolersPerHost)}}},
+		{"a rack or switch", fmt.Sprintf("%d poolers at once", g.InRack()), []excess{{"loss5", lost(g.InRack())}}},
+		{"a zone", fmt.Sprintf("%d poolers (%s%%) and %d databases at once", g.InZone(g.Poolers), digits(100*float64(g.InZone(g.Poolers))/g.n), g.InZone(g.Databases)), []excess{{"loss5", lost(g.InZone(g.Poolers))}}},
+		{"regions apart for " + quantity(g.Faults.Apart/60, "min"), fmt.Sprintf("%s poolers without the others", digits(float64(g.InRegion(g.Poolers)))), nil},
+		{"and their return", fmt.Sprintf("%s changes missed, %s poolers that fetch", digits(math.Ceil(g.ConfigChanges.PerDay*g.Faults.Apart/day)), digits(float64(g.InRegion(g.Poolers)))), nil},
+		{digits(g.Faults.RestartsPerDay) + " restarts in a day", quantity(g.Faults.RestartsPerDay/day, "1/s"), []excess{{"restart", restart}}},
+		{fmt.Sprintf("%d restarts in a minute", g.Faults.RestartsAtOnce), quantity(float64(g.Faults.RestartsAtOnce)/60, "1/s"), []excess{{"restart", minute}}},
+		{"all poolers start at once", digits(g.n), []excess{{"join", 1}}},
 	} {
-		row := []string{f.what, f.numbers, or(f.phase, "none")}
+		from := "not played"
+		for i, e := range f.from {
+			if i == 0 {
+				from = "rest"
+			}
+			from += fmt.Sprintf(" + %s × (%s - rest)", digits(e.times), e.phase)
+		}
+		row := []string{f.what, f.numbers, from}
 		for _, figures := range [][]string{{"bytes_in", "bytes_out"}, {"cpu"}} {
 			for _, m := range mechanisms {
-				row = append(row, g.pick(m, f.phase, "pooler", figures...).value(g.n))
+				row = append(row, g.beyond(m, f.from, figures...))
 			}
 		}
 		t.Rows = append(t.Rows, row)
@@ -127,11 +156,27 @@
 	return t
 }
 
-func or(a, b string) string {
-	if a != "" {
-		return a
+// beyond is what an ordinary pooler takes with all that goes on beyond rest.
+func (g *page) beyond(mechanism string, from []excess, figures ...string) string {
+	rest := g.pick(mechanism, "rest", "pooler", figures...)
+	base, ok := rest.at(g.n)
+	v, worst := base, rest.growth()
+	for _, e := range from {
+		r := g.pick(mechanism, e.phase, "pooler", figures...)
+		with, known := r.at(g.n)
+		ok = ok && known
+		v += e.times * max(with-base, 0)
+		if r.growth() == Worse {
+			worst = Worse
+		}
+	}
+	switch {
+	case !ok || len(from) == 0:
+		return NotMeasured
+	case worst == Worse:
+		return "at least " + quantity(v, rest[0].Unit)
 	}
-	return b
+	return quantity(v, rest[0].Unit)
 }
 
 // regions is what each side decides, and what it refuses, while regions are apart.
--- a/internal/capacity/print.go
+++ b/internal/capacity/print.go
@@ -13,7 +13,7 @@
 	case "B", "B/s":
 		return scaled(v, []string{" B", " kB", " MB", " GB", " TB"}, 1000) + strings.TrimPrefix(unit, "B")
 	case "core":
-		return digits(100*v) + "% of a core"
+		return digits(100*v) + "%"
 	case "s":
 		if v < 1 {
 			return digits(1000*v) + " ms"
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -19,12 +19,14 @@
 	Plan
 	n      float64 // poolers
 	slopes map[Key]Slope
+	used   map[Key]bool // slopes that a table holds
 }
 
 // Tables are the page's, in its order. They hold no figure that is not the plan's, a constant of the code's, or a record's.
 func Tables(p Plan, slopes map[Key]Slope) []Table {
-	g := &page{Plan: p, n: float64(p.Poolers), slopes: slopes}
-	return []Table{g.plan(), g.control(), g.alone(), g.measured(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(), g.lines()}
+	g := &page{Plan: p, n: float64(p.Poolers), slopes: slopes, used: map[Key]bool{}}
+	return []Table{g.plan(), g.control(), g.alone(), g.measured(), g.kinds(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(),
+		g.lines()} // the last tells what the others have used
 }
 
 func (g *page) plan() Table {
@@ -38,7 +40,7 @@
 		{"regions and zones", fmt.Sprintf("%d and %d", len(g.Regions), zones), fmt.Sprintf("zones of each region: %s", join(g.Regions))},
 		{"changes of primary", digits(g.PrimaryChanges.PerDay) + " a day", fmt.Sprintf("one in %s h; each over within %s", digits(24/g.PrimaryChanges.PerDay), quantity(g.PrimaryChanges.Within, "s"))},
 		{"changes of configuration", digits(g.ConfigChanges.PerDay) + " a day", fmt.Sprintf("one in %s; each in force within %s", quantity(day/g.ConfigChanges.PerDay, "s"), quantity(g.ConfigChanges.Within, "s"))},
-		{"control, a pooler", fmt.Sprintf("%s, %s, %s", quantity(g.Control.Core, "core"), quantity(g.Control.Memory, "B"), quantity(g.Control.Bytes, "B/s")),
+		{"control, a pooler", fmt.Sprintf("%s of a core, %s, %s", quantity(g.Control.Core, "core"), quantity(g.Control.Memory, "B"), quantity(g.Control.Bytes, "B/s")),
 			fmt.Sprintf("%s cores and %s for all poolers together", digits(g.Control.Core*g.n), quantity(g.Control.Bytes*g.n, "B/s"))},
 		{"machines for control", fmt.Sprintf("%d", g.Machines.Count), fmt.Sprintf("%s cores, %s, %s and %s descriptors each (assumed): %s poolers on each", digits(g.Machines.Cores), quantity(g.Machines.Memory, "B"),
 			quantity(g.Machines.Bytes, "B/s"), digits(float64(g.Machines.Descriptors)), digits(math.Ceil(g.n/failed)))},
@@ -61,19 +63,23 @@
 // The mechanisms that the page sets beside each other, and the order of what they were measured in.
 var (
 	mechanisms = []string{"gossip", "distribution"}
-	phases     = []string{"rest", "change", "changes60", "restart", "loss5", "join", "startup"}
+	phases     = []string{"rest", "change", "changes60", "restart", "loss5", "join"}
 )
 
 // reading is a figure that may be a sum of several: bytes in and out.
 type reading []Slope
 
-// pick is the figure's slope over poolers; of several kinds the one that was seen at the largest size.
+// pick is the figure's slope over poolers, of those seen at the largest size: of traffic that of the many hollow poolers, of what a
+// process takes that of the real ones.
 func (g *page) pick(mechanism, phase, role string, figures ...string) (r reading) {
 	for _, figure := range figures {
+		kinds := []string{"pooler", "hollow"}
+		if strings.HasPrefix(figure, "bytes") || strings.HasPrefix(figure, "messages") {
+			slices.Reverse(kinds)
+		}
 		var best *Slope
-		for _, k := range slices.SortedFunc(maps.Keys(g.slopes), func(a, b Key) int { return cmp.Compare(a.String(), b.String()) }) {
-			s := g.slopes[k]
-			if k.Mechanism == mechanism && k.Phase == phase && k.Role == role && k.Figure == figure && k.Per == "pooler" && (best == nil || s.Last.Size > best.Last.Size) {
+		for _, kind := range kinds {
+			if s, ok := g.slopes[Key{mechanism, phase, role, kind, figure, "pooler"}]; ok && (best == nil || s.Last.Size > best.Last.Size) {
 				best = &s
 			}
 		}
@@ -82,6 +88,9 @@
 		}
 		r = append(r, *best)
 	}
+	for _, s := range r {
+		g.used[s.Key] = true
+	}
 	return r
 }
 
@@ -126,7 +135,8 @@
 	for _, s := range r {
 		least, median, most = least+s.Last.Least, median+s.Last.Median, most+s.Last.Most
 	}
-	return fmt.Sprintf("%s (%s to %s) at %s", quantity(median, r[0].Unit), quantity(least, r[0].Unit), quantity(most, r[0].Unit), digits(float64(r[0].Last.Size)))
+	unit := r[0].Unit
+	return fmt.Sprintf("%s (%s to %s) at %s", quantity(median, unit), quantity(least, unit), quantity(most, unit), digits(float64(r[0].Last.Size)))
 }
 
 func (r reading) line() string {
@@ -170,9 +180,24 @@
 	}
 }
 
-// control holds an ordinary pooler to its budget.
+// control holds an ordinary pooler to its budget: what the fleet's parts take, and what its list of databases takes by itself.
 func (g *page) control() Table {
-	t := Table{Name: "control", Head: []string{"spent", "mechanism", "while", fmt.Sprintf("at %s poolers", digits(g.n)), "limit", "headroom", "keeps to it up to", "growth", "seen", "run"}}
+	t := Table{Name: "control", Head: []string{"spent", "on", "while", "at the plan's size", "limit", "headroom", "keeps to it up to", "growth", "seen", "run"}}
+	add := func(b budget, on, phase, of string, size float64, r reading) {
+		headroom, until := NotMeasured, "no size, by this line"
+		if v, ok := r.at(size); ok && v > b.limit {
+			headroom = "none: " + digits(v/b.limit) + " times the limit"
+		} else if ok {
+			headroom = digits(b.limit/v) + " times"
+		}
+		if n, ok := r.until(b.limit); ok {
+			until = digits(math.Floor(n)) + " " + of
+			if r.growth() == Worse && n > float64(r[0].Last.Size) {
+				until = "at most " + until
+			}
+		}
+		t.Rows = append(t.Rows, []string{b.name, on, phase, fmt.Sprintf("%s at %s %s", r.value(size), digits(size), of), quantity(b.limit, b.unit), headroom, until, string(r.growth()), r.seen(), r[0].Run})
+	}
 	for _, b := range g.budgets() {
 		for _, m := range mechanisms {
 			some := false
@@ -182,19 +207,15 @@
 					continue
 				}
 				some = true
-				headroom, until := "?", "any size seen"
-				if v, ok := r.at(g.n); ok && v > 0 {
-					headroom = digits(b.limit/v) + " times"
-				}
-				if n, ok := r.until(b.limit); ok {
-					until = digits(math.Floor(n)) + " poolers"
-				}
-				t.Rows = append(t.Rows, []string{b.name, m, phase, r.value(g.n), quantity(b.limit, b.unit), headroom, until, string(r.growth()), r.seen(), r[0].Run})
+				add(b, m, phase, "poolers", g.n, r)
 			}
 			if !some {
 				t.Rows = append(t.Rows, []string{b.name, m, "any", NotMeasured, quantity(b.limit, b.unit), "", "", "", "", ""})
 			}
 		}
+		if r := g.of("rest", "pooler", b.figures[0], "server"); r != nil {
+			add(b, "the list, alone", "rest", "databases", float64(g.Databases), r)
+		}
 	}
 	return t
 }
@@ -202,6 +223,7 @@
 // of is a slope of one real pooler by itself.
 func (g *page) of(phase, kind, figure, per string) reading {
 	if s, ok := g.slopes[Key{"alone", phase, "pooler", kind, figure, per}]; ok {
+		g.used[s.Key] = true
 		return reading{s}
 	}
 	return nil
@@ -218,8 +240,8 @@
 		{"memory with a request of each open", "busy", "pooler", "rss", "client"},
 		{"memory with a list", "rest", "pooler", "rss", "server"},
 		{"processor at rest with a list", "rest", "pooler", "cpu", "server"},
-		{"processor with a second's reads of 100 clients", fmt.Sprintf("reads_100_clients_%d_servers", g.Databases), "pooler", "cpu", "statement"},
-		{"processor with a second's writes of 100 clients", fmt.Sprintf("writes_100_clients_%d_servers", g.Databases), "pooler", "cpu", "statement"},
+		{"processor with reads of 100 clients, so many a second", fmt.Sprintf("reads_100_clients_%d_servers", g.Databases), "pooler", "cpu", "statement"},
+		{"processor with writes of 100 clients, so many a second", fmt.Sprintf("writes_100_clients_%d_servers", g.Databases), "pooler", "cpu", "statement"},
 		{"bytes of a whole list", "startup", "pooler", "list_bytes", "server"},
 		{"processor time of a start", "startup", "pooler", "cpu", "server"},
 		{"until a start has taken a whole list", "startup", "pooler", "list_taken", "server"},
@@ -285,10 +307,34 @@
 	return t
 }
 
-// lines are all slopes, as they were fitted.
+// kinds is what an ordinary pooler's bytes are made of, and a leader's and a holder's.
+func (g *page) kinds() Table {
+	t := Table{Name: "kinds", Head: []string{"role", "mechanism", "while", "kind of message", "bytes out", "growth", "seen"}}
+	for _, of := range [][2]string{{"pooler", "rest"}, {"pooler", "change"}, {"pooler", "restart"}, {"leader", "rest"}, {"holder", "rest"}} {
+		for _, m := range mechanisms {
+			found := map[string]reading{}
+			for k := range g.slopes {
+				if kind, ok := strings.CutPrefix(k.Figure, "bytes_out:"); ok && k.Mechanism == m && k.Role == of[0] && k.Phase == of[1] {
+					found[kind] = g.pick(m, of[1], of[0], k.Figure)
+				}
+			}
+			size := func(kind string) float64 { v, _ := found[kind].at(g.n); return v }
+			for _, kind := range slices.SortedFunc(maps.Keys(found), func(a, b string) int { return cmp.Or(cmp.Compare(size(b), size(a)), cmp.Compare(a, b)) }) {
+				r := found[kind]
+				t.Rows = append(t.Rows, []string{of[0], m, of[1], kind, r.value(g.n), string(r.growth()), r.seen()})
+			}
+		}
+	}
+	if len(t.Rows) == 0 {
+		t.Rows = [][]string{{"all", "all", "any", NotMeasured, "", "", ""}}
+	}
+	return t
+}
+
+// lines are the slopes that the other tables hold, as they were fitted.
 func (g *page) lines() Table {
 	t := Table{Name: "slopes", Head: []string{"slope", "line", "growth", "least size: median (spread)", "largest size: median (spread)", "plays", "at the plan's size", "run"}}
-	for _, k := range slices.SortedFunc(maps.Keys(g.slopes), func(a, b Key) int { return cmp.Compare(a.String(), b.String()) }) {
+	for _, k := range slices.SortedFunc(maps.Keys(g.used), func(a, b Key) int { return cmp.Compare(a.String(), b.String()) }) {
 		s := g.slopes[k]
 		r := reading{s}
 		first := reading{{Unit: s.Unit, Last: s.First}}
--- a/internal/config/capacity_test.go
+++ b/internal/config/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -13,6 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	plan = regexp.MustCompile(`"(runs|measured)": \[[^]]*\]`).ReplaceAll(plan, []byte(`"$1": []`)) // records of its own
 	const key = `"gossip/rest/pooler/hollow/cpu/pooler"`
 	rest := strings.NewReplacer(`"runs": []`, `"runs": ["a"]`, `"measured": []`, `"measured": [`+key+`]`).Replace
 	row := func(change ...string) string {
