--- a/cmd/threadlab/capacity.go
+++ b/cmd/threadlab/capacity.go
@@ -16,11 +16,11 @@
 }
 
 func (c *capacityCmd) Run() error {
-	plan, slopes, err := config.LoadCapacity(c.Data)
+	plan, found, err := config.LoadCapacity(c.Data)
 	if err != nil {
 		return err
 	}
-	tables := capacity.Tables(plan, slopes)
+	tables := capacity.Tables(plan, found)
 	if c.Write == "" {
 		for _, t := range tables {
 			fmt.Printf("## %s\n\n%s\n", t.Name, t.Markdown())
--- a/cmd/threadlab/capacity_test.go
+++ b/cmd/threadlab/capacity_test.go
@@ -13,11 +13,11 @@
 // The page says what the command prints.
 func TestCapacityPage(t *testing.T) {
 	const path = "../../docs/CAPACITY.md"
-	plan, slopes, err := config.LoadCapacity("../../docs/capacity")
+	plan, found, err := config.LoadCapacity("../../docs/capacity")
 	if err != nil {
 		t.Fatal(err)
 	}
-	want, err := fillPage(path, capacity.Tables(plan, slopes))
+	want, err := fillPage(path, capacity.Tables(plan, found))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -25,11 +25,11 @@
 		{[]Row{row(100, 4, 5, 6), row(200, 2, 3, 4)}, Flat, 7, -0.02, 3, -1},              // a line that falls is no promise
 		{[]Row{row(100, 0.9, 1, 1.1), row(200, 3.9, 4, 4.1)}, Worse, -2, 0.03, 28, 733.3}, // sizes squared
 	} {
-		slopes, err := Fit([]Run{{Name: "a", Rows: c.rows}}, []string{"a"})
-		if err != nil || len(slopes) != 1 {
-			t.Fatal(err, slopes)
+		found, err := Fit([]Run{{Name: "a", Rows: c.rows}}, []string{"a"})
+		if err != nil || len(found.Slopes) != 1 {
+			t.Fatal(err, found)
 		}
-		for _, s := range slopes {
+		for _, s := range found.Slopes {
 			at, ok := s.At(1000)
 			until, bounded := s.Until(20)
 			if s.Growth != c.growth || math.Abs(s.Base-c.base) > 1e-9 || math.Abs(s.Each-c.each) > 1e-9 || math.Abs(at-c.at) > 1e-9 || ok != (c.growth != Alone) {
@@ -50,12 +50,12 @@
 	bytes := func(figure string, size int, v float64) Row {
 		return Row{"gossip", "rest", "pooler", "hollow", figure, "B/s", "pooler", size, 3, v, v, v}
 	}
-	slopes, err := Fit([]Run{{Name: "made-up", Rows: []Row{bytes("bytes_in", 100, 100), bytes("bytes_in", 200, 200), bytes("bytes_out", 100, 100), bytes("bytes_out", 200, 200)}}}, []string{"made-up"})
+	found, err := Fit([]Run{{Name: "made-up", Rows: []Row{bytes("bytes_in", 100, 100), bytes("bytes_in", 200, 200), bytes("bytes_out", 100, 100), bytes("bytes_out", 200, 200)}}}, []string{"made-up"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	text := ""
-	for _, table := range Tables(p, slopes) {
+	for _, table := range Tables(p, found) {
 		for _, r := range table.Rows {
 			if len(r) != len(table.Head) {
 				t.Errorf("%s: %d cells under %d", table.Name, len(r), len(table.Head))
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -43,13 +43,19 @@
 	worsePower = 1.15
 )
 
+// Recorded is what the runs of a plan say.
+type Recorded struct {
+	Runs   []Run // in the plan's order
+	Slopes map[Key]Slope
+}
+
 // Fit fits a line to each figure of the named runs. Where two runs have the same figure, the later one of names counts, whole.
-func Fit(runs []Run, names []string) (map[Key]Slope, error) {
-	out := map[Key]Slope{}
+func Fit(runs []Run, names []string) (Recorded, error) {
+	out := Recorded{Slopes: map[Key]Slope{}}
 	for i, name := range names {
 		at := slices.IndexFunc(runs, func(r Run) bool { return r.Name == name })
 		if at < 0 {
-			return nil, fmt.Errorf("runs[%d]: there is no record %q", i, name)
+			return out, fmt.Errorf("runs[%d]: there is no record %q", i, name)
 		}
 		rows := map[Key][]Row{}
 		for _, r := range runs[at].Rows {
@@ -60,11 +66,12 @@
 			slices.SortFunc(of, func(a, b Row) int { return a.Size - b.Size })
 			for j := range of[1:] {
 				if of[j].Size == of[j+1].Size {
-					return nil, fmt.Errorf("runs[%d]: record %q has two rows of %s at size %d", i, name, k, of[j].Size)
+					return out, fmt.Errorf("runs[%d]: record %q has two rows of %s at size %d", i, name, k, of[j].Size)
 				}
 			}
-			out[k] = fit(k, name, of)
+			out.Slopes[k] = fit(k, name, of)
 		}
+		out.Runs = append(out.Runs, runs[at])
 	}
 	return out, nil
 }
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -19,14 +19,15 @@
 	Plan
 	n      float64 // poolers
 	slopes map[Key]Slope
+	runs   []Run
 	used   map[Key]bool // slopes that a table holds
 }
 
 // Tables are the page's, in its order. They hold no figure that is not the plan's, a constant of the code's, or a record's.
-func Tables(p Plan, slopes map[Key]Slope) []Table {
-	g := &page{Plan: p, n: float64(p.Poolers), slopes: slopes, used: map[Key]bool{}}
+func Tables(p Plan, r Recorded) []Table {
+	g := &page{Plan: p, n: float64(p.Poolers), slopes: r.Slopes, runs: r.Runs, used: map[Key]bool{}}
 	return []Table{g.plan(), g.control(), g.alone(), g.measured(), g.kinds(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(),
-		g.lines()} // the last tells what the others have used
+		g.lines(), g.records()} // lines are those that the tables before have used
 }
 
 func (g *page) plan() Table {
@@ -349,3 +350,29 @@
 	}
 	return t
 }
+
+// noteMost bounds what the page tells of a run's note, in bytes.
+const noteMost = 400
+
+// records are the runs that the page rests on.
+func (g *page) records() Table {
+	t := Table{Name: "runs", Head: []string{"run", "date", "commit", "machine", "command", "note"}}
+	for _, r := range g.runs {
+		note := strings.NewReplacer("|", "/", "\n", " ").Replace(r.Note)
+		if len(note) > noteMost {
+			note = strings.ToValidUTF8(note[:noteMost], "") + " ... (more in the record)"
+		}
+		commit := r.Commit
+		if id, dirty, _ := strings.Cut(commit, "+"); len(id) == 40 {
+			commit = id[:8]
+			if dirty != "" {
+				commit += "+" + dirty
+			}
+		}
+		t.Rows = append(t.Rows, []string{r.Name, r.Date, commit, r.Machine, "`" + r.Command + "`", note})
+	}
+	if len(t.Rows) == 0 {
+		t.Rows = [][]string{{NotMeasured, "", "", "", "", ""}}
+	}
+	return t
+}
--- a/internal/config/capacity.go
+++ b/internal/config/capacity.go
@@ -15,45 +15,45 @@
 
 // LoadCapacity reads DIR/plan.json and the records in DIR/runs, and fits the slopes of the runs that the plan names. An error names
 // the file, and the line and the key where there is one.
-func LoadCapacity(dir string) (p capacity.Plan, slopes map[capacity.Key]capacity.Slope, err error) {
+func LoadCapacity(dir string) (p capacity.Plan, found capacity.Recorded, err error) {
 	path := filepath.Join(dir, "plan.json")
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return p, nil, err
+		return p, found, err
 	}
 	if err := strict(text, &p); err != nil {
 		if json.Valid(text) { // the decoder does not tell where an unknown key lies
 			for _, key := range slices.Sorted(maps.Keys(shapeOf(text))) {
 				if tags := tagsOf("", reflect.TypeOf(p)); !strings.HasSuffix(key, "[]") && !slices.Contains(tags, key) {
-					return p, nil, located(path, text, fmt.Errorf("%s: there is no such key", key))
+					return p, found, located(path, text, fmt.Errorf("%s: there is no such key", key))
 				}
 			}
 		}
-		return p, nil, located(path, text, err)
+		return p, found, located(path, text, err)
 	}
 	if err := above("", reflect.ValueOf(p)); err != nil {
-		return p, nil, located(path, text, err)
+		return p, found, located(path, text, err)
 	}
 	if len(p.Regions) == 0 {
-		return p, nil, located(path, text, fmt.Errorf("regions: missing or empty"))
+		return p, found, located(path, text, fmt.Errorf("regions: missing or empty"))
 	}
 	runs, err := capacity.Load(filepath.Join(dir, "runs"))
 	if err != nil {
-		return p, nil, err
+		return p, found, err
 	}
-	if slopes, err = capacity.Fit(runs, p.Runs); err != nil {
-		return p, nil, located(path, text, err)
+	if found, err = capacity.Fit(runs, p.Runs); err != nil {
+		return p, found, located(path, text, err)
 	}
 	known := map[string]bool{}
-	for k := range slopes {
+	for k := range found.Slopes {
 		known[k.String()] = true
 	}
 	for i, key := range p.Measured {
 		if !known[key] {
-			return p, nil, located(path, text, fmt.Errorf("measured[%d]: no record that runs names has the slope %q", i, key))
+			return p, found, located(path, text, fmt.Errorf("measured[%d]: no record that runs names has the slope %q", i, key))
 		}
 	}
-	return p, slopes, nil
+	return p, found, nil
 }
 
 // tagsOf are the keys of a type, by their paths as shape has them.
--- a/internal/config/capacity_test.go
+++ b/internal/config/capacity_test.go
@@ -48,9 +48,9 @@
 				t.Fatal(err)
 			}
 		}
-		switch _, slopes, err := LoadCapacity(dir); {
-		case c.want == "" && (err != nil || len(slopes) != 1):
-			t.Errorf("%s: %v, %d slopes", name, err, len(slopes))
+		switch _, found, err := LoadCapacity(dir); {
+		case c.want == "" && (err != nil || len(found.Slopes) != 1):
+			t.Errorf("%s: %v, %d slopes", name, err, len(found.Slopes))
 		case c.want != "" && (err == nil || !strings.Contains(err.Error(), dir) || !strings.Contains(err.Error(), c.want)):
 			t.Errorf("%s: %v, want %s", name, err, c.want)
 		}
