--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -362,6 +362,7 @@
 		if len(note) > noteMost {
 			note = strings.ToValidUTF8(note[:noteMost], "") + " ... (more in the record)"
 		}
+		command, _, _ := strings.Cut(r.Command, " --note") // which stands beside it
 		commit := r.Commit
 		if id, dirty, _ := strings.Cut(commit, "+"); len(id) == 40 {
 			commit = id[:8]
@@ -369,7 +370,7 @@
 				commit += "+" + dirty
 			}
 		}
-		t.Rows = append(t.Rows, []string{r.Name, r.Date, commit, r.Machine, "`" + r.Command + "`", note})
+		t.Rows = append(t.Rows, []string{r.Name, r.Date, commit, r.Machine, "`" + command + "`", note})
 	}
 	if len(t.Rows) == 0 {
 		t.Rows = [][]string{{NotMeasured, "", "", "", "", ""}}
