--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -1,8 +1,10 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 )
 
 // What the code says of the size that is coming where no record does: bounds by its constants, and which mechanism carries what.
@@ -91,6 +93,50 @@
 	return text
 }
 
+// first is what gives way, the smallest part of the plan first.
+func (g *page) first() Table {
+	type limit struct {
+		what, by string
+		size     float64
+		of       string
+		plan     float64
+	}
+	poolers := func(what, by string, size float64) limit { return limit{what, by, size, "poolers", g.n} }
+	databases := func(what, by string, size float64) limit {
+		return limit{what, by, size, "databases", float64(g.Databases)}
+	}
+	all := []limit{
+		poolers("a document's change in force in time, where its word is lost or it is large", "`shared.fetchEach`", g.untilFetch("shared.fetchEach")),
+		poolers("a list's change in force in time", "`duty.fetchEach`", math.Floor(g.ConfigChanges.Within/c("duty.fetchEach"))),
+		poolers("asks of the limits' dealer at once", "`quota.queued`", c("quota.queued")),
+		poolers("connections to the leading steward, with limits on", "`steward.maxCallers`", c("steward.maxCallers")),
+		poolers("observers that verdicts count", "`verdict.maxObservers`", c("verdict.maxObservers")),
+		poolers("documents of enrolled poolers, with shard maps on", "`shared.MaxDocs`", c("shared.MaxDocs")),
+		databases("servers that one observer counts for verdicts", "`verdict.maxServers`", c("verdict.maxServers")),
+		databases("keys of limits at one pooler, one limit by server", "`quota.mostBuckets`", c("quota.mostBuckets")),
+		databases("servers in a list", "`membership.MaxServers`", c("membership.MaxServers")),
+	}
+	for _, b := range g.budgets() {
+		for _, phase := range []string{"rest", "change", "restart"} {
+			if n, ok := g.pick("gossip", phase, "pooler", b.figures...).until(b.limit); ok {
+				all = append(all, poolers("a pooler's budget, "+b.name+", while "+phase, "gossip's line", math.Floor(n)))
+			}
+		}
+		if n, ok := g.of("rest", "pooler", b.figures[0], "server").until(b.limit); ok {
+			all = append(all, databases("a pooler's budget, "+b.name+", by its list at rest", "its line", math.Floor(n)))
+		}
+	}
+	if n, ok := g.of("startup", "pooler", "list_bytes", "server").until(g.Control.Bytes * day / g.ConfigChanges.PerDay); ok {
+		all = append(all, databases("a pooler's budget of bytes, if each change is a whole list", "its line", math.Floor(n)))
+	}
+	slices.SortStableFunc(all, func(a, b limit) int { return cmp.Compare(a.size/a.plan, b.size/b.plan) })
+	t := Table{Name: "first", Head: []string{"what gives way", "at", "of the plan's", "by"}}
+	for _, l := range all {
+		t.Rows = append(t.Rows, []string{l.what, digits(l.size) + " " + l.of, digits(100*l.size/l.plan) + "% of " + digits(l.plan), l.by})
+	}
+	return t
+}
+
 // listsUntil is the largest list that may go whole to a pooler at each change within its budget.
 func (g *page) listsUntil() string {
 	bytes := g.Control.Bytes * day / g.ConfigChanges.PerDay
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -26,7 +26,7 @@
 // Tables are the page's, in its order. They hold no figure that is not the plan's, a constant of the code's, or a record's.
 func Tables(p Plan, r Recorded) []Table {
 	g := &page{Plan: p, n: float64(p.Poolers), slopes: r.Slopes, runs: r.Runs, used: map[Key]bool{}}
-	return []Table{g.plan(), g.control(), g.alone(), g.measured(), g.kinds(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(),
+	return []Table{g.plan(), g.first(), g.control(), g.alone(), g.measured(), g.kinds(), g.roles(), g.rows(), g.faults(), g.regions(), g.machines(), g.order(),
 		g.lines(), g.records()} // lines are those that the tables before have used
 }
 
@@ -47,7 +47,7 @@
 			quantity(g.Machines.Bytes, "B/s"), digits(float64(g.Machines.Descriptors)), digits(math.Ceil(g.n/failed)))},
 		{"machines that fail", digits(g.Faults.MachinesPerDay) + " a day", fmt.Sprintf("one in %s min", digits(1440/g.Faults.MachinesPerDay))},
 		{"restarts and replacements", digits(g.Faults.RestartsPerDay) + " a day", fmt.Sprintf("one in %s; %d in the worst minute, %s", quantity(day/g.Faults.RestartsPerDay, "s"), g.Faults.RestartsAtOnce, quantity(float64(g.Faults.RestartsAtOnce)/60, "1/s"))},
-		{"racks or switches", digits(g.Faults.RacksPerWeek) + " a week", fmt.Sprintf("%d poolers at once (%d machines a rack, %d poolers a machine: assumed)", g.InRack(), g.Assumed.HostsPerRack, g.Assumed.PoolersPerHost)},
+		{"racks or switches", digits(g.Faults.RacksPerWeek) + " a week", fmt.Sprintf("%d poolers at once (machines a rack: %d, poolers a machine: %d; assumed)", g.InRack(), g.Assumed.HostsPerRack, g.Assumed.PoolersPerHost)},
 		{"zones", digits(g.Faults.ZonesPerYear) + " a year", fmt.Sprintf("%d poolers and %d databases at once", g.InZone(g.Poolers), g.InZone(g.Databases))},
 		{"regions apart", "now and then", quantity(g.Faults.Apart/60, "min") + " each time"},
 	}}
