Let a run of the capacity plan be several records of one commit

Cause: threadlab scale measured small and large sizes by two commands side by side, and a slope needs both. Ruled out: fitting across any records, which would mix builds.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -42,6 +42,21 @@
 	}
 }
 
+// Records that were one measurement in parts are one run, of one commit.
+func TestParts(t *testing.T) {
+	runs := []Run{{Name: "a", Commit: "x", Rows: []Row{row(100, 1, 1, 1)}}, {Name: "b", Commit: "x", Rows: []Row{row(200, 2, 2, 2)}},
+		{Name: "c", Commit: "y", Rows: []Row{row(300, 3, 3, 3)}}, {Name: "d", Commit: "x", Rows: []Row{row(200, 2, 2, 2)}}}
+	found, err := Fit(runs, []string{"c", "a+b"})
+	if s := found.Slopes[Key{"gossip", "rest", "pooler", "hollow", "cpu", "pooler"}]; err != nil || s.Each != 0.01 || s.Run != "a+b" || s.Last.Size != 200 || len(found.Runs) != 3 {
+		t.Errorf("%+v, %v", found, err)
+	}
+	for _, bad := range []string{"a+c", "a+b+d", "a+e", ""} {
+		if _, err := Fit(runs, []string{bad}); err == nil {
+			t.Errorf("%q is fitted", bad)
+		}
+	}
+}
+
 // What was recorded comes to the page with its run and size, and what was not says so.
 func TestTables(t *testing.T) {
 	p := Plan{Poolers: 5000, Databases: 8800, Clients: 20e6, Statements: 1.5e6, Regions: []int{3, 3, 4}, Control: Budget{0.034, 128e6, 2000},
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -49,29 +49,37 @@
 	Slopes map[Key]Slope
 }
 
-// Fit fits a line to each figure of the named runs. Where two runs have the same figure, the later one of names counts, whole.
+// Fit fits a line to each figure of the named runs. Where two have the same figure, the later one of names counts, whole. A name may
+// be of several records, "A+B", that were one measurement in parts, of one commit: they are taken for one.
 func Fit(runs []Run, names []string) (Recorded, error) {
 	out := Recorded{Slopes: map[Key]Slope{}}
 	for i, name := range names {
-		at := slices.IndexFunc(runs, func(r Run) bool { return r.Name == name })
-		if at < 0 {
-			return out, fmt.Errorf("runs[%d]: there is no record %q", i, name)
-		}
 		rows := map[Key][]Row{}
-		for _, r := range runs[at].Rows {
-			k := Key{r.Mechanism, r.Phase, r.Role, r.Kind, r.Figure, r.Per}
-			rows[k] = append(rows[k], r)
+		commit := ""
+		for part := range strings.SplitSeq(name, "+") {
+			at := slices.IndexFunc(runs, func(r Run) bool { return r.Name == part })
+			if at < 0 {
+				return out, fmt.Errorf("runs[%d]: there is no record %q", i, part)
+			}
+			if commit != "" && commit != runs[at].Commit {
+				return out, fmt.Errorf("runs[%d]: %q is of two commits, %s and %s", i, name, commit, runs[at].Commit)
+			}
+			commit = runs[at].Commit
+			for _, r := range runs[at].Rows {
+				k := Key{r.Mechanism, r.Phase, r.Role, r.Kind, r.Figure, r.Per}
+				rows[k] = append(rows[k], r)
+			}
+			out.Runs = append(out.Runs, runs[at])
 		}
 		for k, of := range rows {
 			slices.SortFunc(of, func(a, b Row) int { return a.Size - b.Size })
 			for j := range of[1:] {
 				if of[j].Size == of[j+1].Size {
-					return out, fmt.Errorf("runs[%d]: record %q has two rows of %s at size %d", i, name, k, of[j].Size)
+					return out, fmt.Errorf("runs[%d]: %q has two rows of %s at size %d", i, name, k, of[j].Size)
 				}
 			}
 			out.Slopes[k] = fit(k, name, of)
 		}
-		out.Runs = append(out.Runs, runs[at])
 	}
 	return out, nil
 }
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -137,6 +137,9 @@
 		least, median, most = least+s.Last.Least, median+s.Last.Median, most+s.Last.Most
 	}
 	unit := r[0].Unit
+	if r[0].Last.Plays == 1 {
+		return fmt.Sprintf("%s (one play) at %s", quantity(median, unit), digits(float64(r[0].Last.Size)))
+	}
 	return fmt.Sprintf("%s (%s to %s) at %s", quantity(median, unit), quantity(least, unit), quantity(most, unit), digits(float64(r[0].Last.Size)))
 }
 
--- a/internal/config/capacity_test.go
+++ b/internal/config/capacity_test.go
@@ -31,6 +31,7 @@
 		"no regions":            {strings.Replace(string(plan), `[3, 3, 4]`, "[]", 1), row(), `plan.json:6: regions: `},
 		"a key left out":        {strings.Replace(string(plan), `, "within_s": 14`, "", 1), row(), `plan.json:7: primary_changes.within_s: missing`},
 		"no such record":        {strings.Replace(string(plan), `"runs": []`, "\"runs\": [\n\"b\"]", 1), row(), `plan.json:15: runs[0]: there is no record "b"`},
+		"no such part":          {strings.Replace(string(plan), `"runs": []`, `"runs": ["a+b"]`, 1), row(), `plan.json:14: runs[0]: there is no record "b"`},
 		"no such slope":         {strings.Replace(rest(string(plan)), "/cpu/", "/rss/", 1), row(), `plan.json:15: measured[0]: `},
 		"a record's key":        {rest(string(plan)), row(`"plays"`, `"play"`), `a.json:3: rows[0]: json: unknown field "play"`},
 		"a record's own key":    {rest(string(plan)), row("\"rows\"", "\"phase\": \n1, \"rows\""), `a.json:1: json: unknown field "phase"`},
