Say of a budget that no size seen keeps, that it gives way below the least of them

Cause: a line that begins above a limit was said to keep to it up to a negative size. Change: the page says "fewer than" the least size seen.

--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -98,12 +98,14 @@
 	type limit struct {
 		what, by string
 		size     float64
-		of       string
+		text     string
 		plan     float64
 	}
-	poolers := func(what, by string, size float64) limit { return limit{what, by, size, "poolers", g.n} }
+	poolers := func(what, by string, size float64) limit {
+		return limit{what, by, size, digits(size) + " poolers", g.n}
+	}
 	databases := func(what, by string, size float64) limit {
-		return limit{what, by, size, "databases", float64(g.Databases)}
+		return limit{what, by, size, digits(size) + " databases", float64(g.Databases)}
 	}
 	all := []limit{
 		poolers("a document's change in force in time, where its word is lost or it is large", "`shared.fetchEach`", g.untilFetch("shared.fetchEach")),
@@ -116,23 +118,22 @@
 		databases("keys of limits at one pooler, one limit by server", "`quota.mostBuckets`", c("quota.mostBuckets")),
 		databases("servers in a list", "`membership.MaxServers`", c("membership.MaxServers")),
 	}
+	line := func(what string, r reading, most float64, of string, plan float64) {
+		if n, text, ok := r.until(most, of); ok {
+			all = append(all, limit{"a pooler's budget, " + what, "line of " + r[0].Run, n, text, plan})
+		}
+	}
 	for _, b := range g.budgets() {
 		for _, phase := range []string{"rest", "change", "restart"} {
-			if n, ok := g.pick("gossip", phase, "pooler", b.figures...).until(b.limit); ok {
-				all = append(all, poolers("a pooler's budget, "+b.name+", while "+phase, "gossip's line", math.Floor(n)))
-			}
-		}
-		if n, ok := g.of("rest", "pooler", b.figures[0], "server").until(b.limit); ok {
-			all = append(all, databases("a pooler's budget, "+b.name+", by its list at rest", "its line", math.Floor(n)))
+			line(b.name+", while "+phase, g.pick("gossip", phase, "pooler", b.figures...), b.limit, "poolers", g.n)
 		}
+		line(b.name+", by its list at rest", g.of("rest", "pooler", b.figures[0], "server"), b.limit, "databases", float64(g.Databases))
 	}
-	if n, ok := g.of("startup", "pooler", "list_bytes", "server").until(g.Control.Bytes * day / g.ConfigChanges.PerDay); ok {
-		all = append(all, databases("a pooler's budget of bytes, if each change is a whole list", "its line", math.Floor(n)))
-	}
+	line("bytes, if each change is a whole list", g.of("startup", "pooler", "list_bytes", "server"), g.Control.Bytes*day/g.ConfigChanges.PerDay, "databases", float64(g.Databases))
 	slices.SortStableFunc(all, func(a, b limit) int { return cmp.Compare(a.size/a.plan, b.size/b.plan) })
 	t := Table{Name: "first", Head: []string{"what gives way", "at", "of the plan's", "by"}}
 	for _, l := range all {
-		t.Rows = append(t.Rows, []string{l.what, digits(l.size) + " " + l.of, digits(100*l.size/l.plan) + "% of " + digits(l.plan), l.by})
+		t.Rows = append(t.Rows, []string{l.what, l.text, digits(100*l.size/l.plan) + "% of " + digits(l.plan), l.by})
 	}
 	return t
 }
@@ -140,8 +141,8 @@
 // listsUntil is the largest list that may go whole to a pooler at each change within its budget.
 func (g *page) listsUntil() string {
 	bytes := g.Control.Bytes * day / g.ConfigChanges.PerDay
-	if n, ok := g.of("startup", "pooler", "list_bytes", "server").until(bytes); ok {
-		return digits(math.Floor(n)) + " databases, if all changes are of lists"
+	if _, text, ok := g.of("startup", "pooler", "list_bytes", "server").until(bytes, "databases"); ok {
+		return text + ", if all changes are of lists"
 	}
 	return "a list of " + quantity(bytes, "B") + ", if all changes are of lists"
 }
@@ -262,8 +263,8 @@
 func (g *page) order() Table {
 	n := g.n
 	bytes := "by bytes: " + NotMeasured
-	if until, ok := g.pick("gossip", "rest", "pooler", "bytes_in", "bytes_out").until(g.Control.Bytes); ok {
-		bytes = "by bytes at rest: " + digits(math.Floor(until)) + " poolers"
+	if _, text, ok := g.pick("gossip", "rest", "pooler", "bytes_in", "bytes_out").until(g.Control.Bytes, "poolers"); ok {
+		bytes = "by bytes at rest: " + text
 	}
 	return Table{"order", []string{"place", "mechanism", "why", "today's gives way at", "state"}, [][]string{
 		{"first", "distribution: one stream a pooler, documents and lists as deltas, words the newest only, who is alive summed on its way up; ordinary poolers stand for no duty", "a change in time, the 2 KB a second, connections at stewards",
--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -123,10 +123,13 @@
 	return max(v, 0), true
 }
 
-// Until is the largest size at which the figure keeps to a limit; ok false: no size tells, by what was measured.
+// Until is the largest size at which the figure keeps to a limit, 0: none by its line; ok false: no size tells, by what was measured.
 func (s Slope) Until(limit float64) (n float64, ok bool) {
-	if s.Growth == Alone || s.Each <= 0 {
+	switch {
+	case s.Growth == Alone:
 		return 0, false
+	case s.Each <= 0:
+		return 0, s.Base > limit && s.Last.Median > limit
 	}
 	return max((limit-s.Base)/s.Each, 0), true
 }
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -106,16 +106,26 @@
 	return v, len(r) > 0
 }
 
-// until is documented with Slope.Until.
-func (r reading) until(limit float64) (n float64, ok bool) {
+// until is as Slope.Until, with the size in words.
+func (r reading) until(limit float64, of string) (n float64, text string, ok bool) {
 	var sum Slope
 	for _, s := range r {
 		if s.Growth == Alone {
-			return 0, false
+			return 0, "", false
 		}
-		sum.Base, sum.Each = sum.Base+s.Base, sum.Each+s.Each
+		sum.Base, sum.Each, sum.Last.Median = sum.Base+s.Base, sum.Each+s.Each, sum.Last.Median+s.Last.Median
 	}
-	return sum.Until(limit)
+	if n, ok = sum.Until(limit); !ok {
+		return 0, "", false
+	}
+	text = digits(math.Floor(n)) + " " + of
+	switch {
+	case n < float64(r[0].First.Size):
+		text = "fewer than " + digits(float64(r[0].First.Size)) + " " + of
+	case r.growth() == Worse && n > float64(r[0].Last.Size):
+		text = "at most " + text
+	}
+	return n, text, true
 }
 
 func (r reading) growth() (worst Growth) {
@@ -194,11 +204,8 @@
 		} else if ok {
 			headroom = digits(b.limit/v) + " times"
 		}
-		if n, ok := r.until(b.limit); ok {
-			until = digits(math.Floor(n)) + " " + of
-			if r.growth() == Worse && n > float64(r[0].Last.Size) {
-				until = "at most " + until
-			}
+		if _, text, ok := r.until(b.limit, of); ok {
+			until = text
 		}
 		t.Rows = append(t.Rows, []string{b.name, on, phase, fmt.Sprintf("%s at %s %s", r.value(size), digits(size), of), quantity(b.limit, b.unit), headroom, until, string(r.growth()), r.seen(), r[0].Run})
 	}
