--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -183,7 +183,7 @@
 		{"and their return", fmt.Sprintf("%s changes missed, %s poolers that fetch", digits(math.Ceil(g.ConfigChanges.PerDay*g.Faults.Apart/day)), digits(float64(g.InRegion(g.Poolers)))), nil},
 		{digits(g.Faults.RestartsPerDay) + " restarts in a day", quantity(g.Faults.RestartsPerDay/day, "1/s"), []excess{{"restart", restart}}},
 		{fmt.Sprintf("%d restarts in a minute", g.Faults.RestartsAtOnce), quantity(float64(g.Faults.RestartsAtOnce)/60, "1/s"), []excess{{"restart", minute}}},
-		{"all poolers start at once", digits(g.n), []excess{{"join", 1}}},
+		{"all poolers start, as the run had them join", digits(g.n), []excess{{"join", 1}}},
 	} {
 		from := "not played"
 		for i, e := range f.from {
