Leave the asking for a lease to others after a term without an answer

A play at a load of 40 on 8 cores had no holder for 6 s: the deaf pooler, no holder any more, asked again each half a term, was given the free lease without knowing, and its asks renewed it. Cause: lists.go (Answer) and shared/tenure.go (nextAsk) asked again within a term whatever was answered, and a request that arrives counts at the stewards though its answer does not.

Change: after a term without any answer a pooler asks again after two terms, for the list duty and for the parts' duties alike; a holder whose renewals went unanswered does so as its lease runs out. One that was stalled, and gets answers again, is not held back.

TestLists has the whole course. Not ruled out by this: two deaf poolers at once, each blocks a term of every three.

--- a/internal/fleet/duty/lists.go
+++ b/internal/fleet/duty/lists.go
@@ -52,23 +52,25 @@
 	// before it is shut out; 0: for good.
 	Bound time.Duration
 
-	holder  lease.Holder
-	word    Word          // the newest word, of the holder or of this pooler itself
-	have    Word          // the newest word that the list in force is not older than
-	heard   time.Duration // when the last word came that was not refused
-	begun   bool
-	want    bool // the module waits for news of the list
-	open    bool // the own watch is open
-	told    bool // it has brought a list
-	asking  bool
-	asked   time.Duration
-	askAt   time.Duration // not before
-	tellAt  time.Duration
-	fetchAt time.Duration
-	fetch   bool          // one is under way
-	blind   bool          // the list of the newest word cannot be used here
-	lacking time.Duration // since when the list of the newest word has been missing here
-	barred  bool          // the operators allow this build no more
+	holder     lease.Holder
+	word       Word          // the newest word, of the holder or of this pooler itself
+	have       Word          // the newest word that the list in force is not older than
+	heard      time.Duration // when the last word came that was not refused
+	begun      bool
+	want       bool // the module waits for news of the list
+	open       bool // the own watch is open
+	told       bool // it has brought a list
+	asking     bool
+	asked      time.Duration
+	silent     bool          // the stewards have not answered lately,
+	silentFrom time.Duration // since the ask of this time
+	askAt      time.Duration // not before
+	tellAt     time.Duration
+	fetchAt    time.Duration
+	fetch      bool          // one is under way
+	blind      bool          // the list of the newest word cannot be used here
+	lacking    time.Duration // since when the list of the newest word has been missing here
+	barred     bool          // the operators allow this build no more
 }
 
 // fetchEach spreads the fetches of a fleet after a new list: so much for each pooler, as one that hands a list on
@@ -93,12 +95,20 @@
 func (l *Lists) Answer(now time.Duration, g lease.Grant, ok bool, err error) Do {
 	l.asking = false
 	if err == nil {
+		l.silent = false
 		l.holder.Granted(l.asked, g, ok)
+	} else if !l.silent {
+		l.silent, l.silentFrom = true, l.asked
 	}
-	if _, acts := l.holder.MayAct(now); acts {
+	switch _, acts := l.holder.MayAct(now); {
+	case acts:
 		l.askAt = now + l.Term/12 // after a renewal that failed there is time for another
-	} else {
-		l.askAt = now + l.spread(l.Term/2) // all that hear nothing ask twice a term or so
+	case l.silent && now-l.silentFrom >= l.Term:
+		// If the stewards hear this pooler and it does not hear them, each ask gives it a lease that it does not know of: others must have time
+		// to ask once that has run out.
+		l.askAt = now + 2*l.Term
+	default:
+		l.askAt = max(l.askAt, now+l.spread(l.Term/2)) // all that hear nothing ask twice a term or so
 	}
 	switch {
 	case err != nil || !ok:
@@ -242,9 +252,11 @@
 		return do
 	}
 	_, acts := l.holder.MayAct(now)
-	if !acts && l.holder.Until() > 0 { // it ran out: if the stewards hear this pooler and it does not hear them, its asks would keep the lease from others
+	if !acts && l.holder.Until() > 0 { // it ran out
 		l.holder.Lost()
-		l.heard, l.askAt = now, now+2*l.Term
+		if l.heard = now; l.silent {
+			l.askAt = now + 2*l.Term // as in Answer
+		}
 	}
 	if !l.Follows && !l.asking && !l.ShutOut(now) && now >= l.askDue(acts) {
 		l.asking, l.asked, do.Ask = true, now, true
--- a/internal/fleet/duty/lists_test.go
+++ b/internal/fleet/duty/lists_test.go
@@ -56,10 +56,17 @@
 			{"a third of the term", 4 * s, (*Lists).Timer, Do{Ask: true}},
 			{"no answer", 4750 * time.Millisecond, func(l *Lists, at time.Duration) Do { return l.Answer(at, lease.Grant{}, false, errors.New("silent")) }, Do{}},
 			{"again", 5 * s, (*Lists).Timer, Do{Ask: true}},
-			{"no answer again", 5750 * time.Millisecond, func(l *Lists, at time.Duration) Do { return l.Answer(at, lease.Grant{}, false, errors.New("silent")) }, Do{}},
 			{"the lease has run out", 5900 * time.Millisecond, (*Lists).Timer, Do{Close: true}},
+			{"no answer again", 6 * s, func(l *Lists, at time.Duration) Do { return l.Answer(at, lease.Grant{}, false, errors.New("silent")) }, Do{}},
 			{"others have two terms", 11800 * time.Millisecond, (*Lists).Timer, Do{}},
 			{"it asks again", 11900 * time.Millisecond, (*Lists).Timer, Do{Ask: true}},
+			{"silence still", 12500 * time.Millisecond, func(l *Lists, at time.Duration) Do { return l.Answer(at, lease.Grant{}, false, errors.New("silent")) }, Do{}},
+			{"two terms again", 18400 * time.Millisecond, (*Lists).Timer, Do{Open: true}},
+			{"it asks", 18500 * time.Millisecond, (*Lists).Timer, Do{Ask: true}},
+			{"an answer", 18500 * time.Millisecond, func(l *Lists, at time.Duration) Do {
+				return l.Answer(at, lease.Grant{Duty: ListsDuty, Holder: "n2", Token: 9, Term: term}, false, nil)
+			}, Do{}},
+			{"half a term", 20 * s, (*Lists).Timer, Do{Ask: true}},
 		},
 		"nobody holds it": {
 			{"the start", 0, (*Lists).Want, Do{}},
--- a/internal/fleet/shared/tenure.go
+++ b/internal/fleet/shared/tenure.go
@@ -25,7 +25,7 @@
 
 // Stand stands for a duty until ctx ends, and then gives it up.
 func Stand(ctx context.Context, ask Asker, d lease.Duty, t Terms) *Standing {
-	s := &Standing{ask: ask, duty: d, terms: t, start: time.Now(), changed: make(chan struct{}), ended: make(chan struct{})}
+	s := &Standing{ask: ask, duty: d, terms: t, start: time.Now(), changed: make(chan struct{}), ended: make(chan struct{}), silent: -1}
 	s.holder.Drift = t.Drift
 	go s.run(ctx)
 	return s
@@ -41,8 +41,8 @@
 
 	mu      sync.Mutex
 	holder  lease.Holder
-	acts    bool // as was last told by changed
-	held    bool // it has acted, and no answer since has said that another may
+	silent  time.Duration // the ask since which nothing was answered; below 0: the last one was
+	acts    bool          // as was last told by changed
 	changed chan struct{}
 	lapse   *time.Timer
 }
@@ -57,7 +57,10 @@
 		cancel()
 		s.mu.Lock()
 		if err == nil {
+			s.silent = -1
 			s.holder.Granted(asked, g, ok)
+		} else if s.silent < 0 {
+			s.silent = asked
 		}
 		s.look()
 		next := s.nextAsk(time.Since(s.start), g, err)
@@ -80,24 +83,20 @@
 }
 
 // nextAsk is how long to wait: until a third of the term is over for the holder, a twelfth after a renewal that failed, as long
-// as another's lease has left and a share of half a term by the spread, so that of many the first comes soon. A holder whose term
-// ran out unrenewed leaves the duty to others for two terms: stewards that hear it and that it does not hear would renew it again
-// and again, and nobody would act. The caller has the lock.
+// as another's lease has left and a share of half a term by the spread, so that of many the first comes soon; two terms after a term of
+// silence, for stewards that hear this pooler and that it does not hear give it a lease by each ask. The caller has the lock.
 func (s *Standing) nextAsk(now time.Duration, g lease.Grant, err error) time.Duration {
 	spread := time.Duration(s.terms.Spread * float64(s.terms.Term) / 2)
 	switch _, acts := s.holder.MayAct(now); {
 	case acts && err != nil:
 		return s.terms.Term / 12
 	case acts:
-		s.held = true
 		return max(s.holder.RenewAt()-now, 0)
-	case err != nil && s.held:
-		s.held = false
+	case err != nil && now-s.silent >= s.terms.Term:
 		return 2 * s.terms.Term
 	case err != nil:
 		return s.terms.Term/4 + spread
 	default:
-		s.held = false
 		return min(max(g.Term, 0), s.terms.Term) + s.terms.Drift + spread
 	}
 }
