--- a/internal/lab/scalepooler/connections.go
+++ b/internal/lab/scalepooler/connections.go
@@ -14,8 +14,9 @@
 
 func fleetOf(balancers int) string { return fmt.Sprintf("_fleet_%d", balancers) }
 
-// writesOf is the share of writes while connections are counted.
-const writesOf = 5 // one in so many
+// writesOf is the share of writes while connections are counted, one in so many; in each round other groups have theirs, or none
+// might fall into a window.
+const writesOf = 5
 
 // connections counts the connections that one pooler keeps open at the servers of groups: before any client has asked, and at a
 // pooler's share of traffic where its statements go to all groups of the fleet alike, or to a tenth or a hundredth of them.
@@ -85,7 +86,7 @@
 			return nil
 		}
 		text := standin.Read("any", 2*time.Second)
-		if (n/r.Own)%writesOf == writesOf-1 {
+		if (n/r.Own+n)%writesOf == writesOf-1 {
 			text = standin.Write("", 2*time.Second)
 		}
 		if res := c.Do(standin.At(n%r.Own, text)); res.Err != nil {
