Fill the capacity page with what lists and pings cost one pooler

Cause: the records of lists and pings have come, among them that a pooler takes no list over 1 MiB (discovery.maxText). Change: that bound on the page, with names as short as the laboratory's and of 32 bytes; "at least" only beyond what was seen.

--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -58,6 +58,7 @@
 		{"who must know of it", "poolers that use the group", fmt.Sprintf("today all: %s datagrams each, %s a day", digits(n-1), digits((n-1)*g.PrimaryChanges.PerDay)), "`fleet.TellFound`", "no limit found", "first: distribution carries it"},
 		{fmt.Sprintf("watching %s databases", digits(float64(g.Databases))), "none stated", fmt.Sprintf("primaries alone: %s pings a second for %s groups, %s a pooler, and only of groups that a pooler used in the last %s (`rules.pingEvery` × poolers); replicas by what requests meet",
 			digits(float64(g.Groups())/c("rules.pingEvery")), digits(float64(g.Groups())), digits(float64(g.Groups())/c("rules.pingEvery")/n), quantity(c("rules.pingEvery")*n, "s")), "`rules` (ping)", "an idle group is watched by nobody", "fifth: groups dealt to watchers"},
+		{"the size of a whole list", quantity(c("discovery.maxText"), "B") + " (`discovery.maxText`)", g.listSize(), "`internal/protocol/discovery`", "see what gives way first", "first: lists as deltas; a larger bound until then"},
 		{"whole lists at start and at return", "the 2 KB a second", g.lists(), "`fleet.Give`, `discovery.List`", g.listsUntil(), "first: lists as deltas"},
 		{"whole documents at start and at return", "the 2 KB a second", fmt.Sprintf("up to %s a pooler (`shared.MaxTotal`), %s for all; at %s restarts a day %s a second for all", quantity(c("shared.MaxTotal"), "B"), quantity(c("shared.MaxTotal")*n, "B"),
 			digits(g.Faults.RestartsPerDay), quantity(c("shared.MaxTotal")*g.Faults.RestartsPerDay/day, "B")), "`internal/fleet/shared` (`bringer.fetch`), copy on disk", "holds while documents are few", "first: deltas from the copy on disk"},
@@ -130,6 +131,12 @@
 		line(b.name+", by its list at rest", g.of("rest", "pooler", b.figures[0], "server"), b.limit, "databases", float64(g.Databases))
 	}
 	line("bytes, if each change is a whole list", g.of("startup", "pooler", "list_bytes", "server"), g.Control.Bytes*day/g.ConfigChanges.PerDay, "databases", float64(g.Databases))
+	if n, text, ok := g.of("startup", "pooler", "list_bytes", "server").until(c("discovery.maxText"), "databases"); ok {
+		all = append(all, limit{"a whole list's text, with names as short as the laboratory's", "`discovery.maxText`", n, text, float64(g.Databases)})
+	}
+	if r, ok := g.longNames(); ok {
+		all = append(all, databases("a whole list's text, with names of 32 bytes", "`discovery.maxText`, "+longNames, math.Floor(c("discovery.maxText")/r.Median*float64(r.Size))))
+	}
 	slices.SortStableFunc(all, func(a, b limit) int { return cmp.Compare(a.size/a.plan, b.size/b.plan) })
 	t := Table{Name: "first", Head: []string{"what gives way", "at", "of the plan's", "by"}}
 	for _, l := range all {
@@ -138,6 +145,30 @@
 	return t
 }
 
+// longNames is the run whose servers have names of 32 bytes.
+const longNames = "pooler-long-names"
+
+// longNames is what a list of such servers takes.
+func (g *page) longNames() (Row, bool) {
+	for _, run := range g.runs {
+		for _, r := range run.Rows {
+			if run.Name == longNames && r.Figure == "list_bytes" {
+				return r, true
+			}
+		}
+	}
+	return Row{}, false
+}
+
+// listSize is how far the plan's list is from the largest that is taken.
+func (g *page) listSize() string {
+	text := fmt.Sprintf("a server may take %s; %s with names as short as the laboratory's", quantity(c("discovery.maxText")/float64(g.Databases), "B"), g.of("startup", "pooler", "list_bytes", "server").value(float64(g.Databases)))
+	if r, ok := g.longNames(); ok {
+		text += fmt.Sprintf("; names of 32 bytes take %s a server (%s at %s, %s), and a longer list is refused whole", quantity(r.Median/float64(r.Size), "B"), quantity(r.Median, "B"), digits(float64(r.Size)), longNames)
+	}
+	return text
+}
+
 // listsUntil is the largest list that may go whole to a pooler at each change within its budget.
 func (g *page) listsUntil() string {
 	bytes := g.Control.Bytes * day / g.ConfigChanges.PerDay
--- a/internal/capacity/constants.go
+++ b/internal/capacity/constants.go
@@ -7,6 +7,7 @@
 	"config.defaultKeep":      4,
 	"config.defaultTerm":      3,
 	"config.mostStewards":     7,
+	"discovery.maxText":       1 << 20,
 	"duty.fetchEach":          0.005,
 	"fleet.gives":             8,
 	"membership.MaxServers":   1 << 14,
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -161,7 +161,11 @@
 	for _, s := range r {
 		base, each = base+s.Base, each+s.Each
 	}
-	return fmt.Sprintf("%s + %s each", quantity(base, r[0].Unit), quantity(each, r[0].Unit))
+	sign := "+"
+	if each < 0 {
+		sign, each = "-", -each
+	}
+	return fmt.Sprintf("%s %s %s each", quantity(base, r[0].Unit), sign, quantity(each, r[0].Unit))
 }
 
 // value is what follows at a size, marked where the line is known to tell too little.
@@ -172,7 +176,7 @@
 		return NotMeasured
 	case !ok:
 		return NotMeasured + " beyond " + digits(float64(r[0].Last.Size))
-	case r.growth() == Worse:
+	case r.growth() == Worse && n > float64(r[0].Last.Size):
 		return "at least " + quantity(v, r[0].Unit)
 	}
 	return quantity(v, r[0].Unit)
@@ -260,9 +264,9 @@
 		{"until a whole list is taken", "whole_list", "pooler", "list_taken", "server"},
 		{"processor time of a change of one server", "delta", "pooler", "cpu", "server"},
 		{"until a change of one server is taken", "delta", "pooler", "list_taken", "server"},
-		{"pings of primaries, groups in use", "rest" + fleet, "pooler", "pings", "group"},
-		{"processor for them", "rest" + fleet, "pooler", "cpu", "group"},
-		{"pings before any client has asked", "untouched" + fleet, "pooler", "pings", "group"},
+		{"pings of primaries, seconds after use (the next are due after `rules.pingEvery` × poolers)", "rest" + fleet, "pooler", "pings", "group"},
+		{"processor at rest with all groups used once", "rest" + fleet, "pooler", "cpu", "group"},
+		{"memory with all groups used once", "rest" + fleet, "pooler", "rss", "group"},
 		{"connections of all poolers at a primary, all groups used alike", "all_groups" + fleet, "derived", "connections_primary", "pooler"},
 		{"at the replica that is home to most", "all_groups" + fleet, "derived", "connections_replica_most_homes", "pooler"},
 		{"at a primary, a tenth of the groups used by each", "tenth_of_groups" + fleet, "derived", "connections_primary", "pooler"},
