Let parts of a run differ by the laboratory's commit, and leave a phase out

Cause: gossip was measured by sizes, 400 poolers with a later laboratory that starts them over a time; its join is no match for the others'. Ruled out: dropping the check that parts are of one commit. Change: the plan names commits that are alike (the pooler's files are the same) and RECORD/PHASE that do not count; one that is not there is an error. Tests of capacity and config pass.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -50,9 +50,11 @@
 }
 
 // Fit fits a line to each figure of the named runs. Where two have the same figure, the later one of names counts, whole. A name may
-// be of several records, "A+B", that were one measurement in parts, of one commit: they are taken for one.
-func Fit(runs []Run, names []string) (Recorded, error) {
+// be of several records, "A+B", that were one measurement in parts: they are taken for one. They must be of one commit, or of commits
+// between which alike says that what is measured did not change. leftOut are RECORD/PHASE whose rows don't count.
+func Fit(runs []Run, names, leftOut, alike []string) (Recorded, error) {
 	out := Recorded{Slopes: map[Key]Slope{}}
+	without := map[string]bool{}
 	for i, name := range names {
 		rows := map[Key][]Row{}
 		commit := ""
@@ -61,11 +63,15 @@
 			if at < 0 {
 				return out, fmt.Errorf("runs[%d]: there is no record %q", i, part)
 			}
-			if commit != "" && commit != runs[at].Commit {
+			if commit != "" && commit != runs[at].Commit && !(slices.Contains(alike, commit) && slices.Contains(alike, runs[at].Commit)) {
 				return out, fmt.Errorf("runs[%d]: %q is of two commits, %s and %s", i, name, commit, runs[at].Commit)
 			}
 			commit = runs[at].Commit
 			for _, r := range runs[at].Rows {
+				if at := part + "/" + r.Phase; slices.Contains(leftOut, at) {
+					without[at] = true
+					continue
+				}
 				k := Key{r.Mechanism, r.Phase, r.Role, r.Kind, r.Figure, r.Per}
 				rows[k] = append(rows[k], r)
 			}
@@ -81,6 +87,11 @@
 			out.Slopes[k] = fit(k, name, of)
 		}
 	}
+	for i, at := range leftOut {
+		if !without[at] {
+			return out, fmt.Errorf("left_out[%d]: runs have no %q", i, at)
+		}
+	}
 	return out, nil
 }
 
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -16,6 +16,8 @@
 	Faults         PlanFaults `json:"faults"`
 	Assumed        Assumed    `json:"assumed"`
 	Runs           []string   `json:"runs"`     // the records that the page rests on; a later one's slope stands for an earlier one's
+	LeftOut        []string   `json:"left_out"` // RECORD/PHASE of these that don't count
+	Alike          []string   `json:"alike"`    // commits between which the pooler did not change, though the laboratory did
 	Measured       []string   `json:"measured"` // slopes that these must have, as Key.String writes them
 }
 
--- a/internal/config/capacity.go
+++ b/internal/config/capacity.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return p, found, err
 	}
-	if found, err = capacity.Fit(runs, p.Runs); err != nil {
+	if found, err = capacity.Fit(runs, p.Runs, p.LeftOut, p.Alike); err != nil {
 		return p, found, located(path, text, err)
 	}
 	known := map[string]bool{}
