--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -24,7 +24,7 @@
 			"`internal/fleet/shared` (`bringer.speak`), `internal/fleet/peers` (`Bus.Cast`)"},
 		{"holder of the list duty", "the list service's watch, the newest list", fmt.Sprintf("%s datagrams a third of a term; whole lists to %d askers at once (`fleet.gives`); a pooler shows its list %s after it has it at the latest (`peers.metaEach`), so nearly all ask the holder",
 			digits(n-1), int(c("fleet.gives")), quantity(c("peers.metaEach")*n, "s")), "`internal/fleet/duty`, `internal/fleet`"},
-		{"distributor", "a stream of each pooler that turned to it, the documents, what changed lately", NotMeasured + "; streams: see machines", "`internal/fleet/distribution`, in the making"},
+		{"distributor", "a stream of each pooler that turned to it, the documents, what changed lately", "processor " + g.pick("distribution", "change", "distributor", "cpu").value(g.n) + ", memory " + g.pick("distribution", "change", "distributor", "rss").value(g.n) + ", bytes out " + g.pick("distribution", "change", "distributor", "bytes_out").value(g.n) + ", each of as many as were measured; a stream a pooler: see machines", "`internal/fleet/distribution`"},
 		{"dealer of limits", "an account of each pooler, each key's wants and slices", fmt.Sprintf("%s asks and as many answers a second (one a pooler each third of a term), each over a connection of its own (`peers.Send`); %s of them may wait (`quota.queued`)",
 			digits(3*n/term), digits(c("quota.queued"))), "`internal/fleet/quota` (`Dealer`)"},
 		{"judge of verdicts", "the newest report of each observer; every pooler is one", fmt.Sprintf("%s observers are heard (`verdict.maxObservers`) of %s; while they complain %s reports a second at each pooler of up to %s bytes: %s",
@@ -51,7 +51,7 @@
 			"words and fetches: `internal/fleet/shared`", digits(g.untilFetch("shared.fetchEach")) + " poolers", "first: distribution"},
 		{"a list's change in force everywhere", quantity(within, "s"), fmt.Sprintf("%s; bound: %s (`duty.fetchEach` × poolers) and the giving, %d at once", NotMeasured, quantity(c("duty.fetchEach")*n, "s"), int(c("fleet.gives"))),
 			"word and whole list: `internal/fleet/duty`, `internal/fleet`", digits(math.Floor(within/c("duty.fetchEach"))) + " poolers", "first: distribution, lists as deltas"},
-		{"60 changes a minute", quantity(within, "s"), fmt.Sprintf("the last pooler: %s; bound on an ordinary day: %s datagrams a second from the leading steward's process, words each %s and changes", g.seenOr("gossip", "changes60", "in_force_last"),
+		{"60 changes a minute", quantity(within, "s"), fmt.Sprintf("the last pooler: %s by gossip, %s by distribution; bound of gossip on an ordinary day: %s datagrams a second from the leading steward's process, words each %s and changes", g.seenOr("gossip", "changes60", "in_force_last"), g.seenOr("distribution", "changes60", "in_force_last"),
 			digits(n*(3/term+g.ConfigChanges.PerDay/day)), quantity(term/3, "s")), "`internal/fleet/peers` (`Bus.Cast`)", "see order", "first: distribution"},
 		{"a change of primary over", quantity(g.PrimaryChanges.Within, "s"), NotMeasured + fmt.Sprintf("; noticed by whoever uses the group, by an attempt or by a ping of all poolers' %s a second; told to the holder by a datagram; the holder's word goes to all. A holder that never used the group does not look, and each pooler repeats rounds for itself",
 			digits(1/c("rules.pingEvery"))), "`rules` (rounds), `internal/program` (`listDuty`)", "groups that the holder does not use", "fifth: groups dealt to watchers"},
@@ -275,7 +275,8 @@
 
 // machines is what those set aside hold, and how many may fail.
 func (g *page) machines() Table {
-	t := Table{Name: "machines", Head: []string{"left", "when", "poolers on each, evenly", "of the descriptors, a stream each", "budget of all poolers' control, a machine", "all documents to all poolers, by the network alone"}}
+	t := Table{Name: "machines", Head: []string{"left", "when", "poolers on each, evenly", "of the descriptors, a stream each", "budget of all poolers' control, a machine", "all documents to all poolers, by the network alone",
+		"a distributor's processor", "memory", "descriptors", "bytes out"}}
 	count, zones := g.Machines.Count, g.Zones()
 	inZone := int(math.Ceil(float64(count) / float64(zones)))
 	for _, m := range []struct {
@@ -284,8 +285,12 @@
 	}{{0, "none has failed"}, {1, "one has failed"}, {inZone, "a zone is lost"}, {g.InRegion(count), "the largest region is lost or apart"}, {count - 3, "three are left"}} {
 		left := float64(count - m.lost)
 		each := math.Ceil(g.n / left)
-		t.Rows = append(t.Rows, []string{fmt.Sprint(count - m.lost), m.when, digits(each), digits(100*each/float64(g.Machines.Descriptors)) + "%", quantity(each*g.Control.Bytes, "B/s"),
-			quantity(g.n*c("shared.MaxTotal")/left/g.Machines.Bytes, "s")})
+		row := []string{fmt.Sprint(count - m.lost), m.when, digits(each), digits(100*each/float64(g.Machines.Descriptors)) + "%", quantity(each*g.Control.Bytes, "B/s"),
+			quantity(g.n*c("shared.MaxTotal")/left/g.Machines.Bytes, "s")}
+		for _, figure := range []string{"cpu", "rss", "descriptors", "bytes_out"} { // as if the fleet were so much larger before all of them
+			row = append(row, g.pick("distribution", "change", "distributor", figure).value(math.Round(g.n*float64(count)/left)))
+		}
+		t.Rows = append(t.Rows, row)
 	}
 	return t
 }
