--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -7,6 +7,7 @@
 package peers
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -64,7 +65,6 @@
 	leaveFor     = 200 * time.Millisecond
 	metaEvery    = 2 * time.Second        // looks for news of the member's own versions
 	metaEach     = 200 * time.Millisecond // times the fleet's size: between two of those, each of which all pass on to all
-	tellWithin   = 2 * time.Second        // the news is told again if it was not passed on in it
 	repeats      = 3                      // times log10 of the fleet: how often a word is passed on
 )
 
@@ -238,16 +238,25 @@
 				p.news, told = false, time.Now()
 			}
 			p.mu.Unlock()
-			// memberlist may take the news without ever telling that it has passed it on: where it defends this member's life meanwhile.
-			if due && p.list.UpdateNode(tellWithin) != nil {
-				p.mu.Lock()
-				p.news = true
-				p.mu.Unlock()
+			if due {
+				p.tell()
 			}
 		}
 	}
 }
 
+// tell has the member's news passed on. That is not waited for: where memberlist defends this member's life at the same moment it
+// drops the news without a word, and would never end the wait. Then it is news still.
+func (p *Peers) tell() {
+	_ = p.list.UpdateNode(time.Nanosecond) // its error is that it was not waited for
+	text := (*delegate)(p).NodeMeta(memberlist.MetaMaxSize)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if own := p.alive[p.o.Name]; own != nil && !bytes.Equal(own.Meta, text) { // as it came back by NotifyUpdate
+		p.news = true
+	}
+}
+
 func (p *Peers) say(line string) {
 	if p.o.Log != nil {
 		p.o.Log(line)
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -115,6 +115,25 @@
 	until(t, "all know all again", f.all(3))
 }
 
+// News that memberlist has taken is not told again, whether or not it has been passed on yet.
+func TestNewsIsToldOnce(t *testing.T) {
+	f := start(t, 3)
+	until(t, "all know all", f.all(3))
+	m := f.members[0]
+	for i := range 20 {
+		m.mu.Lock()
+		m.meta, m.news = Meta{Build: fmt.Sprint("b", i)}, false
+		m.mu.Unlock()
+		m.tell()
+		m.mu.Lock()
+		again := m.news
+		m.mu.Unlock()
+		if again {
+			t.Errorf("news %d is to be told again", i)
+		}
+	}
+}
+
 func TestBadAddresses(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
