--- a/internal/fleet/distribution/distributor.go
+++ b/internal/fleet/distribution/distributor.go
@@ -227,14 +227,6 @@
 	}
 }
 
-// tell tells all other distributors. The caller has the lock.
-func (d *Distributor) tell(h holds) {
-	frame := sealJSON(kindHolds, h)
-	for _, out := range d.links {
-		out.put(frame)
-	}
-}
-
 func (d *Distributor) refuse(c net.Conn, name string, no refusal) {
 	frame := sealJSON(kindRefusal, no)
 	d.o.Count.Out(kindRefusal.String(), len(frame))
@@ -285,18 +277,6 @@
 	}
 }
 
-// told takes in whom another distributor holds. A pooler that has come there has left here, whatever its old stream says.
-func (d *Distributor) told(name string, h holds) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.dir.take(name, h)
-	for _, pooler := range h.Came {
-		if s := d.streams[pooler]; s != nil && !s.Distributor && !h.All {
-			_ = s.conn.Close()
-		}
-	}
-}
-
 // most bounds what a caller may send: another distributor may hand on what was sent down to it.
 func (d *Distributor) most(s *stream) int {
 	if s.Distributor {
@@ -331,104 +311,27 @@
 	return nil
 }
 
-// message passes a message on towards its pooler. What another distributor has passed on goes no further than here.
-func (d *Distributor) message(s *stream, body []byte) error {
-	var to, from, topic string
-	text, err := unnamed(body, &to, &from, &topic)
-	if err != nil {
-		return err
-	}
-	if from != s.Name && !s.Distributor {
-		return fmt.Errorf("%w: it speaks for %s", errFrame, from)
-	}
-	d.pass(to, from, topic, text, s.Distributor)
-	return nil
-}
-
-// pass gives a message to a pooler, if it is known; its sender will miss the answer else.
-func (d *Distributor) pass(to, from, topic string, text []byte, last bool) (known bool) {
-	if to == d.o.Name {
-		d.hear(from, topic, text)
-		return true
-	}
-	frame := seal(kindMessage, named(text, to, from, topic))
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if s := d.streams[to]; s != nil && !s.Distributor {
-		return s.out.put(frame)
-	}
-	if last {
-		return false
-	}
-	out := d.links[to]
-	if out == nil {
-		out = d.links[d.dir.at[to]]
-	}
-	return out != nil && out.put(frame)
-}
-
-// casts passes a cast on to all: a pooler's to this distributor's own and to the other distributors, another's to its own.
-func (d *Distributor) casts(s *stream, body []byte) error {
-	var from, topic string
-	text, err := unnamed(body, &from, &topic)
-	if err != nil {
-		return err
-	}
-	if from != s.Name && !s.Distributor {
-		return fmt.Errorf("%w: it speaks for %s", errFrame, from)
-	}
-	d.spread(from, topic, body, s.Distributor)
-	d.hear(from, topic, text)
-	return nil
-}
-
-func (d *Distributor) spread(from, topic string, body []byte, last bool) {
-	frame, key := seal(kindCast, body), from+"\x00"+topic
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, s := range d.streams {
-		if !s.Distributor && s.Name != from {
-			s.out.cast(key, frame)
-		}
-	}
-	if !last {
-		for _, out := range d.links {
-			out.cast(key, frame)
-		}
-	}
-}
-
 // write gives a caller what it lacks, until the connection fails.
 func (d *Distributor) write(s *stream) error {
-	out := bufio.NewWriterSize(s.conn, 4<<10)
-	send := func(k kind, frame []byte) error {
-		d.o.Count.Out(k.String(), len(frame))
-		_, err := out.Write(frame)
-		return err
-	}
-	if err := send(kindWelcome, seal(kindWelcome)); err != nil {
+	out := newFrames(s.conn, d.o.Count)
+	if err := out.send(seal(kindWelcome)); err != nil {
 		return err
 	}
 	beat := time.NewTicker(d.o.Beat)
 	defer beat.Stop()
 	for due := true; ; {
-		for _, frame := range s.out.take() {
-			if len(frame) == 0 {
-				return net.ErrClosed
-			}
-			if err := send(kindOf(frame), frame); err != nil {
-				return err
-			}
+		if err := out.send(s.out.take()...); err != nil {
+			return err
 		}
 		if !s.Distributor {
-			news, err := d.bring(s, send)
+			news, err := d.bring(s, out)
 			if err != nil {
 				return err
 			}
 			due = due || news
 		}
 		if due {
-			if err := send(kindWord, sealJSON(kindWord, d.word())); err != nil {
+			if err := out.send(sealJSON(kindWord, d.word())); err != nil {
 				return err
 			}
 		}
@@ -447,7 +350,7 @@
 }
 
 // bring sends what a caller lacks of the feeds, and tells whether it lacked anything. Whole copies wait for their turn.
-func (d *Distributor) bring(s *stream, send func(kind, []byte) error) (news bool, err error) {
+func (d *Distributor) bring(s *stream, out frames) (news bool, err error) {
 	for i, f := range d.feeds {
 		k, frame, newest := f.since(s.has[i])
 		if frame == nil {
@@ -459,10 +362,10 @@
 			case <-d.ctx.Done():
 				return false, d.ctx.Err()
 			}
-			err = send(k, frame)
+			err = out.send(frame)
 			<-d.whole
 		} else {
-			err = send(k, frame)
+			err = out.send(frame)
 		}
 		if err != nil {
 			return false, err
@@ -480,143 +383,3 @@
 	}
 	return w
 }
-
-// link keeps a stream open to another distributor, by which this one tells it whom it holds and passes messages on.
-func (d *Distributor) link(p Place) {
-	for d.ctx.Err() == nil {
-		if err := d.linked(p); err != nil && d.ctx.Err() == nil {
-			d.once("link: "+err.Error(), p.Name, "link: "+err.Error())
-		}
-		pause(d.ctx, d.o.Beat)
-		d.mu.Lock()
-		d.dir.expire(time.Now(), shunBeats*d.o.Beat)
-		d.mu.Unlock()
-	}
-}
-
-func (d *Distributor) linked(p Place) error {
-	conn, in, err := call(d.ctx, d.o.Dial, p, d.o.Beat, d.o.Count, hello{Protocol: protocol, Name: d.o.Name, Region: d.o.Region, Distributor: true})
-	var no refused
-	switch {
-	case errors.As(err, &no):
-		return err
-	case err != nil:
-		return nil // it is not there: tried again
-	}
-	defer conn.Close()
-	defer context.AfterFunc(d.ctx, func() { _ = conn.Close() })()
-	out := newOutbox(mostLinked, func() { _ = conn.Close() })
-	d.mu.Lock()
-	all := holds{All: true}
-	for name, s := range d.streams {
-		if !s.Distributor {
-			all.Came = append(all.Came, name)
-		}
-	}
-	slices.Sort(all.Came)
-	out.put(sealJSON(kindHolds, all))
-	d.links[p.Name] = out
-	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.links[p.Name] == out {
-			delete(d.links, p.Name)
-		}
-	}()
-	go func() { // the words that come back tell that it lives
-		for {
-			k, _, size, err := readFrame(in, mostDown)
-			if err != nil {
-				_ = conn.Close()
-				out.put(nil)
-				return
-			}
-			d.o.Count.In(k.String(), size)
-		}
-	}()
-	w := bufio.NewWriterSize(conn, 16<<10)
-	beat := time.NewTicker(d.o.Beat)
-	defer beat.Stop()
-	told := ""
-	for {
-		for _, frame := range out.take() {
-			if len(frame) == 0 {
-				return nil
-			}
-			d.o.Count.Out(kindOf(frame).String(), len(frame))
-			if _, err := w.Write(frame); err != nil {
-				return nil
-			}
-		}
-		if err := w.Flush(); err != nil {
-			return nil
-		}
-		select {
-		case <-d.ctx.Done():
-			return nil
-		case <-out.wake:
-		case <-beat.C:
-			var frame []byte
-			frame, told = d.livesOn(told)
-			out.put(frame)
-		}
-	}
-}
-
-// Self is documented with bus.Bus.
-func (d *Distributor) Self() string { return d.o.Name }
-
-// Members are the distributors that are alive: those that any pooler may ask.
-func (d *Distributor) Members() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := append(d.dir.alive(), d.o.Name)
-	slices.Sort(out)
-	return out
-}
-
-// Size is documented with bus.Bus.
-func (d *Distributor) Size() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.dir.at) + d.poolers + len(d.dir.alive()) + 1
-}
-
-// Streams is how many poolers' streams end here.
-func (d *Distributor) Streams() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.poolers
-}
-
-// Send is documented with bus.Bus.
-func (d *Distributor) Send(ctx context.Context, to, topic string, body []byte) error {
-	if err := fits(topic, body, mostBytes/2); err != nil {
-		return err
-	}
-	if !d.pass(to, d.o.Name, topic, slices.Clone(body), false) {
-		return fmt.Errorf("%w: %s", bus.ErrUnknown, to)
-	}
-	return ctx.Err()
-}
-
-// Cast is documented with bus.Bus.
-func (d *Distributor) Cast(topic string, body []byte) {
-	if err := fits(topic, body, mostBytes/2); err != nil {
-		d.o.Log("distributor: " + err.Error())
-		return
-	}
-	d.spread(d.o.Name, topic, named(body, d.o.Name, topic), false)
-}
-
-// fits refuses what the receiver would end the stream for.
-func fits(topic string, body []byte, most int) error {
-	switch {
-	case topic == "" || len(topic) > mostName:
-		return fmt.Errorf("a topic of %d bytes", len(topic))
-	case len(body) > most:
-		return fmt.Errorf("%w: %d bytes on %s", errLong, len(body), topic)
-	}
-	return nil
-}
--- a/internal/fleet/distribution/outbox.go
+++ b/internal/fleet/distribution/outbox.go
@@ -1,6 +1,11 @@
 package distribution
 
-import "sync"
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+)
 
 // The bounds of what may wait for a reader. Beyond them it is cut off: what the feeds hold it gets by version when it comes again.
 const (
@@ -89,3 +94,27 @@
 	clear(o.casts)
 	return out
 }
+
+// frames writes sealed frames to a connection, and counts them. It is not safe for use by several goroutines.
+type frames struct {
+	*bufio.Writer
+	count Counter
+}
+
+func newFrames(w io.Writer, count Counter) frames {
+	return frames{bufio.NewWriterSize(w, 4<<10), count}
+}
+
+// send writes frames in their order. An empty one, which no peer sends, tells that the connection has ended.
+func (f frames) send(all ...[]byte) error {
+	for _, frame := range all {
+		if len(frame) == 0 {
+			return net.ErrClosed
+		}
+		f.count.Out(kindOf(frame).String(), len(frame))
+		if _, err := f.Write(frame); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/fleet/distribution/subscriber.go
+++ b/internal/fleet/distribution/subscriber.go
@@ -260,12 +260,12 @@
 
 // write tells each beat that the pooler lives, and what it has in force where that has changed, and sends what waits.
 func (s *Subscriber) write(ctx context.Context, conn net.Conn, out *outbox) error {
-	w := bufio.NewWriterSize(conn, 4<<10)
+	w := newFrames(conn, s.o.Count)
 	beat := time.NewTicker(s.o.Beat)
 	defer beat.Stop()
 	var told live
 	for due := true; ; {
-		frames := out.take()
+		waiting := out.take()
 		if due {
 			now := live{Has: s.has()}
 			s.mu.Lock()
@@ -275,13 +275,10 @@
 			if now.Status != told.Status || !maps.Equal(now.Has, told.Has) {
 				frame, told = sealJSON(kindLive, now), now
 			}
-			frames = append(frames, frame)
+			waiting = append(waiting, frame)
 		}
-		for _, frame := range frames {
-			s.o.Count.Out(kindOf(frame).String(), len(frame))
-			if _, err := w.Write(frame); err != nil {
-				return err
-			}
+		if err := w.send(waiting...); err != nil {
+			return err
 		}
 		if err := w.Flush(); err != nil {
 			return err
