Wait longer for distributors where none has answered a pooler's calls

Cause: a join of 3,000 hollow poolers in four processes of a core each, on a busy machine, took 48 s (1,000: 2.9 s): calls were given up after half a beat though they had been taken, and called for again at once. Ruled out: admission (167 callers a distributor at 500 a second) and room (callers that were sent on cost no token). Change: after a turn in which no distributor answered, each has twice as long to, up to 4 beats. Measured: TestSlowAnswers (answers after 2 s) fails without the change; a join at that size has not been played again yet.

--- a/internal/fleet/distribution/call.go
+++ b/internal/fleet/distribution/call.go
@@ -15,10 +15,10 @@
 
 func (r refused) Error() string { return r.Why }
 
-// call opens a stream to a distributor. An error is of the network, refused, or of what it answered. What it answers has to come within
-// half a beat: the caller has others to turn to.
-func call(ctx context.Context, dial Dialer, p Place, beat time.Duration, count Counter, h hello) (net.Conn, *bufio.Reader, error) {
-	within, cancel := context.WithTimeout(ctx, tenths(beat, answerBeats))
+// call opens a stream to a distributor. An error is of the network, refused, or of what it answered. Its answer has to come within the
+// caller's patience: there are others to turn to.
+func call(ctx context.Context, dial Dialer, p Place, patience, beat time.Duration, count Counter, h hello) (net.Conn, *bufio.Reader, error) {
+	within, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	c, err := dial(within, p.Addr)
 	if err != nil {
--- a/internal/fleet/distribution/distribution.go
+++ b/internal/fleet/distribution/distribution.go
@@ -61,8 +61,10 @@
 	// lostBeats without a byte end a stream, on either side, in tenths of a beat: two words may come late, or one be lost with
 	// its connection's retransmission.
 	lostBeats = 25
-	// answerBeats is how long a distributor may take to answer a call, in tenths of a beat.
+	// answerBeats is how long a distributor may take to answer a call, in tenths of a beat: twice as long after each turn in which none
+	// did, up to mostBeats beats.
 	answerBeats = 5
+	mostBeats   = 4
 	// writeBeats is how long a frame may take to be written, in beats: a reader that is slower is cut off.
 	writeBeats = 4
 	// behindBeats is how long a distributor may show an older version than the pooler has before it is left, in beats: one that
--- a/internal/fleet/distribution/distribution_test.go
+++ b/internal/fleet/distribution/distribution_test.go
@@ -334,3 +334,18 @@
 		}
 	})
 }
+
+// Distributors that all take seconds to answer are waited for longer at each turn, and take their poolers in the end.
+func TestSlowAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1)
+		defer f.end()
+		time.Sleep(3 * beat)
+		f.n.mu.Lock()
+		f.n.delay = beat // each way
+		f.n.mu.Unlock()
+		f.join(0, 1, "r0")
+		f.put("p/a", "1")
+		f.within(30*beat, "slow answers")
+	})
+}
--- a/internal/fleet/distribution/link.go
+++ b/internal/fleet/distribution/link.go
@@ -21,7 +21,7 @@
 }
 
 func (d *Distributor) linked(p Place) error {
-	conn, in, err := call(d.ctx, d.o.Dial, p, d.o.Beat, d.o.Count, hello{Protocol: protocol, Name: d.o.Name, Region: d.o.Region, Distributor: true})
+	conn, in, err := call(d.ctx, d.o.Dial, p, tenths(d.o.Beat, answerBeats), d.o.Beat, d.o.Count, hello{Protocol: protocol, Name: d.o.Name, Region: d.o.Region, Distributor: true})
 	var no refused
 	switch {
 	case errors.As(err, &no):
--- a/internal/fleet/distribution/subscriber.go
+++ b/internal/fleet/distribution/subscriber.go
@@ -85,15 +85,18 @@
 // run holds one stream after another.
 func (s *Subscriber) run(ctx context.Context) {
 	var next *taken
+	patience := s.answer()
 	for ctx.Err() == nil {
 		if next == nil {
-			next = s.turn(ctx)
+			next = s.turn(ctx, patience)
 		}
 		if next == nil { // nobody takes it: it is as a pooler alone
 			pause(ctx, s.wait(s.o.Beat))
+			patience = min(2*patience, mostBeats*s.o.Beat) // where all are slow to answer, calls that are given up make them slower
 			continue
 		}
 		at := next
+		patience = s.answer()
 		var why error
 		if next, why = s.hold(ctx, at); next != nil || ctx.Err() != nil {
 			continue
@@ -141,15 +144,15 @@
 
 // turn calls the distributors in their order until one takes the stream; nil: none does. One that names a time is called again
 // then. Those that have no room take nobody who finds room elsewhere: they are asked once more, with that said.
-func (s *Subscriber) turn(ctx context.Context) *taken {
+func (s *Subscriber) turn(ctx context.Context, patience time.Duration) *taken {
 	for _, insists := range []bool{false, true} {
 		full := false
 		for _, p := range s.order() {
-			t, err := s.call(ctx, p, insists)
+			t, err := s.call(ctx, p, patience, insists)
 			var no refused
 			for errors.As(err, &no) && no.Later > 0 && ctx.Err() == nil {
 				pause(ctx, time.Duration(no.Later)*time.Millisecond)
-				t, err = s.call(ctx, p, insists)
+				t, err = s.call(ctx, p, patience, insists)
 				no = refused{}
 			}
 			switch {
@@ -188,11 +191,14 @@
 	})
 }
 
-func (s *Subscriber) call(ctx context.Context, p Place, insists bool) (*taken, error) {
+// answer is how long a call may take.
+func (s *Subscriber) answer() time.Duration { return tenths(s.o.Beat, answerBeats) }
+
+func (s *Subscriber) call(ctx context.Context, p Place, patience time.Duration, insists bool) (*taken, error) {
 	s.mu.Lock()
 	h := hello{Protocol: protocol, Name: s.o.Name, Region: s.o.Region, Has: s.has(), Insists: insists, Status: s.status}
 	s.mu.Unlock()
-	conn, in, err := call(ctx, s.o.Dial, p, s.o.Beat, s.o.Count, h)
+	conn, in, err := call(ctx, s.o.Dial, p, patience, s.o.Beat, s.o.Count, h)
 	if err != nil {
 		return nil, err
 	}
@@ -248,7 +254,7 @@
 		if stream.Err() != nil {
 			return
 		}
-		t, err := s.call(ctx, first, false)
+		t, err := s.call(ctx, first, s.answer(), false)
 		if err == nil {
 			home <- t
 			_ = at.conn.Close()
