--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -311,7 +311,7 @@
 		{"third", "limits dealt in two steps, to distributors and by them", "one dealer hears all", fmt.Sprintf("%s asks that wait (`quota.queued`), %s keys of a pooler (`quota.mostBuckets`)", digits(c("quota.queued")), digits(c("quota.mostBuckets"))), "missing"},
 		{"fourth", "enrolment of routers at distributors, the shard map in parts", "a document a pooler", fmt.Sprintf("%s documents (`shared.MaxDocs`)", digits(c("shared.MaxDocs"))), "missing; shard maps are off as shipped"},
 		{"fifth", "groups dealt to watchers, two or three for each, in its own region", "groups that the holder does not use are looked after by nobody, or by all", "no size: it holds for small fleets too", "missing"},
-		{"sixth", "each pooler uses a few replicas of each group", "connections at a database", NotMeasured, "half: homes by `internal/fleet/balance`, not the connections"},
+		{"sixth", "each pooler uses a few databases of a group, and few groups have all poolers", "connections at a database", "by the database's own limit; a primary holds " + g.of(fmt.Sprintf("tenth_of_groups_fleet_%d", g.Poolers), "derived", "connections_primary", "pooler").value(n) + " where each pooler uses a tenth of the groups", "half: homes by `internal/fleet/balance`, not the connections"},
 		{"seventh", "a document a site for purges", "one document for all", "by sites: " + NotMeasured, "missing; purges are off as shipped"},
 		{"eighth", "journals merged by region", "reading all at one place", NotMeasured, "missing"},
 	}}
