Read the capacity plan beside what is worked out of it, so that serve is free of it

Cause: internal/config read the plan and so linked serve with internal/capacity, which it has no use for. Measured: the packages' tests.

--- a/cmd/threadlab/capacity.go
+++ b/cmd/threadlab/capacity.go
@@ -7,7 +7,6 @@
 	"os"
 
 	"threadsail/internal/capacity"
-	"threadsail/internal/config"
 )
 
 type capacityCmd struct {
@@ -16,7 +15,7 @@
 }
 
 func (c *capacityCmd) Run() error {
-	plan, found, err := config.LoadCapacity(c.Data)
+	plan, found, err := capacity.Read(c.Data)
 	if err != nil {
 		return err
 	}
--- a/cmd/threadlab/capacity_test.go
+++ b/cmd/threadlab/capacity_test.go
@@ -7,13 +7,12 @@
 	"github.com/google/go-cmp/cmp"
 
 	"threadsail/internal/capacity"
-	"threadsail/internal/config"
 )
 
 // The page says what the command prints.
 func TestCapacityPage(t *testing.T) {
 	const path = "../../docs/CAPACITY.md"
-	plan, found, err := config.LoadCapacity("../../docs/capacity")
+	plan, found, err := capacity.Read("../../docs/capacity")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/capacity_test.go
+++ b/internal/capacity/read_test.go
@@ -1,4 +1,4 @@
-package config
+package capacity
 
 import (
 	"os"
@@ -9,7 +9,7 @@
 )
 
 // Mistakes of the plan and of the records are told with file, line and key.
-func TestCapacity(t *testing.T) {
+func TestRead(t *testing.T) {
 	plan, err := os.ReadFile("../../docs/capacity/plan.json")
 	if err != nil {
 		t.Fatal(err)
@@ -50,7 +50,7 @@
 				t.Fatal(err)
 			}
 		}
-		switch _, found, err := LoadCapacity(dir); {
+		switch _, found, err := Read(dir); {
 		case c.want == "" && (err != nil || len(found.Slopes) != 1):
 			t.Errorf("%s: %v, %d slopes", name, err, len(found.Slopes))
 		case c.want != "" && (err == nil || !strings.Contains(err.Error(), dir) || !strings.Contains(err.Error(), c.want)):
