--- a/cmd/threadlab/fleet.go
+++ b/cmd/threadlab/fleet.go
@@ -19,7 +19,7 @@
 var scenarios embed.FS
 
 type fleetCmd struct {
-	Scenario string `arg:"" help:"A shipped scenario (calm, roll, herd, zone, split, join, leases, limits, pushed, shards) or a scenario file."`
+	Scenario string `arg:"" help:"A shipped scenario (calm, roll, herd, zone, split, join, leases, distribution, limits, pushed, shards) or a scenario file."`
 	Poolers  int    `help:"Play it with so many poolers instead; steps that name poolers by index must fit them."`
 	Binary   string `help:"The pooler to run: bin/threadsail unless given, and bin/threadsail-fleet where the poolers know each other. If it is missing, this program's own."`
 	Journals string `help:"Put the poolers' journals of acts into this folder, for threadsail audit."`
