--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -106,6 +106,9 @@
 	return v, len(r) > 0
 }
 
+// farthest is up to how many times the largest size seen a line is said to hold: beyond that it says nothing.
+const farthest = 50
+
 // until is as Slope.Until, with the size in words.
 func (r reading) until(limit float64, of string) (n float64, text string, ok bool) {
 	var sum Slope
@@ -122,6 +125,8 @@
 	switch {
 	case n < float64(r[0].First.Size):
 		text = "fewer than " + digits(float64(r[0].First.Size)) + " " + of
+	case n > farthest*float64(r[0].Last.Size):
+		text = "over " + digits(farthest*float64(r[0].Last.Size)) + " " + of
 	case r.growth() == Worse && n > float64(r[0].Last.Size):
 		text = "at most " + text
 	}
