Fill in options and hear interrupts in one place each

Cause: the same lines stood twice in distribution and in threadlab. Change: distribution's defaults; signal.NotifyContext in both commands.

--- a/cmd/threadlab/fleet.go
+++ b/cmd/threadlab/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"embed"
 	"encoding/json"
 	"fmt"
@@ -71,17 +72,10 @@
 		}
 		defer logs.Close()
 	}
-	stop := make(chan struct{})
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	go func() {
-		if _, ok := <-signals; ok {
-			close(stop)
-		}
-	}()
+	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer end()
 	return run(func(b *bench) {
-		f := lab.Fleet{Scenario: s, Stop: stop, Command: func() *exec.Cmd {
+		f := lab.Fleet{Scenario: s, Stop: ctx.Done(), Command: func() *exec.Cmd {
 			cmd := command()
 			cmd.Env = os.Environ()
 			return cmd
--- a/cmd/threadlab/scale.go
+++ b/cmd/threadlab/scale.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -50,15 +51,8 @@
 	if err != nil {
 		return err
 	}
-	stop := make(chan struct{})
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	go func() {
-		if _, ok := <-signals; ok {
-			close(stop)
-		}
-	}()
+	ctx, end := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer end()
 	start := func(name string, args ...string) func() *exec.Cmd {
 		return func() *exec.Cmd {
 			cmd := exec.Command(name, args...)
@@ -72,7 +66,7 @@
 	if err := run(func(b *bench) {
 		rep, failed = scale.Run(b, scale.Options{Mechanism: c.Mechanism, Distributors: c.Distributors, Sizes: c.Sizes, Plays: c.Plays, Real: c.Real, Children: c.Children, Window: c.Window, Settle: c.Settle,
 			JoinOver: c.JoinOver, JoinMost: c.JoinMost, Most: c.Most, Fill: c.Fill, Phases: c.Phases, Pooler: start(c.Binary, "serve"), Hollow: start(self, "scale-hollow"),
-			Progress: func(line string) { fmt.Println(line) }, Stop: stop})
+			Progress: func(line string) { fmt.Println(line) }, Stop: ctx.Done()})
 	}); err != nil {
 		return err
 	}
--- a/internal/fleet/distribution/distribution.go
+++ b/internal/fleet/distribution/distribution.go
@@ -56,6 +56,19 @@
 func (uncounted) In(string, int)  {}
 func (uncounted) Out(string, int) {}
 
+// defaults fills in what options leave out.
+func defaults(dial *Dialer, count *Counter, log *func(string)) {
+	if *dial == nil {
+		*dial = dialTCP
+	}
+	if *count == nil {
+		*count = uncounted{}
+	}
+	if *log == nil {
+		*log = func(string) {}
+	}
+}
+
 // Every bound of time follows from the beat, a third of a lease's term: 1 s at the default term of 3 s.
 const (
 	// lostBeats without a byte end a stream, on either side, in tenths of a beat: two words may come late, or one be lost with
--- a/internal/fleet/distribution/distributor.go
+++ b/internal/fleet/distribution/distributor.go
@@ -62,15 +62,7 @@
 
 // NewDistributor takes callers from a listener, which it closes at its end, and calls the other distributors, until Close.
 func NewDistributor(ln net.Listener, o DistributorOptions) *Distributor {
-	if o.Dial == nil {
-		o.Dial = dialTCP
-	}
-	if o.Count == nil {
-		o.Count = uncounted{}
-	}
-	if o.Log == nil {
-		o.Log = func(string) {}
-	}
+	defaults(&o.Dial, &o.Count, &o.Log)
 	d := &Distributor{o: o, ln: ln, whole: make(chan struct{}, wholes), calls: make(chan struct{}, mostCalls), streams: map[string]*stream{}, links: map[string]*outbox{}, dir: newDirectory(),
 		refused: map[string]bool{}}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
--- a/internal/fleet/distribution/subscriber.go
+++ b/internal/fleet/distribution/subscriber.go
@@ -53,15 +53,7 @@
 
 // Subscribe keeps the feeds as new as a distributor has them, until Close. It returns at once.
 func Subscribe(o SubscriberOptions) *Subscriber {
-	if o.Dial == nil {
-		o.Dial = dialTCP
-	}
-	if o.Count == nil {
-		o.Count = uncounted{}
-	}
-	if o.Log == nil {
-		o.Log = func(string) {}
-	}
+	defaults(&o.Dial, &o.Count, &o.Log)
 	s := &Subscriber{o: o, ranked: Rank(o.Name, o.Region, o.Distributors), lost: map[string]time.Time{}, said: map[string]bool{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
