--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,6 +18,7 @@
 // cases holds the cases. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(*play) (broken string, err error){
 	"longdata": (*play).longData,
+	"memory":   (*play).memory,
 }
 
 func main() { os.Exit(run()) }
