Review case 3: a long value and the 23 commands behind it are lost

Cause: postgres.session.fatal closes a client's connection without an answer while a long value is being passed on. Change: none to the program. review/3 shows it with the deploy file's command and stand-ins.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(*play) (broken string, err error){
 	"longdata": (*play).longData,
 	"memory":   (*play).memory,
+	"pipeline": (*play).pipeline,
 }
 
 func main() { os.Exit(run()) }
