--- a/review/rig/longdata.go
+++ b/review/rig/longdata.go
@@ -11,23 +11,25 @@
 	"time"
 )
 
-// mysqlFile returns the file of the MySQL frontend, as deploy/mysql.json, and writes its inventory.
-func (p *play) mysqlFile(listen string, servers []*myServer) (map[string]any, error) {
-	inventory := filepath.Join(p.dir, "inventory.csv")
-	text := "name,host,port,zone,cluster,state\n"
-	for _, s := range servers {
-		host, port, _ := strings.Cut(s.addr, ":")
-		text += fmt.Sprintf("%s,%s,%s,pest-east,0,ready\n", s.id, host, port)
-	}
-	if err := os.WriteFile(inventory, []byte(text), 0o644); err != nil {
-		return nil, err
-	}
+// mysqlFile returns the file of the MySQL frontend, as deploy/mysql.json.
+func mysqlFile(listen, inventory string) map[string]any {
 	return map[string]any{"enabled": true, "listen": listen, "inventory": inventory, "user": "threadsail", "password": "", "database": "lessons",
 		"client":    map[string]any{"user": "", "password": ""},
 		"heartbeat": "SELECT ROUND(UNIX_TIMESTAMP(MAX(ts)) * 1000) FROM heartbeat.heartbeat",
 		"defaults": map[string]any{"read": map[string]any{"class": "catalogue-read", "cluster": 0},
 			"write": map[string]any{"class": "booking-write", "cluster": 0}},
-		"reload_ms": 1000, "probe_timeout_ms": 250}, nil
+		"reload_ms": 1000, "probe_timeout_ms": 250}
+}
+
+// writeInventory writes the servers of the MySQL frontend, and returns the file's path.
+func (p *play) writeInventory(servers []*myServer) (path string, err error) {
+	path = filepath.Join(p.dir, "inventory.csv")
+	text := "name,host,port,zone,cluster,state\n"
+	for _, s := range servers {
+		host, port, _ := strings.Cut(s.addr, ":")
+		text += fmt.Sprintf("%s,%s,%s,pest-east,0,ready\n", s.id, host, port)
+	}
+	return path, os.WriteFile(path, []byte(text), 0o644)
 }
 
 const (
@@ -76,11 +78,11 @@
 	if listen, err = freeAddr(); err != nil {
 		return "", nil, err
 	}
-	mysql, err := p.mysqlFile(listen, servers)
+	inventory, err := p.writeInventory(servers)
 	if err != nil {
 		return "", nil, err
 	}
-	pl, err = startPooler(p.root, p.dir, map[string]any{"PROXY_MYSQL": mysql,
+	pl, err = startPooler(p.root, p.dir, map[string]any{"PROXY_MYSQL": mysqlFile(listen, inventory),
 		"PROXY_CONFIG": poolerConfig(postgres, d.addr, 192, 1024, settings(), nil)})
 	if err != nil {
 		return "", nil, err
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -18,8 +18,8 @@
 // cases holds the cases. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(*play) (broken string, err error){
 	"longdata": (*play).longData,
-	"memory":   (*play).memory,
 	"pipeline": (*play).pipeline,
+	"spoilt":   (*play).spoilt,
 }
 
 func main() { os.Exit(run()) }
