--- a/review/rig/myserver.go
+++ b/review/rig/myserver.go
@@ -166,7 +166,11 @@
 // values reads the parameters of an EXECUTE, which are all texts.
 func (t *myStatement) values(p []byte) ([]string, error) {
 	values := make([]string, t.params)
-	rest := p[10+(t.params+7)/8+1+2*t.params:]
+	head := 10 + (t.params+7)/8 + 1 + 2*t.params
+	if t.params == 0 || len(p) < head {
+		return nil, nil
+	}
+	rest := p[head:]
 	for i := range values {
 		if long, ok := t.long[i]; ok {
 			values[i] = long
--- a/review/rig/spoilt.go
+++ b/review/rig/spoilt.go
@@ -153,11 +153,15 @@
 		}()
 	}
 	wg.Wait()
+	wait := time.Duration(0)
+	if unanswered.Load() > 0 { // the process may be about to end
+		wait = 3 * time.Second
+	}
 	select {
 	case err := <-pl.exited:
 		p.rec.line("platform: the pooler has ended by itself: %v", err)
 		return fmt.Sprintf("the pooler has ended by itself (%v); %d clients got no answer to what they had sent", err, unanswered.Load()), nil
-	default:
+	case <-time.After(wait):
 	}
 	if served.Load() == 0 {
 		return "", errors.New("no request was served")
