--- a/review/rig/pipeline.go
+++ b/review/rig/pipeline.go
@@ -9,18 +9,22 @@
 const (
 	pipelineClients  = 5
 	pipelineCommands = 24
+	pipelineWrites   = 3 // the last of them
 	longBytes        = 2 << 20
 	longPieces       = 20
 	longTime         = 2 * time.Second
 )
 
-// pipeline: clients send many reads at once; the value of the first is long, and its server takes two seconds to write it.
+// pipeline: clients send many commands at once; the value of the first is long, and its server takes two seconds to write it.
 func (p *play) pipeline() (string, error) {
 	listen, pl, err := p.startPostgres(192, 1024, 4, func(s *pgServer) {
 		s.work = func(string) time.Duration { return 100 * time.Millisecond }
 		s.run = func(text string) string {
-			if strings.Contains(text, "'long'") {
+			switch {
+			case strings.Contains(text, "'long'"):
 				return strings.Repeat("l", longBytes)
+			case strings.HasPrefix(text, "INSERT"):
+				return "stored"
 			}
 			return strings.Repeat("s", valueBytes)
 		}
@@ -56,11 +60,7 @@
 	defer c.Close()
 	var b []byte
 	for k := range pipelineCommands {
-		key := "long"
-		if k > 0 {
-			key = fmt.Sprintf("u%d", k)
-		}
-		b = append(b, pgQuery(fmt.Sprintf("SELECT val FROM state WHERE uid = '%s' /* id=%08x%08x,c=catalogue-read,d=1500,cluster=0 */", key, client+1, k))...)
+		b = append(b, pgQuery(pipelineCommand(client, k))...)
 	}
 	if err := copyAll(c, b); err != nil {
 		return 0, err
@@ -75,3 +75,15 @@
 	}
 	return 0, nil
 }
+
+// pipelineCommand is the text of a client's command: the long read, short reads, and writes.
+func pipelineCommand(client, k int) string {
+	id := fmt.Sprintf("%08x%08x", client+1, k)
+	switch {
+	case k == 0:
+		return fmt.Sprintf("SELECT val FROM state WHERE uid = 'long' /* id=%s,c=catalogue-read,d=1500,cluster=0 */", id)
+	case k < pipelineCommands-pipelineWrites:
+		return fmt.Sprintf("SELECT val FROM state WHERE uid = '%s' /* id=%s,c=catalogue-read,d=1500,cluster=0 */", id, id)
+	}
+	return fmt.Sprintf("INSERT INTO state (uid, val) VALUES ('%s', '\\x01') RETURNING val /* id=%s,c=booking-write,d=3000,k=%s,cluster=0 */", id, id, id)
+}
