Review case 1: a half-written server file routes writes to another cluster

Cause: the gate of watched server files puts an unsealed file without its last line end into force once it has stood for settle_removal_ms, and a host whose cluster line has no value falls into cluster 0. Change: case 1 kills the tool that writes the file before its last value.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,14 +17,23 @@
 
 // cases holds the cases. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(*play) (broken string, err error){
-	"longdata": (*play).longData,
-	"pipeline": (*play).pipeline,
-	"spoilt":   (*play).spoilt,
+	"halfwritten":  (*play).halfWritten,
+	"halfcommands": (*play).halfCommands,
+	"longdata":     (*play).longData,
+	"pipeline":     (*play).pipeline,
+	"spoilt":       (*play).spoilt,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) == 3 && os.Args[1] == "write-file" { // the operators' tool of a case
+		if err := writeFile(os.Args[2]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+		return 0
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE ROOT DIR")
 		return 2
--- a/review/rig/pgserver.go
+++ b/review/rig/pgserver.go
@@ -35,18 +35,21 @@
 	}
 	s := &pgServer{id: id, addr: l.Addr().String(), cores: make(chan struct{}, cores), primary: primary, rec: rec,
 		work: func(string) time.Duration { return 0 }, run: func(string) string { return "v" }}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(newPGConn(c))
-		}
-	}()
+	go s.acceptFrom(l)
 	return s, nil
 }
 
+// acceptFrom serves the connections of a listener, until that is closed.
+func (s *pgServer) acceptFrom(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(newPGConn(c))
+	}
+}
+
 func (s *pgServer) member() member {
 	recovery := "on"
 	if s.isPrimary() {
