Review case 3: half commands of others end clients with writes in flight

Cause: when the incomplete messages of all clients hold over 6 % of the memory, the limiter closes the client that holds most, also one with requests in flight. Change: case 3 has 250 clients stop in the middle of a command while four ordinary clients send three short writes and one of 64 KiB at once. The case of the spoilt answer leaves the three; the stand-ins still play it (rig spoilt).

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 	echo "could not run: build the deploy file and review/build.sh first"
 	exit 2
 }
-exec timeout -k 5 115 "$root/review/bin/rig" spoilt "$root" "$here"
+exec timeout -k 5 115 "$root/review/bin/rig" halfcommands "$root" "$here"
