--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,6 +21,7 @@
 	"halfcommands": (*play).halfCommands,
 	"longdata":     (*play).longData,
 	"pipeline":     (*play).pipeline,
+	"silence":      (*play).silence,
 	"spoilt":       (*play).spoilt,
 }
 
--- a/review/rig/pgserver.go
+++ b/review/rig/pgserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -26,6 +27,8 @@
 	pieces  int                      // in which it writes a long answer; 0: at once
 	pause   time.Duration            // behind each piece
 	rec     *record
+	open    map[*pgConn]bool
+	cutEnds time.Time // until then nothing comes from the server, and nothing reaches it
 }
 
 func startPGServer(id string, primary bool, cores int, rec *record) (*pgServer, error) {
@@ -91,13 +94,49 @@
 	return fmt.Sprintf("x0=%.3f,x1=%d,waiting=0", float64(s.position().UnixMilli())/1000, role)
 }
 
+// cut cuts the server off for some time. What is open meanwhile stays open and silent, and is reset at the end.
+func (s *pgServer) cut(length time.Duration) {
+	s.mu.Lock()
+	s.cutEnds = time.Now().Add(length)
+	s.mu.Unlock()
+	time.Sleep(length)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+func (s *pgServer) isCut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.cutEnds)
+}
+
+// keep notes a connection as open until done is called.
+func (s *pgServer) keep(c *pgConn) (done func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[*pgConn]bool{}
+	}
+	s.open[c] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.open, c)
+		c.Close()
+	}
+}
+
 func (s *pgServer) serve(c *pgConn) {
-	defer c.Close()
+	defer s.keep(c)()
 	if c.startup() != nil {
 		return
 	}
 	s.mu.Lock()
-	welcome := s.welcome
+	welcome := max(s.welcome, time.Until(s.cutEnds))
 	s.mu.Unlock()
 	time.Sleep(welcome)
 	hello := append(pgMessage('R', "\x00\x00\x00\x00"), pgMessage('K', "\x00\x00\x00\x01\x00\x00\x00\x02")...)
@@ -112,7 +151,15 @@
 		if kind != 'Q' {
 			return
 		}
-		if s.write(c, s.answer(strings.TrimRight(string(body), "\x00"))) != nil {
+		var answer []byte
+		if !s.isCut() {
+			answer = s.answer(strings.TrimRight(string(body), "\x00"))
+		}
+		if s.isCut() { // it is reset in the end
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
+		if s.write(c, answer) != nil {
 			return
 		}
 	}
