Review cases 1 and 3: record what the clients send

Cause: the records of two cases lacked what is sent: all requests of case 1, the half commands of case 3.

--- a/review/rig/halfcommands.go
+++ b/review/rig/halfcommands.go
@@ -61,8 +61,8 @@
 	end := time.Now().Add(halfRunTime)
 	var bad, ordinary sync.WaitGroup
 	if p.trouble {
-		for range halfClients {
-			bad.Go(func() { halfClient(listen, end) })
+		for client := range halfClients {
+			bad.Go(func() { p.halfClient(listen, client, end) })
 		}
 	}
 	unanswered := make([][]string, batchClients)
@@ -95,13 +95,16 @@
 }
 
 // halfClient sends the first half of a command and waits for the pooler's error or close, again and again.
-func halfClient(listen string, end time.Time) {
+func (p *play) halfClient(listen string, client int, end time.Time) {
 	text := pgQuery(writeOf("00000000", valueBytes))
 	for time.Now().Before(end) {
 		if c, err := dialPG(listen); err == nil {
 			_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-			_, _ = c.Write(text[:len(text)/2])
-			_, _ = io.Copy(io.Discard, c)
+			n, _ := c.Write(text[:len(text)/2])
+			p.rec.line("half client %d: sent the first %d of %d bytes of a command", client, n, len(text))
+			sentAt := time.Now()
+			got, err := io.Copy(io.Discard, c)
+			p.rec.line("half client %d: %d bytes of an answer, and the end after %v: %v", client, got, time.Since(sentAt).Round(time.Millisecond), err)
 			c.Close()
 		}
 		time.Sleep(halfReconnect)
--- a/review/rig/halfwritten.go
+++ b/review/rig/halfwritten.go
@@ -278,6 +278,7 @@
 			text = fmt.Sprintf("INSERT INTO state (uid, val) VALUES ('%s', '\\x01') RETURNING val /* id=%s,c=booking-write,d=3000,k=%s,cluster=%d */",
 				id, id, id, cluster)
 		}
+		p.rec.line("client %d of cluster %d: sends %s", client, cluster, text)
 		if err := copyAll(c, pgQuery(text)); err != nil {
 			return served, err
 		}
@@ -288,7 +289,7 @@
 		if a.served {
 			served++
 		}
-		p.rec.line("client %d of cluster %d: %s: %v %s", client, cluster, id, a, a.value)
+		p.rec.line("client %d of cluster %d: answer to %s: %v %s", client, cluster, id, a, a.value)
 		time.Sleep(fileRequestTime/2 + rand.N(fileRequestTime))
 	}
 	return served, nil
