Spare clients with requests in flight when half messages fill the memory

Cause: connlimit.Limiter evicted the client with the most buffered bytes once incomplete messages held over 6 % of the memory, whatever its state. Change: above the limit, clients that sent nothing for 50 ms and have no request in flight and no unread input are evicted, the one that stopped first at first. Those that are sending are throttled until there is room; one of them may always read on, so that they cannot all wait for each other. Above twice the limit the 50 ms do not apply. MySQL: a complete command that waits for its turn counts as in flight.

--- a/internal/pooler/connlimit/limiter.go
+++ b/internal/pooler/connlimit/limiter.go
@@ -56,16 +56,17 @@
 	// Evict closes the connection without sending a message: if the client has just sent a request, it would take the message for
 	// the answer.
 	Evict()
+	// Throttle stops reading from the client if throttled is true, and otherwise resumes it.
+	Throttle(throttled bool)
 }
 
 // Limiter limits the number of clients of a frontend and the bytes buffered for them.
 type Limiter struct {
-	loop             *dispatch.EventLoop
-	maxClients       int
-	maxBufferedBytes int
-	bufferedBytes    int
-	admissions       map[*Admission]bool
-	disconnectShare  float64 // share of the clients to disconnect, from 0 to 1
+	loop            *dispatch.EventLoop
+	maxClients      int
+	admissions      map[*Admission]bool
+	buffer          bufferLimit
+	disconnectShare float64 // share of the clients to disconnect, from 0 to 1
 }
 
 // Admission is the limiter's record of an admitted client.
@@ -75,14 +76,16 @@
 	state          State
 	stateSince     time.Duration // loop time at which the client connected or its state began
 	deferredSweeps int           // sweeps that have found the client silent for too long
-	bufferedBytes  int
-	drainPosition  float64 // random position in the order of disconnecting, from 0 to 1
+	bufferedBytes  int           // of its incomplete message
+	bufferedSince  time.Duration // loop time at which bufferedBytes or the state changed last
+	throttled      bool          // reading from the client is stopped
+	drainPosition  float64       // random position in the order of disconnecting, from 0 to 1
 }
 
 // New returns a limiter that admits at most maxClients clients at a time, whose incomplete messages take at most
 // maxBufferedBytes in total. It sweeps periodically for as long as the loop runs.
 func New(loop *dispatch.EventLoop, maxClients, maxBufferedBytes int) *Limiter {
-	l := &Limiter{loop: loop, maxClients: maxClients, maxBufferedBytes: maxBufferedBytes, admissions: map[*Admission]bool{}}
+	l := &Limiter{loop: loop, maxClients: maxClients, admissions: map[*Admission]bool{}, buffer: bufferLimit{maxBytes: maxBufferedBytes}}
 	l.sweep()
 	return l
 }
@@ -125,7 +128,8 @@
 	return true
 }
 
-// sweep evicts clients that have been silent for too long and, above the high-water mark, idle ones. It schedules the next sweep.
+// sweep evicts clients that have been silent for too long and, above the high-water mark, idle ones, and enforces the limit of
+// buffered bytes. It schedules the next sweep.
 func (l *Limiter) sweep() {
 	now := l.loop.Now()
 	for a := range l.admissions {
@@ -136,6 +140,7 @@
 	for l.aboveHighWater() && l.evictLongest(Idle, highWaterIdleTime) {
 		continue
 	}
+	l.limitBuffers(nil)
 	l.loop.After(sweepInterval, l.sweep)
 }
 
@@ -155,8 +160,8 @@
 	return float64(len(l.admissions)) > highWaterShare*float64(l.maxClients)
 }
 
-// SetState sets the client's state and the number of bytes buffered for its incomplete message. If the total of all clients
-// exceeds the limit, the client with the most buffered bytes is evicted. After Release, SetState has no effect.
+// SetState sets the client's state and the number of bytes buffered for its incomplete message. It enforces the limit of buffered
+// bytes, and may evict or throttle the client. After Release, SetState has no effect.
 func (a *Admission) SetState(state State, bufferedBytes int) {
 	l := a.limiter
 	if !l.admissions[a] {
@@ -165,23 +170,14 @@
 	if state != a.state {
 		a.state = state
 		a.stateSince = l.loop.Now()
+		a.bufferedSince = a.stateSince
 	}
-	l.bufferedBytes += bufferedBytes - a.bufferedBytes
-	a.bufferedBytes = bufferedBytes
-	if l.bufferedBytes > l.maxBufferedBytes {
-		l.evictLargest(a)
+	if bufferedBytes != a.bufferedBytes {
+		l.buffer.bytes += bufferedBytes - a.bufferedBytes
+		a.bufferedBytes = bufferedBytes
+		a.bufferedSince = l.loop.Now()
 	}
-}
-
-// evictLargest evicts the client with the most buffered bytes. preferred is evicted if no other client has more.
-func (l *Limiter) evictLargest(preferred *Admission) {
-	largest := preferred
-	for a := range l.admissions {
-		if a.bufferedBytes > largest.bufferedBytes {
-			largest = a
-		}
-	}
-	largest.client.Evict()
+	l.limitBuffers(a)
 }
 
 // SetDisconnectShare sets the share of clients, from 0 to 1 (all), that are to be disconnected while the pooler shuts down,
@@ -198,8 +194,11 @@
 
 // Release removes a client whose connection is closed from the limiter's counts. Further calls have no effect.
 func (a *Admission) Release() {
-	if a.limiter.admissions[a] {
-		delete(a.limiter.admissions, a)
-		a.limiter.bufferedBytes -= a.bufferedBytes
+	l := a.limiter
+	if !l.admissions[a] {
+		return
 	}
+	delete(l.admissions, a)
+	l.buffer.bytes -= a.bufferedBytes
+	l.buffer.forget(a)
 }
--- a/internal/pooler/connlimit/limiter_test.go
+++ b/internal/pooler/connlimit/limiter_test.go
@@ -14,10 +14,13 @@
 	name      string
 	evicted   *[]string
 	unseen    bool // it has input that has not been handled
+	throttled bool
 }
 
 func (c *client) Quiet() bool { return !c.unseen }
 
+func (c *client) Throttle(throttled bool) { c.throttled = throttled }
+
 func (c *client) Evict() {
 	*c.evicted = append(*c.evicted, c.name)
 	c.admission.Release()
--- a/internal/pooler/frontend/client.go
+++ b/internal/pooler/frontend/client.go
@@ -27,7 +27,8 @@
 	clients   *Clients
 	session   Session
 	admission *connlimit.Admission // nil: the limiter rejected the client
-	paused    bool                 // reading from the connection is paused
+	paused    bool                 // reading from the connection is paused until it is closed
+	throttled bool                 // reading from the connection is paused by the connection limiter
 }
 
 // Connect registers a new connection and makes session its handler. It returns false if the connection limiter rejects the
@@ -62,6 +63,14 @@
 	c.Closed(nil)
 }
 
+// Throttle stops reading from the connection on behalf of the connection limiter, or resumes it.
+func (c *Client) Throttle(throttled bool) {
+	c.throttled = throttled
+	c.updatePause()
+}
+
+func (c *Client) updatePause() { c.Conn.Pause(c.paused || c.throttled) }
+
 // Finish closes the connection once everything written to it is sent.
 func (c *Client) Finish() {
 	if c.Connected() {
@@ -98,7 +107,7 @@
 	case c.session.InFlight():
 		if c.clients.disconnectingAll && !c.Quiet() { // the client sends more before it is answered, and might do so forever
 			c.paused = true
-			c.Conn.Pause(true)
+			c.updatePause()
 		}
 	case c.session.BufferedInput() == 0 && c.Quiet():
 		c.Finish()
--- a/internal/pooler/mysql/session.go
+++ b/internal/pooler/mysql/session.go
@@ -96,11 +96,12 @@
 	}
 }
 
-// updateState reports the state of the session to the connection limiter.
+// updateState reports the state of the session to the connection limiter. A complete command that waits for its turn counts as in
+// flight: the client is owed an answer to it.
 func (s *session) updateState() {
 	state := connlimit.Idle
 	switch {
-	case s.current.busy:
+	case s.current.busy || s.login.done && s.HasCommand():
 		state = connlimit.Active
 	case !s.login.done:
 		state = connlimit.Connecting
