Send a MySQL statement's long data only once its EXECUTE may be sent

Cause: exchange.sendExecute wrote COM_STMT_SEND_LONG_DATA before sendCommand asked whether the statement may still be sent. If it may not, the connection went back to the pool as clean, and the server kept the data for the next EXECUTE of the statement there. Change: sendCommand asks before anything of the statement is written, the data included. The stand-in server keeps long data as MySQL's does.

--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -49,9 +49,10 @@
 
 // Seen is a statement that has reached a server whole.
 type Seen struct {
-	ID   string // of its comment
-	Text string
-	At   time.Time
+	ID       string // of its comment
+	Text     string
+	LongData string // parameter values sent ahead of a prepared statement's EXECUTE, joined
+	At       time.Time
 }
 
 // Server is a database server on one of the wires.
@@ -375,11 +376,16 @@
 
 // take notes a statement down. A replica turns writes away untouched: readOnly.
 func (s *Server) take(text string) (end func(), act Act, readOnly bool, spoilt []byte) {
+	return s.takeExecute(text, "")
+}
+
+// takeExecute is take for an EXECUTE behind long data.
+func (s *Server) takeExecute(text, longData string) (end func(), act Act, readOnly bool, spoilt []byte) {
 	cm, _ := comment.Parse(text)
 	end = s.ledger.begin(cm.ID)
 	s.mu.Lock()
 	readOnly = !s.primary && !strings.HasPrefix(text, "SELECT")
-	one := Seen{ID: cm.ID, Text: text, At: time.Now()}
+	one := Seen{ID: cm.ID, Text: text, LongData: longData, At: time.Now()}
 	s.seen = append(s.seen, one)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -631,12 +637,13 @@
 		return
 	}
 	prepared := map[uint32]string{}
+	longData := map[uint32]string{} // received for the next EXECUTE of each statement
 	for {
 		p, _, err := r.my()
 		if err != nil || len(p) == 0 {
 			return
 		}
-		text := string(p[1:])
+		text, ahead := string(p[1:]), ""
 		switch p[0] {
 		case mysql.ComInitDB:
 			send(c, mysql.Append(nil, 1, mysql.OK()))
@@ -654,11 +661,17 @@
 			}
 			send(c, out)
 			continue
-		case mysql.ComStmtClose, mysql.ComStmtSendLong:
+		case mysql.ComStmtSendLong:
+			if id, data, err := mysql.ParseLongData(p); err == nil {
+				longData[id] += string(data.Data)
+			}
+			continue
+		case mysql.ComStmtClose:
 			continue
 		case mysql.ComStmtExecute:
 			id, _ := mysql.StatementID(p)
-			text = prepared[id]
+			text, ahead = prepared[id], longData[id]
+			delete(longData, id)
 		}
 		primary, position := s.state()
 		switch text {
@@ -673,7 +686,7 @@
 			send(c, myRow("ts", value, false))
 			continue
 		}
-		end, act, readOnly, spoilt := s.take(text)
+		end, act, readOnly, spoilt := s.takeExecute(text, ahead)
 		var out []byte
 		switch {
 		case spoilt != nil:
--- a/internal/pooler/mysql/exchange.go
+++ b/internal/pooler/mysql/exchange.go
@@ -164,9 +164,10 @@
 // writeCommand writes a command packet to the connection.
 func (e *exchange) writeCommand(payload []byte) { e.Conn.Write(mysql.Append(nil, 0, payload)) }
 
-// sendCommand sends the command itself. If the command must not be sent to this server any more, sendCommand releases the
-// connection and finishes the exchange as misdirected.
-func (e *exchange) sendCommand(payload []byte) {
+// sendCommand sends the command itself, behind its long parameter values. If the command must not be sent to this server any more,
+// sendCommand sends none of them, releases the connection and finishes the exchange as misdirected: the server would keep the values
+// for the next EXECUTE of the statement on this connection, which may be another client's.
+func (e *exchange) sendCommand(payload []byte, longData ...[]byte) {
 	if e.Overtaken() {
 		e.release(true)
 		e.Finish(policy.Misdirected)
@@ -175,6 +176,9 @@
 	e.stage = awaitAnswer
 	e.RequestSent = true
 	e.answer = &mysql.Answer{Binary: e.command.Prepared}
+	for _, data := range longData {
+		e.writeCommand(data)
+	}
 	e.writeCommand(payload)
 	if !e.IsProbe {
 		e.RequestWritten()
--- a/internal/pooler/mysql/exchange_prepare.go
+++ b/internal/pooler/mysql/exchange_prepare.go
@@ -114,14 +114,15 @@
 	e.sendExecute()
 }
 
-// sendExecute sends the long parameter values of the statement and its EXECUTE.
+// sendExecute sends the EXECUTE of the statement, behind its long parameter values.
 func (e *exchange) sendExecute() {
+	var longData [][]byte
 	for _, data := range e.command.LongData {
-		e.writeCommand(data.Payload(e.statement.ID))
+		longData = append(longData, data.Payload(e.statement.ID))
 	}
 	execute := e.command.Execute
 	if e.command.utf8Execute != nil {
 		execute = *e.command.utf8Execute
 	}
-	e.sendCommand(execute.Payload(e.statement.ID))
+	e.sendCommand(execute.Payload(e.statement.ID), longData...)
 }
