Drop a MySQL client's long data behind an EXECUTE that can't be parsed

Cause: the frontend kept the data sent ahead when an EXECUTE was malformed, and the client's next EXECUTE of the statement joined both values. A MySQL server drops the data with each EXECUTE. Change: the data is taken from the statement before the EXECUTE is parsed.

--- a/internal/pooler/mysql/statements.go
+++ b/internal/pooler/mysql/statements.go
@@ -105,8 +105,12 @@
 	prepared.longData = append(prepared.longData, data)
 }
 
-// handleExecute submits the execution of a prepared statement with its parameters.
+// handleExecute submits the execution of a prepared statement with its parameters. As at a server, it uses up the long data, also if
+// it fails.
 func (s *session) handleExecute(at time.Duration, prepared *statement, payload []byte) {
+	longData := prepared.longData
+	prepared.longData = nil
+	prepared.longDataSize = 0
 	execute, err := mysql.ParseExecute(payload, prepared.paramCount, prepared.paramTypes)
 	if err != nil {
 		s.writeError(mysql.ErrWrongArgs, "HY000", err.Error())
@@ -120,9 +124,7 @@
 		Prepared:   true,
 		ParamCount: prepared.paramCount,
 		Execute:    execute,
-		LongData:   prepared.longData,
+		LongData:   longData,
 	}
-	prepared.longData = nil
-	prepared.longDataSize = 0
 	s.submit(at, prepared.scan.Kind, command, prepared)
 }
