Count attempts as written, and wait for the trap, in two unsteady tests

TestNoAttemptForDisconnectedClients (mysql_to_postgres/held/cancel) failed 2 of 250 times beside ten processes: "1 attempts after the client had gone". Cause, by a trace of one failure: the attempt was written at 57.003658, the KILL handled at 57.003838, the attempts seen by servers counted at 57.004214, and the server noted the attempt at 57.004334. The attempt came before the KILL; the test counted what servers had noted. Change: the test compares what servers have seen in the end with what the frontend had written when the client left, read on its loop. That is as strict: any later attempt is one more. TestRewritesWithoutGate had 9 ms for each bad file in which the pooler had to come to its server. The file of the third kind now stands until that server is reached, for 20 s at most; the wanted violations are the same.

--- a/internal/lab/rewrite.go
+++ b/internal/lab/rewrite.go
@@ -27,6 +27,13 @@
 	Progress func(string) // a line now and then; nil: none
 }
 
+const (
+	badFileKinds     = 7 // kinds of bad files, which take turns
+	unsealedFileKind = 2 // the file is whole, but nothing shows that it is
+
+	trapTimeout = 20 * time.Second // for which an unsealed file stands until its server is reached, without the gate
+)
+
 // Removed is how long a server may be sent work after the list that lacks it was written.
 const Removed = 2 * time.Second
 
@@ -103,7 +110,10 @@
 		r.roles(part)
 		if i%5 == 4 {
 			report.Broken++
-			r.bad(part, i/5)
+			r.bad(part, i/5%badFileKinds)
+			if x.GateOff && i/5%badFileKinds == unsealedFileKind {
+				r.waitForTrap()
+			}
 		} else {
 			r.good(part)
 		}
@@ -208,12 +218,12 @@
 	text := r.text(list, "")
 	sealed := inventory.AppendSeal(text, len(list), "")
 	trap := strings.Split(string(text), "\n")[1] + "\n"
-	switch kind % 7 {
+	switch kind {
 	case 0: // cut anywhere
 		r.write(sealed[:1+r.rng.IntN(len(sealed)-2)], true)
 	case 1: // an unknown room
 		r.write(r.text(list, "db9,10.0.0.9,1,ujpest2,0,ready,1\n"), false)
-	case 2: // whole, but nothing shows that it is
+	case unsealedFileKind:
 		r.write(text, false)
 	case 3: // changed after it was sealed
 		r.write([]byte(strings.Replace(string(sealed), ",ready,", ",draining,", 1)), false)
@@ -228,6 +238,13 @@
 	}
 }
 
+// waitForTrap waits until a connection goes to the server that only bad files name.
+func (r *rewriting) waitForTrap() {
+	for late := time.Now().Add(trapTimeout); r.trap.Came() == 0 && time.Now().Before(late); {
+		time.Sleep(r.Pace)
+	}
+}
+
 // settles writes the last version and tells which of its servers get no work from it.
 func (r *rewriting) settles() (missing []string) {
 	r.good(1)
--- a/internal/pooler/disconnected_clients_test.go
+++ b/internal/pooler/disconnected_clients_test.go
@@ -96,7 +96,8 @@
 	client rawClient
 	other  standin.Client
 	ids    map[string]bool // of the client's requests
-	before int             // attempts at the moment of the disconnect
+	others uint64          // attempts written for other clients' requests
+	before uint64          // attempts written for the client's requests until it has disconnected
 }
 
 func testDisconnectAt(t *testing.T, f *standin.Fleet, at, how string) {
@@ -114,10 +115,11 @@
 	d.other, d.client = dial(t, a), newRawClient(t, a)
 	expectServed(t, d.other.Do(standin.Read("any", 20*time.Second)))
 	expectServed(t, d.other.Do(standin.Write("k1", 20*time.Second))) // the primary is known
+	d.onLoop(func() { d.others = d.written() })
 	d.disconnect(t, d.requests())
 	d.expectNoRequests(t)
 	if n := d.attempts(); n != d.before {
-		t.Errorf("%d attempts after the client had gone", n-d.before)
+		t.Errorf("%d attempts, of which %d were written before the client had gone", n, d.before)
 	}
 	expectServed(t, d.other.Do(standin.Write("k2", 20*time.Second)))
 }
@@ -212,12 +214,14 @@
 	}
 }
 
-// leave has the client disconnect or cancel, and notes how many attempts there have been.
+// leave has the client disconnect, on the loop, or cancel, on the test's goroutine. It notes how many attempts the pooler has written
+// until then: a server may have yet to see the last of them.
 func (d *disconnectTest) leave() error {
-	defer func() { d.before = d.attempts() }()
 	if d.how != "cancel" {
+		defer func() { d.before = d.written() - d.others }()
 		return standin.Leave(netConnOf(d.client), d.how == "reset")
 	}
+	defer d.onLoop(func() { d.before = d.written() - d.others })
 	if old, ok := d.client.(oldMySQLClient); ok {
 		_, err := d.other.(*standin.MySQL).Exec(fmt.Sprintf("KILL QUERY %d", old.Thread))
 		return err
@@ -225,8 +229,26 @@
 	return d.client.(*standin.Postgres).Cancel()
 }
 
+// onLoop runs a function on the frontend's loop and waits for it.
+func (d *disconnectTest) onLoop(f func()) {
+	done := make(chan struct{})
+	d.front.Loop.Post(func() {
+		f()
+		close(done)
+	})
+	<-done
+}
+
+// written returns how many attempts the frontend has written to servers, for all clients. It is called on the loop.
+func (d *disconnectTest) written() (n uint64) {
+	for _, class := range d.front.Dispatcher.Metrics().Classes {
+		n += class.Attempts
+	}
+	return n
+}
+
 // attempts returns how many attempts of the client's requests the servers have seen.
-func (d *disconnectTest) attempts() (n int) {
+func (d *disconnectTest) attempts() (n uint64) {
 	for _, s := range d.fleet.Servers {
 		for _, seen := range s.Seen() {
 			if d.ids[seen.ID] {
@@ -239,10 +261,10 @@
 
 // expectNoRequests waits until no request is in flight, for 20 s at most.
 func (d *disconnectTest) expectNoRequests(t *testing.T) {
-	open := make(chan int)
 	for until := time.Now().Add(20 * time.Second); ; {
-		d.front.Loop.Post(func() { open <- d.front.Dispatcher.OpenRequests() })
-		if <-open == 0 {
+		open := 0
+		d.onLoop(func() { open = d.front.Dispatcher.OpenRequests() })
+		if open == 0 {
 			return
 		}
 		if time.Now().After(until) {
