Split the stand-in's MySQL connection into functions of one job

Cause: one loop of 95 lines held commands, health checks, and answers by act. Change: a type for the connection, a function for each; the order of what a server does with a statement stays. Result: tests of standin, lab and internal/pooler/mysql passed, and those of internal/pooler on MySQL, statements, drains, cancels and translation.

--- a/internal/lab/standin/mysql.go
+++ b/internal/lab/standin/mysql.go
@@ -8,101 +8,139 @@
 	"threadsail/internal/protocol/mysql"
 )
 
+// mysqlConn is a connection of a MySQL client to a server.
+type mysqlConn struct {
+	server   *Server
+	conn     net.Conn
+	reader   *buffered
+	prepared map[uint32]string // texts of the prepared statements, by number
+	longData map[uint32]string // received for the next EXECUTE of each statement
+}
+
 // serveMySQL answers the commands of a connection until it ends.
 func (s *Server) serveMySQL(c net.Conn) {
-	r := &buffered{c: c}
+	m := &mysqlConn{server: s, conn: c, reader: &buffered{c: c}, prepared: map[uint32]string{}, longData: map[uint32]string{}}
 	s.mu.Lock()
 	how := s.login
 	s.mu.Unlock()
-	if !logIn(c, r, how) {
+	if !logIn(c, m.reader, how) {
 		return
 	}
-	prepared := map[uint32]string{}
-	longData := map[uint32]string{} // received for the next EXECUTE of each statement
-	for {
-		p, _, err := r.my()
-		if err != nil || len(p) == 0 {
-			return
-		}
-		text, ahead := string(p[1:]), ""
-		switch p[0] {
-		case mysql.ComInitDB:
-			send(c, mysql.Append(nil, 1, mysql.OK()))
-			continue
-		case mysql.ComStmtPrepare:
-			id := uint32(len(prepared) + 1)
-			prepared[id] = text
-			params := mysql.ScanStatement(text).Params
-			out := mysql.Append(nil, 1, mysql.PrepareOK{ID: id, Params: params}.Payload())
-			for i := range params {
-				out = mysql.Append(out, byte(2+i), mysql.ColumnDef("?"))
-			}
-			if params > 0 {
-				out = mysql.Append(out, byte(2+params), mysql.EOF())
-			}
-			send(c, out)
-			continue
-		case mysql.ComStmtSendLong:
-			if id, data, err := mysql.ParseLongData(p); err == nil {
-				longData[id] += string(data.Data)
-			}
-			continue
-		case mysql.ComStmtClose:
-			continue
-		case mysql.ComStmtExecute:
-			id, _ := mysql.StatementID(p)
-			text, ahead = prepared[id], longData[id]
-			delete(longData, id)
-		}
-		primary, position := s.state()
-		switch text {
-		case "SELECT @@global.read_only":
-			send(c, myRow("@@global.read_only", map[bool]string{true: "0", false: "1"}[primary], false))
-			continue
-		case Heartbeat:
-			value := fmt.Sprint(position)
-			if position == 0 {
-				value = "NULL"
-			}
-			send(c, myRow("ts", value, false))
-			continue
+	for m.serveCommand() {
+		continue
+	}
+}
+
+// serveCommand reads one command and answers it. It reports whether the connection stays open.
+func (m *mysqlConn) serveCommand() bool {
+	command, _, err := m.reader.my()
+	if err != nil || len(command) == 0 {
+		return false
+	}
+	text, longData, ok := m.statement(command)
+	if !ok || m.answerProbe(text) {
+		return true
+	}
+	end, act, readOnly, spoilt := m.server.takeExecute(text, longData)
+	switch {
+	case spoilt != nil:
+		end()
+		send(m.conn, spoilt)
+		return true
+	case act == Break:
+		end()
+		return false
+	case act == Hang:
+		_, _, _ = m.reader.my()
+		end()
+		return false
+	}
+	out := m.server.mysqlAnswer(text, act, readOnly, command[0] == mysql.ComStmtExecute)
+	end()
+	m.server.answer(m.conn, out)
+	return true
+}
+
+// statement returns the text that a command executes, and the values that were sent ahead of it. ok is false for a command that executes
+// none; it has been answered.
+func (m *mysqlConn) statement(command []byte) (text, longData string, ok bool) {
+	switch command[0] {
+	case mysql.ComInitDB:
+		send(m.conn, mysql.Append(nil, 1, mysql.OK()))
+		return "", "", false
+	case mysql.ComStmtPrepare:
+		m.prepare(string(command[1:]))
+		return "", "", false
+	case mysql.ComStmtSendLong:
+		if id, data, err := mysql.ParseLongData(command); err == nil {
+			m.longData[id] += string(data.Data)
 		}
-		end, act, readOnly, spoilt := s.takeExecute(text, ahead)
-		var out []byte
-		switch {
-		case spoilt != nil:
-			end()
-			send(c, spoilt)
-			continue
-		case act == Break:
-			end()
-			return
-		case act == Hang:
-			_, _, _ = r.my()
-			end()
-			return
-		case act == Fault:
-			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrUnknown, "HY000", "fault"))
-		case act == Full:
-			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrConCount, "08004", "full"))
-		case act == Wrong:
-			out = mysql.Append(nil, 1, mysql.Error(1062, "23000", "Duplicate entry"))
-		case act == Check:
-			out = mysql.Append(nil, 1, mysql.Error(3819, "HY000", "Check constraint is violated"))
-		case readOnly:
-			out = mysql.Append(nil, 1, mysql.Error(mysql.ErrOptionPrevents, "HY000", "--read-only"))
-		case strings.HasPrefix(text, "SHOW REPLICA STATUS"):
-			out = myRow("Seconds_Behind_Source", "0", false)
-		case strings.HasPrefix(text, "SHOW"):
-			out = mysql.Append(nil, 1, mysql.Error(1064, "42000", "You have an error in your SQL syntax"))
-		case strings.HasPrefix(text, "SELECT"):
-			out = myRow("val", s.given(), p[0] == mysql.ComStmtExecute)
-		default:
-			out = mysql.Append(nil, 1, mysql.Done(1, 0, 0))
+		return "", "", false
+	case mysql.ComStmtClose:
+		return "", "", false
+	case mysql.ComStmtExecute:
+		id, _ := mysql.StatementID(command)
+		longData = m.longData[id]
+		delete(m.longData, id)
+		return m.prepared[id], longData, true
+	}
+	return string(command[1:]), "", true
+}
+
+// prepare answers PREPARE.
+func (m *mysqlConn) prepare(text string) {
+	id := uint32(len(m.prepared) + 1)
+	m.prepared[id] = text
+	params := mysql.ScanStatement(text).Params
+	out := mysql.Append(nil, 1, mysql.PrepareOK{ID: id, Params: params}.Payload())
+	for i := range params {
+		out = mysql.Append(out, byte(2+i), mysql.ColumnDef("?"))
+	}
+	if params > 0 {
+		out = mysql.Append(out, byte(2+params), mysql.EOF())
+	}
+	send(m.conn, out)
+}
+
+// answerProbe answers the queries of a health check, and reports whether the text is one.
+func (m *mysqlConn) answerProbe(text string) bool {
+	primary, position := m.server.state()
+	switch text {
+	case "SELECT @@global.read_only":
+		send(m.conn, myRow("@@global.read_only", map[bool]string{true: "0", false: "1"}[primary], false))
+	case Heartbeat:
+		value := fmt.Sprint(position)
+		if position == 0 {
+			value = "NULL"
 		}
-		end()
-		s.answer(c, out)
+		send(m.conn, myRow("ts", value, false))
+	default:
+		return false
+	}
+	return true
+}
+
+// mysqlAnswer returns the answer to a statement: what act says, or its result. binary is true for the result of an EXECUTE.
+func (s *Server) mysqlAnswer(text string, act Act, readOnly, binary bool) []byte {
+	switch {
+	case act == Fault:
+		return mysql.Append(nil, 1, mysql.Error(mysql.ErrUnknown, "HY000", "fault"))
+	case act == Full:
+		return mysql.Append(nil, 1, mysql.Error(mysql.ErrConCount, "08004", "full"))
+	case act == Wrong:
+		return mysql.Append(nil, 1, mysql.Error(1062, "23000", "Duplicate entry"))
+	case act == Check:
+		return mysql.Append(nil, 1, mysql.Error(3819, "HY000", "Check constraint is violated"))
+	case readOnly:
+		return mysql.Append(nil, 1, mysql.Error(mysql.ErrOptionPrevents, "HY000", "--read-only"))
+	case strings.HasPrefix(text, "SHOW REPLICA STATUS"):
+		return myRow("Seconds_Behind_Source", "0", false)
+	case strings.HasPrefix(text, "SHOW"):
+		return mysql.Append(nil, 1, mysql.Error(1064, "42000", "You have an error in your SQL syntax"))
+	case strings.HasPrefix(text, "SELECT"):
+		return myRow("val", s.given(), binary)
 	}
+	return mysql.Append(nil, 1, mysql.Done(1, 0, 0))
 }
 
 // myRow is a result of one row of one column. Both forms of a row hold a text the same way.
