Do not keep a client throttled once its message is complete

Cause: above the limit of incomplete messages a throttled client whose message had been completed by bytes read before stayed throttled until there was room, though it holds none of that memory. Found by reading again. Change: it is resumed with the report of its complete message. Result: the new check of TestBufferLimitLetsOneClientFinish fails without the change; the package's tests passed.

--- a/internal/pooler/connlimit/buffer.go
+++ b/internal/pooler/connlimit/buffer.go
@@ -57,12 +57,22 @@
 		l.resumeAll()
 		return
 	}
-	if sender != nil && l.admissions[sender] && sender.bufferedBytes > 0 && sender != l.buffer.exempt {
-		l.setThrottled(sender, true)
+	if sender != nil && l.admissions[sender] {
+		l.throttleSender(sender)
 	}
 	l.chooseExempt()
 }
 
+// throttleSender throttles a client that is in the middle of a message above the limit, and resumes one whose message is complete.
+func (l *Limiter) throttleSender(sender *Admission) {
+	switch {
+	case sender.bufferedBytes > 0 && sender != l.buffer.exempt:
+		l.setThrottled(sender, true)
+	case sender.bufferedBytes == 0 && sender.throttled:
+		l.setThrottled(sender, false)
+	}
+}
+
 // evictStalled evicts the client that has stopped in the middle of a message for longest and reports whether there was one. It
 // skips clients with a request in flight, and those with unread input, which may complete a request.
 func (l *Limiter) evictStalled() bool {
