Let one function choose the client to evict

Cause: evictLongest and evictStalled walked the clients alike. Change: evictEarliest walks them for both, and skips clients with unread input.

--- a/internal/pooler/connlimit/buffer.go
+++ b/internal/pooler/connlimit/buffer.go
@@ -74,23 +74,12 @@
 }
 
 // evictStalled evicts the client that has stopped in the middle of a message for longest and reports whether there was one. It
-// skips clients with a request in flight, and those with unread input, which may complete a request.
+// skips clients with a request in flight.
 func (l *Limiter) evictStalled() bool {
 	latest := l.loop.Now() - l.buffer.stallTime()
-	var longest *Admission
-	for a := range l.admissions {
-		if a.state == Active || a.bufferedBytes == 0 || a.bufferedSince > latest {
-			continue
-		}
-		if (longest == nil || a.bufferedSince < longest.bufferedSince) && a.client.Quiet() {
-			longest = a
-		}
-	}
-	if longest == nil {
-		return false
-	}
-	longest.client.Evict()
-	return true
+	return l.evictEarliest(func(a *Admission) (since time.Duration, evictable bool) {
+		return a.bufferedSince, a.state != Active && a.bufferedBytes > 0 && a.bufferedSince <= latest
+	})
 }
 
 // resumeAll resumes reading from all throttled clients.
--- a/internal/pooler/connlimit/limiter.go
+++ b/internal/pooler/connlimit/limiter.go
@@ -109,22 +109,29 @@
 }
 
 // evictLongest evicts the client that has been in the given state longest, and for at least minTime. It reports whether there was
-// one. It skips clients with unread input, as closing the connection would lose the next request.
+// one.
 func (l *Limiter) evictLongest(state State, minTime time.Duration) bool {
 	latest := l.loop.Now() - minTime
-	var longest *Admission
+	return l.evictEarliest(func(a *Admission) (since time.Duration, evictable bool) {
+		return a.stateSince, a.state == state && a.stateSince <= latest
+	})
+}
+
+// evictEarliest evicts the evictable client with the earliest time and reports whether there was one. It skips clients with unread
+// input, as closing the connection would lose the next request.
+func (l *Limiter) evictEarliest(since func(a *Admission) (at time.Duration, evictable bool)) bool {
+	var earliest *Admission
+	var earliestAt time.Duration
 	for a := range l.admissions {
-		if a.state != state || a.stateSince > latest {
-			continue
-		}
-		if (longest == nil || a.stateSince < longest.stateSince) && a.client.Quiet() {
-			longest = a
+		at, evictable := since(a)
+		if evictable && (earliest == nil || at < earliestAt) && a.client.Quiet() {
+			earliest, earliestAt = a, at
 		}
 	}
-	if longest == nil {
+	if earliest == nil {
 		return false
 	}
-	longest.client.Evict()
+	earliest.client.Evict()
 	return true
 }
 
