--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the command of deploy/balancer.toml, and review/build-2.sh"
 	exit 2
 fi
-exec review/bin/rig2 kill "$folder/record.txt"
+exec review/bin/rig2 drain "$folder/record.txt"
--- /dev/null
+++ b/review/rig2/drain.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+func init() { cases["drain"] = drainCase }
+
+const (
+	drainGrace  = 250 * time.Millisecond // of the settings
+	drainSlack  = 50 * time.Millisecond  // every time limit on sockets is longer by this
+	heldUp      = 145 * time.Millisecond // the page allows 0.15 s
+	drainCycle  = 11 * time.Second
+	switchOver  = 600 * time.Millisecond
+	drainTested = 3 // poolers
+)
+
+// drainCase: the primary begins to drain while clients write. The poolers are held up for 0.145 s. Nothing new may be sent to the draining
+// server later than its grace allows.
+func drainCase(trouble bool) (broken string) {
+	var mu sync.Mutex
+	latest := map[string]time.Time{} // by server: the last statement's arrival
+	texts := map[string]string{}
+	handle := func(s *PGServer, text string) []byte {
+		if !strings.HasPrefix(text, "INSERT") {
+			return pgRow("val", "x", "SELECT 1")
+		}
+		mu.Lock()
+		latest[s.Name] = time.Now()
+		texts[s.Name] = text
+		mu.Unlock()
+		return pgRow("val", "x", "INSERT 0 1")
+	}
+	servers := []*PGServer{NewPGServer("db1", true, handle), NewPGServer("db2", false, handle), NewPGServer("db3", false, handle)}
+	discovery := NewDiscovery(servers[0].Member("Ready"), servers[1].Member("Ready"), servers[2].Member("Ready"))
+	classes := []Class{
+		{Name: "lookup", Effect: "free", Read: "lag_bound", BoundMs: 3000, AimMs: 300, DeadlineMs: 750},
+		{Name: "sign-off", Effect: "single_shot", Read: "mutate", AimMs: 750, DeadlineMs: 2000, LateWorth: 0.3},
+	}
+	var poolers []*Pooler
+	for n := range drainTested {
+		p := NewPooler(PoolerOptions{Discovery: discovery.Addr, Known: discovery.list(), Settings: settings(classes, func(s map[string]any) {
+			s["balancers"], s["me"] = drainTested, n
+			contract := s["contract"].(map[string]any)
+			contract["drainGraceMs"], contract["coldFrom"], contract["coldMs"] = float64(drainGrace/time.Millisecond), 0.2, 17000.0
+		})})
+		p.Start()
+		poolers = append(poolers, p)
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var served, unserved atomic.Int64
+	for _, p := range poolers {
+		for range 6 {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				writeBatches(p.Addr, stop, &served, &unserved)
+			}()
+		}
+	}
+	time.Sleep(2 * time.Second)
+	primary, late := 0, 0
+	worst := time.Duration(0)
+	for cycle := 0; cycle < 8; cycle++ {
+		old, next := servers[primary], servers[(primary+1)%len(servers)]
+		told := time.Now() // before discovery writes it
+		discovery.Change(old.Member("Terminating"))
+		if trouble {
+			for _, p := range poolers {
+				go func() {
+					time.Sleep(time.Until(told.Add(158*time.Millisecond + rand.N(24*time.Millisecond))))
+					p.Signal(syscall.SIGSTOP)
+					time.Sleep(heldUp)
+					p.Signal(syscall.SIGCONT)
+				}()
+			}
+		}
+		time.Sleep(switchOver)
+		mu.Lock()
+		last, text := latest[old.Name].Sub(told), texts[old.Name]
+		mu.Unlock()
+		record("cycle %d: discovery has told that %s drains; the last statement came to it %.0f ms later: %s", cycle, old.Name,
+			float64(last)/float64(time.Millisecond), text)
+		worst = max(worst, last)
+		if last > drainGrace+drainSlack {
+			late++
+			record("LATE: more than %v", drainGrace+drainSlack)
+		}
+		old.setPrimary(false)
+		next.setPrimary(true)
+		primary = (primary + 1) % len(servers)
+		time.Sleep(2 * time.Second)
+		discovery.Change(old.Member("Ready"))
+		time.Sleep(time.Until(told.Add(drainCycle)))
+	}
+	close(stop)
+	clients.Wait()
+	say("%d writes served, %d not; in %d of 8 drains a statement was sent too late, the latest %.0f ms after discovery had told", served.Load(), unserved.Load(), late,
+		float64(worst)/float64(time.Millisecond))
+	if served.Load() < 1000 {
+		cannot("too few writes were served")
+	}
+	if late > 0 {
+		return fmt.Sprintf("in %d of 8 drains a statement was sent later than %v after the poolers were told", late, drainGrace+drainSlack)
+	}
+	return ""
+}
+
+func (s *PGServer) setPrimary(primary bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.primary = primary
+}
+
+// writeBatches sends 16 writes at once, again and again.
+func writeBatches(addr string, stop chan struct{}, served, unserved *atomic.Int64) {
+	client, err := DialPG(addr)
+	if err != nil {
+		cannot("%v", err)
+	}
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		var batch []string
+		for range 16 {
+			batch = append(batch, fmt.Sprintf("INSERT INTO state (uid, val) VALUES ('%x', '\\x9f03') RETURNING val /* id=%x,c=sign-off,d=2000,cluster=0 */", rand.Uint32(), rand.Uint64()))
+		}
+		if err := client.Send(batch...); err != nil {
+			cannot("%v", err)
+		}
+		for range batch {
+			got, err := client.Read(6 * time.Second)
+			if err != nil {
+				cannot("a write has no answer: %v", err)
+			}
+			if got.Code == "" {
+				served.Add(1)
+			} else {
+				unserved.Add(1)
+			}
+		}
+		time.Sleep(4 * time.Millisecond)
+	}
+}
--- a/review/rig2/mysql.go
+++ b/review/rig2/mysql.go
@@ -146,18 +146,20 @@
 		cannot("%v", err)
 	}
 	s := &MyServer{Name: name, Addr: l.Addr().String(), primary: primary, position: position, handle: handle, listener: l}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c.(*net.TCPConn))
-		}
-	}()
+	go s.accept()
 	return s
 }
 
+func (s *MyServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c.(*net.TCPConn))
+	}
+}
+
 const heartbeatQuery = "SELECT ROUND(UNIX_TIMESTAMP(MAX(ts)) * 1000) FROM heartbeat.heartbeat"
 
 func (s *MyServer) serve(c *net.TCPConn) {
@@ -438,7 +440,7 @@
 	b.WriteString("database:\n  hosts:\n")
 	for _, s := range servers {
 		host, port, _ := net.SplitHostPort(s.Addr)
-		fmt.Fprintf(&b, "    %s:\n      ansible_host: %s\n      mysql_port: %s\n      cluster: %d\n", s.Name, host, port, s.Cluster)
+		fmt.Fprintf(&b, "    %s:\n      ansible_host: %s\n      cluster: %d\n      mysql_port: %s\n", s.Name, host, s.Cluster, port)
 	}
 	return b.String()
 }
