--- a/review/rig2/drain.go
+++ b/review/rig2/drain.go
@@ -19,6 +19,12 @@
 	drainCycle  = 11 * time.Second
 	switchOver  = 600 * time.Millisecond
 	drainTested = 3 // poolers
+
+	steadyClients = 4 // of each pooler
+	batchClients  = 4
+	batchSize     = 64
+	firstStop     = 1 * time.Millisecond // from the batch to the first pooler's stop
+	nextStop      = 1 * time.Millisecond // and to the next one's
 )
 
 // drainCase: the primary begins to drain while clients write. The poolers are held up for 0.145 s. Nothing new may be sent to the draining
@@ -56,12 +62,19 @@
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	var served, unserved atomic.Int64
+	var batches []chan time.Time // one for each pooler
 	for _, p := range poolers {
-		for range 6 {
+		batch := make(chan time.Time, batchClients)
+		batches = append(batches, batch)
+		for n := range batchClients + steadyClients {
 			clients.Add(1)
 			go func() {
 				defer clients.Done()
-				writeBatches(p.Addr, stop, &served, &unserved)
+				if n < batchClients {
+					writeBatches(p.Addr, batch, stop, &served, &unserved)
+				} else {
+					writeSteadily(p.Addr, stop, &served, &unserved)
+				}
 			}()
 		}
 	}
@@ -72,10 +85,16 @@
 		old, next := servers[primary], servers[(primary+1)%len(servers)]
 		told := time.Now() // before discovery writes it
 		discovery.Change(old.Member("Terminating"))
+		batchAt := told.Add(165*time.Millisecond + rand.N(10*time.Millisecond))
+		for _, batch := range batches {
+			for range batchClients {
+				batch <- batchAt
+			}
+		}
 		if trouble {
-			for _, p := range poolers {
+			for n, p := range poolers {
 				go func() {
-					time.Sleep(time.Until(told.Add(158*time.Millisecond + rand.N(24*time.Millisecond))))
+					time.Sleep(time.Until(batchAt.Add(firstStop + time.Duration(n)*nextStop)))
 					p.Signal(syscall.SIGSTOP)
 					time.Sleep(heldUp)
 					p.Signal(syscall.SIGCONT)
@@ -119,36 +138,61 @@
 	s.primary = primary
 }
 
-// writeBatches sends 16 writes at once, again and again.
-func writeBatches(addr string, stop chan struct{}, served, unserved *atomic.Int64) {
+// writeBatches sends many writes at once, at each time that it is told.
+func writeBatches(addr string, batches chan time.Time, stop chan struct{}, served, unserved *atomic.Int64) {
 	client, err := DialPG(addr)
 	if err != nil {
 		cannot("%v", err)
 	}
 	for {
+		var texts []string
+		for range batchSize {
+			texts = append(texts, signOff())
+		}
 		select {
 		case <-stop:
 			return
-		default:
+		case at := <-batches:
+			time.Sleep(time.Until(at))
 		}
-		var batch []string
-		for range 16 {
-			batch = append(batch, fmt.Sprintf("INSERT INTO state (uid, val) VALUES ('%x', '\\x9f03') RETURNING val /* id=%x,c=sign-off,d=2000,cluster=0 */", rand.Uint32(), rand.Uint64()))
+		client.write(texts, served, unserved)
+	}
+}
+
+// writeSteadily sends one write after the other.
+func writeSteadily(addr string, stop chan struct{}, served, unserved *atomic.Int64) {
+	client, err := DialPG(addr)
+	if err != nil {
+		cannot("%v", err)
+	}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
 		}
-		if err := client.Send(batch...); err != nil {
-			cannot("%v", err)
+		client.write([]string{signOff()}, served, unserved)
+	}
+}
+
+func signOff() string {
+	return fmt.Sprintf("INSERT INTO state (uid, val) VALUES ('%x', '\\x9f03') RETURNING val /* id=%x,c=sign-off,d=2000,cluster=0 */", rand.Uint32(), rand.Uint64())
+}
+
+// write sends writes at once and reads their answers.
+func (p *PGClient) write(texts []string, served, unserved *atomic.Int64) {
+	if err := p.Send(texts...); err != nil {
+		cannot("%v", err)
+	}
+	for range texts {
+		got, err := p.Read(6 * time.Second)
+		if err != nil {
+			cannot("a write has no answer: %v", err)
 		}
-		for range batch {
-			got, err := client.Read(6 * time.Second)
-			if err != nil {
-				cannot("a write has no answer: %v", err)
-			}
-			if got.Code == "" {
-				served.Add(1)
-			} else {
-				unserved.Add(1)
-			}
+		if got.Code == "" {
+			served.Add(1)
+		} else {
+			unserved.Add(1)
 		}
-		time.Sleep(4 * time.Millisecond)
 	}
 }
