--- a/review/rig2/drain.go
+++ b/review/rig2/drain.go
@@ -83,14 +83,12 @@
 	worst := time.Duration(0)
 	for cycle := 0; cycle < 8; cycle++ {
 		old, next := servers[primary], servers[(primary+1)%len(servers)]
+		sendBatches(batches, time.Now()) // so that connections to the primary are open
+		time.Sleep(time.Second)
 		told := time.Now() // before discovery writes it
 		discovery.Change(old.Member("Terminating"))
 		batchAt := told.Add(165*time.Millisecond + rand.N(10*time.Millisecond))
-		for _, batch := range batches {
-			for range batchClients {
-				batch <- batchAt
-			}
-		}
+		sendBatches(batches, batchAt)
 		if trouble {
 			for n, p := range poolers {
 				go func() {
@@ -117,7 +115,7 @@
 		primary = (primary + 1) % len(servers)
 		time.Sleep(2 * time.Second)
 		discovery.Change(old.Member("Ready"))
-		time.Sleep(time.Until(told.Add(drainCycle)))
+		time.Sleep(time.Until(told.Add(drainCycle - time.Second)))
 	}
 	close(stop)
 	clients.Wait()
@@ -138,6 +136,15 @@
 	s.primary = primary
 }
 
+// sendBatches has each pooler's clients send a batch at a time.
+func sendBatches(batches []chan time.Time, at time.Time) {
+	for _, batch := range batches {
+		for range batchClients {
+			batch <- at
+		}
+	}
+}
+
 // writeBatches sends many writes at once, at each time that it is told.
 func writeBatches(addr string, batches chan time.Time, stop chan struct{}, served, unserved *atomic.Int64) {
 	client, err := DialPG(addr)
--- a/review/rig2/files.go
+++ b/review/rig2/files.go
@@ -12,6 +12,7 @@
 )
 
 func init() {
+	cases["removed"] = removedCase
 	cases["halfwritten"] = halfWrittenCase
 }
 
@@ -85,6 +86,52 @@
 	return &group
 }
 
+// removedCase: the file is replaced by one without the server that is currently primary. Nothing may be sent to it 2 s later.
+func removedCase(trouble bool) (broken string) {
+	var mu sync.Mutex
+	last := map[string]time.Time{}
+	handle := func(s Statement) []byte {
+		mu.Lock()
+		last[s.Server.Name] = time.Now()
+		mu.Unlock()
+		record("%s got %.60s", s.Server.Name, s.Text)
+		if s.Text[0] == 'S' {
+			return oneRow("val", "x", false)
+		}
+		if !s.Server.primary {
+			return packet(1, errPacket(1290, "HY000", "The MySQL server is running with the --read-only option"))
+		}
+		return packet(1, []byte{0, 1, 0, 2, 0, 0, 0})
+	}
+	var servers []*MyServer
+	for n := range 4 {
+		servers = append(servers, NewMyServer(fmt.Sprintf("db%d", n+1), n == 0, now, handle))
+	}
+	path := filepath.Join(tempFolder(), "inventory.yaml")
+	replaceFile(path, inventory(servers...))
+	p := filePooler(path)
+	p.Start()
+	stop := make(chan struct{})
+	clients := load(p.MySQL, 6, stop, func(string, Result) {})
+	time.Sleep(3 * time.Second)
+	replaced := time.Now()
+	if trouble {
+		replaceFile(path, inventory(servers[1:]...))
+		record("the file is replaced: db1, the primary, is not in it any more")
+	}
+	time.Sleep(8 * time.Second)
+	close(stop)
+	clients.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	after := last["db1"].Sub(replaced)
+	say("the last statement came to db1 %.2f s after the replacement", after.Seconds())
+	if trouble && after > 2050*time.Millisecond {
+		return fmt.Sprintf("a statement was sent to the removed server %.2f s after it was removed", after.Seconds())
+	}
+	return ""
+}
+
 // halfWrittenCase: the file is written in place, and its writer dies in the middle. No statement may reach a server that neither the old nor
 // the new file names.
 func halfWrittenCase(trouble bool) (broken string) {
