--- a/review/rig2/longdata.go
+++ b/review/rig2/longdata.go
@@ -14,9 +14,9 @@
 const (
 	otherClients = 60       // that write large values
 	largeValue   = 60 << 10 // bytes of each of them
-	noteSize     = 3 << 10  // bytes of the value that is sent ahead
+	noteSize     = 512      // bytes of the value that is sent ahead
 	documentSize = 10 << 10 // bytes of the value within the EXECUTE
-	writerCount  = 6
+	writerCount  = 12
 	hangTime     = 5 * time.Second
 )
 
