Give a cancelled command's queued answer to nobody, least of all the next command

Cause: a server's answer is queued until the end of the event loop's round. A cancel handled in that round answered the command, and dispatch delivered the queued answer all the same, as HandleDisconnect did nothing for a request that had its answer queued. The Replier was the MySQL session itself, so whatever command the session executed by then got it.

Change: dispatch keeps the promise of HandleDisconnect for answers that are queued, of servers, guards and the pooler itself, and discards queued streams. On the MySQL frontend each command is its own Replier, as on PostgreSQL's, so an answer can't reach another one. This also ends a second release of a request ID after its client had disconnected, by which another client's open ID was free.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -133,6 +133,59 @@
 	})
 }
 
+// fakeStream is a Stream that records that it was discarded.
+type fakeStream struct {
+	onEnd     func(StreamEnd)
+	discarded bool
+}
+
+func (s *fakeStream) OnEnd(f func(StreamEnd)) { s.onEnd = f }
+func (s *fakeStream) Abort()                  {}
+func (s *fakeStream) Discard() {
+	s.discarded = true
+	s.onEnd(StreamClientDisconnected)
+}
+
+// An answer that is queued when its client cancels or disconnects must not be delivered: by the end of the round the client's
+// connection may execute its next command. A stream must be discarded, as nobody else closes its server's connection.
+func TestAbandonedRequestGetsNoQueuedAnswer(t *testing.T) {
+	stream := &fakeStream{}
+	for name, answer := range map[string]any{"answer": "value", "stream": stream} {
+		t.Run(name, func(t *testing.T) {
+			d, backend := startDispatcher(t)
+			replier, call := submit(d, backend, 20*time.Second)
+			onLoop(d, func() {
+				request := d.requests.open[d.requests.lastID]
+				call.Done(AttemptResult{Result: policy.OK, Answer: answer})
+				request.HandleDisconnect()
+			})
+			onLoop(d, func() {
+				if len(replier.ended) != 0 || d.requests.pending != 0 {
+					t.Errorf("%d answers delivered and %d requests pending, want none", len(replier.ended), d.requests.pending)
+				}
+			})
+		})
+	}
+	if !stream.discarded {
+		t.Error("the stream was not discarded")
+	}
+}
+
+// As TestAbandonedRequestGetsNoQueuedAnswer, for a request that is rejected or answered without a server.
+func TestAbandonedRequestGetsNoQueuedRejection(t *testing.T) {
+	d, _ := startDispatcher(t)
+	replier := fakeReplier{make(chan string, 2)}
+	onLoop(d, func() {
+		d.admission.maxOpen = 0
+		d.Submit(&Request{ArrivedAt: d.loop.Now(), Timeout: time.Second, Reply: replier}).HandleDisconnect()
+	})
+	onLoop(d, func() {
+		if len(replier.ended) != 0 {
+			t.Errorf("the client was told that its request was %s, want no answer", <-replier.ended)
+		}
+	})
+}
+
 // A result that arrives after the attempt's timeout must not be counted again, and its answer must not be sent to a client that
 // already has a final answer.
 func TestLateOutcomeIsIgnored(t *testing.T) {
--- a/internal/dispatch/final_answer.go
+++ b/internal/dispatch/final_answer.go
@@ -15,21 +15,26 @@
 	ArrivedAt, EndedAt time.Duration // Unix times of the request's last byte and of the final answer; set only for guards
 }
 
-// answerClient is the action that delivers a final answer to the client.
+// answerClient is the action that delivers a request's final answer to the client, unless the request has been abandoned meanwhile.
 type answerClient struct {
-	reply      Replier
+	request    *OpenRequest
 	answer     FinalAnswer
 	retryAfter time.Duration // retry delay sent with a rejection; 0: none
 }
 
 func (a answerClient) execute(*Dispatcher) {
+	reply := a.request.request.Reply
+	stream, isStream := a.answer.Answer.(Stream)
 	switch {
+	case a.request.abandoned && isStream:
+		stream.Discard()
+	case a.request.abandoned:
 	case a.answer.Served:
-		a.reply.Serve(a.answer.Answer)
+		reply.Serve(a.answer.Answer)
 	case a.answer.Rejected:
-		a.reply.Reject(a.retryAfter)
+		reply.Reject(a.retryAfter)
 	default:
-		a.reply.Fail()
+		reply.Fail()
 	}
 }
 
@@ -37,7 +42,7 @@
 func (o *OpenRequest) answerUnadmitted(answer FinalAnswer, retryAfter time.Duration) {
 	o.ended = true
 	o.counters.count(answer)
-	o.dispatcher.actions.add(answerClient{o.request.Reply, answer, retryAfter})
+	o.dispatcher.actions.add(answerClient{o, answer, retryAfter})
 }
 
 // markEnded marks an admitted request as ended.
@@ -50,7 +55,7 @@
 func (o *OpenRequest) conclude(answer FinalAnswer, retryAfter time.Duration) {
 	o.markEnded()
 	o.counters.count(answer)
-	o.dispatcher.actions.add(answerClient{o.request.Reply, answer, retryAfter})
+	o.dispatcher.actions.add(answerClient{o, answer, retryAfter})
 	o.notifyGuards(answer)
 }
 
@@ -63,7 +68,7 @@
 	}
 	o.markEnded()
 	o.counters.count(answer)
-	answerClient{o.request.Reply, answer, retryAfter}.execute(d)
+	answerClient{o, answer, retryAfter}.execute(d)
 	o.notifyGuards(answer)
 	o.removeIfSettled()
 }
@@ -126,7 +131,7 @@
 		timeout.Stop()
 		o.streamEnded(end)
 	})
-	o.dispatcher.actions.add(answerClient{reply: o.request.Reply, answer: FinalAnswer{Served: true, Answer: stream}})
+	o.dispatcher.actions.add(answerClient{request: o, answer: FinalAnswer{Served: true, Answer: stream}})
 }
 
 // streamEnded counts a request whose answer was streamed to the client. It counts as failed if the stream broke, and not at all
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -53,6 +53,7 @@
 	counters        *ClassCounters
 	deadline        time.Duration
 	ended           bool             // the final answer is sent or queued, or the client has disconnected
+	abandoned       bool             // HandleDisconnect was called: the Replier is not called any more
 	mayHaveExecuted bool             // an attempt may have been executed
 	attemptCount    int              // number of attempts started so far
 	queuedAttempts  int              // number of attempts that the policy has requested and that are not started yet
@@ -99,8 +100,10 @@
 	return request
 }
 
-// HandleDisconnect ends the request without a final answer and reports to the policy that the client has disconnected.
+// HandleDisconnect ends the request without a final answer and reports to the policy that the client has disconnected. The request's
+// Replier is not called from then on, not even with an answer that is queued already: the client may have sent its next request by then.
 func (o *OpenRequest) HandleDisconnect() {
+	o.abandoned = true
 	if o.ended {
 		return
 	}
--- a/internal/lab/standin/extended.go
+++ b/internal/lab/standin/extended.go
@@ -173,7 +173,7 @@
 	case text == Heartbeat:
 		return one("ts", oidText, []byte(fmt.Sprint(position)))
 	case strings.HasPrefix(text, "SELECT"), strings.Contains(text, " RETURNING "):
-		return one("val", oidText, []byte(s.given()))
+		return one("val", oidText, []byte(s.given(text)))
 	}
 	verb, _, _ := strings.Cut(text, " ")
 	return Rows{Tag: pgwire.Tag(verb, 1)}
--- a/internal/lab/standin/mysql.go
+++ b/internal/lab/standin/mysql.go
@@ -139,7 +139,7 @@
 	case strings.HasPrefix(text, "SHOW"):
 		return mysql.Append(nil, 1, mysql.Error(1064, "42000", "You have an error in your SQL syntax"))
 	case strings.HasPrefix(text, "SELECT"):
-		return myRow("val", s.given(), binary)
+		return myRow("val", s.given(text), binary)
 	}
 	return mysql.Append(nil, 1, mysql.Done(1, 0, 0))
 }
--- a/internal/lab/standin/postgres.go
+++ b/internal/lab/standin/postgres.go
@@ -81,7 +81,7 @@
 		case readOnly:
 			out = pgwire.AppendError(nil, "ERROR", pgwire.CodeReadOnly, "read-only", "")
 		default:
-			out = pgwire.AppendRow(nil, "val", s.given(), "SELECT 1")
+			out = pgwire.AppendRow(nil, "val", s.given(text), "SELECT 1")
 		}
 		out = pgwire.AppendParameter(out, "recovery", map[bool]string{true: "off", false: "on"}[primary])
 		if position > 0 {
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -66,6 +66,7 @@
 	cancels []pgwire.Key
 	value   string
 	stamp   bool
+	echo    bool // reads get the ID of their statement
 	pace    Pace
 	seen    []Seen
 	ledger  *Ledger
@@ -229,9 +230,21 @@
 	s.stamp = true
 }
 
-func (s *Server) given() string {
+// Echo has reads get the ID of their own statement from now on, so that a client can tell whose answer it got.
+func (s *Server) Echo() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.echo = true
+}
+
+// given returns the value that a read with this text gets.
+func (s *Server) given(text string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.echo {
+		parsed, _ := comment.Parse(text)
+		return parsed.ID
+	}
 	if s.stamp {
 		return strconv.FormatInt(time.Now().UnixNano(), 10)
 	}
--- a/internal/pooler/mysql/commands.go
+++ b/internal/pooler/mysql/commands.go
@@ -85,9 +85,10 @@
 		return
 	}
 	text := "SELECT * FROM `" + strings.ReplaceAll(table, "`", "``") + "` LIMIT 0"
-	s.current.fieldList = true
 	s.submit(at, mysql.Read, &Command{Text: text, Database: s.database}, nil)
-	s.current.fieldList = s.current.busy
+	if s.InFlight() {
+		s.pending.fieldList = true
+	}
 }
 
 // handleQuery handles COM_QUERY, a statement in text form.
@@ -189,8 +190,8 @@
 		s.writeOK()
 	}
 	switch {
-	case other.current.request != nil:
-		other.cancel()
+	case other.InFlight():
+		other.pending.cancel()
 	case other == s:
 		s.writeError(mysql.ErrInterrupted, "70100", "Query execution was interrupted")
 	}
@@ -198,11 +199,3 @@
 		other.Finish()
 	}
 }
-
-// cancel abandons the command in flight and answers it with an error. The policy ends the attempt. The command may have been
-// executed, and a server that has started to execute it continues.
-func (s *session) cancel() {
-	s.current.request.HandleDisconnect()
-	code, state := translate.Cancelled.MySQL(s.client.Generation)
-	s.answer(mysql.Append(nil, 1, mysql.Error(code, state, "Query execution was interrupted")))
-}
--- a/internal/pooler/mysql/request.go
+++ b/internal/pooler/mysql/request.go
@@ -45,7 +45,8 @@
 	}
 	request := frontend.NewRequest(class, info, parsedComment, at)
 	request.Payload = command
-	request.Reply = s
+	pending := &pendingCommand{session: s, requestID: parsedComment.ID, bytes: command.size(), prepared: command.Prepared}
+	request.Reply = pending
 	if parsedComment.After > 0 || info.Access == policy.ReadSession {
 		request.Session = comment.Session(command.Text)
 	}
@@ -54,12 +55,9 @@
 		request.Key = comment.QuotedKey(command.Text)
 		request.CacheVariant = s.cacheVariant(command)
 	}
-	s.current.busy = true
-	s.current.bytes = command.size()
-	s.current.prepared = command.Prepared
-	s.current.requestID = parsedComment.ID
+	s.pending = pending
 	s.frontend.BeginRequest(parsedComment.ID)
-	s.current.request = s.frontend.dispatcher.Submit(request)
+	pending.request = s.frontend.dispatcher.Submit(request)
 }
 
 // withDefaults returns the comment, with the configured default class and cluster where it names none. parsed may be nil.
--- a/internal/pooler/mysql/session.go
+++ b/internal/pooler/mysql/session.go
@@ -1,10 +1,8 @@
 package mysql
 
 import (
-	"fmt"
 	"time"
 
-	"threadsail/internal/dispatch"
 	"threadsail/internal/pooler/connlimit"
 	"threadsail/internal/pooler/frontend"
 	"threadsail/internal/protocol/mysql"
@@ -19,15 +17,10 @@
 // maxLoginPacket is the maximum size in bytes of a packet before the client has logged in.
 const maxLoginPacket = 8 << 10
 
-// Error messages sent to clients whose command gets no answer from a server.
-const (
-	shutdownText = "Query execution was interrupted: the server is shutting down"
-	failedText   = "Query execution was interrupted: no answer in time; the statement may have run"
-	rejectedText = "Too many connections: no server can take this statement now; nothing has run"
-)
+// shutdownText is the error message for buffered commands that a shutdown leaves without execution.
+const shutdownText = "Query execution was interrupted: the server is shutting down"
 
 // session is the session of one client connection. It executes one command at a time and buffers the input that arrives meanwhile.
-// It is the dispatch.Replier of its requests.
 type session struct {
 	frontend.Client
 	frontend        *Frontend
@@ -37,8 +30,8 @@
 	database        string
 	input           frontend.Input
 	shed            shedPacket
-	resumedAt       time.Duration // loop time at which commands that had to wait were last allowed to go on
-	current         current
+	resumedAt       time.Duration         // loop time at which commands that had to wait were last allowed to go on
+	pending         *pendingCommand       // the command in flight; nil: none
 	statements      map[uint32]*statement // prepared statements, keyed by ID
 	statementBytes  int                   // of the prepared statements, with their long data
 	longDataBytes   int                   // of the long data
@@ -51,16 +44,6 @@
 	statementID uint32 // of a command for a prepared statement
 }
 
-// current is the state of the command in flight.
-type current struct {
-	busy      bool
-	requestID string
-	request   *dispatch.OpenRequest // nil if there is none or it is abandoned
-	bytes     int                   // of the command
-	prepared  bool                  // it executes a prepared statement
-	fieldList bool                  // the command is COM_FIELD_LIST, which returns only the columns
-}
-
 // Data processes bytes received from the client.
 func (s *session) Data(at time.Duration, data []byte) {
 	s.input.Append(data)
@@ -82,7 +65,7 @@
 
 // updateWaiting makes the client wait while it does not read its answers, has sent much ahead, or others need the memory.
 func (s *session) updateWaiting() {
-	s.Wait(s.MustWait() || s.current.busy && !s.mayReadAhead())
+	s.Wait(s.MustWait() || s.InFlight() && !s.mayReadAhead())
 }
 
 // mayReadAhead reports whether the client may send more while its command is in flight.
@@ -92,7 +75,7 @@
 
 // handlePackets processes the buffered packets until a command must wait or the session ends.
 func (s *session) handlePackets(at time.Duration) {
-	for count := 0; !s.current.busy && s.Connected() && !s.Conn.Blocked(); count++ {
+	for count := 0; !s.InFlight() && s.Connected() && !s.Conn.Blocked(); count++ {
 		if s.input.ShedComplete() {
 			s.rejectShed()
 			continue
@@ -144,7 +127,13 @@
 }
 
 // memoryUsed returns the bytes that the client's input, its command in flight and its prepared statements take.
-func (s *session) memoryUsed() int { return s.input.Size() + s.current.bytes + s.statementBytes }
+func (s *session) memoryUsed() int {
+	used := s.input.Size() + s.statementBytes
+	if s.InFlight() {
+		used += s.pending.bytes
+	}
+	return used
+}
 
 // Shed discards the packet that has begun to arrive, or else the long data for statements. The client gets a rejection once it has sent
 // the rest of the packet, or executes a statement.
@@ -153,7 +142,7 @@
 	switch {
 	case !s.login.done || err != nil:
 		return
-	case size > transport.DefaultReadSize && !s.current.busy && s.input.Len() >= shedHeaderBytes: // smaller ones never wait
+	case size > transport.DefaultReadSize && !s.InFlight() && s.input.Len() >= shedHeaderBytes: // smaller ones never wait
 		command := s.input.Bytes()[shedCommandAt:]
 		s.shed = shedPacket{command: command[0]}
 		s.shed.statementID, _ = mysql.StatementID(command)
@@ -200,7 +189,7 @@
 func (s *session) updateState() {
 	state := connlimit.Idle
 	switch {
-	case s.current.busy || s.login.done && s.HasCommand():
+	case s.InFlight() || s.login.done && s.HasCommand():
 		state = connlimit.Active
 	case !s.login.done:
 		state = connlimit.Connecting
@@ -208,25 +197,19 @@
 		state = connlimit.Receiving
 	}
 	commands := 0
-	if s.current.busy {
+	if s.InFlight() {
 		commands = 1
 	}
 	s.SetUsage(connlimit.Usage{
 		State:       state,
 		Bytes:       s.memoryUsed(),
 		Commands:    commands,
-		Discardable: !s.current.busy && (s.input.Incomplete() || s.longDataBytes > 0),
+		Discardable: !s.InFlight() && (s.input.Incomplete() || s.longDataBytes > 0),
 	})
 }
 
-// answer sends the final answer of the command in flight, unless the command has been abandoned, and schedules the processing of the
-// input received meanwhile.
-func (s *session) answer(packets []byte) {
-	if s.current.request == nil {
-		return
-	}
-	s.frontend.EndRequest(s.current.requestID)
-	s.current = current{}
+// commandAnswered sends the final answer of the command that was in flight, and schedules the processing of the input received meanwhile.
+func (s *session) commandAnswered(packets []byte) {
 	if !s.Connected() {
 		return
 	}
@@ -241,38 +224,6 @@
 	s.CloseIfDue(true)
 }
 
-// Serve sends the client the server's answer to the command in flight.
-func (s *session) Serve(answer any) {
-	packets := answer.([]byte)
-	if s.current.fieldList {
-		packets = translate.FieldList(packets)
-	}
-	s.answer(packets)
-}
-
-// Reject answers the command in flight with an error which states that nothing was executed and, if retryAfter is positive, when to
-// retry.
-func (s *session) Reject(retryAfter time.Duration) {
-	text := rejectedText
-	if retryAfter > 0 {
-		text += fmt.Sprintf("; retry after %d ms", (retryAfter+time.Millisecond-1)/time.Millisecond)
-	}
-	s.answer(mysql.Append(nil, 1, mysql.Error(mysql.ErrConCount, "08004", text)))
-}
-
-// Fail answers the command in flight with an error which states that the command may have been executed.
-func (s *session) Fail() {
-	s.answer(mysql.Append(nil, 1, mysql.Error(mysql.ErrInterrupted, "70100", failedText)))
-}
-
-// failRequest abandons the command in flight, if there is one, and fails it.
-func (s *session) failRequest() {
-	if s.current.request != nil {
-		s.current.request.HandleDisconnect()
-		s.Fail()
-	}
-}
-
 // failQueued answers the buffered commands with an error. None of them has been executed.
 func (s *session) failQueued() {
 	for s.login.done {
@@ -289,7 +240,7 @@
 }
 
 // InFlight implements frontend.Session, as do the methods below.
-func (s *session) InFlight() bool { return s.current.busy }
+func (s *session) InFlight() bool { return s.pending != nil }
 
 // BufferedInput returns the number of bytes that have been received and not processed, or discarded.
 func (s *session) BufferedInput() int {
@@ -310,19 +261,16 @@
 	if s.frontend.sessionsByThread[s.threadID] == s {
 		delete(s.frontend.sessionsByThread, s.threadID)
 	}
-	if s.current.request == nil {
-		return
+	if s.InFlight() {
+		s.pending.abandon()
 	}
-	if s.current.request.MayHaveExecuted() && !s.current.prepared { // a prepared statement has the same ID at each EXECUTE
-		s.frontend.AbandonRequest(s.current.requestID)
-	}
-	s.frontend.EndRequest(s.current.requestID)
-	s.current.request.HandleDisconnect()
 }
 
 // Terminate answers the command in flight and all buffered commands with an error.
 func (s *session) Terminate() {
-	s.failRequest()
+	if s.InFlight() {
+		s.pending.terminate()
+	}
 	s.failQueued()
 }
 
--- a/internal/pooler/shutdown_test.go
+++ b/internal/pooler/shutdown_test.go
@@ -39,7 +39,11 @@
 func (o oldMySQLClient) Receive() (r standin.Result) {
 	packets, err := o.OldClient.Receive(mysql.ComQuery)
 	if err != nil || packets[0][0] != 0xff {
-		return standin.Result{Err: err}
+		if len(packets) > 2 { // a result, whose last row stands before the EOF
+			r.Value, _ = mysql.TextColumn(packets[len(packets)-2])
+		}
+		r.Err = err
+		return r
 	}
 	code, _, text, _ := mysql.ParseError(packets[0])
 	return standin.FromMySQL(&driver.MySQLError{Number: code, Message: text})
