Let a refused EXECUTE use up the data that was sent ahead of it

Cause: an EXECUTE that is discarded while it arrives never reaches the code that takes the statement's long data. rejectShed marked only a discarded SEND_LONG_DATA, so the data of the refused EXECUTE stood before that of the next.

Change: what a command does to its statement also when it is discarded stands in one function, and long data and the mark that some of it was discarded are taken together, by EXECUTE, RESET and CLOSE alike. The data is taken before a server is chosen, so MySQL and PostgreSQL servers are served by the same change. PostgreSQL clients send nothing ahead of a statement.

--- a/internal/pooler/mysql/session.go
+++ b/internal/pooler/mysql/session.go
@@ -150,7 +150,7 @@
 		s.Conn.SetReadSize(transport.DefaultReadSize)
 		s.Conn.Yield()
 	default:
-		s.discardLongData()
+		s.discardAllLongData()
 	}
 	s.Continue()
 }
@@ -163,8 +163,8 @@
 
 // rejectShed answers a command that has been discarded. It was not executed.
 func (s *session) rejectShed() {
-	if prepared := s.statements[s.shed.statementID]; s.shed.command == mysql.ComStmtSendLong && prepared != nil {
-		prepared.longDataLost = true
+	if prepared := s.statements[s.shed.statementID]; prepared != nil {
+		s.shedStatementCommand(prepared, s.shed.command)
 	}
 	if expectsResponse(s.shed.command) {
 		s.writeError(mysql.ErrConCount, "08004", rejectedText)
--- a/internal/pooler/mysql/statements.go
+++ b/internal/pooler/mysql/statements.go
@@ -93,7 +93,6 @@
 		delete(s.statements, id)
 	case mysql.ComStmtReset:
 		s.takeLongData(prepared)
-		prepared.longDataLost = false
 		s.writeOK()
 	case mysql.ComStmtFetch:
 		s.writeError(mysql.ErrNoCursor, "HY000", "The statement has no open cursor")
@@ -123,30 +122,46 @@
 	s.statementBytes += size
 }
 
-// takeLongData removes the long data from a statement and returns it.
-func (s *session) takeLongData(prepared *statement) []mysql.LongData {
-	data := prepared.longData
+// takeLongData removes the long data from a statement and returns it. complete is false if some of it was discarded.
+func (s *session) takeLongData(prepared *statement) (data []mysql.LongData, complete bool) {
+	data, complete = prepared.longData, !prepared.longDataLost
 	prepared.longData = nil
+	prepared.longDataLost = false
 	s.addLongDataSize(prepared, -prepared.longDataSize)
-	return data
+	return data, complete
 }
 
-// discardLongData discards the long data of all statements. Their next EXECUTE is rejected.
-func (s *session) discardLongData() {
+// discardLongData discards the long data of a statement. Its next EXECUTE is rejected.
+func (s *session) discardLongData(prepared *statement) {
+	s.takeLongData(prepared)
+	prepared.longDataLost = true
+}
+
+// discardAllLongData discards the long data of all statements that have any.
+func (s *session) discardAllLongData() {
 	for _, prepared := range s.statements {
 		if prepared.longDataSize > 0 {
-			s.takeLongData(prepared)
-			prepared.longDataLost = true
+			s.discardLongData(prepared)
 		}
 	}
 }
 
+// shedStatementCommand leaves a statement as a command for it leaves it that was discarded for want of memory. An EXECUTE uses up the
+// long data although it is rejected: its client sends the data again with the next one.
+func (s *session) shedStatementCommand(prepared *statement, command byte) {
+	switch command {
+	case mysql.ComStmtSendLong:
+		s.discardLongData(prepared)
+	case mysql.ComStmtExecute:
+		s.takeLongData(prepared)
+	}
+}
+
 // handleExecute submits the execution of a prepared statement with its parameters. As at a server, it uses up the long data, also if
 // it fails.
 func (s *session) handleExecute(at time.Duration, prepared *statement, payload []byte) {
-	longData := s.takeLongData(prepared)
-	if prepared.longDataLost {
-		prepared.longDataLost = false
+	longData, complete := s.takeLongData(prepared)
+	if !complete {
 		s.writeError(mysql.ErrConCount, "08004", rejectedText)
 		return
 	}
