Keep the parameter types of a refused EXECUTE for the next one

Callers see (MySQL frontend): the first EXECUTE of a statement is refused for want of memory (1040, nothing has run). Client libraries send the types of the parameters with the first EXECUTE only, whatever becomes of it, so the retry carries none and fails with 1210, "the parameters' types were never sent", until the statement is prepared anew. Where the refused EXECUTE has bound other types than before, the statement keeps the old ones.

One that was refused because its long data had been discarded was answered before its types were read.

Change: of a message that is discarded, frontend.Input keeps the first bytes, on both wires in place of what each kept for itself; of an EXECUTE up to its values, 4 KiB at most, counted as the client's memory. If the types do not fit, or are malformed, they are forgotten: an error is better than a value that is read wrongly. Types are copied, as they kept the whole packet in memory uncounted.

Tests: TestRefusedExecuteUsesUpLongData sends its retries without types; it failed with 1210 before, on both kinds of servers.

--- a/internal/pooler/long_data_test.go
+++ b/internal/pooler/long_data_test.go
@@ -83,13 +83,18 @@
 	return &longDataClient{OldClient: c, statement: statement.ID, note: note}
 }
 
-// send sends the note ahead, and the EXECUTE with the other value, and the types of its parameters.
-func (c *longDataClient) send(value []byte) error {
+// send sends the note ahead, and the EXECUTE with the other value, with the types of its parameters or without.
+func (c *longDataClient) send(value []byte, withTypes bool) error {
 	if err := c.Send(mysql.LongData{Data: []byte(c.note)}.Payload(c.statement)); err != nil {
 		return err
 	}
 	execute := mysql.Execute{Nulls: []byte{0}, Types: []byte{typeBlob, 0, typeBlob, 0}, Values: mysql.AppendText(nil, value)}
-	return c.Send(execute.Payload(c.statement))
+	payload := execute.Payload(c.statement)
+	if !withTypes {
+		const typesAt = 1 + 4 + 1 + 4 + 1 // behind command, statement, flags, iterations and nulls
+		payload = slices.Concat(payload[:typesAt], []byte{0}, execute.Values)
+	}
+	return c.Send(payload)
 }
 
 // rejected reads the answer to an EXECUTE and tells whether it is the rejection of one that has not run.
@@ -130,8 +135,8 @@
 	return standin.Rows{Tag: pgwire.Tag("INSERT", 1)}, true
 }
 
-// An EXECUTE that is refused for want of memory must use up the data sent ahead of it, as at a MySQL server: the client sends its data
-// again, and the retry would run with a value that no client has sent.
+// An EXECUTE that is refused for want of memory must use up the data sent ahead of it, as at a MySQL server, and keep the types that it
+// carried: the client sends its data again and its types never again, so the retry would run with a value that no client has sent.
 func TestRefusedExecuteUsesUpLongData(t *testing.T) {
 	for name, oldServers := range map[string]bool{"mysql": true, "mysql to postgres": false} {
 		t.Run(name, func(t *testing.T) {
@@ -172,7 +177,7 @@
 		c := newLongDataClient(t, a, strings.Repeat(fmt.Sprintf("note %02d ", i), noteSize/8))
 		notes = append(notes, c.note)
 		waiting = append(waiting, c)
-		go func() { _ = c.send(bytes.Repeat([]byte("x"), size)) }() // what is not taken in shows in the answers
+		go func() { _ = c.send(bytes.Repeat([]byte("x"), size), true) }() // what is not taken in shows in the answers
 	}
 	waitFor(t, "no message is discarded", func() bool { return figure(t, a, `messages_shed{front="mysql"}`) > 0 })
 	close(release)
@@ -182,7 +187,7 @@
 		rejections += len(waiting)
 		time.Sleep(retryDelay)
 		for _, c := range waiting {
-			if err := c.send([]byte("x")); err != nil {
+			if err := c.send([]byte("x"), false); err != nil { // client libraries send the types once, whatever became of that EXECUTE
 				t.Fatal(err)
 			}
 		}
--- a/internal/pooler/mysql/session.go
+++ b/internal/pooler/mysql/session.go
@@ -29,7 +29,6 @@
 	client          translate.Client // protocol generation and character set of the client
 	database        string
 	input           frontend.Input
-	shed            shedPacket
 	resumedAt       time.Duration         // loop time at which commands that had to wait were last allowed to go on
 	pending         *pendingCommand       // the command in flight; nil: none
 	statements      map[uint32]*statement // prepared statements, keyed by ID
@@ -38,12 +37,6 @@
 	lastStatementID uint32
 }
 
-// shedPacket is what is known of a packet that is discarded.
-type shedPacket struct {
-	command     byte
-	statementID uint32 // of a command for a prepared statement
-}
-
 // Data processes bytes received from the client.
 func (s *session) Data(at time.Duration, data []byte) {
 	s.input.Append(data)
@@ -76,8 +69,7 @@
 // handlePackets processes the buffered packets until a command must wait or the session ends.
 func (s *session) handlePackets(at time.Duration) {
 	for count := 0; !s.InFlight() && s.Connected() && !s.Conn.Blocked(); count++ {
-		if s.input.ShedComplete() {
-			s.rejectShed()
+		if s.rejectShed() {
 			continue
 		}
 		if count == frontend.MaxCommandsPerTurn && s.HasCommand() {
@@ -135,42 +127,6 @@
 	return used
 }
 
-// Shed discards the packet that has begun to arrive, or else the long data for statements. The client gets a rejection once it has sent
-// the rest of the packet, or executes a statement.
-func (s *session) Shed() {
-	size, err := mysql.Size(s.input.Bytes(), s.packetLimit())
-	switch {
-	case !s.login.done || err != nil:
-		return
-	case size > transport.DefaultReadSize && !s.InFlight() && s.input.Len() >= shedHeaderBytes: // smaller ones never wait
-		command := s.input.Bytes()[shedCommandAt:]
-		s.shed = shedPacket{command: command[0]}
-		s.shed.statementID, _ = mysql.StatementID(command)
-		s.input.Shed(size)
-		s.Conn.SetReadSize(transport.DefaultReadSize)
-		s.Conn.Yield()
-	default:
-		s.discardAllLongData()
-	}
-	s.Continue()
-}
-
-// What Shed needs of a packet before it may be discarded: its header, the command and a statement's ID.
-const (
-	shedCommandAt   = 4
-	shedHeaderBytes = shedCommandAt + 5
-)
-
-// rejectShed answers a command that has been discarded. It was not executed.
-func (s *session) rejectShed() {
-	if prepared := s.statements[s.shed.statementID]; prepared != nil {
-		s.shedStatementCommand(prepared, s.shed.command)
-	}
-	if expectsResponse(s.shed.command) {
-		s.writeError(mysql.ErrConCount, "08004", rejectedText)
-	}
-}
-
 // handlePacket processes one packet, which belongs to the login or is a command.
 func (s *session) handlePacket(at time.Duration, seq byte, payload []byte) {
 	switch {
--- a/internal/pooler/mysql/statements.go
+++ b/internal/pooler/mysql/statements.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"threadsail/internal/protocol/comment"
@@ -146,31 +147,20 @@
 	}
 }
 
-// shedStatementCommand leaves a statement as a command for it leaves it that was discarded for want of memory. An EXECUTE uses up the
-// long data although it is rejected: its client sends the data again with the next one.
-func (s *session) shedStatementCommand(prepared *statement, command byte) {
-	switch command {
-	case mysql.ComStmtSendLong:
-		s.discardLongData(prepared)
-	case mysql.ComStmtExecute:
-		s.takeLongData(prepared)
-	}
-}
-
 // handleExecute submits the execution of a prepared statement with its parameters. As at a server, it uses up the long data, also if
 // it fails.
 func (s *session) handleExecute(at time.Duration, prepared *statement, payload []byte) {
 	longData, complete := s.takeLongData(prepared)
-	if !complete {
-		s.writeError(mysql.ErrConCount, "08004", rejectedText)
-		return
-	}
 	execute, err := mysql.ParseExecute(payload, prepared.paramCount, prepared.paramTypes)
 	if err != nil {
 		s.writeError(mysql.ErrWrongArgs, "HY000", err.Error())
 		return
 	}
-	prepared.paramTypes = execute.Types
+	prepared.paramTypes = slices.Clone(execute.Types)
+	if !complete {
+		s.writeError(mysql.ErrConCount, "08004", rejectedText)
+		return
+	}
 	command := &Command{
 		Text:       prepared.text,
 		Comment:    prepared.comment,
--- a/internal/pooler/postgres/session.go
+++ b/internal/pooler/postgres/session.go
@@ -23,8 +23,7 @@
 	frontend.Client
 	frontend            *Frontend
 	input               frontend.Input
-	shedType            byte // type of the message that is discarded
-	requestBytes        int  // size of the requests in slots
+	requestBytes        int // size of the requests in slots
 	started             bool
 	cancelKey           pgwire.Key    // identifies the session in cancel requests
 	requestReceived     bool          // a valid request has been received
@@ -41,9 +40,7 @@
 func (s *session) Data(arrivedAt time.Duration, received []byte) {
 	s.input.Append(received)
 	s.processingInput = true
-	if s.input.ShedComplete() {
-		s.rejectShed()
-	}
+	s.rejectShed()
 	s.processMessages(max(arrivedAt, s.resumedAt))
 	s.processingInput = false
 	s.updateState()
@@ -120,21 +117,21 @@
 	if !s.started || err != nil || size <= transport.DefaultReadSize { // smaller ones never wait
 		return
 	}
-	s.shedType = s.input.Bytes()[0]
-	s.input.Shed(size)
+	s.input.Shed(size, 1) // its type
 	s.Conn.SetReadSize(transport.DefaultReadSize)
-	if s.input.ShedComplete() {
-		s.rejectShed()
-	}
+	s.rejectShed()
 	s.Continue()
 }
 
-// rejectShed answers a message that has been discarded. It was not executed.
+// rejectShed answers a message that has been discarded completely, if there is one. It was not executed.
 func (s *session) rejectShed() {
-	if s.shedType == 'Q' {
+	head, complete := s.input.ShedComplete()
+	switch {
+	case !complete:
+	case head[0] == 'Q':
 		s.answerLocally(pgwire.AppendReady(pgwire.AppendRefusal(nil, 0)))
-	} else {
-		s.handleExtended(s.shedType)
+	default:
+		s.handleExtended(head[0])
 	}
 }
 
--- a/internal/protocol/mysql/statement.go
+++ b/internal/protocol/mysql/statement.go
@@ -230,7 +230,17 @@
 	return binary.LittleEndian.Uint32(p[1:]), true
 }
 
-// ParseExecute reads the payload of an EXECUTE of a statement with params parameters.
+// ExecuteHeadSize returns the size in bytes of the payload of an EXECUTE up to its first value, if it sends the types of so many
+// parameters.
+func ExecuteHeadSize(params int) int {
+	const fixed = 1 + 4 + 1 + 4 // command, statement, flags, iterations
+	if params == 0 {
+		return fixed
+	}
+	return fixed + (params+7)/8 + 1 + 2*params
+}
+
+// ParseExecute reads the payload of an EXECUTE of a statement with params parameters. Types are those that apply if it sends none.
 func ParseExecute(p []byte, params int, types []byte) (e Execute, err error) {
 	r := &reader{b: p}
 	r.u8()
