Reject each of two messages that are discarded for a client that does not read

Callers would see (MySQL frontend): a client with long data pending does not read its answers, and two of its messages are discarded for want of memory one after the other. It gets one rejection for both, and takes the answer to its next command for the one that is missing.

Cause: while a client does not read, its discarded message is answered once it reads again. A second one that is discarded meanwhile took the first one's place.

Change: Shed answers a message that has been discarded completely before it discards another. On PostgreSQL's wire a discarded message is answered as soon as it is complete, so there is nothing to change.

Test: TestEachShedMessageIsRejected fails before: the second answer is that of PING.

--- a/internal/pooler/mysql/shed.go
+++ b/internal/pooler/mysql/shed.go
@@ -16,6 +16,7 @@
 // Shed discards the packet that has begun to arrive, or else the long data for statements. The client gets a rejection once it has sent
 // the rest of the packet, or executes a statement.
 func (s *session) Shed() {
+	s.rejectShed()
 	size, err := mysql.Size(s.input.Bytes(), s.packetLimit())
 	switch {
 	case !s.login.done || err != nil:
--- a/internal/pooler/mysql/shed_test.go
+++ b/internal/pooler/mysql/shed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"testing"
 	"time"
 
@@ -109,3 +110,35 @@
 		})
 	}
 }
+
+// Two messages of a client that does not read its answers are discarded one after the other. Each must get its rejection, or the client
+// takes the answer to its next command for the one that is missing.
+func TestEachShedMessageIsRejected(t *testing.T) {
+	loop, client, s := connectSession(t)
+	const unread = 1 << 20 // more than the kernel takes
+	query := mysql.Append(nil, 0, append([]byte{mysql.ComQuery}, bytes.Repeat([]byte("x"), 2*transport.DefaultReadSize)...))
+	half := len(query) / 2
+	loop.Post(func() {
+		s.Conn.LimitSendBuffer()
+		s.Conn.Write(make([]byte, unread))
+		if !s.Conn.Blocked() {
+			t.Error("the kernel has taken all that the client does not read")
+		}
+		s.Data(loop.Now(), query[:half])
+		s.Shed()
+		s.Data(loop.Now(), append(query[half:], query[:half]...))
+		s.Shed()
+		s.Data(loop.Now(), query[half:])
+	})
+	if _, err := io.CopyN(io.Discard, client.Conn, unread); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Send([]byte{mysql.ComPing}); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []byte{0xff, 0xff, 0} {
+		if answer, err := client.Receive(mysql.ComPing); err != nil || answer[0][0] != want {
+			t.Fatalf("a message is answered with %x, %v, want %x first", answer, err, want)
+		}
+	}
+}
