Leave a connection alone once the exchange that used it has finished

Callers saw (MySQL clients before PostgreSQL servers): an EXECUTE with a value that PostgreSQL can't hold gets its error. When that EXECUTE's deadline passes, the connection is closed on which another client's statement runs by then, and nobody is told: that client had no answer within its 20 s.

Cause: the exchange finished on an idle connection within Send, against the contract of dispatch.Backend. Dispatch set the attempt's timer after the attempt's end, and the timer aborted an exchange whose connection was in the pool again.

Change, in the exchange of all wires: one that finishes before Start returns reports that from a later event, and Abort does nothing once an exchange has finished. The rest of a stream asks for no memory any more, as the end of that wait aborts.

--- a/internal/pooler/upstream/exchange.go
+++ b/internal/pooler/upstream/exchange.go
@@ -39,7 +39,8 @@
 	maxReceivedBytes = 4 << 20
 )
 
-// Exchange is one request on one connection. It implements dispatch.Call.
+// Exchange is one request on one connection. It implements dispatch.Call. The connection is the exchange's own until it finishes: from
+// then on another exchange may use it.
 type Exchange struct {
 	Conn          *transport.Conn
 	Result        dispatch.AttemptResult // the result so far; Finish reports it
@@ -55,7 +56,9 @@
 	answerTimer   *dispatch.Timer // pending stall check of the answer
 	memory        *quota.Claim    // memory for a large answer; nil: it is small so far
 	memoryTimer   *dispatch.Timer // pending end of the wait for memory
+	starting      bool            // Start has not returned
 	finished      bool
+	aborted       bool
 	receivedBytes int           // counted against maxReceivedBytes
 	receivedAt    time.Duration // loop time at which bytes of the answer were last received
 	stallTimeout  time.Duration // time without a byte after which the answer counts as stalled
@@ -69,6 +72,8 @@
 	e.connector = connector
 	e.addr = addr
 	e.attempt = attempt
+	e.starting = true
+	defer func() { e.starting = false }()
 	wait := time.Duration(dialWaitShare * float64(connector.ConnectTimeout))
 	e.acquireConn(acquisition{deadline: connector.Loop.Now() + wait, handler: handler, onIdle: onIdle, onFresh: onFresh})
 }
@@ -115,7 +120,9 @@
 		failMalformed()
 		return false
 	}
-	e.reserveMemory(e.receivedBytes)
+	if !e.finished { // else it is a stream, whose memory has been settled
+		e.reserveMemory(e.receivedBytes)
+	}
 	if isAnswer {
 		e.watchAnswer(failMalformed)
 	}
@@ -187,8 +194,12 @@
 	e.answerTimer = e.Loop().At(next, func() { e.checkStalled(failMalformed) })
 }
 
-// Abort cancels the exchange and closes its connection. It does not report a result.
+// Abort cancels the exchange and closes its connection, unless it has finished. It does not report a result.
 func (e *Exchange) Abort() {
+	e.aborted = true
+	if e.finished {
+		return
+	}
 	e.dialTimer.Stop()
 	e.connectTimer.Stop()
 	e.writeTimer.Stop()
@@ -237,7 +248,18 @@
 	e.memoryTimer.Stop()
 	e.Result.Result = result
 	e.finished = true
-	e.attempt.Done(e.Result)
+	if e.starting {
+		e.Loop().Post(e.report)
+	} else {
+		e.attempt.Done(e.Result)
+	}
+}
+
+// report reports the result of an exchange that finished before Start returned, as a dispatch.Backend may not report within Send.
+func (e *Exchange) report() {
+	if !e.aborted {
+		e.attempt.Done(e.Result)
+	}
 }
 
 // FinishBroken ends an exchange whose connection broke, and reports result without an answer.
--- a/internal/pooler/upstream/exchange_test.go
+++ b/internal/pooler/upstream/exchange_test.go
@@ -93,3 +93,60 @@
 		t.Errorf("failMalformed is called %d times, want 1", failures)
 	}
 }
+
+// A call that ends on an idle connection as soon as it has it must report that after Start, and must not close the connection when it is
+// aborted later: another exchange may use it by then.
+func TestExchangeThatFinishesWithinStart(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	loop := dispatch.NewEventLoop()
+	go loop.Run()
+	defer loop.Stop()
+	address := listener.Addr().String()
+	connector := &Connector{Loop: loop, Budget: transport.NewBudget(4), Pool: transport.NewPool(time.Minute, 4), ConnectTimeout: time.Minute}
+	reported := make(chan struct{}, 2)
+	start := func(finish bool) *Exchange {
+		exchange := &Exchange{}
+		end := func() {
+			exchange.ReleaseConn(true, nil)
+			exchange.Finish(policy.OK)
+		}
+		exchange.Start(connector, address, noopHandler{}, dispatch.AttemptCallbacks{Done: func(dispatch.AttemptResult) { reported <- struct{}{} }},
+			func(any) {
+				if finish {
+					end()
+				}
+			}, end)
+		return exchange
+	}
+	loop.Post(func() { start(true) })
+	<-reported
+	const reuseTime = 50 * time.Millisecond // more than the time for which a connection is not used again
+	checked := make(chan struct{})
+	loop.Post(func() {
+		loop.After(reuseTime, func() {
+			ended := start(true)
+			if len(reported) > 0 {
+				t.Error("the result is reported before Start has returned")
+			}
+			loop.After(reuseTime, func() {
+				defer close(checked)
+				current := start(false)
+				if ended.Conn != current.Conn {
+					t.Error("the connection is not used again")
+				}
+				ended.Abort()
+				if !current.Conn.Quiet() {
+					t.Error("aborting an exchange that has finished closes a connection that another one uses")
+				}
+			})
+		})
+	})
+	<-checked
+	if len(reported) != 1 {
+		t.Errorf("%d results are reported for the exchange that finished, want 1", len(reported))
+	}
+}
