Let a cancel within a long answer spare the statement behind it

Callers saw (PostgreSQL's wire): a client sends two queries; while the long answer to the first is being forwarded, it cancels. The first arrives whole, the second, which was not meant, gets 57014.

Cause: session.cancel passed over a command whose answer had begun to go out and ended the next one without an answer.

Change: a cancel is for the first command of the session, or for none: it does nothing once that command's answer is on its way.

Test: TestCancelWithinALongAnswerSparesTheNextStatement got 57014 for the second value before. It shares its set-up with TestLongAnswersReadAtOnce, whose checks are unchanged.

--- a/internal/pooler/postgres/relay_test.go
+++ b/internal/pooler/postgres/relay_test.go
@@ -28,14 +28,21 @@
 	return q
 }
 
-// Guards against lost or truncated answers when a delayed event loop finds values of several megabytes read ahead completely.
-// Each value must reach its client whole, also if the client reads slowly and further answers follow.
-func TestLongAnswersReadAtOnce(t *testing.T) {
+// relayTest is a frontend with one server, whose answers the test gives.
+type relayTest struct {
+	server *standin.Server
+	loop   *dispatch.EventLoop
+	sent   chan *query // the queries in the order in which they were sent
+	client *standin.Postgres
+}
+
+func newRelayTest(t *testing.T) *relayTest {
+	t.Helper()
 	server, err := standin.NewServer("p", false, true, standin.NewLedger())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer server.Down()
+	t.Cleanup(server.Down)
 	server.Do(func(standin.Seen) standin.Act { return standin.Hang })
 	loop, budget := dispatch.NewEventLoop(), transport.NewBudget(100)
 	backend := manualBackend{&Backend{Connector: upstream.Connector{Loop: loop, Budget: budget, Pool: transport.NewPool(time.Minute, 100),
@@ -54,34 +61,78 @@
 	}
 	loopStopped := make(chan struct{})
 	go func() { loop.Run(); close(loopStopped) }()
-	defer func() {
+	t.Cleanup(func() {
 		loop.Post(frontend.Terminate)
 		loop.Stop()
 		<-loopStopped
-	}()
+	})
 	client, err := standin.DialPostgres(frontend.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer client.Close()
-	_ = client.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
-	var values []string
-	for i, size := range []int{100, pgwire.MaxValue, pgwire.MaxValue + 1, 3 << 20, 3 << 20, 3 << 20, 100} {
-		values = append(values, strings.Repeat(fmt.Sprintf("value %d ", i), size)[:size])
-		if err := client.Send(standin.Read("any", time.Minute)); err != nil {
+	t.Cleanup(func() { client.Close() })
+	return &relayTest{server: server, loop: loop, sent: backend.sent, client: client}
+}
+
+// send sends reads, all before the first answer, and returns their queries to the server.
+func (r *relayTest) send(t *testing.T, reads int) (queries []*query) {
+	t.Helper()
+	for range reads {
+		if err := r.client.Send(standin.Read("any", time.Minute)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if !server.Wait(len(values)) {
+	if !r.server.Wait(reads) {
 		t.Fatal("the server did not receive the reads in time")
 	}
-	for _, value := range values {
-		q := <-backend.sent
-		loop.Post(func() { q.Data(loop.Now(), pgwire.AppendReady(pgwire.AppendRow(nil, "val", value, "SELECT 1"))) })
+	for range reads {
+		queries = append(queries, <-r.sent)
+	}
+	return queries
+}
+
+// answer is a server's answer with a value.
+func answer(value string) []byte {
+	return pgwire.AppendReady(pgwire.AppendRow(nil, "val", value, "SELECT 1"))
+}
+
+// Guards against lost or truncated answers when a delayed event loop finds values of several megabytes read ahead completely.
+// Each value must reach its client whole, also if the client reads slowly and further answers follow.
+func TestLongAnswersReadAtOnce(t *testing.T) {
+	r := newRelayTest(t)
+	_ = r.client.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	var values []string
+	for i, size := range []int{100, pgwire.MaxValue, pgwire.MaxValue + 1, 3 << 20, 3 << 20, 3 << 20, 100} {
+		values = append(values, strings.Repeat(fmt.Sprintf("value %d ", i), size)[:size])
+	}
+	for i, q := range r.send(t, len(values)) {
+		r.loop.Post(func() { q.Data(r.loop.Now(), answer(values[i])) })
 	}
 	for i, value := range values {
-		if reply := client.Receive(); reply.Value != value || reply.Err != nil {
+		if reply := r.client.Receive(); reply.Value != value || reply.Err != nil {
 			t.Fatalf("value %d: wrong value received: sent %d bytes, received %d; error %v", i, len(value), len(reply.Value), reply.Err)
 		}
 	}
 }
+
+// A cancel that comes while a long answer is being forwarded comes too late for it, and must not hit the statement behind it.
+func TestCancelWithinALongAnswerSparesTheNextStatement(t *testing.T) {
+	r := newRelayTest(t)
+	values := []string{strings.Repeat("long value ", 1<<17), "short value"}
+	queries := r.send(t, len(values))
+	long := answer(values[0])
+	half := len(long) / 2
+	r.loop.Post(func() { queries[0].Data(r.loop.Now(), long[:half]) })
+	if err := r.client.Cancel(); err != nil {
+		t.Fatal(err)
+	}
+	r.loop.Post(func() {
+		queries[0].Data(r.loop.Now(), long[half:])
+		queries[1].Data(r.loop.Now(), answer(values[1]))
+	})
+	for i, value := range values {
+		if reply := r.client.Receive(); reply.Value != value || reply.Code != "" || reply.Err != nil {
+			t.Errorf("value %d: sent %d bytes, received %d; code %q, error %v", i, len(value), len(reply.Value), reply.Code, reply.Err)
+		}
+	}
+}
--- a/internal/pooler/postgres/session.go
+++ b/internal/pooler/postgres/session.go
@@ -246,17 +246,18 @@
 	s.closeIfDue()
 }
 
-// cancel ends the first command without an answer, which is the one being executed. If there is none, cancel does nothing, so
-// that it can't affect a later command.
+// cancel ends the first command without an answer, which is the one being executed. If there is none, or its answer is being sent, cancel
+// does nothing, so that it can't affect a later command.
 func (s *session) cancel() {
-	for _, sl := range s.slots {
-		if sl.request == nil || sl.answered || sl.relayStarted() {
-			continue
-		}
-		sl.request.HandleDisconnect() // ends the attempt; the query may have been executed, and a server that has begun it goes on
-		sl.complete(pgwire.AppendError(nil, "ERROR", translate.Cancelled.Postgres(), "canceling statement due to user request", ""))
+	if len(s.slots) == 0 || s.answerStarted() {
+		return
+	}
+	sl := s.slots[0]
+	if sl.request == nil {
 		return
 	}
+	sl.request.HandleDisconnect() // ends the attempt; the query may have been executed, and a server that has begun it goes on
+	sl.complete(pgwire.AppendError(nil, "ERROR", translate.Cancelled.Postgres(), "canceling statement due to user request", ""))
 }
 
 // fatal reports invalid input to the client and closes the connection, because the message framing may be lost.
