Take nothing for a command's answer that came before the command was sent

Callers would see (both kinds of servers, through translation too): a server sends a packet more than its answer to the login, to the database's selection or to PREPARE, and the client's statement is answered with that packet before it has run; its own answer goes to nobody, or to the next statement. A connection on which more came than an error to PREPARE or COM_INIT_DB was used again.

Cause: the setup sent the next command without asking whether the input was empty. PostgreSQL's backends asked at the end of the startup alone, and the plain one after it had sent the query.

Change: before the next command is sent, at a server of either kind, the input has to be empty; else the connection is closed and the attempt ends as never executed. A server's error to a step of the setup still counts; its connection is closed if more came. A probe's second query keeps to the same.

--- a/internal/pooler/mysql/exchange.go
+++ b/internal/pooler/mysql/exchange.go
@@ -1,6 +1,7 @@
 package mysql
 
 import (
+	"errors"
 	"time"
 
 	"threadsail/internal/dispatch"
@@ -30,6 +31,9 @@
 	packetError      = 0xff
 )
 
+// errUnexpectedPacket is logged if a server sends more than the answer to a setup command.
+var errUnexpectedPacket = errors.New("more than the answer to a setup command")
+
 // exchange is the execution of one command on one connection, including the setup that must precede the command: the login, the
 // selection of the database and the PREPARE. Nothing can have been executed before the command itself is sent.
 type exchange struct {
@@ -43,6 +47,7 @@
 	stage           stage
 	challenge       []byte // sent by the server for the login
 	definitionsLeft int    // number of definition packets not received yet
+	inputDrained    bool   // no bytes after the packet that is being processed have been received yet
 	statement       mysql.PrepareOK
 	answer          *mysql.Answer
 }
@@ -77,20 +82,20 @@
 	if err != nil || n == 0 {
 		return n, false, err
 	}
-	done, err = e.handlePacket(seq, append([]byte(nil), payload...), n == len(input))
+	e.inputDrained = n == len(input)
+	done, err = e.handlePacket(seq, append([]byte(nil), payload...))
 	return n, done, err
 }
 
-// handlePacket processes one packet from the server and reports whether the exchange has ended. inputDrained is true if no bytes
-// after the packet have been received yet.
-func (e *exchange) handlePacket(seq byte, payload []byte, inputDrained bool) (done bool, err error) {
+// handlePacket processes one packet from the server and reports whether the exchange has ended.
+func (e *exchange) handlePacket(seq byte, payload []byte) (done bool, err error) {
 	e.ServerResponded = true
 	if e.stage == awaitAnswer {
 		complete, err := e.answer.Feed(seq, payload)
 		if err != nil || !complete {
 			return false, err
 		}
-		return e.finishAnswer(inputDrained), nil
+		return e.finishAnswer()
 	}
 	if payload[0] == packetError {
 		return e.handleSetupError(payload)
@@ -101,17 +106,28 @@
 	case awaitLogin:
 		err = e.handleLogin(seq, payload)
 	case awaitInitDB:
-		e.state.database = e.database
-		e.sendNext()
+		if err = e.requireDrained(); err == nil {
+			e.state.database = e.database
+			e.sendNext()
+		}
 	case awaitPrepare:
 		err = e.handlePrepared(payload)
 	case awaitDefinitions:
 		e.definitionsLeft--
-		e.executeOncePrepared()
+		err = e.executeOncePrepared()
 	}
 	return e.Finished(), err
 }
 
+// requireDrained returns errUnexpectedPacket if the server has sent more than the answer to a command, before the next command is sent:
+// it would be taken for the answer to that one.
+func (e *exchange) requireDrained() error {
+	if e.inputDrained {
+		return nil
+	}
+	return errUnexpectedPacket
+}
+
 // handleSetupError ends an exchange after an error packet that arrived before the command was sent. If the statement itself is
 // wrong, the server's error becomes the answer. Malformed error packets, server errors and all login errors but an overload count as a
 // failed connection.
@@ -125,10 +141,10 @@
 	switch result {
 	case policy.OK:
 		e.Result.Answer = mysql.Append(nil, 1, payload)
-		e.release(true)
+		e.release()
 	case policy.Misdirected:
 		e.Result.Role = policy.RoleReplica
-		e.release(true)
+		e.release()
 	case policy.ServerError:
 		result = policy.ConnectFailed
 		e.Conn.Close()
@@ -172,7 +188,7 @@
 // for the next EXECUTE of the statement on this connection, which may be another client's.
 func (e *exchange) sendCommand(payload []byte, longData ...[]byte) {
 	if e.Overtaken() {
-		e.release(true)
+		e.release()
 		e.Finish(policy.Misdirected)
 		return
 	}
@@ -189,16 +205,20 @@
 }
 
 // finishAnswer processes a complete answer and reports whether the exchange has ended. A probe of a replica continues with the
-// heartbeat query. inputDrained is true if no bytes after the answer have been received yet.
-func (e *exchange) finishAnswer(inputDrained bool) (done bool) {
+// heartbeat query.
+func (e *exchange) finishAnswer() (done bool, err error) {
 	if e.IsProbe && e.handleProbeAnswer() {
-		return false
+		if err := e.requireDrained(); err != nil {
+			return false, err
+		}
+		e.sendCommand(mysql.Command(mysql.ComQuery, e.backend.Heartbeat))
+		return false, nil
 	}
-	e.release(inputDrained)
+	e.release()
 	if e.answer.Err == nil {
 		e.Result.Answer = e.clientAnswer()
 		e.Finish(policy.OK)
-		return true
+		return true, nil
 	}
 	code, sqlState, _, ok := mysql.ParseError(e.answer.Err)
 	result := resultForError(code, sqlState)
@@ -212,21 +232,17 @@
 		e.Result.Role = policy.RoleReplica
 	}
 	e.Finish(result)
-	return true
+	return true, nil
 }
 
-// handleProbeAnswer records the answer to one query of a probe and reports whether it has sent another query.
+// handleProbeAnswer records the answer to one query of a probe and reports whether the heartbeat query follows.
 func (e *exchange) handleProbeAnswer() bool {
 	value, ok := mysql.TextColumn(e.answer.Row)
 	if !e.Result.Status.HasRole {
 		if e.answer.Err != nil || !ok {
 			return false
 		}
-		if !e.ReportRole(value == "0" || value == "OFF") {
-			return false
-		}
-		e.sendCommand(mysql.Command(mysql.ComQuery, e.backend.Heartbeat))
-		return true
+		return e.ReportRole(value == "0" || value == "OFF")
 	}
 	if e.answer.Err != nil { // the role is known, only the position stays unknown
 		e.LogFailure("the heartbeat query fails")
@@ -258,9 +274,8 @@
 	return recoded
 }
 
-// release returns the connection to the pool. clean is false if bytes after the answer have been received; the connection is then
-// closed.
-func (e *exchange) release(clean bool) { e.ReleaseConn(clean, e.state) }
+// release returns the connection to the pool, or closes it if bytes after the answer have been received.
+func (e *exchange) release() { e.ReleaseConn(e.inputDrained, e.state) }
 
 // resultForError returns the policy's result for an error from a server. The result is policy.OK if the statement would fail on any
 // server, because it is wrong or violates a constraint; the server's error is then sent to the client.
--- a/internal/pooler/mysql/exchange_prepare.go
+++ b/internal/pooler/mysql/exchange_prepare.go
@@ -16,7 +16,7 @@
 // that an unknown database named by a client is not mistaken for a failed connection.
 func (e *exchange) handleGreeting(seq byte, payload []byte) error {
 	greeting, err := mysql.ParseGreeting(payload)
-	if err != nil {
+	if err := errors.Join(err, e.requireDrained()); err != nil {
 		return err
 	}
 	e.challenge = greeting.Challenge
@@ -31,22 +31,34 @@
 	case packetAuthSwitch:
 		return e.switchAuth(seq, payload)
 	case packetAuthMore:
-		answer, err := mysql.AuthMore(payload, e.challenge, e.backend.Password)
-		if answer != nil {
-			e.Conn.Write(mysql.Append(nil, seq+1, answer))
-		}
-		return err
+		return e.continueAuth(seq, payload)
 	case packetOK:
+		if err := e.requireDrained(); err != nil {
+			return err
+		}
 		e.sendNext()
 		return nil
 	}
 	return errLoginNotOK
 }
 
+// continueAuth answers the server's message of an authentication that takes several, if it expects an answer.
+func (e *exchange) continueAuth(seq byte, payload []byte) error {
+	answer, err := mysql.AuthMore(payload, e.challenge, e.backend.Password)
+	if answer == nil {
+		return err
+	}
+	if err := errors.Join(err, e.requireDrained()); err != nil {
+		return err
+	}
+	e.Conn.Write(mysql.Append(nil, seq+1, answer))
+	return nil
+}
+
 // switchAuth answers the server's request for another authentication plugin.
 func (e *exchange) switchAuth(seq byte, payload []byte) error {
 	plugin, challenge, err := mysql.ParseSwitch(payload)
-	if err != nil {
+	if err := errors.Join(err, e.requireDrained()); err != nil {
 		return err
 	}
 	answer, err := mysql.AuthResponse(plugin, challenge, e.backend.Password)
@@ -89,8 +101,7 @@
 	}
 	e.definitionsLeft += definitionPackets(statement.Params) + definitionPackets(statement.Columns)
 	e.stage = awaitDefinitions
-	e.executeOncePrepared()
-	return nil
+	return e.executeOncePrepared()
 }
 
 // definitionPackets returns the number of packets that describe n parameters or columns: one for each, then an EOF if n > 0.
@@ -103,15 +114,19 @@
 
 // executeOncePrepared executes the statement when all its definition packets have been received. If the connection has too many
 // prepared statements, it first closes the oldest one.
-func (e *exchange) executeOncePrepared() {
+func (e *exchange) executeOncePrepared() error {
 	if e.definitionsLeft > 0 {
-		return
+		return nil
+	}
+	if err := e.requireDrained(); err != nil {
+		return err
 	}
 	if oldest, removed := e.state.prepared.MakeRoom(); removed {
 		e.writeCommand(mysql.StmtClose(oldest.ID))
 	}
 	e.state.prepared.Add(e.preparedKey(), e.statement)
 	e.sendExecute()
+	return nil
 }
 
 // sendExecute sends the EXECUTE of the statement, behind its long parameter values.
--- a/internal/pooler/postgres/query.go
+++ b/internal/pooler/postgres/query.go
@@ -165,7 +165,10 @@
 		q.Finish(policy.ConnectFailed)
 		return true, true
 	case 'Z': // ReadyForQuery
-		return q.finishStartup(), last
+		if !last { // it would be taken for the answer to the query
+			return false, false
+		}
+		return q.finishStartup(), true
 	}
 	return false, message.Type == 'R' || message.Type == 'K' || message.Type == 'S' || message.Type == 'N'
 }
--- a/internal/pooler/translating/answer.go
+++ b/internal/pooler/translating/answer.go
@@ -88,27 +88,38 @@
 	if string(body) != pgwire.StatusIdle || !ended {
 		return false, errMessageOrder
 	}
-	return x.finishAnswer(last), nil
+	return x.finishAnswer(last)
 }
 
 // finishAnswer takes in a complete answer. A probe of a replica goes on with the heartbeat. over: the exchange has ended.
-func (x *exchange) finishAnswer(last bool) (over bool) {
+func (x *exchange) finishAnswer(last bool) (over bool, err error) {
 	roleKnown := x.IsProbe && x.Result.Status.HasRole
 	if x.answer.errorCode != "" && !roleKnown {
-		return x.finishWithError(last)
+		return x.finishWithError(last), nil
 	}
 	if !x.IsProbe {
 		x.release(last)
 		x.Result.Answer = x.translatedAnswer()
 		x.Finish(policy.OK)
-		return true
+		return true, nil
 	}
-	if x.handleProbeAnswer() {
-		return x.Finished()
+	if !x.handleProbeAnswer() {
+		x.release(last)
+		x.Finish(policy.OK)
+		return true, nil
 	}
-	x.release(last)
-	x.Finish(policy.OK)
-	return true
+	if !last {
+		return false, errMessageOrder
+	}
+	x.sendHeartbeat()
+	return x.Finished(), nil
+}
+
+// sendHeartbeat sends a probe's second query.
+func (x *exchange) sendHeartbeat() {
+	x.text = x.backend.Heartbeat
+	x.answer = answer{}
+	x.sendExecute(nil)
 }
 
 // finishWithError ends an exchange by the server's error. It returns true: the exchange is over.
@@ -182,7 +193,7 @@
 	return nil
 }
 
-// handleProbeAnswer takes in the answer to one query of a probe; true: another one follows.
+// handleProbeAnswer records the answer to one query of a probe and reports whether the heartbeat query follows.
 func (x *exchange) handleProbeAnswer() bool {
 	value := ""
 	if rows := x.answer.rows; len(rows) == 1 && len(rows[0]) == 1 {
@@ -192,13 +203,7 @@
 		if value != "t" && value != "f" {
 			return false
 		}
-		if !x.ReportRole(value == "f") {
-			return false
-		}
-		x.text = x.backend.Heartbeat
-		x.answer = answer{}
-		x.sendExecute(nil)
-		return true
+		return x.ReportRole(value == "f")
 	}
 	if x.answer.errorCode != "" { // the role is known all the same; the position stays unknown
 		x.LogFailure("the heartbeat query fails")
--- /dev/null
+++ b/internal/pooler/translating/early_answer_test.go
@@ -0,0 +1,86 @@
+package translating
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"threadsail/internal/dispatch"
+	"threadsail/internal/lab/standin"
+	"threadsail/internal/policy"
+	"threadsail/internal/pooler/mysql"
+	"threadsail/internal/pooler/postgres"
+	"threadsail/internal/pooler/upstream"
+	"threadsail/internal/protocol/comment"
+	wire "threadsail/internal/protocol/mysql"
+	"threadsail/internal/protocol/pgwire"
+	"threadsail/internal/translate"
+	"threadsail/internal/transport"
+)
+
+// What a PostgreSQL server sends beyond its answer to a step of the setup must not be taken for the answer to the statement behind it. The
+// statement is not sent, and the connection is not used again.
+func TestBytesAfterASetupAnswer(t *testing.T) {
+	const oidText = 25
+	key := pgwire.Key{Process: 1, Secret: 2}
+	described := pgwire.Append(nil, '1') // ParseComplete
+	described = pgwire.AppendParameterTypes(described, []uint32{oidText})
+	described = pgwire.AppendReady(pgwire.Append(described, 'n')) // NoData
+	setup := [][]byte{nil, pgwire.AppendWelcome(nil, key), described}
+	stray := pgwire.AppendReady(pgwire.Append(nil, 'C', pgwire.Tag("DELETE", 9), "\x00"))
+	execute := wire.Execute{Nulls: []byte{0}, Types: []byte{0xfc, 0}, Values: wire.AppendText(nil, []byte("value"))}
+	translated := &mysql.Translated{Statement: translate.Statement{SQL: "DELETE FROM state WHERE uid = $1", Params: 1}}
+	prepared := &mysql.Command{Prepared: true, ParamCount: 1, Execute: execute, Translated: translated,
+		Client: translate.Client{Charset: translate.UTF8MB4}}
+	query := &postgres.Statement{Text: "SELECT 1 /* id=e1 */", Comment: comment.Comment{ID: "e1"}}
+	for _, test := range []struct {
+		name    string
+		step    int // whose answer is followed by another message
+		backend func(upstream.Connector) dispatch.Backend
+		payload any
+	}{
+		{"startup of a translated statement", 1, newPostgresBackend, prepared},
+		{"description of a translated statement", 2, newPostgresBackend, prepared},
+		{"startup of a query", 1, func(c upstream.Connector) dispatch.Backend { return &postgres.Backend{Connector: c} }, query},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			replies := slices.Clone(setup)
+			replies[test.step] = slices.Concat(replies[test.step], stray)
+			server, err := standin.NewScript(replies...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Close()
+			loop := dispatch.NewEventLoop()
+			go loop.Run()
+			defer loop.Stop()
+			backend := test.backend(upstream.Connector{Loop: loop, Budget: transport.NewBudget(9), Pool: transport.NewPool(time.Minute, 9),
+				ConnectTimeout: time.Minute})
+			results := make(chan dispatch.AttemptResult, 1)
+			loop.Post(func() {
+				backend.Send(server.Addr, test.payload, time.Minute, dispatch.AttemptCallbacks{
+					StillAllowed: func() bool { return true },
+					Sent:         func() {},
+					Progress:     func(bool) {},
+					Done:         func(r dispatch.AttemptResult) { results <- r },
+				})
+			})
+			if result := <-results; result.Result != policy.ConnectFailed {
+				t.Errorf("the execution ends with %v and %q, want %v", result.Result, result.Answer, policy.ConnectFailed)
+			}
+			for late := time.Now().Add(20 * time.Second); server.Closed() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(late) {
+					t.Fatal("the connection is not closed")
+				}
+			}
+			if read := server.Read(); read != test.step {
+				t.Errorf("the server was sent something %d times, want %d", read, test.step)
+			}
+		})
+	}
+}
+
+func newPostgresBackend(connector upstream.Connector) dispatch.Backend {
+	return &PostgresBackend{Connector: connector, Account: upstream.Account{Log: func(string) {}}}
+}
--- a/internal/pooler/translating/exchange_startup.go
+++ b/internal/pooler/translating/exchange_startup.go
@@ -106,6 +106,9 @@
 		if x.answer.errorCode != "" {
 			return x.finishWithError(last), nil
 		}
+		if !last { // it would be taken for the answer to what is sent next
+			return false, errMessageOrder
+		}
 		x.state.prepared.Add(x.text, x.statement)
 		x.bind()
 		return x.Finished(), nil
