Answer a COM_FIELD_LIST also if the server's answer has no columns

Callers would see (MySQL frontend): a server answers the query behind a COM_FIELD_LIST with an OK packet. The command gets no answer, and the client takes the answer to its next command for it.

Cause: translate.FieldList drops the first packet as the number of columns, and an OK packet is nothing but its first packet.

Change: an answer without columns becomes error 1105.

Test: TestFieldListWithoutColumnsGetsAnError got the answer to the PING behind the command before.

--- a/internal/translate/versions.go
+++ b/internal/translate/versions.go
@@ -88,7 +88,7 @@
 }
 
 // FieldList makes the answer to a COM_FIELD_LIST of that to a SELECT of no rows: the definitions, each with its default, which
-// nobody has told, and an EOF.
+// nobody has told, and an EOF. An answer without columns, as an OK packet is, becomes an error.
 func FieldList(raw []byte) []byte {
 	var out []byte
 	seq := byte(0)
@@ -107,5 +107,5 @@
 		seq++
 		out = mysql.Append(out, seq, append(append([]byte(nil), p...), 0xfb))
 	}
-	return out
+	return mysql.Append(nil, 1, mysql.Error(mysql.ErrUnknown, "HY000", "The server's answer has no columns"))
 }
