Answer what a killed MySQL client has sent behind the statement in flight

Callers would see (MySQL frontend): a client sends three statements at once, and another connection kills it.

Cause: KILL CONNECTION answered the command in flight and closed the connection with the others in its buffer. The shutdown answers them.

Change: the kill answers them as the shutdown does, with 1317 and the text of a kill; a message that was discarded and not answered yet gets its rejection first.

Test: TestClientThatIsKilledGetsAnAnswerToEachStatement; before, the second and the third statement got the end of the connection.

--- a/internal/pooler/mysql/commands.go
+++ b/internal/pooler/mysql/commands.go
@@ -173,9 +173,9 @@
 	s.handleKill(mysql.Kill{ID: binary.LittleEndian.Uint32(payload[1:]), Connection: true})
 }
 
-// handleKill cancels the command in flight of the session with the given thread ID immediately, and closes that session if
-// kill.Connection is set. A command that has already been answered is not affected, so a cancellation never hits a later command
-// than the one that the client meant, as far as the client can tell.
+// handleKill cancels the command in flight of the session with the given thread ID immediately. If kill.Connection is set, it also
+// cancels the commands behind that one and closes the session. A command that has already been answered is not affected, so a cancellation
+// never hits a later command than the one that the client meant, as far as the client can tell.
 func (s *session) handleKill(kill mysql.Kill) {
 	other := s.frontend.sessionsByThread[kill.ID]
 	switch {
@@ -196,6 +196,7 @@
 		s.writeError(mysql.ErrInterrupted, "70100", "Query execution was interrupted")
 	}
 	if kill.Connection {
+		other.failQueued(cancelledText)
 		other.Finish()
 	}
 }
--- a/internal/pooler/mysql/session.go
+++ b/internal/pooler/mysql/session.go
@@ -180,8 +180,10 @@
 	s.CloseIfDue(true)
 }
 
-// failQueued answers the buffered commands with an error. None of them has been executed.
-func (s *session) failQueued() {
+// failQueued answers the buffered commands with an error, and one that has been discarded with its rejection. None of them has been
+// executed.
+func (s *session) failQueued(text string) {
+	s.rejectShed()
 	for s.login.done {
 		_, payload, n, err := mysql.Next(s.input.Bytes(), mysql.MaxCommand)
 		if err != nil || n == 0 || len(payload) == 0 || payload[0] == mysql.ComQuit {
@@ -190,7 +192,7 @@
 		command := payload[0]
 		s.input.Consume(n)
 		if expectsResponse(command) {
-			s.writeError(mysql.ErrInterrupted, "70100", shutdownText)
+			s.writeError(mysql.ErrInterrupted, "70100", text)
 		}
 	}
 }
@@ -227,7 +229,7 @@
 	if s.InFlight() {
 		s.pending.terminate()
 	}
-	s.failQueued()
+	s.failQueued(shutdownText)
 }
 
 // writePacket sends one packet to the client.
