Give MySQL clients without a database no connection that has one

Callers saw (MySQL frontend before MySQL servers, "database" empty as shipped): a client that has selected no database gets error 1046, "No database selected", for any statement, whenever its statement meets a connection on which another client has selected one. Found by following what state stays on a server's connection.

Cause: connections of the pool were taken without regard to their database. One with a database can't go back to having none; the pooler sent COM_INIT_DB with an empty name, which servers refuse.

Change: the pool is asked for a connection with the command's own database first, and then for any that can be used. A command without a database can use none that has one. Fewer databases are selected anew by that, too.

--- a/internal/lab/standin/mysql.go
+++ b/internal/lab/standin/mysql.go
@@ -67,7 +67,7 @@
 func (m *mysqlConn) statement(command []byte) (text, longData string, ok bool) {
 	switch command[0] {
 	case mysql.ComInitDB:
-		send(m.conn, mysql.Append(nil, 1, mysql.OK()))
+		m.selectDatabase(string(command[1:]))
 		return "", "", false
 	case mysql.ComStmtPrepare:
 		m.prepare(string(command[1:]))
@@ -88,6 +88,15 @@
 	return string(command[1:]), "", true
 }
 
+// selectDatabase answers COM_INIT_DB. No connection can go back to having no database.
+func (m *mysqlConn) selectDatabase(name string) {
+	answer := mysql.OK()
+	if name == "" {
+		answer = mysql.Error(1046, "3D000", "No database selected")
+	}
+	send(m.conn, mysql.Append(nil, 1, answer))
+}
+
 // prepare answers PREPARE.
 func (m *mysqlConn) prepare(text string) {
 	id := uint32(len(m.prepared) + 1)
--- a/internal/pooler/mysql/backend.go
+++ b/internal/pooler/mysql/backend.go
@@ -49,6 +49,8 @@
 	if e.database == "" {
 		e.database = b.Database
 	}
+	e.Prefers = e.hasDatabase
+	e.Usable = e.canUse
 	return e
 }
 
--- a/internal/pooler/mysql/exchange.go
+++ b/internal/pooler/mysql/exchange.go
@@ -61,6 +61,14 @@
 	return e
 }
 
+// hasDatabase reports whether a connection of the pool has the database of the exchange.
+func (e *exchange) hasDatabase(state any) bool { return state.(*connState).database == e.database }
+
+// canUse reports whether the exchange can use a connection of the pool. A connection with a database can't go back to having none.
+func (e *exchange) canUse(state any) bool {
+	return e.database != "" || e.IsProbe || state.(*connState).database == ""
+}
+
 // Data processes bytes received from the server.
 func (e *exchange) Data(_ time.Duration, data []byte) {
 	e.Receive(data, e)
--- a/internal/pooler/upstream/acquire.go
+++ b/internal/pooler/upstream/acquire.go
@@ -35,7 +35,7 @@
 		e.Finish(policy.Misdirected)
 		return
 	}
-	if conn, state := connector.Pool.Get(e.addr, connector.Loop.Now()); conn != nil {
+	if conn, state := e.takeIdle(); conn != nil {
 		e.Conn = conn
 		e.startConnectTimer()
 		conn.SetHandler(acq.handler)
@@ -56,6 +56,18 @@
 	e.dial(acq)
 }
 
+// takeIdle takes a connection from the pool, a preferred one if there is one. It returns nil if there is none that can be used.
+func (e *Exchange) takeIdle() (conn *transport.Conn, state any) {
+	pool, now := e.connector.Pool, e.connector.Loop.Now()
+	if e.Prefers != nil {
+		conn, state = pool.Get(e.addr, now, e.Prefers)
+	}
+	if conn == nil {
+		conn, state = pool.Get(e.addr, now, e.Usable)
+	}
+	return conn, state
+}
+
 // waitToDial schedules a retry after delay, within the bounds of a retry, or ends the exchange with policy.Overloaded if the retry
 // would miss the deadline.
 func (e *Exchange) waitToDial(delay time.Duration, acq acquisition) {
--- a/internal/pooler/upstream/exchange.go
+++ b/internal/pooler/upstream/exchange.go
@@ -43,6 +43,8 @@
 // then on another exchange may use it.
 type Exchange struct {
 	Conn          *transport.Conn
+	Prefers       func(state any) bool   // reports whether a connection from the pool, by its protocol state, is to be used first; nil: none is
+	Usable        func(state any) bool   // reports whether it can be used at all; nil: any can
 	Result        dispatch.AttemptResult // the result so far; Finish reports it
 	EndSeen       bool                   // the bytes received last end as an answer ends, so that no more of it may come
 	Deadline      time.Duration          // loop time at which the attempt ends; 0 for a probe, which has the connect timeout
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -181,7 +181,7 @@
 		conns, peers = append(conns, c), append(peers, receive(t, f.accepted))
 	}
 	get := func(now time.Duration) (c *transport.Conn) {
-		f.runOnLoop(func() { c, _ = pool.Get("a", now) })
+		f.runOnLoop(func() { c, _ = pool.Get("a", now, nil) })
 		return c
 	}
 	f.runOnLoop(func() {
@@ -244,14 +244,14 @@
 			c.Write(make([]byte, 1<<20))
 		}
 		pool.Put("a", c, nil)
-		if got, _ := pool.Get("a", f.loop.Now()+time.Second); got != nil {
+		if got, _ := pool.Get("a", f.loop.Now()+time.Second, nil); got != nil {
 			t.Error("Get returned a connection with a write in progress")
 		}
 	})
 	go func() { _, _ = io.Copy(io.Discard, peer) }()
 	for deadline := time.Now().Add(testTimeout); ; {
 		var got *transport.Conn
-		f.runOnLoop(func() { got, _ = pool.Get("a", f.loop.Now()+time.Second) })
+		f.runOnLoop(func() { got, _ = pool.Get("a", f.loop.Now()+time.Second, nil) })
 		if got == c {
 			return
 		}
