Tell servers of a prepared statement the time that its client has left

Callers' servers saw (MySQL frontend, both kinds of servers): each attempt of an EXECUTE tells the d of the statement's PREPARE, also a second one.

Cause: the text of a prepared statement was sent as it was prepared, with its d.

Change: a command knows its client's deadline. Where over 100 ms less than d are left when the statement is due on a connection, d is rounded down to 100 ms of what is left and the statement is prepared with that. First attempts, which have about d left, keep their text, and the connection its prepared statement. Translated queries name the time left once they have their connection, not before it is dialled.

--- a/internal/pooler/mysql/exchange_prepare.go
+++ b/internal/pooler/mysql/exchange_prepare.go
@@ -5,6 +5,7 @@
 
 	"threadsail/internal/policy"
 	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/translate"
 )
 
 // The steps of an exchange that precede its command: the login and the PREPARE of its statement.
@@ -72,6 +73,7 @@
 
 // prepare executes the statement if it is already prepared on the connection, or else sends its PREPARE.
 func (e *exchange) prepare() {
+	e.text, _ = translate.ForVersion(e.command.preparedText(e.Loop().Now()), e.backend.Version(e.Addr()))
 	if statement, ok := e.state.prepared.Get(e.preparedKey()); ok {
 		e.statement = statement
 		e.sendExecute()
--- a/internal/pooler/mysql/payload.go
+++ b/internal/pooler/mysql/payload.go
@@ -23,7 +23,8 @@
 	utf8Execute *mysql.Execute // Execute with its texts converted to UTF-8; nil if no conversion is needed
 
 	translate func() (*Translated, error)
-	epoch     uint64 // of the shard map; 0 if none
+	expiresAt time.Duration // loop time of the client's deadline
+	epoch     uint64        // of the shard map; 0 if none
 }
 
 // size returns the memory in bytes that the command takes beside its prepared statement.
@@ -66,6 +67,23 @@
 	return comment.WithEpoch(c.Comment.WithPatience(c.Text, timeLeft), c.epoch)
 }
 
+// preparedText returns the text of the statement to prepare, for an execution at the loop time now. If the statement has a comment, the
+// comment names the client's deadline as the client did, unless clearly less time is left.
+func (c *Command) preparedText(now time.Duration) string {
+	if c.Comment == nil {
+		return c.Text
+	}
+	return c.Comment.WithPatienceInSteps(c.Text, c.expiresAt-now)
+}
+
+// PreparedTextForPostgres is like preparedText, for the translated statement of a command that has been translated.
+func (c *Command) PreparedTextForPostgres(now time.Duration) string {
+	if c.Translated.comment == nil {
+		return c.Translated.SQL
+	}
+	return c.Translated.comment.WithPatienceInSteps(c.Translated.SQL, c.expiresAt-now)
+}
+
 // Translated is a statement translated for PostgreSQL servers.
 type Translated struct {
 	translate.Statement
--- a/internal/pooler/mysql/request.go
+++ b/internal/pooler/mysql/request.go
@@ -47,6 +47,7 @@
 	request.Payload = command
 	pending := &pendingCommand{session: s, requestID: parsedComment.ID, bytes: command.size(), prepared: command.Prepared}
 	request.Reply = pending
+	command.expiresAt = at + request.Timeout
 	if parsedComment.After > 0 || info.Access == policy.ReadSession {
 		request.Session = comment.Session(command.Text)
 	}
--- a/internal/pooler/translating/exchange.go
+++ b/internal/pooler/translating/exchange.go
@@ -158,6 +158,7 @@
 
 // sendNext sends the statement, or the Parse that must go before it.
 func (x *exchange) sendNext() {
+	x.updateText()
 	if x.command.Translated == nil || x.command.ParamCount == 0 {
 		x.sendExecute(nil)
 		return
@@ -180,6 +181,17 @@
 	x.Conn.Write(pgwire.Append(out, 'S'))
 }
 
+// updateText sets the text of the statement, whose comment tells the time left. A probe's text stays as it is.
+func (x *exchange) updateText() {
+	switch {
+	case x.IsProbe:
+	case x.command.Prepared:
+		x.text = x.command.PreparedTextForPostgres(x.Loop().Now())
+	default:
+		x.text = x.command.Translated.Text(x.TimeLeft())
+	}
+}
+
 // bind executes a described statement with the client's values.
 func (x *exchange) bind() {
 	values, err := x.paramValues()
--- a/internal/pooler/translating/postgres_backend.go
+++ b/internal/pooler/translating/postgres_backend.go
@@ -32,22 +32,18 @@
 // Send starts an attempt at a *mysql.Command, whose client waits for left more.
 func (b *PostgresBackend) Send(addr string, payload any, left time.Duration, a dispatch.AttemptCallbacks) dispatch.Call {
 	command := payload.(*mysql.Command)
-	translated, err := command.ForPostgres()
-	if err != nil {
+	if _, err := command.ForPostgres(); err != nil {
 		answer := command.Client.AppendError(nil, translate.AsError(err))
 		return upstream.AnswerLocally(b.Loop, a, dispatch.AttemptResult{Result: policy.OK, Answer: answer})
 	}
-	text := translated.SQL
-	if !command.Prepared {
-		text = translated.Text(left)
-	}
-	return b.newExchange(command, text, b.Loop.Now()+left).start(addr, a)
+	return b.newExchange(command, b.Loop.Now()+left).start(addr, a)
 }
 
 // Probe asks a server for its role, and a replica for its position.
 func (b *PostgresBackend) Probe(addr string, done func(dispatch.AttemptResult)) dispatch.Call {
 	start := func(done func(dispatch.AttemptResult)) dispatch.Call {
-		x := b.newExchange(&mysql.Command{}, roleQuery, b.Loop.Now()+b.ConnectTimeout)
+		x := b.newExchange(&mysql.Command{}, b.Loop.Now()+b.ConnectTimeout)
+		x.text = roleQuery
 		x.IsProbe = true
 		return x.start(addr, upstream.ProbeAttempt(done))
 	}
@@ -55,8 +51,8 @@
 }
 
 // newExchange returns an exchange for a command, whose connection is not taken yet.
-func (b *PostgresBackend) newExchange(command *mysql.Command, text string, deadline time.Duration) *exchange {
-	x := &exchange{backend: b, command: command, text: text}
+func (b *PostgresBackend) newExchange(command *mysql.Command, deadline time.Duration) *exchange {
+	x := &exchange{backend: b, command: command}
 	x.Account = &b.Account
 	x.Deadline = deadline
 	return x
--- a/internal/protocol/comment/comment.go
+++ b/internal/protocol/comment/comment.go
@@ -136,6 +136,25 @@
 	return c.before + strconv.FormatInt(ms, 10) + c.behind
 }
 
+const (
+	// patienceSlack is the time by which the d of a prepared statement may exceed the time left.
+	patienceSlack = 100 * time.Millisecond
+	// patienceStep is the multiple to which d is rounded down else, so that few texts of a statement differ.
+	patienceStep = 100 * time.Millisecond
+)
+
+// WithPatienceInSteps is like WithPatience, for a statement that servers keep prepared by its text. It leaves d as it is while about as much
+// time is left, and rounds it down else.
+func (c *Comment) WithPatienceInSteps(statement string, left time.Duration) string {
+	if left >= c.Patience-patienceSlack {
+		return statement
+	}
+	if rounded := left.Truncate(patienceStep); rounded > 0 {
+		left = rounded
+	}
+	return c.WithPatience(statement, left)
+}
+
 // WithEpoch is a statement whose comment names the epoch of the shard map that it was sent by, for servers that refuse an older
 // one; 0: as it is.
 func WithEpoch(statement string, epoch uint64) string {
