--- a/internal/lab/standin/script.go
+++ b/internal/lab/standin/script.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Script is a server that answers by rote: each connection gets the first reply at once, and the next one each time that something comes
@@ -11,9 +13,9 @@
 	Addr     string
 	listener net.Listener
 
-	mu     sync.Mutex
-	read   int // times that something came, on all connections
-	closed int // connections that the peer has closed
+	closed chan struct{} // closed once a peer has closed a connection
+	once   sync.Once     // for closed
+	read   atomic.Int32  // times that something came, on all connections
 }
 
 // NewScript starts a server at a free port of loopback. An empty reply is not sent.
@@ -22,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Script{Addr: listener.Addr().String(), listener: listener}
+	s := &Script{Addr: listener.Addr().String(), listener: listener, closed: make(chan struct{})}
 	go s.accept(replies)
 	return s, nil
 }
@@ -44,36 +46,26 @@
 		if i < len(replies) {
 			send(conn, replies[i])
 		}
-		_, err := conn.Read(buffer)
-		s.count(err)
-		if err != nil {
+		if _, err := conn.Read(buffer); err != nil {
+			s.once.Do(func() { close(s.closed) })
 			return
 		}
-	}
-}
-
-func (s *Script) count(err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err != nil {
-		s.closed++
-	} else {
-		s.read++
+		s.read.Add(1)
 	}
 }
 
 // Read returns how often something has come from peers.
-func (s *Script) Read() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.read
-}
+func (s *Script) Read() int { return int(s.read.Load()) }
 
-// Closed returns the number of connections that peers have closed.
-func (s *Script) Closed() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed
+// WaitClosed blocks until a peer has closed a connection, and reports false if none does in time.
+func (s *Script) WaitClosed() bool {
+	const patience = 20 * time.Second
+	select {
+	case <-s.closed:
+		return true
+	case <-time.After(patience):
+		return false
+	}
 }
 
 // Close stops accepting connections.
--- a/internal/pooler/mysql/early_answer_test.go
+++ b/internal/pooler/mysql/early_answer_test.go
@@ -52,10 +52,8 @@
 			if result.Result != test.want || result.Result == policy.OK && !slices.Equal(result.Answer.([]byte), prepareError) {
 				t.Errorf("the execution ends with %v and %q, want %v", result.Result, result.Answer, test.want)
 			}
-			for late := time.Now().Add(20 * time.Second); server.Closed() == 0; time.Sleep(time.Millisecond) {
-				if time.Now().After(late) {
-					t.Fatal("the connection is not closed")
-				}
+			if !server.WaitClosed() {
+				t.Error("the connection is not closed")
 			}
 			if read := server.Read(); read != test.step {
 				t.Errorf("the server got %d packets, want %d", read, test.step)
--- a/internal/pooler/translating/early_answer_test.go
+++ b/internal/pooler/translating/early_answer_test.go
@@ -69,10 +69,8 @@
 			if result := <-results; result.Result != policy.ConnectFailed {
 				t.Errorf("the execution ends with %v and %q, want %v", result.Result, result.Answer, policy.ConnectFailed)
 			}
-			for late := time.Now().Add(20 * time.Second); server.Closed() == 0; time.Sleep(time.Millisecond) {
-				if time.Now().After(late) {
-					t.Fatal("the connection is not closed")
-				}
+			if !server.WaitClosed() {
+				t.Error("the connection is not closed")
 			}
 			if read := server.Read(); read != test.step {
 				t.Errorf("the server was sent something %d times, want %d", read, test.step)
