--- a/internal/pooler/cancel_race_test.go
+++ b/internal/pooler/cancel_race_test.go
@@ -13,13 +13,12 @@
 	"threadsail/internal/protocol/comment"
 )
 
-// newCanceller returns a function that cancels what a client's connection is executing, and the code of a cancelled statement's error.
-func newCanceller(t *testing.T, a pooler.Addresses, client rawClient) (cancel func() error, code string) {
-	t.Helper()
+// newCanceller returns a function that cancels what a client's connection is executing, and the code of a cancelled statement's error. A
+// MySQL client is cancelled over the connection of killer.
+func newCanceller(client, killer rawClient) (cancel func() error, code string) {
 	if postgres, ok := client.(*standin.Postgres); ok {
 		return postgres.Cancel, "57014"
 	}
-	killer := newRawClient(t, a)
 	return func() error {
 		if err := killer.Send(fmt.Sprint("KILL QUERY ", client.(oldMySQLClient).Thread)); err != nil {
 			return err
@@ -48,7 +47,7 @@
 	)
 	testOverAllProtocols(t, nil, []string{"p"}, func(t *testing.T, f *standin.Fleet, a pooler.Addresses) {
 		client, server := newRawClient(t, a), f.Servers[0]
-		cancel, cancelled := newCanceller(t, a, client)
+		cancel, cancelled := newCanceller(client, newRawClient(t, a))
 		jitter := rand.New(rand.NewPCG(1, 1))
 		var heldID atomic.Value
 		heldID.Store("")
--- a/internal/pooler/mysql/shed_test.go
+++ b/internal/pooler/mysql/shed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -115,7 +116,10 @@
 // takes the answer to its next command for the one that is missing.
 func TestEachShedMessageIsRejected(t *testing.T) {
 	loop, client, s := connectSession(t)
-	const unread = 1 << 20 // more than the kernel takes
+	const unread = 4 << 20 // more than the kernel takes, with buffers of a fixed size at both ends
+	if err := client.Conn.(*net.TCPConn).SetReadBuffer(transport.MaxReadSize); err != nil {
+		t.Fatal(err)
+	}
 	query := mysql.Append(nil, 0, append([]byte{mysql.ComQuery}, bytes.Repeat([]byte("x"), 2*transport.DefaultReadSize)...))
 	half := len(query) / 2
 	loop.Post(func() {
--- a/internal/pooler/translating/early_answer_test.go
+++ b/internal/pooler/translating/early_answer_test.go
@@ -29,15 +29,19 @@
 	setup := [][]byte{nil, pgwire.AppendWelcome(nil, key), described}
 	stray := pgwire.AppendReady(pgwire.Append(nil, 'C', pgwire.Tag("DELETE", 9), "\x00"))
 	execute := wire.Execute{Nulls: []byte{0}, Types: []byte{0xfc, 0}, Values: wire.AppendText(nil, []byte("value"))}
-	translated := &mysql.Translated{Statement: translate.Statement{SQL: "DELETE FROM state WHERE uid = $1", Params: 1}}
-	prepared := &mysql.Command{Prepared: true, ParamCount: 1, Execute: execute, Translated: translated,
-		Client: translate.Client{Charset: translate.UTF8MB4}}
-	query := &postgres.Statement{Text: "SELECT 1 /* id=e1 */", Comment: comment.Comment{ID: "e1"}}
+	prepared := func() any {
+		translated := &mysql.Translated{Statement: translate.Statement{SQL: "DELETE FROM state WHERE uid = $1", Params: 1}}
+		return &mysql.Command{Prepared: true, ParamCount: 1, Execute: execute, Translated: translated,
+			Client: translate.Client{Charset: translate.UTF8MB4}}
+	}
+	query := func() any {
+		return &postgres.Statement{Text: "SELECT 1 /* id=e1 */", Comment: comment.Comment{ID: "e1"}}
+	}
 	for _, test := range []struct {
 		name    string
 		step    int // whose answer is followed by another message
 		backend func(upstream.Connector) dispatch.Backend
-		payload any
+		payload func() any
 	}{
 		{"startup of a translated statement", 1, newPostgresBackend, prepared},
 		{"description of a translated statement", 2, newPostgresBackend, prepared},
@@ -59,7 +63,7 @@
 				ConnectTimeout: time.Minute})
 			results := make(chan dispatch.AttemptResult, 1)
 			loop.Post(func() {
-				backend.Send(server.Addr, test.payload, time.Minute, dispatch.AttemptCallbacks{
+				backend.Send(server.Addr, test.payload(), time.Minute, dispatch.AttemptCallbacks{
 					StillAllowed: func() bool { return true },
 					Sent:         func() {},
 					Progress:     func(bool) {},
