Let nobody read while TestEachShedMessageIsRejected fills a connection

It still failed in some of 10 repetitions: the client read while the pooler's side wrote, so that all was taken. It reads once the messages have been discarded.

--- a/internal/pooler/mysql/shed_test.go
+++ b/internal/pooler/mysql/shed_test.go
@@ -122,7 +122,9 @@
 	}
 	query := mysql.Append(nil, 0, append([]byte{mysql.ComQuery}, bytes.Repeat([]byte("x"), 2*transport.DefaultReadSize)...))
 	half := len(query) / 2
+	discarded := make(chan struct{}) // the client reads nothing before
 	loop.Post(func() {
+		defer close(discarded)
 		s.Conn.LimitSendBuffer()
 		s.Conn.Write(make([]byte, unread))
 		if !s.Conn.Blocked() {
@@ -134,6 +136,7 @@
 		s.Shed()
 		s.Data(loop.Now(), query[half:])
 	})
+	<-discarded
 	if _, err := io.CopyN(io.Discard, client.Conn, unread); err != nil {
 		t.Fatal(err)
 	}
