Let the thread IDs of two processes differ, so that a KILL hits no stranger

Callers would see (MySQL frontend): while an old and a new process share a socket, a KILL goes over a new connection and may reach the process that does not have the client. Thread IDs counted from 1 in each, so it cancelled a statement of whichever client had that number there.

Change: the first thread ID of a process is random.

--- a/internal/lab/session_test.go
+++ b/internal/lab/session_test.go
@@ -99,10 +99,9 @@
 		go func() {
 			defer killer.Close()
 			<-came
-			for id := range uint32(64) { // of all clients one is about something
-				if id != killer.Thread {
-					_, _ = killer.Do(mysql.Command(mysql.ComQuery, fmt.Sprintf("KILL QUERY %d", id)))
-				}
+			const earlier = 64 // clients that connected before, of which one is executing something
+			for back := uint32(1); back <= earlier; back++ {
+				_, _ = killer.Do(mysql.Command(mysql.ComQuery, fmt.Sprintf("KILL QUERY %d", killer.Thread-back)))
 			}
 		}()
 	default:
--- a/internal/pooler/cancel_test.go
+++ b/internal/pooler/cancel_test.go
@@ -16,42 +16,24 @@
 	code   string // of a statement that was cancelled
 }
 
-func newCancelClient(t *testing.T, f *standin.Fleet, a pooler.Addresses) cancelClient {
+func newCancelClient(t *testing.T, a pooler.Addresses) cancelClient {
 	t.Helper()
-	if f.Wire() == "postgres" {
-		c := dial(t, a).(*standin.Postgres)
-		return cancelClient{c.Do, c.Cancel, "57014"}
-	}
-	db, killer := openMySQL(t, a, nil), openMySQL(t, a, nil)
-	var id int
-	// The number that the frontend has told this client at its login is one less than the next client's.
-	if err := db.Ping(); err != nil {
-		t.Fatal(err)
-	}
-	for id = 1; id < 100; id++ { // threads count up from 1, and this is the first one that is there
-		if _, err := killer.Exec(fmt.Sprintf("KILL QUERY %d", id)); err == nil {
-			break
+	client := newRawClient(t, a)
+	cancel, code := newCanceller(client, newRawClient(t, a))
+	do := func(text string) standin.Result {
+		if err := client.Send(text); err != nil {
+			return standin.Result{Err: err}
 		}
+		return client.Receive()
 	}
-	return cancelClient{func(text string) standin.Result {
-		rows, err := db.Query(text)
-		if err != nil {
-			return standin.FromMySQL(err)
-		}
-		defer func() { _ = rows.Close() }()
-		var r standin.Result
-		for rows.Next() {
-			_ = rows.Scan(&r.Value)
-		}
-		return r
-	}, func() error { _, err := killer.Exec(fmt.Sprintf("KILL QUERY %d", id)); return err }, "1317"}
+	return cancelClient{do, cancel, code}
 }
 
 // A cancel before, during, after and twice: what is under way is answered at once and never sent again; nothing else is
 // touched. The server is as good as before, and the next statement on the connection is served.
 func TestCancel(t *testing.T) {
 	testOverAllProtocols(t, nil, []string{"p"}, func(t *testing.T, f *standin.Fleet, a pooler.Addresses) {
-		c, p := newCancelClient(t, f, a), f.Servers[0]
+		c, p := newCancelClient(t, a), f.Servers[0]
 		if err := c.cancel(); err != nil { // before
 			t.Fatal(err)
 		}
@@ -89,7 +71,7 @@
 func TestCancelReachesTheServer(t *testing.T) {
 	f := standin.NewMixedFleet(t, true, func(int) bool { return false }, nil, "p")
 	a := poolerProcess(t, f)
-	c, p := newCancelClient(t, f, a), f.Servers[0]
+	c, p := newCancelClient(t, a), f.Servers[0]
 	p.Do(once(standin.Hang))
 	ended := make(chan standin.Result, 1)
 	go func() { ended <- c.do(standin.Write("k", 20*time.Second)) }()
--- a/internal/pooler/mysql/frontend.go
+++ b/internal/pooler/mysql/frontend.go
@@ -10,6 +10,7 @@
 
 import (
 	"crypto/rand"
+	mathrand "math/rand/v2"
 
 	"threadsail/internal/config"
 	"threadsail/internal/dispatch"
@@ -44,6 +45,7 @@
 		dispatcher:       dispatcher,
 		config:           cfg,
 		routes:           table,
+		lastThreadID:     mathrand.Uint32(), // a KILL that reaches another process on the same socket must meet no client there
 		sessionsByThread: map[uint32]*session{},
 	}
 	return f, f.Listen(listen, f.accept)
