--- a/internal/pooler/mysql/commands.go
+++ b/internal/pooler/mysql/commands.go
@@ -193,7 +193,7 @@
 	case other.InFlight():
 		other.pending.cancel()
 	case other == s:
-		s.writeError(mysql.ErrInterrupted, "70100", "Query execution was interrupted")
+		s.writeError(mysql.ErrInterrupted, "70100", cancelledText)
 	}
 	if kill.Connection {
 		other.failQueued(cancelledText)
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -59,9 +59,10 @@
 	p.count++
 }
 
-// Get removes a connection to addr from the pool and returns it with its protocol state, or nil if there is none. usable reports whether a
-// connection with a protocol state may be used; nil stands for any. The caller must set its handler. Bytes that a peer sends right after an answer could be mistaken for the next answer. Therefore a
-// connection is not reused before reuseDelay has passed, and it is closed if the peer has sent anything.
+// Get removes a connection to addr from the pool and returns it with its protocol state, or nil if there is none. usable reports whether
+// a connection with a protocol state may be used; nil stands for any. The caller must set the connection's handler. Bytes that a peer sends
+// right after an answer could be mistaken for the next answer. Therefore a connection is not reused before reuseDelay has passed, and it is
+// closed if the peer has sent anything.
 func (p *Pool) Get(addr string, now time.Duration, usable func(state any) bool) (*Conn, any) {
 	for _, idle := range slices.Backward(p.idle[addr]) {
 		if now-idle.idleSince >= p.idleTimeout { // connections put earlier have expired too
