Record writes of sessions behind MySQL too, by their time if no position is told

Cause: two gaps, each enough by itself. The MySQL frontend named no session with a write, and policy.Router recorded an executed write only if the server told its position, which no MySQL server does. So no session had a position, and any replica counted as fresh enough.

Change, in the shared mechanism: a write whose server tells no position counts as committed at the time of its answer, plus 50 ms for clocks that differ. A read without a key must see the writes of all sessions; a write without any literal counts for all. Keys are read only where sessions are tracked. Turning tracking off and on by a reload no longer leaves a session's old position in force.

--- a/cmd/simulator-adapter/instance.go
+++ b/cmd/simulator-adapter/instance.go
@@ -81,14 +81,17 @@
 
 // request translates a client's request.
 func request(message simulator.Request) policy.Request {
-	return policy.Request{
+	request := policy.Request{
 		ID:             message.ID,
 		Class:          int(message.Class),
 		Group:          int(message.Group),
-		Session:        message.Session,
 		Timeout:        config.Milliseconds(message.TimeoutMs),
 		SinceLastWrite: config.Milliseconds(float64(message.SinceLastWriteMs)),
 	}
+	if message.Session != 0 {
+		request.Sessions = []uint64{message.Session}
+	}
+	return request
 }
 
 // outcome translates the end of an attempt.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -138,6 +138,11 @@
 // ClassInfo returns the definition of the class with a number.
 func (d *Dispatcher) ClassInfo(class int) policy.Class { return d.settings.Classes[class] }
 
+// NeedsSessions reports whether the policy needs Request.Sessions for requests of a class.
+func (d *Dispatcher) NeedsSessions(class policy.Class) bool {
+	return d.settings.TrackSessions && (class.Access == policy.Write || class.Access == policy.ReadSession)
+}
+
 // LongestTimeout returns the longest total timeout of the classes in the current settings.
 func (d *Dispatcher) LongestTimeout() time.Duration {
 	longest := time.Duration(0)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -29,7 +29,7 @@
 type Request struct {
 	Class, Group      int
 	HasIdempotencyKey bool          // the request carries a key by which its cluster drops repeats
-	Session           uint64        // number of the client's session
+	Sessions          []uint64      // as policy.Request.Sessions; set only if Dispatcher.NeedsSessions reports true
 	SessionCommitAt   time.Duration // Unix time of the session's last commit; 0: none
 	ArrivedAt         time.Duration // Unix time of the request's last byte
 	Timeout           time.Duration // the client's timeout, counted from ArrivedAt
@@ -88,11 +88,11 @@
 // policyRequest returns the description of a request for the policy.
 func (d *Dispatcher) policyRequest(o *OpenRequest, now time.Duration) policy.Request {
 	request := policy.Request{
-		ID:      o.id,
-		Class:   d.classes.effectiveClass(o.request),
-		Group:   o.request.Group,
-		Session: o.request.Session,
-		Timeout: o.deadline - now,
+		ID:       o.id,
+		Class:    d.classes.effectiveClass(o.request),
+		Group:    o.request.Group,
+		Sessions: o.request.Sessions,
+		Timeout:  o.deadline - now,
 	}
 	if o.request.SessionCommitAt > 0 {
 		request.SinceLastWrite = max(now-o.request.SessionCommitAt, time.Microsecond) // 0 would mean no write
--- a/internal/policy/decisions_scripts_test.go
+++ b/internal/policy/decisions_scripts_test.go
@@ -253,7 +253,7 @@
 	}
 	in := policy.Request{Group: s.randomGroup(), Timeout: timeout}
 	if s.withProbability(0.5) {
-		in.Session = 1 + s.random.Uint64N(20)
+		in.Sessions = []uint64{1 + s.random.Uint64N(20)}
 		in.SinceLastWrite = s.randomDuration(0, 400*millisecond)
 	}
 	request := s.submit(class, in)
--- a/internal/policy/decisions_test.go
+++ b/internal/policy/decisions_test.go
@@ -160,14 +160,14 @@
 	const sessions = 3 << 16
 	var checkpoints []checkpoint
 	for session := uint64(1); session <= sessions; session++ {
-		s.answerAtOnce(s.submit(classNotIdempotent, policy.Request{Group: 1, Session: session,
+		s.answerAtOnce(s.submit(classNotIdempotent, policy.Request{Group: 1, Sessions: []uint64{session},
 			Timeout: time.Second}))
 		if session%32 == 0 {
 			s.runUntil(s.clock + 2*millisecond)
 		}
 		if session%512 == 0 {
 			for _, reader := range []uint64{session, session - 300, session / 2, session / 4, 1 << 40} {
-				s.submit(classSession, policy.Request{Group: 1, Session: reader, Timeout: time.Second})
+				s.submit(classSession, policy.Request{Group: 1, Sessions: []uint64{reader}, Timeout: time.Second})
 			}
 		}
 		if session%(sessions/4) == 0 {
--- a/internal/policy/dispatch.go
+++ b/internal/policy/dispatch.go
@@ -43,7 +43,7 @@
 func (r *Router) addRequest(in Request, g *group) *request {
 	req := &request{
 		id:            in.ID,
-		session:       in.Session,
+		sessions:      in.Sessions,
 		group:         g,
 		class:         &r.settings.Classes[in.Class],
 		classIndex:    in.Class,
--- a/internal/policy/events.go
+++ b/internal/policy/events.go
@@ -52,7 +52,7 @@
 	ID             uint32
 	Class          int // index into Settings.Classes
 	Group          int
-	Session        uint64        // identifier of the session; 0 for none
+	Sessions       []uint64      // identifiers of the sessions that the request may belong to; none if they are unknown
 	Timeout        time.Duration // time until the client gives up this request
 	SinceLastWrite time.Duration // age of the session's last write, if the request carries it; 0 for none
 }
--- a/internal/policy/read_staleness_test.go
+++ b/internal/policy/read_staleness_test.go
@@ -28,7 +28,7 @@
 	host := newHostWithPrimary(t, func(s *Settings) { s.TrackSessions = true })
 	send := func(id uint32, class int, session uint64) {
 		host.router.HandleRequest(host.now, Request{ID: id, Class: class, Group: testGroup,
-			Session: session, Timeout: 2 * time.Second})
+			Sessions: []uint64{session}, Timeout: 2 * time.Second})
 	}
 	send(2, classNotIdempotent, writer)
 	host.advanceTo(startTime + 50*ms)
@@ -44,6 +44,30 @@
 	host.wantAction("attempt 3 2")
 }
 
+// Sessions missed writes whose server did not tell their position.
+func TestWritesWithoutPosition(t *testing.T) {
+	host := newHostWithPrimary(t, func(s *Settings) { s.TrackSessions = true })
+	wantPosition := func(want time.Duration, sessions ...uint64) {
+		t.Helper()
+		if got := host.router.sessionPosition(Request{Sessions: sessions}); got != want {
+			t.Errorf("reads of sessions %d require %v, want %v", sessions, got, want)
+		}
+	}
+	host.router.HandleRequest(host.now, Request{ID: 2, Class: classNotIdempotent, Group: testGroup,
+		Sessions: []uint64{8, 9}, Timeout: 2 * time.Second})
+	host.advance(50 * ms)
+	host.endAttempt(2, 0, OK, RolePrimary)
+	executed := host.now + maxClockDifference
+	wantPosition(executed, 8)
+	wantPosition(executed, 7, 9)
+	wantPosition(executed) // of a read that may belong to any session
+	wantPosition(0, 7)
+	host.advance(time.Second)
+	host.sendRequest(3, classNotIdempotent) // a write that may belong to any session
+	host.endAttempt(3, 0, OK, RolePrimary)
+	wantPosition(host.now+maxClockDifference, 7)
+}
+
 // newHostWithoutPositionsInAnswers returns a host whose servers omit positions from answers and
 // reject reads that they are too far behind for. ReadAny requests take ten times as long as bounded
 // reads.
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -27,7 +27,7 @@
 	clientDisconnected bool         // whether the client has disconnected or cancelled the request
 	timers             []*timerTask // scheduled for the request
 
-	session     uint64
+	sessions    []uint64
 	group       *group
 	class       *Class
 	classIndex  int
@@ -130,7 +130,7 @@
 	return a
 }
 
-// observePosition records the position in an outcome: that of an executed write for the session of
+// observePosition records the position in an outcome: that of an executed write for the sessions of
 // the request, that of any other outcome for the server. It also records that a server rejected a
 // read as too far behind, and that answers omit positions.
 func (r *Router) observePosition(a *attempt, o Outcome) {
@@ -141,15 +141,11 @@
 	if o.Result == OK && !req.class.needsPrimary() && !o.HasPosition {
 		r.positionsOmitted = true
 	}
-	if !o.HasPosition {
-		return
-	}
-	if o.Result != OK || req.class.Access != Write {
+	switch {
+	case o.Result == OK && req.class.Access == Write:
+		r.recordWrite(req.sessions, o.Position, o.HasPosition)
+	case o.HasPosition:
 		a.server.replication.advance(o.Position, r.now)
-		return
-	}
-	if r.settings.TrackSessions && req.session != 0 {
-		r.sessions.record(req.session, o.Position)
 	}
 }
 
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -21,7 +21,7 @@
 	servers  serverTable
 	groups   map[int]*group
 	requests map[uint32]*request // by Request.ID; removed by forgetFinished
-	sessions sessionPositions
+	sessions *SessionPositions
 
 	estimates        latencyEstimates
 	overall          overallHealth
@@ -79,7 +79,7 @@
 		servers:     serverTable{byID: map[uint32]*server{}},
 		groups:      map[int]*group{},
 		requests:    map[uint32]*request{},
-		sessions:    sessionPositions{current: map[uint64]time.Duration{}},
+		sessions:    NewSessionPositions(),
 		overall:     overallHealth{latencyRatio: 1},
 		retryBudget: maxRetryBudget,
 	}
@@ -104,7 +104,7 @@
 	oldFleet := r.fleet
 	oldGracePeriod := r.settings.DrainGracePeriod
 	if settings.TrackSessions && !r.settings.TrackSessions {
-		r.sessions.untrackedPosition = r.now // sessions' writes were not tracked until now
+		r.sessions.record(nil, r.now+maxClockDifference) // sessions' writes were not tracked until now
 	}
 	r.applySettings(settings)
 	r.rescheduleListPoll(oldFleet)
--- a/internal/policy/router_test.go
+++ b/internal/policy/router_test.go
@@ -252,7 +252,9 @@
 		},
 		"earlier writes of a session were not tracked": {
 			next: func(s *Settings) { s.TrackSessions = true },
-			want: func(host *fakeHost) bool { return host.router.sessionPosition(Request{Session: 5}) == host.now },
+			want: func(host *fakeHost) bool {
+				return host.router.sessionPosition(Request{Sessions: []uint64{5}}) == host.now+maxClockDifference
+			},
 		},
 	} {
 		t.Run(name, update.check)
--- a/internal/policy/sessions.go
+++ b/internal/policy/sessions.go
@@ -1,23 +1,55 @@
 package policy
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
-// maxTrackedSessions is the maximum number of sessions in one generation. Two full generations take
-// about 4 MB.
-const maxTrackedSessions = 1 << 16
+const (
+	// maxTrackedSessions is the maximum number of sessions in one generation. Two full generations take
+	// about 4 MB.
+	maxTrackedSessions = 1 << 16
+	// maxClockDifference is how far the clocks of a pooler and of a server that writes heartbeats may
+	// differ.
+	maxClockDifference = 50 * time.Millisecond
+)
 
-// sessionPositions holds the positions of the last writes of sessions, in two generations. When the
+// SessionPositions holds the positions of the last writes of sessions, in two generations. When the
 // current generation is full, the older one is dropped, and its sessions share one position that is
-// no lower than any of theirs.
-type sessionPositions struct {
+// no lower than any of theirs. It is safe for concurrent use, so that the Routers of a process can
+// share it.
+type SessionPositions struct {
+	mu                sync.Mutex
 	current           map[uint64]time.Duration
 	older             map[uint64]time.Duration
 	untrackedPosition time.Duration // upper bound of the positions of all sessions in neither generation
+	commonPosition    time.Duration // position of the last write that counts for all sessions
+	latest            time.Duration // highest position of any write
 }
 
-// lastWritePosition returns the position of a session's last write, or an upper bound of it if the
-// session is in neither generation.
-func (p *sessionPositions) lastWritePosition(session uint64) time.Duration {
+// NewSessionPositions returns an empty SessionPositions.
+func NewSessionPositions() *SessionPositions {
+	return &SessionPositions{current: map[uint64]time.Duration{}}
+}
+
+// lastWrite returns the position of the last write of any of the sessions, or an upper bound of it if
+// one of them is in neither generation. Without sessions it returns that of the last write of all.
+func (p *SessionPositions) lastWrite(sessions []uint64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(sessions) == 0 {
+		return p.latest
+	}
+	last := p.commonPosition
+	for _, session := range sessions {
+		last = max(last, p.positionOf(session))
+	}
+	return last
+}
+
+// positionOf returns the position of a session's last write, or an upper bound of it. The caller holds
+// mu.
+func (p *SessionPositions) positionOf(session uint64) time.Duration {
 	if position, ok := p.current[session]; ok {
 		return position
 	}
@@ -27,17 +59,25 @@
 	return p.untrackedPosition
 }
 
-// record records the position of a session's write. The position of a session in the current
-// generation is never lowered.
-func (p *sessionPositions) record(session uint64, position time.Duration) {
-	if len(p.current) >= maxTrackedSessions {
-		p.rotateGenerations()
+// record records the position of a write for each of the sessions, and without sessions for all. The
+// position of a session in the current generation is never lowered.
+func (p *SessionPositions) record(sessions []uint64, position time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.latest = max(p.latest, position)
+	if len(sessions) == 0 {
+		p.commonPosition = max(p.commonPosition, position)
+	}
+	for _, session := range sessions {
+		if len(p.current) >= maxTrackedSessions {
+			p.rotateGenerations()
+		}
+		p.current[session] = max(position, p.current[session])
 	}
-	p.current[session] = max(position, p.current[session])
 }
 
-// rotateGenerations drops the older generation and starts a new one.
-func (p *sessionPositions) rotateGenerations() {
+// rotateGenerations drops the older generation and starts a new one. The caller holds mu.
+func (p *SessionPositions) rotateGenerations() {
 	for _, position := range p.older {
 		p.untrackedPosition = max(p.untrackedPosition, position)
 	}
@@ -46,13 +86,26 @@
 }
 
 // sessionPosition returns the position that a replica must have reached to answer a read of the
-// request's session, or 0 if any will do.
+// request's sessions, or 0 if any will do.
 func (r *Router) sessionPosition(in Request) time.Duration {
+	position := time.Duration(0)
+	if in.SinceLastWrite > 0 {
+		position = r.now - in.SinceLastWrite
+	}
 	if r.settings.TrackSessions {
-		return r.sessions.lastWritePosition(in.Session)
+		position = max(position, r.sessions.lastWrite(in.Sessions))
 	}
-	if in.SinceLastWrite > 0 {
-		return r.now - in.SinceLastWrite
+	return position
+}
+
+// recordWrite records an executed write for its sessions. A server that does not tell the position of
+// the write has committed it by now.
+func (r *Router) recordWrite(sessions []uint64, position time.Duration, told bool) {
+	if !r.settings.TrackSessions {
+		return
+	}
+	if !told {
+		position = r.now + maxClockDifference
 	}
-	return 0
+	r.sessions.record(sessions, position)
 }
--- a/internal/pooler/frontend/request.go
+++ b/internal/pooler/frontend/request.go
@@ -7,6 +7,7 @@
 	"threadsail/internal/dispatch"
 	"threadsail/internal/policy"
 	"threadsail/internal/protocol/comment"
+	"threadsail/internal/sessionkey"
 )
 
 // Errors of a statement's comment. Clients receive these texts unchanged.
@@ -30,6 +31,14 @@
 	return class, c.dispatcher.ClassInfo(class), nil
 }
 
+// Sessions returns the sessions that a request of a class may belong to, by the keys in its statement.
+func Sessions(keys *sessionkey.Keys, classSettings policy.Class) []uint64 {
+	if classSettings.Access == policy.Write {
+		return keys.OfWrite()
+	}
+	return keys.OfRead()
+}
+
 // NewRequest returns the request that a comment describes. If the comment has no timeout, the class's total timeout applies.
 func NewRequest(class int, classSettings policy.Class, parsedComment comment.Comment, arrivedAt time.Duration) *dispatch.Request {
 	timeout := parsedComment.Patience
--- a/internal/pooler/mysql/payload.go
+++ b/internal/pooler/mysql/payload.go
@@ -5,6 +5,7 @@
 
 	"threadsail/internal/protocol/comment"
 	"threadsail/internal/protocol/mysql"
+	"threadsail/internal/sessionkey"
 	"threadsail/internal/translate"
 )
 
@@ -99,3 +100,43 @@
 	}
 	return comment.WithEpoch(t.comment.WithPatience(t.SQL, timeLeft), t.epoch)
 }
+
+// Params returns the values of the command's parameters.
+func (c *Command) Params() ([]translate.Param, error) {
+	longData := map[int][]byte{}
+	for _, data := range c.LongData {
+		longData[int(data.Param)] = append(longData[int(data.Param)], data.Data...)
+	}
+	return translate.Params(c.Execute, longData, c.ParamCount)
+}
+
+// sessionKeys returns the keys in the command's text and parameters that may name its session.
+func (c *Command) sessionKeys() sessionkey.Keys {
+	keys := sessionkey.OfText(c.Text, sessionkey.MySQL)
+	if c.ParamCount == 0 {
+		return keys
+	}
+	params, err := c.Params()
+	if err != nil {
+		keys.SetUnknown()
+	}
+	for _, param := range params {
+		c.addSessionKey(&keys, param)
+	}
+	return keys
+}
+
+// addSessionKey adds the value of a parameter to the keys that may name the command's session.
+func (c *Command) addSessionKey(keys *sessionkey.Keys, param translate.Param) {
+	switch param.Kind {
+	case translate.Null:
+	case translate.Text, translate.Bytes, translate.JSON:
+		value, err := c.Client.Charset.Decode(param.Value)
+		if err != nil { // not a text: it is compared as it is
+			value = param.Value
+		}
+		keys.AddString(value)
+	default:
+		keys.AddNumber(string(param.Value))
+	}
+}
--- a/internal/pooler/mysql/request.go
+++ b/internal/pooler/mysql/request.go
@@ -48,8 +48,9 @@
 	pending := &pendingCommand{session: s, requestID: parsedComment.ID, bytes: command.size(), prepared: command.Prepared}
 	request.Reply = pending
 	command.expiresAt = at + request.Timeout
-	if parsedComment.After > 0 || info.Access == policy.ReadSession {
-		request.Session = comment.Session(command.Text)
+	if s.frontend.dispatcher.NeedsSessions(info) {
+		keys := command.sessionKeys()
+		request.Sessions = frontend.Sessions(&keys, info)
 	}
 	if s.frontend.dispatcher.HasGuards() {
 		request.Statement = comment.Bare(command.Text)
--- a/internal/pooler/postgres/slot.go
+++ b/internal/pooler/postgres/slot.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"threadsail/internal/dispatch"
-	"threadsail/internal/policy"
 	"threadsail/internal/pooler/frontend"
 	"threadsail/internal/protocol/comment"
 	"threadsail/internal/protocol/pgwire"
+	"threadsail/internal/sessionkey"
 	"threadsail/internal/translate"
 )
 
@@ -77,8 +77,9 @@
 	}
 	request := frontend.NewRequest(class, classSettings, parsedComment, arrivedAt)
 	request.Payload = &Statement{Text: text, Comment: parsedComment}
-	if classSettings.Access == policy.ReadSession || classSettings.Access == policy.Write {
-		request.Session = comment.Session(text)
+	if s.frontend.dispatcher.NeedsSessions(classSettings) {
+		keys := sessionkey.OfText(text, sessionkey.Postgres)
+		request.Sessions = frontend.Sessions(&keys, classSettings)
 	}
 	if s.frontend.dispatcher.HasGuards() {
 		request.Statement = comment.Bare(text)
--- a/internal/pooler/translating/exchange.go
+++ b/internal/pooler/translating/exchange.go
@@ -207,11 +207,7 @@
 	if len(x.statement.params) != x.command.ParamCount {
 		return nil, &translate.Error{Meaning: translate.Syntax, Text: "the server counts other parameters in this statement"}
 	}
-	long := map[int][]byte{}
-	for _, data := range x.command.LongData {
-		long[int(data.Param)] = append(long[int(data.Param)], data.Data...)
-	}
-	params, err := translate.Params(x.command.Execute, long, x.command.ParamCount)
+	params, err := x.command.Params()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/protocol/comment/comment.go
+++ b/internal/protocol/comment/comment.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 	"strconv"
@@ -193,14 +192,3 @@
 	}
 	return key
 }
-
-// Session is the number of the session that the statement's quoted key names; 0: none.
-func Session(statement string) uint64 {
-	key := QuotedKey(statement)
-	if key == "" {
-		return 0
-	}
-	h := fnv.New64a()
-	h.Write([]byte(key))
-	return max(h.Sum64(), 1)
-}
--- a/internal/protocol/comment/comment_test.go
+++ b/internal/protocol/comment/comment_test.go
@@ -60,17 +60,17 @@
 	}
 }
 
-func TestSession(t *testing.T) {
-	a, b := Session("x WHERE uid = '7f' /* */"), Session("INSERT ('7f', 'y')")
-	if a == 0 || a != b || Session("no key") != 0 || Session("open '") != 0 {
-		t.Errorf("sessions %d and %d", a, b)
+func TestQuotedKey(t *testing.T) {
+	a, b := QuotedKey("x WHERE uid = '7f' /* */"), QuotedKey("INSERT ('7f', 'y')")
+	if a != "7f" || a != b || QuotedKey("no key") != "" || QuotedKey("open '") != "" {
+		t.Errorf("keys %q and %q", a, b)
 	}
 }
 
 func FuzzParse(f *testing.F) {
 	f.Add("SELECT 1 /* id=9b,c=basket,d=480,cluster=2,after=1767225600123 */", int64(12))
 	f.Fuzz(func(t *testing.T, text string, left int64) {
-		Session(text)
+		QuotedKey(text)
 		c, err := Parse(text)
 		if err != nil {
 			return
