Let both frontends share the positions of sessions

Cause: each frontend has a policy.Router of its own, and each Router tracked sessions by itself. Change: SessionPositions is a value of its own, safe for concurrent use, which the workers of a process share.

Measured: TestSessionsAcrossFrontends, which fails without the sharing (the reads behind a write over the other frontend come from a replica), passes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,11 +25,12 @@
 // Options configures a Dispatcher.
 type Options struct {
 	Settings     policy.Settings
-	Seed         uint64        // seed of the policy's random choices
-	MaxOpen      int           // maximum number of open requests; further ones are rejected
-	ProbeTimeout time.Duration // timeout of a health check, from when it is connected
-	Watch        func()        // subscribes to the list of servers; the caller reports its end as policy.ListFailed
-	Log          func(string)  // writes a line to the log
+	Sessions     *policy.SessionPositions // shared with the Dispatchers of other frontends; nil: not shared
+	Seed         uint64                   // seed of the policy's random choices
+	MaxOpen      int                      // maximum number of open requests; further ones are rejected
+	ProbeTimeout time.Duration            // timeout of a health check, from when it is connected
+	Watch        func()                   // subscribes to the list of servers; the caller reports its end as policy.ListFailed
+	Log          func(string)             // writes a line to the log
 }
 
 // Dispatcher executes the policy's decisions on the requests of its frontends.
@@ -81,6 +82,9 @@
 		return nil, err
 	}
 	d.router = router
+	if options.Sessions != nil {
+		router.ShareSessions(options.Sessions)
+	}
 	loop.endOfRound = d.executeActions
 	return d, nil
 }
--- a/internal/policy/sessions.go
+++ b/internal/policy/sessions.go
@@ -109,3 +109,7 @@
 	}
 	r.sessions.record(sessions, position)
 }
+
+// ShareSessions has the Router track sessions together with all others that share the positions. The
+// host calls it before the first request.
+func (r *Router) ShareSessions(positions *SessionPositions) { r.sessions = positions }
--- a/internal/pooler/sessions_test.go
+++ b/internal/pooler/sessions_test.go
@@ -140,3 +140,25 @@
 		})
 	}
 }
+
+// A session that writes over one frontend must see that over the other one too: each has a policy of its own.
+func TestSessionsAcrossFrontends(t *testing.T) {
+	f := standin.NewMixedFleet(t, true, func(i int) bool { return i == 0 }, trackSessions, "p", "r1", "r2")
+	f.FromFile(map[string]any{"postgres": map[string]any{"file": f.Inventory()}})
+	a := poolerProcess(t, f)
+	setReplicaLag(f, veryLate)
+	my := dial(t, a)
+	pg, err := standin.DialPostgres(a.Postgres)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pg.Close()
+	read := func(uid string) string { return commented("SELECT val FROM state WHERE uid = '"+uid+"'", "view") }
+	for uid, clients := range map[string][2]standin.Client{"u1": {my, pg}, "u2": {pg, my}} {
+		writer, reader := clients[0], clients[1]
+		write := strings.Replace(standin.Write("", amplePatience), "'u1'", "'"+uid+"'", 1)
+		expectServed(t, writer.Do(write))
+		expectPrimary(t, reader.Do(read(uid)), true, "a read behind the write of "+uid)
+		expectPrimary(t, reader.Do(read("other")), false, "a read of another session")
+	}
+}
--- a/internal/pooler/start.go
+++ b/internal/pooler/start.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 
 	"threadsail/internal/config"
+	"threadsail/internal/policy"
 	"threadsail/internal/pooler/admin"
 )
 
@@ -65,7 +66,8 @@
 	if p.mysqlConfig != nil {
 		workers++
 	}
-	pg, err := newPostgresWorker(p.config, p.control.Fleet, p.log, workers, descriptors)
+	sessions := policy.NewSessionPositions() // a session may write over one frontend and read over the other
+	pg, err := newPostgresWorker(p.config, p.control.Fleet, sessions, p.log, workers, descriptors)
 	if err != nil {
 		return err
 	}
@@ -73,7 +75,7 @@
 	if p.mysqlConfig == nil {
 		return nil
 	}
-	my, err := newMySQLWorker(p.config, p.mysqlConfig, p.control.Fleet, p.log, workers, descriptors)
+	my, err := newMySQLWorker(p.config, p.mysqlConfig, p.control.Fleet, sessions, p.log, workers, descriptors)
 	if err != nil {
 		return fmt.Errorf("mysql: %w", err)
 	}
--- a/internal/pooler/worker_mysql.go
+++ b/internal/pooler/worker_mysql.go
@@ -17,12 +17,18 @@
 
 // newMySQLWorker sets up the frontend for MySQL clients with all that is behind it: the inventory is its discovery, probes tell
 // roles and positions, and servers answer reads from whatever they have.
-func newMySQLWorker(cfg *config.Config, mysqlConfig *config.MySQL, fleet *FleetOptions, log zerolog.Logger, workers, descriptors int) (*worker, error) {
+func newMySQLWorker(cfg *config.Config, mysqlConfig *config.MySQL, fleet *FleetOptions, sessions *policy.SessionPositions, log zerolog.Logger,
+	workers, descriptors int) (*worker, error) {
 	w := newWorker("mysql", cfg, log, workers, descriptors)
 	table := routes.NewTable(routes.MySQL)
 	w.source = newServerSource(cfg, mysqlSource(cfg, mysqlConfig), mysqlFormat, table, w.loop, w.log)
 	backend := w.mysqlBackends(cfg, mysqlConfig, table)
-	options := dispatch.Options{Settings: probedSettings(cfg.Settings), Seed: cfg.Seed + 1, ProbeTimeout: mysqlConfig.ProbeTimeout}
+	options := dispatch.Options{
+		Settings:     probedSettings(cfg.Settings),
+		Sessions:     sessions,
+		Seed:         cfg.Seed + 1,
+		ProbeTimeout: mysqlConfig.ProbeTimeout,
+	}
 	if err := w.startDispatcher(withMySQLPollInterval(cfg, mysqlConfig), backend, options, fleet); err != nil {
 		return nil, err
 	}
--- a/internal/pooler/worker_postgres.go
+++ b/internal/pooler/worker_postgres.go
@@ -7,6 +7,7 @@
 
 	"threadsail/internal/config"
 	"threadsail/internal/dispatch"
+	"threadsail/internal/policy"
 	"threadsail/internal/pooler/frontend"
 	"threadsail/internal/pooler/mysql"
 	"threadsail/internal/pooler/postgres"
@@ -18,7 +19,7 @@
 )
 
 // newPostgresWorker sets up the frontend for PostgreSQL clients with all that is behind it.
-func newPostgresWorker(cfg *config.Config, fleet *FleetOptions, log zerolog.Logger, workers, descriptors int) (*worker, error) {
+func newPostgresWorker(cfg *config.Config, fleet *FleetOptions, sessions *policy.SessionPositions, log zerolog.Logger, workers, descriptors int) (*worker, error) {
 	w := newWorker("postgres", cfg, log, workers, descriptors)
 	w.inheritedSocket = cfg.InheritedSocket > 0
 	table := routes.NewTable(routes.Postgres)
@@ -30,7 +31,7 @@
 	if translates {
 		backend = w.postgresBackends(cfg, own, table)
 	}
-	options := dispatch.Options{Settings: cfg.Settings, Seed: cfg.Seed, ProbeTimeout: cfg.ConnectTimeout}
+	options := dispatch.Options{Settings: cfg.Settings, Sessions: sessions, Seed: cfg.Seed, ProbeTimeout: cfg.ConnectTimeout}
 	if err := w.startDispatcher(cfg, backend, options, fleet); err != nil {
 		return nil, err
 	}
