Count a write with a forwarded answer as committed at the answer's end

Cause: such an answer is reported as executed when its forwarding begins, and servers begin it before they commit. Change: the end of a complete stream records the write again, by the time of that end.

Measured: TestStreamedWriteIsCommittedAtTheEnd, on a fake clock, has the write 0 s after the answer's begin without the change, and the whole second of the answer with it.

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -171,6 +171,33 @@
 	}
 }
 
+// A server may begin the answer to a write before it has committed the write. The session's reads would miss the write if it counted as
+// committed when the forwarding of its answer began.
+func TestStreamedWriteIsCommittedAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, backend := startDispatcher(t)
+		sessions := policy.NewSessionPositions()
+		onLoop(d, func() {
+			settings := d.settings
+			settings.TrackSessions = true
+			d.router.ShareSessions(sessions)
+			if err := d.UpdateSettings(settings, d.admission.maxOpen, d.probeTimeout); err != nil {
+				t.Error(err)
+			}
+		})
+		_, call := submit(d, backend, time.Minute)
+		stream := &fakeStream{}
+		onLoop(d, func() { call.Done(AttemptResult{Result: policy.OK, Answer: stream}) })
+		begun := sessions.LastWrite(nil)
+		const duration = time.Second
+		time.Sleep(duration)
+		onLoop(d, func() { stream.onEnd(StreamComplete) })
+		if ended := sessions.LastWrite(nil); ended < begun+duration {
+			t.Errorf("the write counts as committed %v after its answer began, want %v", ended-begun, duration)
+		}
+	})
+}
+
 // As TestAbandonedRequestGetsNoQueuedAnswer, for a request that is rejected or answered without a server.
 func TestAbandonedRequestGetsNoQueuedRejection(t *testing.T) {
 	d, _ := startDispatcher(t)
--- a/internal/dispatch/final_answer.go
+++ b/internal/dispatch/final_answer.go
@@ -141,6 +141,9 @@
 	if end == StreamClientDisconnected {
 		return
 	}
+	if end == StreamComplete && o.dispatcher.ClassInfo(o.request.Class).Access == policy.Write {
+		o.dispatcher.router.ObserveStreamedWrite(o.dispatcher.loop.Now(), o.request.Sessions)
+	}
 	answer := FinalAnswer{Served: end == StreamComplete}
 	o.counters.count(answer)
 	o.notifyGuards(answer)
--- a/internal/policy/read_staleness_test.go
+++ b/internal/policy/read_staleness_test.go
@@ -44,7 +44,8 @@
 	host.wantAction("attempt 3 2")
 }
 
-// Sessions missed writes whose server did not tell their position.
+// Sessions missed writes whose server did not tell their position, and those whose answer went on after its
+// server had begun it.
 func TestWritesWithoutPosition(t *testing.T) {
 	host := newHostWithPrimary(t, func(s *Settings) { s.TrackSessions = true })
 	wantPosition := func(want time.Duration, sessions ...uint64) {
@@ -63,8 +64,10 @@
 	wantPosition(executed) // of a read that may belong to any session
 	wantPosition(0, 7)
 	host.advance(time.Second)
-	host.sendRequest(3, classNotIdempotent) // a write that may belong to any session
-	host.endAttempt(3, 0, OK, RolePrimary)
+	host.router.ObserveStreamedWrite(host.now, []uint64{9})
+	wantPosition(host.now+maxClockDifference, 9)
+	wantPosition(executed, 8)
+	host.router.ObserveStreamedWrite(host.now, nil) // a write that may belong to any session
 	wantPosition(host.now+maxClockDifference, 7)
 }
 
--- a/internal/policy/sessions.go
+++ b/internal/policy/sessions.go
@@ -32,9 +32,9 @@
 	return &SessionPositions{current: map[uint64]time.Duration{}}
 }
 
-// lastWrite returns the position of the last write of any of the sessions, or an upper bound of it if
+// LastWrite returns the position of the last write of any of the sessions, or an upper bound of it if
 // one of them is in neither generation. Without sessions it returns that of the last write of all.
-func (p *SessionPositions) lastWrite(sessions []uint64) time.Duration {
+func (p *SessionPositions) LastWrite(sessions []uint64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(sessions) == 0 {
@@ -93,7 +93,7 @@
 		position = r.now - in.SinceLastWrite
 	}
 	if r.settings.TrackSessions {
-		position = max(position, r.sessions.lastWrite(in.Sessions))
+		position = max(position, r.sessions.LastWrite(in.Sessions))
 	}
 	return position
 }
@@ -110,6 +110,14 @@
 	r.sessions.record(sessions, position)
 }
 
+// ObserveStreamedWrite records that a write of the given sessions whose answer was forwarded while it
+// arrived has been executed. HandleOutcome came before the end of that answer, when the server may not
+// have committed the write yet.
+func (r *Router) ObserveStreamedWrite(now time.Duration, sessions []uint64) {
+	r.advanceClock(now)
+	r.recordWrite(sessions, 0, false)
+}
+
 // ShareSessions has the Router track sessions together with all others that share the positions. The
 // host calls it before the first request.
 func (r *Router) ShareSessions(positions *SessionPositions) { r.sessions = positions }
