Hold a read to the commit that it names, also if that is ahead of the clock

What callers saw: a read whose comment names a commit (`after`) that lies ahead of the pooler's clock was answered by replicas without it, on both frontends and through translation. Positions are of the servers' clock, from which a pooler's may differ.

Cause: the dispatcher passed the commit's age and cut it to 1 us, so the read required no more than the time of its arrival. Change: the age may be negative. The positions of commit and replica are compared as they are, by whatever clock they were made.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"threadsail/internal/policy"
@@ -95,7 +96,7 @@
 		Timeout:  o.deadline - now,
 	}
 	if o.request.SessionCommitAt > 0 {
-		request.SinceLastWrite = max(now-o.request.SessionCommitAt, time.Microsecond) // 0 would mean no write
+		request.SinceLastWrite = cmp.Or(now-o.request.SessionCommitAt, time.Nanosecond) // 0 would mean no write
 	}
 	return request
 }
--- a/internal/policy/events.go
+++ b/internal/policy/events.go
@@ -54,7 +54,7 @@
 	Group          int
 	Sessions       []uint64      // identifiers of the sessions that the request may belong to; none if they are unknown
 	Timeout        time.Duration // time until the client gives up this request
-	SinceLastWrite time.Duration // age of the session's last write, if the request carries it; 0 for none
+	SinceLastWrite time.Duration // age of the session's last write, if the request carries it; 0 for none, negative if it is ahead of the clock
 }
 
 // ServerStatus is a server's latest report of its replication state and load.
--- a/internal/policy/sessions.go
+++ b/internal/policy/sessions.go
@@ -89,7 +89,7 @@
 // request's sessions, or 0 if any will do.
 func (r *Router) sessionPosition(in Request) time.Duration {
 	position := time.Duration(0)
-	if in.SinceLastWrite > 0 {
+	if in.SinceLastWrite != 0 {
 		position = r.now - in.SinceLastWrite
 	}
 	if r.settings.TrackSessions {
--- a/internal/pooler/sessions_test.go
+++ b/internal/pooler/sessions_test.go
@@ -162,3 +162,23 @@
 		expectPrimary(t, reader.Do(read("other")), false, "a read of another session")
 	}
 }
+
+// A read must see the commit that it names, also one that is ahead of the pooler's clock.
+func TestReadsSeeTheCommitThatTheyName(t *testing.T) {
+	brought := func(settings map[string]any) {
+		trackSessions(settings)
+		settings["familyInfo"].(map[string]any)["tokens"] = "brought"
+	}
+	testOverAllProtocols(t, brought, []string{"p", "r1", "r2"}, func(t *testing.T, f *standin.Fleet, a pooler.Addresses) {
+		c := dial(t, a)
+		read := func(after time.Duration) string {
+			position := time.Now().Add(after).UnixMilli()
+			return strings.Replace(standin.Read("view", amplePatience), ",c=", fmt.Sprintf(",after=%d,c=", position), 1)
+		}
+		expectServed(t, c.Do(standin.Write("k1", amplePatience))) // the primary is known from now on
+		expectPrimary(t, c.Do(read(veryLate)), true, "a read of a commit ahead of the clock")
+		setReplicaLag(f, time.Minute)
+		expectPrimary(t, c.Do(read(-veryLate)), false, "a read of an old commit")
+		expectPrimary(t, c.Do(read(0)), true, "a read of a new commit")
+	})
+}
