Take no position that comes before a write for that of its commit

What callers saw: a MySQL client's prepared write on a PostgreSQL server that tells positions could be recorded with the position told with the statement's description, before the write ran: reads of the session (`kept`) may then miss it.

Cause: translating.exchange took `lsn_ms` from any ParameterStatus behind the login. The PostgreSQL frontend's own exchange takes it only once the query is sent. Change: so does this one. What the login tells was reset already.

--- a/internal/pooler/translating/exchange.go
+++ b/internal/pooler/translating/exchange.go
@@ -136,7 +136,8 @@
 	return x.handleAnswer(m, last)
 }
 
-// handleParameter takes in what some servers report of themselves with each answer.
+// handleParameter takes in what some servers report of themselves with each answer. A position that comes before the request has been
+// sent is not that of its commit.
 func (x *exchange) handleParameter(body []byte) error {
 	name, value, ok := pgwire.Parameter(body)
 	if !ok {
@@ -151,6 +152,9 @@
 			x.Result.Role = policy.RoleReplica
 		}
 	case "lsn_ms":
+		if !x.RequestSent {
+			break
+		}
 		x.Result.Position, x.Result.HasPosition = protocol.Position(value)
 	}
 	return nil
