Count no MySQL server as one that turns away stale reads

What callers saw: with `behind` = bounce or await in the settings, the PostgreSQL frontend sent reads to MySQL replicas that had never told a position, and got stale answers.

Cause: policy.Router relies on servers that reject what they are too far behind for. MySQL servers answer such reads; only the MySQL frontend's own settings said so. Change: a member of a list tells whether it does, and the server file sets that for each server that speaks MySQL.

--- a/internal/dispatch/list.go
+++ b/internal/dispatch/list.go
@@ -14,6 +14,8 @@
 	Primary       bool          // the list names the server as its group's primary
 	StartedAt     time.Duration // Unix time of the server's last start; 0: long ago
 	Weight        int           // weight for reads, as policy.Member.ReadWeight
+
+	AnswersStaleReads bool // as policy.Member.AnswersStaleReads
 }
 
 // ApplyList updates the servers and the policy from a list that was announced now.
@@ -36,7 +38,8 @@
 		namedIDs[id] = true
 		d.registerMember(id, member)
 		entries = append(entries, policy.Member{ID: id, Zone: member.Zone, Group: member.Group, State: member.State,
-			Primary: member.Primary, StartedAt: member.StartedAt, ReadWeight: member.Weight})
+			Primary: member.Primary, StartedAt: member.StartedAt, ReadWeight: member.Weight,
+			AnswersStaleReads: member.AnswersStaleReads})
 	}
 	if kind == policy.ListFull || kind == policy.ListCached {
 		d.removeOmitted(namedIDs)
--- a/internal/policy/events.go
+++ b/internal/policy/events.go
@@ -34,6 +34,8 @@
 	Primary    bool          // whether the list names the server as its group's primary
 	StartedAt  time.Duration // clock time of the server's last start; 0 if that is long ago
 	ReadWeight int           // weight of the server among the group's read replicas; 0 counts as 1
+
+	AnswersStaleReads bool // whether the server answers a read that it is too far behind for, whatever Settings.StaleReads is
 }
 
 // ListKind is the kind of an endpoint list: how it relates to the previous one.
--- a/internal/policy/read_staleness.go
+++ b/internal/policy/read_staleness.go
@@ -47,7 +47,7 @@
 	if required <= 0 || s.replication.position >= required+positionTolerance {
 		return true
 	}
-	if r.settings.StaleReads == StaleReadAnswered || r.recentlyRejectedStaleRead(s) {
+	if r.answersStaleReads(s) || r.recentlyRejectedStaleRead(s) {
 		return false
 	}
 	if s.replication.advancedAt == 0 && !r.inSlowStart(s) { // it has never reported a position
@@ -56,6 +56,11 @@
 	return !r.refreshesPositionsProactively(req.class) && r.positionShortfall(req, s) <= 0
 }
 
+// answersStaleReads reports whether a server answers a read that it is too far behind for.
+func (r *Router) answersStaleReads(s *server) bool {
+	return r.settings.StaleReads == StaleReadAnswered || s.AnswersStaleReads
+}
+
 // recentlyRejectedStaleRead reports whether a server has rejected a read as too far behind within
 // the last roundInterval and has not reported a newer position since.
 func (r *Router) recentlyRejectedStaleRead(s *server) bool {
--- a/internal/policy/write_routing.go
+++ b/internal/policy/write_routing.go
@@ -36,7 +36,7 @@
 	for i := range g.members {
 		s := g.members[(g.roundRobinOffset+i)%len(g.members)]
 		likelihood := primaryLikelihood(s)
-		if s.ejection.ejected || r.mightAnswerStale(req, likelihood) || r.recentlyReportedReplica(s) {
+		if s.ejection.ejected || r.mightAnswerStale(req, s, likelihood) || r.recentlyReportedReplica(s) {
 			continue
 		}
 		if likelihood > bestLikelihood && r.canTake(req, s) {
@@ -61,8 +61,8 @@
 
 // mightAnswerStale reports whether a member with the given likelihood of being the primary might
 // answer a read of the latest data with stale data.
-func (r *Router) mightAnswerStale(req *request, likelihood int) bool {
-	return req.class.Access == ReadLatest && r.settings.StaleReads == StaleReadAnswered && likelihood == 0
+func (r *Router) mightAnswerStale(req *request, s *server, likelihood int) bool {
+	return req.class.Access == ReadLatest && r.answersStaleReads(s) && likelihood == 0
 }
 
 // recentlyReportedReplica reports whether a member was reported to be a replica within the last
--- a/internal/pooler/file_watcher.go
+++ b/internal/pooler/file_watcher.go
@@ -257,13 +257,18 @@
 		k.routes.Drop(server.Key())
 	}
 	for _, server := range listed {
-		var target routes.Target
-		target.Wire, _ = routes.ParseWire(server.Wire, k.routes.Front())
-		target.Version, _ = routes.ParseVersion(server.Version) // both were checked with the list
+		target := routes.Target{Wire: k.wireOf(server)}
+		target.Version, _ = routes.ParseVersion(server.Version) // it was checked with the list
 		k.routes.Add(server.Key(), server.Addr, server.Cluster, target)
 	}
 }
 
+// wireOf returns the protocol that a listed server speaks.
+func (k *fileWatcher) wireOf(server serverlist.Server) routes.Wire {
+	wire, _ := routes.ParseWire(server.Wire, k.routes.Front()) // it was checked with the list
+	return wire
+}
+
 // listMembers returns servers as members of the dispatcher's list.
 func (k *fileWatcher) listMembers(listed, removed []serverlist.Server) []dispatch.Member {
 	members := make([]dispatch.Member, 0, len(listed)+len(removed))
@@ -282,6 +287,8 @@
 			Group:   server.Cluster,
 			State:   server.State,
 			Weight:  weight,
+
+			AnswersStaleReads: k.wireOf(server) == routes.MySQL,
 		})
 	}
 	return members
--- a/internal/pooler/sessions_test.go
+++ b/internal/pooler/sessions_test.go
@@ -182,3 +182,21 @@
 		expectPrimary(t, c.Do(read(0)), true, "a read of a new commit")
 	})
 }
+
+// MySQL servers answer reads that they are too far behind for, whatever the settings say that servers do.
+func TestMySQLServersAnswerStaleReads(t *testing.T) {
+	for _, behind := range []string{"bounce", "await"} {
+		t.Run(behind, func(t *testing.T) {
+			f := standin.NewMixedFleet(t, false, func(int) bool { return true }, func(settings map[string]any) {
+				trackSessions(settings)
+				settings["familyInfo"].(map[string]any)["behind"] = behind
+			}, "p", "r1", "r2")
+			setReplicaLag(f, -1) // they tell no position
+			c := dial(t, poolerProcess(t, f))
+			expectServed(t, c.Do(standin.Write("k1", amplePatience)))
+			for range 3 { // a round over all servers
+				expectPrimary(t, c.Do(standin.Read("view", amplePatience)), true, "a read behind the write")
+			}
+		})
+	}
+}
