Probe replicas for the reads of sessions, and wait for none without position

What callers saw: once sessions' writes count, their reads go to the primary while no replica is known to have caught up. In a small fleet nothing showed that one had: replicas were probed only while a read waited, and no read waited for a replica that had been far behind. And where servers report no position (no heartbeat configured), each such read waited a quarter of its objective for nothing before it went to the primary.

A replica whose last probe told its role but no position is not waited for.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -156,6 +156,18 @@
 		g.queue.contains(func(req *request) bool { return req.blockedByLag })
 }
 
+// refreshPositionsForSessions probes the replicas of a group for their positions because a read of a
+// session is not sent to any of them: without other reads, nothing else would show that one has caught
+// up. It does so in small fleets only, and at most every roundInterval.
+func (r *Router) refreshPositionsForSessions(req *request) {
+	if req.class.Access != ReadSession || !req.blockedByLag {
+		return
+	}
+	if r.settings.ProbesAllowed && !r.fleet.isLarge && r.now >= req.group.queue.nextRefreshAt {
+		r.refreshAllPositions(req.group)
+	}
+}
+
 // refreshAllPositions probes the ready replicas of a group for their positions. It skips ejected
 // replicas and those that a probe round or a position probe has just covered.
 func (r *Router) refreshAllPositions(g *group) {
--- a/internal/policy/probe_rounds.go
+++ b/internal/policy/probe_rounds.go
@@ -134,6 +134,7 @@
 	switch {
 	case p.Result == OK:
 		r.observeReachable(s)
+		s.replication.notReported = p.Status.HasRole && !p.Status.IsPrimary && !p.Status.HasPosition
 		r.observeStatus(s, p.Status)
 	case p.Result == ConnectFailed || !reached && !s.health.answeredRecently(r.now):
 		// Probes can fail on their own: an error, or a timeout shortly after an answer to a request,
--- a/internal/policy/read_staleness_test.go
+++ b/internal/policy/read_staleness_test.go
@@ -71,6 +71,40 @@
 	wantPosition(host.now+maxClockDifference, 7)
 }
 
+// Without other reads nothing but a probe shows that a replica has caught up with a session.
+func TestReplicasAreProbedForSessions(t *testing.T) {
+	host := newHostWithPrimary(t, nil)
+	read := func(id uint32) {
+		host.router.HandleRequest(host.now, Request{ID: id, Class: classSession, Group: testGroup,
+			Timeout: 2 * time.Second, SinceLastWrite: -time.Second})
+	}
+	host.advance(roundInterval)
+	for id, want := range map[uint32]int{2: 1, 3: 1} {
+		read(id)
+		host.wantSentTo(id, 1)
+		if got := host.probeCount(2); got != want {
+			t.Errorf("server 2 was probed %d times, want %d", got, want)
+		}
+	}
+	host.advance(roundInterval)
+	read(4)
+	if got := host.probeCount(2); got != 2 {
+		t.Errorf("server 2 was probed %d times, want 2", got)
+	}
+}
+
+// Reads of sessions waited for replicas that report no position, and for which no waiting helps.
+func TestNoReadWaitsForAnUnreportedPosition(t *testing.T) {
+	host := newHostWithPrimary(t, nil)
+	host.advance(roundInterval)
+	for _, replica := range []uint32{2, 3} {
+		host.router.HandleProbeResult(host.now, ProbeResult{Server: replica, Status: ServerStatus{HasRole: true}})
+	}
+	host.router.HandleRequest(host.now, Request{ID: 2, Class: classSession, Group: testGroup, Timeout: 2 * time.Second,
+		SinceLastWrite: 10 * ms})
+	host.wantSentTo(2, 1)
+}
+
 // newHostWithoutPositionsInAnswers returns a host whose servers omit positions from answers and
 // reject reads that they are too far behind for. ReadAny requests take ten times as long as bounded
 // reads.
--- a/internal/policy/replica_selection.go
+++ b/internal/policy/replica_selection.go
@@ -68,6 +68,7 @@
 	r.finishSearch(&search)
 	chosen := cmp.Or(search.trialCandidate, search.best)
 	if chosen == nil && r.mayFallBack(&search) {
+		r.refreshPositionsForSessions(req)
 		chosen = r.chooseFallback(req)
 	}
 	if chosen != nil {
@@ -106,7 +107,7 @@
 	req := search.request
 	req.blockedByLag = true
 	shortfall := r.positionShortfall(req, s)
-	if !s.ejection.ejected && shortfall <= search.fallbackWait {
+	if !s.ejection.ejected && !s.replication.notReported && shortfall <= search.fallbackWait {
 		req.catchUpExpected = true
 	}
 	if !r.fleet.isLarge || !r.settings.ProbesAllowed || s.ejection.ejected || search.probeCandidate != nil {
--- a/internal/policy/server.go
+++ b/internal/policy/server.go
@@ -68,6 +68,7 @@
 	advancedAt    time.Duration // time at which the position last increased
 	probedAt      time.Duration // time of the last probe for the position
 	lagRejectedAt time.Duration // time at which the server last rejected a read because of its lag
+	notReported   bool          // whether the last probe showed a replica that reports no position
 }
 
 // advance raises the position if the given one is higher.
@@ -75,6 +76,7 @@
 	if position > p.position {
 		p.position = position
 		p.advancedAt = now
+		p.notReported = false
 	}
 }
 
--- a/internal/pooler/sessions_test.go
+++ b/internal/pooler/sessions_test.go
@@ -85,7 +85,7 @@
 }
 
 // A session's reads missed its own write behind the MySQL frontend and behind MySQL servers, whose answers tell no position: no write
-// was recorded. The reads of other sessions must still be served by replicas.
+// was recorded. The reads of other sessions must still be served by replicas, and the session's own ones again once these have caught up.
 func TestSessionsSeeTheirWrites(t *testing.T) {
 	testOverAllProtocols(t, trackSessions, []string{"p", "r1", "r2"}, func(t *testing.T, f *standin.Fleet, a pooler.Addresses) {
 		setReplicaLag(f, veryLate)
@@ -98,6 +98,17 @@
 		expectPrimary(t, text(t, other)(read("u1")), true, "a read on another connection, unprepared")
 		expectPrimary(t, other.Do(commented("SELECT val FROM state LIMIT 1", "view")), true, "a read that names no session")
 		expectPrimary(t, other.Do(read("u2")), false, "a read of another session")
+		setReplicaLag(f, 0)
+		for until := time.Now().Add(amplePatience); ; {
+			r := c.Do(read("u1"))
+			expectServed(t, r)
+			if r.Value != "from p" {
+				break
+			}
+			if time.Now().After(until) {
+				t.Fatal("no replica that has caught up gets a read of the session")
+			}
+		}
 	})
 }
 
