End an attempt of which the kernel takes no byte, in place of writing it late

What could happen: a write that fails for want of memory on this host, or on a full send buffer, was repeated until the kernel took it, with no check in between: behind the grace of a drain, or the window of a repeat.

Change: if the kernel has taken no byte of a request when it is written, the attempt ends as Overloaded, which proves that it has not run, and its connection is closed. Long data and EXECUTE of a MySQL statement are one write now, so that "no byte" is said of both.

Measured: TestRequestThatTheKernelDelays, on a connection whose buffer is full, waits for ever without the change and passes with it.

--- a/internal/pooler/mysql/exchange.go
+++ b/internal/pooler/mysql/exchange.go
@@ -203,10 +203,11 @@
 	e.stage = awaitAnswer
 	e.RequestSent = true
 	e.answer = &mysql.Answer{Binary: e.command.Prepared}
+	var request []byte
 	for _, data := range longData {
-		e.writeCommand(data)
+		request = mysql.Append(request, 0, data)
 	}
-	e.writeCommand(payload)
+	e.Conn.Write(mysql.Append(request, 0, payload))
 	if !e.IsProbe {
 		e.RequestWritten()
 	}
--- a/internal/pooler/upstream/exchange.go
+++ b/internal/pooler/upstream/exchange.go
@@ -80,10 +80,16 @@
 	e.acquireConn(acquisition{deadline: connector.Loop.Now() + wait, handler: handler, onIdle: onIdle, onFresh: onFresh})
 }
 
-// RequestWritten must be called after the request itself has been passed to Write. It stops the connect timeout, and reports the
-// request as sent once its last byte has been written.
+// RequestWritten must be called after the request itself has been passed to one call of Write. It stops the connect timeout, and reports
+// the request as sent once its last byte has been written. If the kernel has accepted none of its bytes yet, it ends the exchange with
+// policy.Overloaded: by the time that the kernel takes them, the request may not be sent any more.
 func (e *Exchange) RequestWritten() {
 	e.connectTimer.Stop()
+	if e.Conn.LastWriteDelayed() {
+		e.Conn.Close()
+		e.Finish(policy.Overloaded)
+		return
+	}
 	e.Conn.OnWritten(e.attempt.Sent)
 	if e.Conn.LastWriteBytes() > minWatchedWrite {
 		e.watchWrite(e.Conn.UnacknowledgedBytes())
--- a/internal/pooler/upstream/exchange_test.go
+++ b/internal/pooler/upstream/exchange_test.go
@@ -80,6 +80,40 @@
 	<-events
 }
 
+// A request that the kernel does not take at once must not be sent later, when a limit such as a drain's may have passed: what was checked
+// before the write would no longer hold.
+func TestRequestThatTheKernelDelays(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // it accepts connections and reads nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	loop := dispatch.NewEventLoop()
+	go loop.Run()
+	defer loop.Stop()
+	connector := &Connector{Loop: loop, Budget: transport.NewBudget(4), Pool: transport.NewPool(time.Minute, 4), ConnectTimeout: time.Minute}
+	results := make(chan policy.Result, 1)
+	attempt := dispatch.AttemptCallbacks{StillAllowed: func() bool { return true }, Sent: func() { t.Error("the request is reported as sent") },
+		Progress: func(bool) {}, Done: func(r dispatch.AttemptResult) { results <- r.Result }}
+	loop.Post(func() {
+		exchange := &Exchange{}
+		exchange.Start(connector, ln.Addr().String(), noopHandler{}, attempt, nil, func() {
+			fill := make([]byte, 1<<20)
+			for exchange.Conn.Written() {
+				exchange.Conn.Write(fill)
+			}
+			exchange.Conn.Write([]byte("request"))
+			exchange.RequestWritten()
+			if !exchange.Conn.PeerDisconnected() {
+				t.Error("the connection is not closed")
+			}
+		})
+	})
+	if result := <-results; result != policy.Overloaded {
+		t.Errorf("the exchange ends with %v, want %v", result, policy.Overloaded)
+	}
+}
+
 // TestTooLargeAnswerIsMalformed checks that an endless answer fails by its size, even before the request is sent, when only the
 // connect timeout applies.
 func TestTooLargeAnswerIsMalformed(t *testing.T) {
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -19,6 +19,11 @@
 // LastWriteBytes returns the number of bytes passed to the last Write.
 func (c *Conn) LastWriteBytes() int { return c.lastWrite }
 
+// LastWriteDelayed reports whether the kernel has accepted no byte of the last Write, on a connection that is not known to be broken.
+func (c *Conn) LastWriteDelayed() bool {
+	return c.lastWrite > 0 && len(c.unsent) >= c.lastWrite && !c.hungUp && !c.closed
+}
+
 // UnacknowledgedBytes returns the number of bytes that the peer's kernel has not acknowledged, with those that wait here.
 func (c *Conn) UnacknowledgedBytes() int {
 	if c.fd < 0 {
