Count the grace of a drain from its notice, and a send's reserve on top

What could happen: of a list that came late, after a watch was down, the delay and the time for a send were both to be kept back from a drain's grace, but only the larger was. A pooler that is held up then could send to the draining server after the grace.

Change: the policy is told since when the list may count as notified, and counts the grace of the drains in it from then. drainReserve, which held both, measures sends alone and is called sendDurations.

Both new cases fail if the grace is counted from the list's arrival.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -88,8 +88,8 @@
 func (a *attempt) sent() {
 	d := a.request.dispatcher
 	a.request.counters.Attempts++
-	d.drainReserve.observeSend(d.loop.Now(), a.allowedAt)
-	d.router.SetSendDuration(d.drainReserve.required(d.loop.Now()))
+	d.sendDurations.observe(d.loop.Now(), a.allowedAt)
+	d.router.SetSendDuration(d.sendDurations.longest(d.loop.Now()))
 }
 
 // progressed reports to the policy that the server is at work.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,13 +43,13 @@
 	watch        func()
 	log          func(string)
 
-	classes      classRegistry
-	servers      serverRegistry
-	requests     requestTable
-	admission    admission
-	counters     counterTable
-	actions      actionQueue
-	drainReserve drainReserve
+	classes       classRegistry
+	servers       serverRegistry
+	requests      requestTable
+	admission     admission
+	counters      counterTable
+	actions       actionQueue
+	sendDurations sendDurations
 
 	extensions
 }
--- a/internal/dispatch/list.go
+++ b/internal/dispatch/list.go
@@ -26,8 +26,7 @@
 // ApplyListNotifiedAt updates the servers and the policy from a list that may have been announced to this pooler as early as
 // the Unix time notifiedAt. The grace periods of the drains in the list count from then.
 func (d *Dispatcher) ApplyListNotifiedAt(kind policy.ListKind, members []Member, notifiedAt time.Duration) {
-	d.drainReserve.observeListDelay(d.loop.Now(), notifiedAt, d.settings.DrainGracePeriod)
-	d.router.SetSendDuration(d.drainReserve.required(d.loop.Now()))
+	d.router.SetSendDuration(d.sendDurations.longest(d.loop.Now()))
 	entries := make([]policy.Member, 0, len(members))
 	namedIDs := map[uint32]bool{}
 	for _, member := range members {
@@ -44,7 +43,7 @@
 	if kind == policy.ListFull || kind == policy.ListCached {
 		d.removeOmitted(namedIDs)
 	}
-	d.router.HandleList(d.loop.Now(), kind, entries)
+	d.router.HandleListNotifiedAt(d.loop.Now(), notifiedAt, kind, entries)
 }
 
 func (d *Dispatcher) registerMember(id uint32, member Member) {
--- a/internal/dispatch/drain_reserve_test.go
+++ b/internal/dispatch/send_durations_test.go
@@ -7,13 +7,13 @@
 	"threadsail/internal/policy"
 )
 
-// The reserve is the longest send of the current and the previous window, or the longest delay of a list during a grace period.
-func TestDrainReserve(t *testing.T) {
-	const ms, grace = time.Millisecond, 250 * time.Millisecond
+// The longest recent send is that of the current and the previous window.
+func TestSendDurations(t *testing.T) {
+	const ms = time.Millisecond
 	now := 1000 * time.Second
-	var reserve drainReserve
+	var durations sendDurations
 	for _, step := range []struct {
-		after, send, listDelay, want time.Duration
+		after, send, want time.Duration
 	}{
 		{send: 3 * ms, want: 3 * ms},
 		{send: 80 * ms, want: 80 * ms},
@@ -21,20 +21,13 @@
 		{after: sendWindow, send: 5 * ms, want: 80 * ms},
 		{after: sendWindow, want: 5 * ms},
 		{after: 2 * sendWindow, want: 0},
-		{listDelay: 40 * ms, want: 40 * ms},
-		{after: grace / 2, listDelay: 10 * ms, want: 40 * ms},
-		{after: grace / 2, listDelay: 10 * ms, want: 10 * ms},
-		{after: grace, want: 0},
 	} {
 		now += step.after
 		if step.send > 0 {
-			reserve.observeSend(now, now-step.send)
+			durations.observe(now, now-step.send)
 		}
-		if step.listDelay > 0 {
-			reserve.observeListDelay(now, now-step.listDelay, grace)
-		}
-		if got := reserve.required(now); got != step.want {
-			t.Errorf("after %+v: reserve %v, want %v", step, got, step.want)
+		if got := durations.longest(now); got != step.want {
+			t.Errorf("after %+v: longest %v, want %v", step, got, step.want)
 		}
 	}
 }
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -20,7 +20,14 @@
 // HandleList applies an endpoint list. On ListFailed the previous list remains in effect and another
 // poll is scheduled.
 func (r *Router) HandleList(now time.Duration, kind ListKind, entries []Member) {
+	r.HandleListNotifiedAt(now, now, kind, entries)
+}
+
+// HandleListNotifiedAt is like HandleList for a list of which this pooler may have been notified as
+// early as notifiedAt. The drain grace periods that begin with the list count from then.
+func (r *Router) HandleListNotifiedAt(now, notifiedAt time.Duration, kind ListKind, entries []Member) {
 	r.advanceClock(now)
+	notifiedAt = min(notifiedAt, r.now)
 	if kind == ListFailed {
 		r.scheduleListPoll(r.jitter(r.fleet.listRetryDelay))
 		return
@@ -29,11 +36,11 @@
 	for _, m := range entries {
 		listed[m.ID] = true
 		if s := r.serverFor(m); s != nil {
-			r.updateMember(s, m)
+			r.updateMember(s, m, notifiedAt)
 		}
 	}
 	if kind != ListDelta {
-		r.withdrawUnlisted(listed)
+		r.withdrawUnlisted(listed, notifiedAt)
 	}
 	if kind == ListCached {
 		r.scheduleListPoll(r.stagger(r.fleet.firstPollSpread))
@@ -74,9 +81,9 @@
 }
 
 // updateMember applies an entry of the list to its server.
-func (r *Router) updateMember(s *server, m Member) {
+func (r *Router) updateMember(s *server, m Member, notifiedAt time.Duration) {
 	if m.State != Ready {
-		r.withdraw(s, m.State)
+		r.withdraw(s, m.State, notifiedAt)
 		return
 	}
 	restarted := m.StartedAt > s.StartedAt && m.StartedAt > s.role.asOf
@@ -110,17 +117,17 @@
 }
 
 // withdrawUnlisted treats the servers that are missing from a complete list as removed.
-func (r *Router) withdrawUnlisted(listed map[uint32]bool) {
+func (r *Router) withdrawUnlisted(listed map[uint32]bool, notifiedAt time.Duration) {
 	for _, s := range r.servers.ordered {
 		if s.listed && !listed[s.ID] && s.State != Removed {
-			r.withdraw(s, Removed)
+			r.withdraw(s, Removed, notifiedAt)
 		}
 	}
 }
 
 // withdraw stops the use of a server that is draining or removed: for reads immediately, for writes
-// at the end of its drain grace period, less a margin.
-func (r *Router) withdraw(s *server, state MemberState) {
+// at the end of its drain grace period, which begins at notifiedAt, less a margin.
+func (r *Router) withdraw(s *server, state MemberState, notifiedAt time.Duration) {
 	if state == Draining {
 		s.wasDraining = true
 	}
@@ -141,7 +148,7 @@
 		return
 	}
 	gracePeriod := r.settings.DrainGracePeriod - sendMargin - r.settings.EventInterval
-	s.sendUntil = max(r.now+gracePeriod, 1)
+	s.sendUntil = max(notifiedAt+gracePeriod, 1)
 	r.schedule(max(s.sendUntil-r.now, 0), func() { r.endGracePeriod(s) })
 }
 
--- a/internal/policy/endpoints_test.go
+++ b/internal/policy/endpoints_test.go
@@ -64,18 +64,21 @@
 }
 
 // If sends take longer than sendMargin, the last send in a drain grace period must begin correspondingly
-// earlier.
+// earlier, and also if the list has come late: the grace period counts from its notification.
 func TestSendDuration(t *testing.T) {
-	for _, c := range []struct{ sendDuration, reserved time.Duration }{
-		{0, sendMargin},
-		{20 * ms, sendMargin},
-		{180 * ms, 180 * ms},
+	for _, c := range []struct{ sendDuration, listDelay, reserved time.Duration }{
+		{0, 0, sendMargin},
+		{20 * ms, 0, sendMargin},
+		{180 * ms, 0, 180 * ms},
+		{20 * ms, 40 * ms, sendMargin},
+		{180 * ms, 40 * ms, 180 * ms},
 	} {
-		t.Run(c.sendDuration.String(), func(t *testing.T) {
+		t.Run(fmt.Sprint(c.sendDuration, " to send, list late by ", c.listDelay), func(t *testing.T) {
 			host := newHostWithPrimary(t, nil)
 			host.router.SetSendDuration(c.sendDuration)
-			host.updateList(newMember(1, Draining, 0))
-			sendsEndAt := startTime + 500*ms - c.reserved - 5*ms
+			draining := []Member{newMember(1, Draining, 0)}
+			host.router.HandleListNotifiedAt(host.now, host.now-c.listDelay, ListDelta, draining)
+			sendsEndAt := startTime - c.listDelay + 500*ms - c.reserved - 5*ms
 			host.advanceTo(sendsEndAt - ms)
 			host.sendRequest(10, classNotIdempotent)
 			host.wantAction("attempt 10 1")
--- a/internal/policy/read_staleness_test.go
+++ b/internal/policy/read_staleness_test.go
@@ -69,6 +69,7 @@
 	wantPosition(executed, 8)
 	host.router.ObserveStreamedWrite(host.now, nil) // a write that may belong to any session
 	wantPosition(host.now+maxClockDifference, 7)
+	wantPosition(host.now+maxClockDifference, 8)
 }
 
 // Without other reads nothing but a probe shows that a replica has caught up with a session.
@@ -261,7 +262,7 @@
 	host.probeAnswered(3, false, host.now)
 	host.wantAction("attempt 2 3")
 	host.endAttempt(2, 0, OK, RoleReplica)
-	host.router.withdraw(host.server(3), Draining)
+	host.router.withdraw(host.server(3), Draining, host.now)
 	for id := uint32(3); id < 6; id++ {
 		host.sendRequestWithin(id, classBounded, time.Second)
 	}
--- a/internal/policy/replica_selection_test.go
+++ b/internal/policy/replica_selection_test.go
@@ -98,8 +98,8 @@
 			host := newHostWithPrimary(t, withPoolers(400))
 			host.setLatencyRatio(host.server(1), c.primary)
 			host.router.overall.latencyRatio = c.overall
-			host.router.withdraw(host.server(2), Draining)
-			host.router.withdraw(host.server(3), Draining)
+			host.router.withdraw(host.server(2), Draining, host.now)
+			host.router.withdraw(host.server(3), Draining, host.now)
 			host.sendRequest(2, classAny)
 			host.advance(200 * ms)
 			if sent := len(host.attempts[2]) > 0; sent != c.sent {
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -35,7 +35,7 @@
 // hostReports holds what the host has reported about this pooler.
 type hostReports struct {
 	roundLeader  bool          // whether this pooler repeats probe rounds on behalf of the fleet
-	sendDuration time.Duration // recent maximum from the choice of a server to the last byte sent
+	sendDuration time.Duration // recent maximum from the check that allowed a send to its last byte
 }
 
 // fleetParameters holds the limits that depend on the number of poolers, which share the servers and
