Keep 150 ms back of each limit on a send, and check it right before the write

Cause: 60 ms of a drain's grace were kept back for a send, and more only once a send had taken longer. And on an idle connection nothing was checked between the choice of the server and the write at the end of the round.

TestSendsFitBeforeTheirLimit and TestAttemptNotStartedAfterGracePeriod fail without the change.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -33,7 +33,7 @@
 	if o := p.requests.open[id]; o != nil {
 		o.queuedAttempts++
 	}
-	p.actions.add(sendAttempt{request: id, server: server, timeout: timeout, chosenAt: p.loop.Now()})
+	p.actions.add(sendAttempt{request: id, server: server, timeout: timeout})
 }
 
 // Reject queues the rejection of a request. The client may retry, after retryAfter if that is not 0.
@@ -79,14 +79,14 @@
 func (p *policyActions) Log(line string) { p.log(line) }
 
 type sendAttempt struct {
-	request, server   uint32
-	timeout, chosenAt time.Duration
+	request, server uint32
+	timeout         time.Duration
 }
 
 func (a sendAttempt) execute(d *Dispatcher) {
 	if o := d.requests.open[a.request]; o != nil {
 		o.queuedAttempts--
-		o.startAttempt(a.server, a.timeout, a.chosenAt)
+		o.startAttempt(a.server, a.timeout)
 	}
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -19,16 +19,16 @@
 	timeout     *Timer        // nil: never passed to the backend
 }
 
-// startAttempt sends a request to the server that the policy chose at chosenAt. On timeout, the connection is closed before
-// the policy is notified, so that a second attempt can't overlap with the first. A timeout of 0 stands for the time left until
-// the request's deadline.
-func (o *OpenRequest) startAttempt(server uint32, timeout, chosenAt time.Duration) {
+// startAttempt sends a request to the server that the policy chose earlier in the round, if that still allows it. On timeout, the
+// connection is closed before the policy is notified, so that a second attempt can't overlap with the first. A timeout of 0 stands
+// for the time left until the request's deadline.
+func (o *OpenRequest) startAttempt(server uint32, timeout time.Duration) {
 	d, now := o.dispatcher, o.dispatcher.loop.Now()
 	deadline := o.deadline
 	if timeout > 0 {
 		deadline = min(deadline, now+timeout)
 	}
-	a := &attempt{request: o, number: o.attemptCount, server: server, startedAt: now, allowedAt: chosenAt}
+	a := &attempt{request: o, number: o.attemptCount, server: server, startedAt: now, allowedAt: now}
 	o.attemptCount++
 	o.inFlight[a.number] = a
 	address := d.servers.addresses[server]
@@ -36,6 +36,10 @@
 		a.endLater(policy.NotSent)
 		return
 	}
+	if !d.router.MayStillSend(now, o.id, a.number) {
+		a.endLater(policy.Misdirected)
+		return
+	}
 	switch o.checkAttempt(server) {
 	case SendElsewhere:
 		a.endLater(policy.Overloaded)
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -107,6 +107,34 @@
 	})
 }
 
+// A round of the loop may take long. A write whose server was chosen at its beginning was sent at its end, whatever time had passed.
+func TestAttemptNotStartedAfterGracePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, backend := startDispatcher(t)
+		_, first := submit(d, backend, 2*time.Second) // the primary is known from now on
+		onLoop(d, func() {
+			first.Done(AttemptResult{Result: policy.OK})
+			settings := d.settings
+			settings.DrainGracePeriod = time.Second
+			if err := d.UpdateSettings(settings, d.admission.maxOpen, d.probeTimeout); err != nil {
+				t.Error(err)
+			}
+		})
+		replier := fakeReplier{make(chan string, 2)}
+		onLoop(d, func() {
+			d.ApplyList(policy.ListDelta, []Member{{Name: "s", Address: "s", State: policy.Draining}})
+			d.Submit(&Request{ArrivedAt: d.loop.Now(), Timeout: 3 * time.Second, Reply: replier})
+			if len(d.actions) == 0 {
+				t.Error("no attempt is requested")
+			}
+			time.Sleep(2 * time.Second)
+		})
+		if answer := <-replier.ended; answer != "rejected" || len(backend.calls) != 0 {
+			t.Errorf("the write was %s after %d attempts, want rejected after none", answer, len(backend.calls))
+		}
+	})
+}
+
 // The end of an attempt must be reported to the policy even if the client disconnects before the attempt is started. The policy
 // counts the attempt against its server until then: the server would lose capacity permanently and be ejected as unresponsive.
 func TestAttemptOfDisconnectedClientEnds(t *testing.T) {
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -62,8 +62,8 @@
 //  4. Respond to each Attempt with one Outcome, to each Probe with one ProbeResult, to each SetTimer
 //     with one HandleTimer call, and to each WatchList with at least one HandleList call (ListFailed
 //     if it did not succeed).
-//  5. Call MayStillSend before writing an attempt that had to wait for its connection. If it returns
-//     false, report the attempt as NotSent or Misdirected.
+//  5. Call MayStillSend right before writing an attempt, and again if it had to wait for its connection.
+//     If it returns false, report the attempt as NotSent or Misdirected.
 //
 // In return, each request receives exactly one final answer in time: an attempt that ended as OK with
 // Outcome.Answered set, or one call of Actions.Reject or Actions.Fail. Outcomes of unknown attempts
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -165,13 +165,16 @@
 }
 
 // gracePeriodOver reports whether the drain grace period of a server is too short for another send.
-// The time reserved for a send is its recent maximum duration, but at least sendMargin, plus
-// Settings.EventInterval.
+// The time reserved is sendReserve, plus Settings.EventInterval.
 func (r *Router) gracePeriodOver(s *server) bool {
-	return s.sendUntil > 0 && r.now >= s.sendUntil-max(r.reported.sendDuration-sendMargin, 0)
+	return s.sendUntil > 0 && r.now >= s.sendUntil-(r.sendReserve()-sendMargin)
 }
 
-// SetSendDuration sets the recent maximum time that a send has taken, from the choice of its server to
+// sendReserve returns the time that must be left for a send before a limit: the recent maximum duration
+// of sends, but at least sendMargin.
+func (r *Router) sendReserve() time.Duration { return max(r.reported.sendDuration, sendMargin) }
+
+// SetSendDuration sets the recent maximum time that a send has taken, from the check that allowed it to
 // its last byte.
 func (r *Router) SetSendDuration(d time.Duration) { r.reported.sendDuration = d }
 
--- a/internal/policy/endpoints_test.go
+++ b/internal/policy/endpoints_test.go
@@ -92,6 +92,49 @@
 	}
 }
 
+// A pooler that is held up for 150 ms between the check of a limit and the write sent writes to a draining primary after the grace
+// period, and repeats after the window in which their server drops them.
+func TestSendsFitBeforeTheirLimit(t *testing.T) {
+	const holdUp, grace = 150 * ms, 250 * ms
+	lastSend := func(host *fakeHost, limit time.Duration, sent func() bool) (last time.Duration) {
+		begin := host.now
+		for ; host.now < begin+limit; host.advance(ms) {
+			if sent() {
+				last = host.now - begin
+			}
+		}
+		return last
+	}
+	t.Run("drain", func(t *testing.T) {
+		host := newHostWithPrimary(t, func(s *Settings) { s.DrainGracePeriod = grace })
+		host.updateList(newMember(1, Draining, 0))
+		id := uint32(10)
+		last := lastSend(host, 2*grace, func() bool {
+			id++
+			host.sendRequest(id, classNotIdempotent)
+			host.endAttempt(id, 0, OK, RolePrimary)
+			return host.hasAction(fmt.Sprintf("attempt %d 1", id))
+		})
+		if last == 0 || last+holdUp > grace {
+			t.Errorf("the last write is sent after %v, want %v at most before the %v are over", last, holdUp, grace)
+		}
+	})
+	t.Run("repeat", func(t *testing.T) {
+		host := newHostWithPrimary(t, nil)
+		window := host.router.settings.Classes[classByKey].DedupWindow
+		host.sendRequestWithin(2, classByKey, time.Minute)
+		host.endAttempt(2, 0, ConnectionReset, RoleUnknown)
+		req := host.router.requests[2]
+		last := lastSend(host, 2*window, func() bool {
+			host.router.advanceClock(host.now)
+			return host.router.attemptAllowed(req, host.server(1))
+		})
+		if last == 0 || last+holdUp > window {
+			t.Errorf("the last repeat is allowed after %v, want %v at most before the %v are over", last, holdUp, window)
+		}
+	})
+}
+
 func TestDrainGracePeriod(t *testing.T) {
 	host := newHostWithPrimary(t, nil)
 	host.updateList(newMember(1, Draining, 0), newMember(2, Draining, 0))
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -5,9 +5,9 @@
 // Retry: whether a request may be sent again, and the final answer to a request that is not served.
 
 const (
-	// sendMargin is the minimum time allowed for a send, from the choice of the server until the
-	// last byte has reached it.
-	sendMargin = 60 * time.Millisecond
+	// sendMargin is the minimum time reserved for a send, from the check that allows it until its last
+	// byte. A pooler may be held up for as long in between, with no later check to notice it.
+	sendMargin = 150 * time.Millisecond
 	// retryBudgetRatio is what each request adds to the retry budget, from which the retries of
 	// idempotent requests that may have executed are paid.
 	retryBudgetRatio = 0.2
@@ -30,7 +30,7 @@
 	if req.class.Idempotency == NotIdempotent || req.possiblyExecuted == nil {
 		return false
 	}
-	if r.now >= req.possiblyExecuted.sentAt+req.class.DedupWindow-sendMargin {
+	if r.now >= req.possiblyExecuted.sentAt+req.class.DedupWindow-r.sendReserve() {
 		return false
 	}
 	return req.class.DedupScope.covers(req.possiblyExecuted.server, s)
@@ -50,7 +50,7 @@
 	return false
 }
 
-// MayStillSend reports whether an attempt that had to wait for its connection may be written now.
+// MayStillSend reports whether an attempt that had to wait may be written now.
 // It returns false if the attempt is unknown, if the server's drain grace period or the request's
 // deduplication window has ended, or if the server is no longer fresh enough for the read.
 func (r *Router) MayStillSend(now time.Duration, id uint32, attempt int) bool {
