Serve no read whose replica was too old by the time that it was written

Cause: the age of a replica's data was checked when it was chosen, and counts from the read's last byte.

Change: once a bounded read's last byte is written, its replica is checked again. If it was too old by then, the attempt is aborted and the read goes elsewhere. Long writes are covered too, on all wires.

Measured: TestReadSentTooLateIsNotServed, on a fake clock, has the read served from data 1 s old without the change, and rejected with it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -94,6 +94,18 @@
 	a.request.counters.Attempts++
 	d.sendDurations.observe(d.loop.Now(), a.allowedAt)
 	d.router.SetSendDuration(d.sendDurations.longest(d.loop.Now()))
+	if d.router.SentTooLate(d.loop.Now(), a.request.id, a.number) {
+		d.loop.Post(a.endUnserved) // the backend may still be in Send
+	}
+}
+
+// endUnserved ends a read that was sent too late, so that its answer reaches nobody.
+func (a *attempt) endUnserved() {
+	if a.request.inFlight[a.number] == nil {
+		return
+	}
+	a.abort()
+	a.end(AttemptResult{Result: policy.Misdirected})
 }
 
 // progressed reports to the policy that the server is at work.
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -135,6 +135,45 @@
 	})
 }
 
+// A pooler may be held up between the check of a read and its last byte. By then the data of the replica was older than the class allows,
+// and clients got it.
+func TestReadSentTooLateIsNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, backend := startDispatcher(t)
+		replier := fakeReplier{make(chan string, 2)}
+		onLoop(d, func() {
+			read := policy.Class{Name: "r", Access: policy.ReadBounded, MaxStaleness: 800 * time.Millisecond, LatencyObjective: 2 * time.Second,
+				TotalTimeout: 2 * time.Second, PriorityWeight: 1, LateWeightFraction: 1}
+			settings := d.settings
+			settings.Classes = append(settings.Classes, read)
+			if err := d.UpdateSettings(settings, d.admission.maxOpen, d.probeTimeout); err != nil {
+				t.Error(err)
+			}
+			backend.status = policy.ServerStatus{HasRole: true, HasPosition: true, Position: d.loop.Now()}
+			class, _ := d.ClassNumber(read.Name)
+			d.Submit(&Request{Class: class, ArrivedAt: d.loop.Now(), Timeout: 2 * time.Second, Reply: replier})
+		})
+		var call *fakeCall
+		select {
+		case call = <-backend.calls:
+		case answer := <-replier.ended:
+			t.Fatalf("the read was %s before it was sent", answer)
+		}
+		time.Sleep(time.Second)
+		d.loop.Post(call.Sent)
+		synctest.Wait()
+		select {
+		case <-call.aborted:
+		default:
+			t.Error("the read is not aborted")
+		}
+		d.loop.Post(func() { call.Done(AttemptResult{Result: policy.OK, Answer: "old"}) })
+		if answer := <-replier.ended; answer != "rejected" {
+			t.Errorf("the read was %s, want rejected", answer)
+		}
+	})
+}
+
 // The end of an attempt must be reported to the policy even if the client disconnects before the attempt is started. The policy
 // counts the attempt against its server until then: the server would lose capacity permanently and be ejected as unresponsive.
 func TestAttemptOfDisconnectedClientEnds(t *testing.T) {
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -63,7 +63,8 @@
 //     with one HandleTimer call, and to each WatchList with at least one HandleList call (ListFailed
 //     if it did not succeed).
 //  5. Call MayStillSend right before writing an attempt, and again if it had to wait for its connection.
-//     If it returns false, report the attempt as NotSent or Misdirected.
+//     If it returns false, report the attempt as NotSent or Misdirected. Call SentTooLate once its last
+//     byte is written.
 //
 // In return, each request receives exactly one final answer in time: an attempt that ended as OK with
 // Outcome.Answered set, or one call of Actions.Reject or Actions.Fail. Outcomes of unknown attempts
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -66,6 +66,20 @@
 	return s == req.group.primary || req.class.needsPrimary() || r.freshEnough(req, s)
 }
 
+// SentTooLate reports whether an attempt was written too late for the data of its server, because the
+// pooler was held up or the write took long: the age of the data counts from the attempt's last byte.
+// The host calls it at that time. If it returns true, the host must not serve the answer, and reports the
+// attempt as Misdirected.
+func (r *Router) SentTooLate(now time.Duration, id uint32, attempt int) bool {
+	r.advanceClock(now)
+	req := r.requests[id]
+	if req == nil || req.class.Access != ReadBounded || attempt < 0 || attempt >= len(req.attempts) {
+		return false
+	}
+	s := req.attempts[attempt].server
+	return s != req.group.primary && r.answersStaleReads(s) && !r.freshEnough(req, s)
+}
+
 // HandleOutcome handles the end of an attempt. It updates the record of the server, and finishes,
 // retries or queues the request unless that has its final answer or another attempt in flight. The
 // outcome of an attempt that is unknown or has already ended is ignored.
--- a/internal/pooler/sessions_test.go
+++ b/internal/pooler/sessions_test.go
@@ -24,8 +24,8 @@
 
 // commented appends the comment of a request to a statement.
 func commented(statement, class string) string {
-	comment := standin.Read(class, amplePatience)
-	return statement + " " + comment[strings.Index(comment, "/*"):]
+	_, comment, _ := strings.Cut(standin.Read(class, amplePatience), "/*")
+	return statement + " /*" + comment
 }
 
 // text returns a function that executes a statement, in the form in which a client sends it without preparing it.
@@ -53,14 +53,15 @@
 }
 
 // bound returns a function that executes a statement with its last string or number bound to a parameter.
-func bound(t *testing.T, c *standin.MySQL, key any) func(statement string) standin.Result {
+func bound(c *standin.MySQL, key any) func(statement string) standin.Result {
 	return func(statement string) standin.Result {
 		literal := fmt.Sprintf("'%v'", key)
 		if _, isString := key.(string); !isString {
 			literal = fmt.Sprint(key)
 		}
-		at := strings.LastIndex(statement[:strings.Index(statement, "/*")], literal)
-		prepared, err := c.Prepare(statement[:at] + "?" + statement[at+len(literal):])
+		bare, comment, _ := strings.Cut(statement, "/*")
+		at := max(strings.LastIndex(bare, literal), 0)
+		prepared, err := c.Prepare(bare[:at] + "?" + bare[at+len(literal):] + "/*" + comment)
 		if err != nil {
 			return standin.FromMySQL(err)
 		}
@@ -136,16 +137,16 @@
 					if name == "number" {
 						key = number
 					}
-					do := map[string]func(string) standin.Result{"text": asText, "prepared": c.Do, "bound": bound(t, c, key)}
+					do := map[string]func(string) standin.Result{"text": asText, "prepared": c.Do, "bound": bound(c, key)}
 					written := strings.NewReplacer("KEY", fmt.Sprint(number), "NUMBER", fmt.Sprint(number)).Replace(write)
 					read := commented(fmt.Sprintf("SELECT val FROM state WHERE uid = '%d'", number), "view")
 					expectPrimary(t, asText(read), false, name+" before")
 					expectServed(t, do[form](commented(written, "write")))
 					expectPrimary(t, asText(read), true, name+" "+form+", read as text")
 					expectPrimary(t, c.Do(read), true, name+" "+form+", read prepared")
-					expectPrimary(t, bound(t, c, fmt.Sprint(number))(read), true, name+" "+form+", read with a bound key")
+					expectPrimary(t, bound(c, fmt.Sprint(number))(read), true, name+" "+form+", read with a bound key")
 					unquoted := strings.Replace(read, fmt.Sprintf("'%d'", number), fmt.Sprint(number), 1)
-					expectPrimary(t, bound(t, c, number)(unquoted), true, name+" "+form+", read with a bound number")
+					expectPrimary(t, bound(c, number)(unquoted), true, name+" "+form+", read with a bound number")
 				}
 			}
 		})
