--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -17,8 +17,9 @@
 // # State
 //
 // A Router owns all of its state: servers, groups, open requests, latency estimates, session
-// positions and pending timers. The types are in server.go, group.go, request.go, latency.go,
-// sessions.go and timers.go; the decisions are in the files listed above.
+// positions, which the Routers of a process may share, and pending timers. The types are in server.go,
+// group.go, request.go, latency.go, sessions.go and timers.go; the decisions are in the files listed
+// above.
 //
 // A Router starts no goroutines and reads no clock. It is not safe for concurrent use: the host
 // must call it from one goroutine or hold a lock. It is deterministic: the same settings, seed and
